--- /dev/null
+++ b/board/board.c
@@ -0,0 +1,157 @@
+#include "board/board.h"
+
+#include <string.h>
+
+#include "control/control.h"
+#include "desk/desk.h"
+#include "desk/pulls.h"
+#include "rollout/rollout.h"
+
+void
+gspan_board_init (struct GspanBoard *board, const struct GspanBoardConfig *config)
+{
+  memset (board, 0, sizeof *board);
+  board->random = g_rand_new_with_seed (config->seed);
+  board->incarnation = g_rand_int (board->random);
+  board->self = config->self;
+  board->policy = config->policy;
+  board->request_timeout_us = config->request_timeout_us;
+  gspan_records_init (&board->records);
+  gspan_leases_init (&board->leases, config->lease_us);
+  gspan_statuses_init (&board->statuses);
+  gspan_upstreams_init (&board->upstreams);
+}
+
+void
+gspan_board_finish (struct GspanBoard *board)
+{
+  gspan_upstreams_finish (&board->upstreams);
+  gspan_statuses_finish (&board->statuses);
+  gspan_leases_finish (&board->leases);
+  gspan_records_finish (&board->records);
+  g_rand_free (board->random);
+}
+
+guint64
+gspan_board_next_id (struct GspanBoard *board)
+{
+  return ++board->next_id;
+}
+
+static void
+dispatch_answer (struct GspanBoard *board, const struct GspanEvent *event,
+                 struct GspanOutbox *outbox)
+{
+  switch (event->ref.owner)
+    {
+    case GSPAN_OWNER_RECORDS:
+      gspan_follow_handle (board, event, outbox);
+      break;
+    case GSPAN_OWNER_VMS:
+      gspan_vms_handle (board, event, outbox);
+      break;
+    case GSPAN_OWNER_LEASES:
+      gspan_leases_handle (board, event, outbox);
+      break;
+    case GSPAN_OWNER_STATUS:
+      gspan_statuses_handle (board, event, outbox);
+      break;
+    case GSPAN_OWNER_DESK:
+      gspan_desk_handle (board, event, outbox);
+      break;
+    case GSPAN_OWNER_PULLS:
+      gspan_pulls_handle (board, event, outbox);
+      break;
+    case GSPAN_OWNER_ROLLOUT:
+      gspan_rollout_handle (board, event, outbox);
+      break;
+    case GSPAN_OWNER_CONTROL:
+      gspan_control_handle (board, event, outbox);
+      break;
+    }
+}
+
+static void
+refuse_request (const struct GspanEvent *event, struct GspanOutbox *outbox)
+{
+  gspan_outbox_reply_error (outbox, event->u.request.request, 404, "path", "no such resource");
+}
+
+static void
+dispatch_request (struct GspanBoard *board, const struct GspanEvent *event,
+                  struct GspanOutbox *outbox)
+{
+  if (board->pulls != NULL && gspan_pulls_takes (event->u.request.path))
+    gspan_pulls_handle (board, event, outbox);
+  else if (board->desk != NULL)
+    gspan_desk_handle (board, event, outbox);
+  else
+    refuse_request (event, outbox);
+}
+
+static void
+dispatch_to_all (struct GspanBoard *board, const struct GspanEvent *event,
+                 struct GspanOutbox *outbox)
+{
+  gspan_follow_handle (board, event, outbox);
+  gspan_vms_handle (board, event, outbox);
+  gspan_leases_handle (board, event, outbox);
+  gspan_statuses_handle (board, event, outbox);
+  if (board->desk != NULL)
+    gspan_desk_handle (board, event, outbox);
+  if (board->pulls != NULL)
+    gspan_pulls_handle (board, event, outbox);
+  if (board->rollout != NULL)
+    gspan_rollout_handle (board, event, outbox);
+  if (board->control != NULL)
+    gspan_control_handle (board, event, outbox);
+}
+
+void
+gspan_board_handle (struct GspanBoard *board, const struct GspanEvent *event, guint64 now,
+                    struct GspanOutbox *outbox)
+{
+  board->now = MAX (board->now, now);
+  switch (event->kind)
+    {
+    case GSPAN_EVENT_DRAIN:
+      board->draining = true;
+      dispatch_to_all (board, event, outbox);
+      break;
+    case GSPAN_EVENT_TICK:
+    case GSPAN_EVENT_REQUEST_GONE:
+      dispatch_to_all (board, event, outbox);
+      break;
+    case GSPAN_EVENT_REQUEST:
+      dispatch_request (board, event, outbox);
+      break;
+    case GSPAN_EVENT_RPC_CALL:
+      if (board->rollout != NULL)
+        gspan_rollout_handle (board, event, outbox);
+      break;
+    case GSPAN_EVENT_HTTP_HEAD:
+    case GSPAN_EVENT_HTTP_DATA:
+    case GSPAN_EVENT_HTTP_DONE:
+    case GSPAN_EVENT_OBJECT_DONE:
+    case GSPAN_EVENT_RPC_DONE:
+      dispatch_answer (board, event, outbox);
+      break;
+    }
+}
+
+bool
+gspan_board_busy (const struct GspanBoard *board)
+{
+  if (board->desk != NULL && gspan_desk_busy (board->desk))
+    return true;
+  if (board->pulls != NULL && gspan_pulls_busy (board->pulls))
+    return true;
+  for (guint i = 0; i < board->leases.items->len; i++)
+    {
+      const struct GspanLease *lease = g_ptr_array_index (board->leases.items, i);
+
+      if (lease->held_until > board->now)
+        return true;
+    }
+  return false;
+}
--- /dev/null
+++ b/board/board.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "board/message.h"
+#include "common/metrics.h"
+#include "platform/lease.h"
+#include "platform/status.h"
+#include "records/follow.h"
+#include "records/table.h"
+#include "route/choose.h"
+#include "route/upstreams.h"
+#include "route/vms.h"
+
+struct GspanControl;
+struct GspanDesk;
+struct GspanPulls;
+struct GspanRollout;
+
+/* Who this process is. All strings are borrowed from the settings. */
+struct GspanSelf
+{
+  const char *name;
+  const char *firm;
+  const char *zone;
+  const char *rpc;
+};
+
+/*
+ * The blackboard that the controllers of one process read and write. It has no clock, no sockets
+ * and no static state; NOW is set from each event. A controller that is not composed is NULL.
+ */
+struct GspanBoard
+{
+  guint64 now; /* microseconds */
+  GRand *random;
+  guint32 incarnation; /* drawn at start, tells restarts of one name apart */
+  struct GspanSelf self;
+  bool draining;
+  guint64 next_id;
+  struct GspanMetrics metrics;
+  struct GspanRecords records;
+  struct GspanFollow follow;
+  struct GspanLeases leases;
+  struct GspanStatuses statuses;
+  struct GspanUpstreams upstreams;
+  struct GspanVms vms;
+  enum GspanRoutePolicy policy;
+  guint64 request_timeout_us;
+  struct GspanDesk *desk;
+  struct GspanPulls *pulls;
+  struct GspanRollout *rollout;
+  struct GspanControl *control;
+};
+
+struct GspanBoardConfig
+{
+  struct GspanSelf self;
+  guint32 seed;
+  guint64 lease_us;
+  guint64 request_timeout_us;
+  enum GspanRoutePolicy policy;
+};
+
+void
+gspan_board_init (struct GspanBoard *board, const struct GspanBoardConfig *config);
+void
+gspan_board_finish (struct GspanBoard *board);
+
+/* Number of an operation, unique on this board. */
+guint64
+gspan_board_next_id (struct GspanBoard *board);
+
+/* Runs the controllers that EVENT concerns at the time NOW; their actions go to OUTBOX. */
+void
+gspan_board_handle (struct GspanBoard *board, const struct GspanEvent *event, guint64 now,
+                    struct GspanOutbox *outbox);
+
+/* True while work in flight keeps a draining process from its exit. */
+bool
+gspan_board_busy (const struct GspanBoard *board);
--- /dev/null
+++ b/board/message.h
@@ -0,0 +1,238 @@
+#pragma once
+
+#include "common/headers.h"
+#include "common/log.h"
+
+/*
+ * Events come in from the shell, actions go out to it. A controller is a function of the board, one
+ * event and the time; it appends its actions to an outbox and never touches the outside itself.
+ */
+
+/* The controller that started an operation; its completion goes back to the same one. */
+enum GspanOwner
+{
+  GSPAN_OWNER_RECORDS,
+  GSPAN_OWNER_VMS,
+  GSPAN_OWNER_LEASES,
+  GSPAN_OWNER_STATUS,
+  GSPAN_OWNER_DESK,
+  GSPAN_OWNER_PULLS,
+  GSPAN_OWNER_ROLLOUT,
+  GSPAN_OWNER_CONTROL
+};
+
+/* Names one operation: ID is chosen by OWNER and unique among its open operations. */
+struct GspanRef
+{
+  enum GspanOwner owner;
+  guint64 id;
+};
+
+/* How an exchange with an upstream ended. */
+enum GspanHttpResult
+{
+  GSPAN_HTTP_WHOLE,    /* the answer is whole: its length or its end mark says so */
+  GSPAN_HTTP_NOT_SENT, /* no byte of the request left this process */
+  GSPAN_HTTP_LOST,     /* bytes left, and no whole answer came */
+  GSPAN_HTTP_TIMEOUT   /* as LOST, given up at the timeout */
+};
+
+/* How an operation on a platform object ended. */
+enum GspanObjectResult
+{
+  GSPAN_OBJECT_OK,
+  GSPAN_OBJECT_CONFLICT,    /* the expected version is not the current one */
+  GSPAN_OBJECT_MISSING,     /* there is no such object */
+  GSPAN_OBJECT_GAP,         /* a watch can't go on from that revision */
+  GSPAN_OBJECT_UNAVAILABLE, /* refused or never sent: surely not done */
+  GSPAN_OBJECT_UNKNOWN      /* sent, answer lost: done or not */
+};
+
+enum GspanObjectOp
+{
+  GSPAN_OBJECT_GET,
+  GSPAN_OBJECT_PUT,
+  GSPAN_OBJECT_LIST,
+  GSPAN_OBJECT_WATCH,
+  GSPAN_OBJECT_FETCH /* any other document of the platform, named by its path */
+};
+
+enum GspanRpcResult
+{
+  GSPAN_RPC_OK,
+  GSPAN_RPC_NOT_SENT,
+  GSPAN_RPC_LOST
+};
+
+enum GspanEventKind
+{
+  GSPAN_EVENT_TICK,
+  GSPAN_EVENT_DRAIN,
+  GSPAN_EVENT_REQUEST,
+  GSPAN_EVENT_REQUEST_GONE,
+  GSPAN_EVENT_HTTP_HEAD,
+  GSPAN_EVENT_HTTP_DATA,
+  GSPAN_EVENT_HTTP_DONE,
+  GSPAN_EVENT_OBJECT_DONE,
+  GSPAN_EVENT_RPC_CALL,
+  GSPAN_EVENT_RPC_DONE
+};
+
+/* A caller's whole request. */
+struct GspanEventRequest
+{
+  guint64 request;
+  struct GspanStr method;
+  struct GspanStr path; /* with its query */
+  const struct GspanHeaders *headers;
+  GBytes *body;
+};
+
+/* STATUS is 0 where no status line came. BODY is empty for a streamed exchange. */
+struct GspanEventHttp
+{
+  enum GspanHttpResult result; /* DONE only */
+  int status;
+  const struct GspanHeaders *headers;
+  GBytes *body;
+  guint64 elapsed_us; /* DONE only */
+};
+
+struct GspanEventObject
+{
+  enum GspanObjectResult result;
+  guint64 revision; /* object version, or the store's revision for LIST and WATCH */
+  GBytes *body;
+};
+
+struct GspanEventRpc
+{
+  guint64 call; /* CALL: names the call in the reply action */
+  guint32 proc;
+  enum GspanRpcResult result; /* DONE only */
+  struct GspanStr payload;    /* XDR of the arguments or of the result */
+};
+
+/* All that an event points to is borrowed until the controller returns. */
+struct GspanEvent
+{
+  enum GspanEventKind kind;
+  struct GspanRef ref; /* HTTP, OBJECT and RPC_DONE */
+  union
+  {
+    struct GspanEventRequest request;
+    guint64 gone; /* the request whose caller went away */
+    struct GspanEventHttp http;
+    struct GspanEventObject object;
+    struct GspanEventRpc rpc;
+  } u;
+};
+
+enum GspanActionKind
+{
+  GSPAN_ACTION_REPLY,       /* whole answer to a caller */
+  GSPAN_ACTION_REPLY_BEGIN, /* status and headers of a streamed answer */
+  GSPAN_ACTION_REPLY_DATA,
+  GSPAN_ACTION_REPLY_END,
+  GSPAN_ACTION_REPLY_CUT, /* breaks the stream, so that the caller can't take it for whole */
+  GSPAN_ACTION_HTTP,
+  GSPAN_ACTION_HTTP_CANCEL,
+  GSPAN_ACTION_OBJECT,
+  GSPAN_ACTION_RPC,
+  GSPAN_ACTION_RPC_REPLY,
+  GSPAN_ACTION_LOG
+};
+
+struct GspanActionReply
+{
+  guint64 request;
+  int status;
+  struct GspanHeaders headers;
+  GBytes *body; /* may be NULL */
+};
+
+struct GspanActionHttp
+{
+  char *method;
+  char *url;
+  struct GspanHeaders headers;
+  GBytes *body; /* may be NULL */
+  guint64 timeout_us;
+  guint64 silence_us; /* longest pause between answer bytes; 0 is no limit */
+  bool fresh;         /* never on a used connection: the request may not run twice */
+  bool stream;        /* HEAD and DATA events as they come */
+};
+
+struct GspanActionObject
+{
+  enum GspanObjectOp op;
+  char *path; /* "KIND/NAME", "KIND", or a platform path for FETCH */
+  guint64 revision;
+  GBytes *body;
+};
+
+struct GspanActionRpc
+{
+  char *address; /* "IP:PORT" */
+  guint64 call;  /* RPC_REPLY only */
+  guint32 proc;
+  GBytes *payload;
+  guint64 timeout_us;
+};
+
+struct GspanActionLog
+{
+  enum GspanPriority priority;
+  const char *module;
+  char *text;
+};
+
+struct GspanAction
+{
+  enum GspanActionKind kind;
+  struct GspanRef ref;
+  union
+  {
+    struct GspanActionReply reply;
+    struct GspanActionHttp http;
+    struct GspanActionObject object;
+    struct GspanActionRpc rpc;
+    struct GspanActionLog log;
+  } u;
+};
+
+/* Actions in the order in which they are to be done. Owns them until they are cleared. */
+struct GspanOutbox
+{
+  GPtrArray *actions;
+};
+
+void
+gspan_outbox_init (struct GspanOutbox *outbox);
+void
+gspan_outbox_finish (struct GspanOutbox *outbox);
+void
+gspan_outbox_clear (struct GspanOutbox *outbox);
+
+/* Appends an empty action of KIND, its headers ready, for the caller to fill in. */
+struct GspanAction *
+gspan_outbox_add (struct GspanOutbox *outbox, enum GspanActionKind kind, struct GspanRef ref);
+
+/* Whole answer with a body of JSON text. */
+struct GspanAction *
+gspan_outbox_reply_json (struct GspanOutbox *outbox, guint64 request, int status, const char *json);
+
+/* Answer {"error": {"field": FIELD, "message": MESSAGE}}. */
+struct GspanAction *
+gspan_outbox_reply_error (struct GspanOutbox *outbox, guint64 request, int status,
+                          const char *field, const char *message);
+
+/* Operation on a platform object. Takes over a reference to BODY, which may be NULL. */
+void
+gspan_outbox_object (struct GspanOutbox *outbox, struct GspanRef ref, enum GspanObjectOp op,
+                     const char *path, guint64 revision, GBytes *body);
+
+/* Takes over LINE. MODULE has static storage. */
+void
+gspan_outbox_log (struct GspanOutbox *outbox, const char *module, enum GspanPriority priority,
+                  struct GspanLine *line);
--- /dev/null
+++ b/cmd/daemon.c
@@ -0,0 +1,139 @@
+#include "cmd/daemon.h"
+
+#include <signal.h>
+#include <stdio.h>
+
+#include "common/clock.h"
+#include "common/version.h"
+#include "settings/node.h"
+#include "shell/shell.h"
+
+struct Arguments
+{
+  char *config;
+  gboolean check;
+  gboolean version;
+  gboolean help_settings;
+};
+
+static bool
+parse_arguments (const struct GspanDaemon *daemon, struct Arguments *arguments, int *argc,
+                 char ***argv)
+{
+  const GOptionEntry entries[] = {
+    { "config", 'c', 0, G_OPTION_ARG_FILENAME, &arguments->config, "settings file", "FILE" },
+    { "check", 0, 0, G_OPTION_ARG_NONE, &arguments->check, "check the settings and exit", NULL },
+    { "help-settings", 0, 0, G_OPTION_ARG_NONE, &arguments->help_settings,
+      "print the reference of all settings and exit", NULL },
+    { "version", 0, 0, G_OPTION_ARG_NONE, &arguments->version, "print the version and exit", NULL },
+    { NULL, 0, 0, 0, NULL, NULL, NULL }
+  };
+  GOptionContext *context = g_option_context_new (NULL);
+  GError *problem = NULL;
+  bool ok;
+
+  g_option_context_set_summary (context, daemon->summary);
+  g_option_context_add_main_entries (context, entries, NULL);
+  ok = g_option_context_parse (context, argc, argv, &problem);
+  if (!ok)
+    {
+      fprintf (stderr, "%s: %s\n", daemon->name, problem->message);
+      g_error_free (problem);
+    }
+  g_option_context_free (context);
+  return ok;
+}
+
+static bool
+load_settings (const char *file, struct GspanNodeSettings *settings)
+{
+  struct GspanFindings findings;
+  char *text;
+  bool ok;
+
+  gspan_findings_init (&findings);
+  gspan_options_load (gspan_node_options, gspan_node_option_count, file, settings, &findings);
+  text = gspan_findings_format (&findings);
+  fputs (text, stderr);
+  g_free (text);
+  ok = gspan_findings_count (&findings) == 0;
+  gspan_findings_finish (&findings);
+  return ok;
+}
+
+static int
+serve (const struct GspanDaemon *daemon, const struct GspanNodeSettings *settings)
+{
+  struct GspanBoardConfig config = { 0 };
+  struct GspanError error = { 0 };
+  struct GspanBoard board;
+  struct GspanShell *shell;
+
+  config.self.name = settings->name;
+  config.self.firm = settings->firm;
+  config.self.zone = settings->zone;
+  config.self.rpc = settings->rpc;
+  config.seed = settings->seed != 0 ? (guint32)settings->seed : g_random_int ();
+  config.lease_us = (guint64)settings->lease_ms * GSPAN_MS;
+  config.request_timeout_us = (guint64)settings->request_timeout_ms * GSPAN_MS;
+  gspan_route_policy_parse (settings->policy, &config.policy);
+  gspan_board_init (&board, &config);
+  daemon->compose (&board);
+  shell = gspan_shell_new (settings, daemon->name, &board, &error);
+  if (shell == NULL)
+    {
+      fprintf (stderr, "%s: %s\n", daemon->name, error.message);
+      gspan_board_finish (&board);
+      return GSPAN_EXIT_FAILURE;
+    }
+  gspan_shell_run (shell);
+  gspan_shell_free (shell);
+  gspan_board_finish (&board);
+  return GSPAN_EXIT_OK;
+}
+
+static int
+run_with_settings (const struct GspanDaemon *daemon, const struct Arguments *arguments)
+{
+  struct GspanNodeSettings settings = { 0 };
+  int code = GSPAN_EXIT_OK;
+
+  if (!load_settings (arguments->config, &settings))
+    code = GSPAN_EXIT_USAGE;
+  else if (!arguments->check)
+    code = serve (daemon, &settings);
+  gspan_options_finish (gspan_node_options, gspan_node_option_count, &settings);
+  return code;
+}
+
+int
+gspan_daemon_main (const struct GspanDaemon *daemon, int argc, char **argv)
+{
+  struct Arguments arguments = { 0 };
+  int code;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (!parse_arguments (daemon, &arguments, &argc, &argv))
+    return GSPAN_EXIT_USAGE;
+  if (arguments.version)
+    {
+      printf ("%s %s\n", daemon->name, GSPAN_VERSION);
+      return GSPAN_EXIT_OK;
+    }
+  if (arguments.help_settings)
+    {
+      char *text = gspan_options_describe (gspan_node_options, gspan_node_option_count);
+
+      fputs (text, stdout);
+      g_free (text);
+      return GSPAN_EXIT_OK;
+    }
+  if (arguments.config == NULL)
+    {
+      fprintf (stderr, "%s: --config FILE is required\n", daemon->name);
+      return GSPAN_EXIT_USAGE;
+    }
+  code = run_with_settings (daemon, &arguments);
+  g_free (arguments.config);
+  return code;
+}
--- /dev/null
+++ b/cmd/daemon.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "board/board.h"
+
+/* What the daemons have in common: command line, settings, board and shell. */
+
+enum GspanExit
+{
+  GSPAN_EXIT_OK = 0,
+  GSPAN_EXIT_FAILURE = 1,
+  GSPAN_EXIT_USAGE = 2 /* the command line or the settings are wrong */
+};
+
+struct GspanDaemon
+{
+  const char *name;                           /* of the program */
+  const char *summary;                        /* one line for --help */
+  void (*compose) (struct GspanBoard *board); /* puts the program's controllers on the board */
+};
+
+/* Runs the program until it is told to stop. Returns its exit code. */
+int
+gspan_daemon_main (const struct GspanDaemon *daemon, int argc, char **argv);
--- /dev/null
+++ b/cmd/gspan-entry.c
@@ -0,0 +1,21 @@
+#include "cmd/daemon.h"
+#include "desk/desk.h"
+#include "desk/pulls.h"
+
+static void
+compose (struct GspanBoard *board)
+{
+  board->desk = g_new0 (struct GspanDesk, 1);
+  gspan_desk_init (board->desk);
+  board->pulls = g_new0 (struct GspanPulls, 1);
+  gspan_pulls_init (board->pulls);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct GspanDaemon daemon
+      = { "gspan-entry", "Takes the requests of desk callers and trainers.", compose };
+
+  return gspan_daemon_main (&daemon, argc, argv);
+}
--- /dev/null
+++ b/desk/desk.c
@@ -0,0 +1,409 @@
+#include "desk/desk.h"
+
+#include <string.h>
+
+#include "board/board.h"
+#include "common/clock.h"
+#include "desk/outcome.h"
+#include "desk/parse.h"
+
+enum
+{
+  ATTEMPTS_MAX = 4,
+  RETRY_AFTER_S = 1
+};
+
+/* One caller's request under way. It has one exchange at a time. */
+struct GspanDeskCall
+{
+  guint64 id; /* of the exchange under way */
+  guint64 request;
+  char *route;
+  char *service;
+  char *method;
+  char *path;
+  char *content_type;
+  GBytes *body;
+  bool idempotent;
+  bool stream;
+  bool begun; /* the head of a streamed answer is out */
+  guint64 prefix_hash;
+  guint64 started;
+  guint64 deadline;
+  guint attempts;
+  GPtrArray *excluded;
+  struct GspanUpstream *upstream;
+};
+
+static void
+call_free (gpointer data)
+{
+  struct GspanDeskCall *call = data;
+
+  g_free (call->route);
+  g_free (call->service);
+  g_free (call->method);
+  g_free (call->path);
+  g_free (call->content_type);
+  g_bytes_unref (call->body);
+  g_ptr_array_unref (call->excluded);
+  g_free (call);
+}
+
+void
+gspan_desk_init (struct GspanDesk *desk)
+{
+  desk->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, call_free);
+  desk->by_request = g_hash_table_new (g_int64_hash, g_int64_equal);
+}
+
+void
+gspan_desk_finish (struct GspanDesk *desk)
+{
+  g_hash_table_unref (desk->by_request);
+  g_hash_table_unref (desk->calls);
+}
+
+bool
+gspan_desk_busy (const struct GspanDesk *desk)
+{
+  return g_hash_table_size (desk->calls) > 0;
+}
+
+static struct GspanUpstreamTraits
+traits_of (const struct GspanBoard *board, const char *service)
+{
+  const struct GspanRecord *record
+      = gspan_records_find (&board->records, GSPAN_RECORD_UPSTREAM, service);
+  struct GspanUpstreamTraits traits = { 0 };
+
+  return record != NULL ? record->u.upstream : traits;
+}
+
+static void
+forget (struct GspanDesk *desk, struct GspanDeskCall *call)
+{
+  g_hash_table_remove (desk->by_request, &call->request);
+  g_hash_table_remove (desk->calls, &call->id);
+}
+
+static void
+log_choice (const struct GspanDeskCall *call, const struct GspanRouteChoice *choice,
+            struct GspanOutbox *outbox)
+{
+  struct GspanLine line;
+
+  gspan_line_init (&line, "route");
+  gspan_line_u64 (&line, "request", call->request);
+  gspan_line_cstr (&line, "route", call->route);
+  gspan_line_u64 (&line, "attempt", call->attempts);
+  gspan_line_u64 (&line, "candidates", choice->candidates);
+  gspan_line_cstr (&line, "upstream", choice->upstream != NULL ? choice->upstream->name : "-");
+  gspan_line_cstr (&line, "why", gspan_route_reason_name (choice->reason));
+  gspan_outbox_log (outbox, "desk", GSPAN_PRIORITY_INFO, &line);
+}
+
+static void
+log_outcome (struct GspanBoard *board, const struct GspanDeskCall *call, enum GspanOutcome outcome,
+             struct GspanOutbox *outbox)
+{
+  struct GspanLine line;
+
+  gspan_line_init (&line, "outcome");
+  gspan_line_u64 (&line, "request", call->request);
+  gspan_line_cstr (&line, "route", call->route);
+  gspan_line_cstr (&line, "outcome", gspan_outcome_name (outcome));
+  gspan_line_u64 (&line, "attempts", call->attempts);
+  gspan_line_u64 (&line, "elapsed_us", board->now - call->started);
+  gspan_outbox_log (outbox, "desk", GSPAN_PRIORITY_INFO, &line);
+}
+
+static void
+count_outcome (struct GspanBoard *board, enum GspanOutcome outcome)
+{
+  static const enum GspanMetric metrics[]
+      = { GSPAN_METRIC_DESK_COMPLETE, GSPAN_METRIC_DESK_FAILED, GSPAN_METRIC_DESK_NOT_RUN,
+          GSPAN_METRIC_DESK_UNKNOWN };
+
+  gspan_metrics_add (&board->metrics, metrics[outcome], 1);
+}
+
+static void
+add_outcome_header (struct GspanAction *action, enum GspanOutcome outcome)
+{
+  gspan_headers_add (&action->u.reply.headers, "Gspan-Outcome",
+                     gspan_str_from (gspan_outcome_name (outcome)));
+  if (outcome == GSPAN_OUTCOME_NOT_RUN)
+    gspan_headers_add_u64 (&action->u.reply.headers, "Retry-After", RETRY_AFTER_S);
+}
+
+static void
+reply_not_run (struct GspanBoard *board, guint64 request, const char *why,
+               struct GspanOutbox *outbox)
+{
+  struct GspanAction *action = gspan_outbox_reply_error (
+      outbox, request, gspan_outcome_status (GSPAN_OUTCOME_NOT_RUN), "upstream", why);
+
+  add_outcome_header (action, GSPAN_OUTCOME_NOT_RUN);
+  count_outcome (board, GSPAN_OUTCOME_NOT_RUN);
+}
+
+/* Answers the caller with what the last attempt came to, and ends the call. */
+static void
+conclude (struct GspanBoard *board, struct GspanDeskCall *call, enum GspanOutcome outcome,
+          const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
+{
+  struct GspanAction *action;
+  bool passes = outcome == GSPAN_OUTCOME_COMPLETE || outcome == GSPAN_OUTCOME_FAILED;
+
+  log_outcome (board, call, outcome, outbox);
+  if (passes)
+    {
+      action = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY, (struct GspanRef){ 0 });
+      action->u.reply.request = call->request;
+      action->u.reply.status = answer->status;
+      action->u.reply.body = g_bytes_ref (answer->body);
+      gspan_headers_add (&action->u.reply.headers, "Content-Type",
+                         gspan_headers_get (answer->headers, "Content-Type"));
+    }
+  else
+    action = gspan_outbox_reply_error (
+        outbox, call->request, gspan_outcome_status (outcome), "upstream",
+        outcome == GSPAN_OUTCOME_NOT_RUN ? "no upstream took the call; it did not run"
+                                         : "the answer was lost; the call may have run");
+  add_outcome_header (action, outcome);
+  count_outcome (board, outcome);
+  forget (board->desk, call);
+}
+
+/* Ends a streamed answer whose head is out already. */
+static void
+conclude_stream (struct GspanBoard *board, struct GspanDeskCall *call, enum GspanOutcome outcome,
+                 struct GspanOutbox *outbox)
+{
+  static const char mark[] = ": Gspan-Outcome: complete\n\n";
+  struct GspanAction *action;
+
+  log_outcome (board, call, outcome, outbox);
+  count_outcome (board, outcome);
+  if (outcome == GSPAN_OUTCOME_COMPLETE)
+    {
+      action = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_DATA, (struct GspanRef){ 0 });
+      action->u.reply.request = call->request;
+      action->u.reply.body = g_bytes_new_static (mark, sizeof mark - 1);
+    }
+  action = gspan_outbox_add (
+      outbox, outcome == GSPAN_OUTCOME_COMPLETE ? GSPAN_ACTION_REPLY_END : GSPAN_ACTION_REPLY_CUT,
+      (struct GspanRef){ 0 });
+  action->u.reply.request = call->request;
+  forget (board->desk, call);
+}
+
+static void
+send_exchange (struct GspanBoard *board, struct GspanDeskCall *call, struct GspanOutbox *outbox)
+{
+  struct GspanRef ref = { GSPAN_OWNER_DESK, call->id };
+  struct GspanAction *action = gspan_outbox_add (outbox, GSPAN_ACTION_HTTP, ref);
+  struct GspanActionHttp *http = &action->u.http;
+
+  http->method = g_strdup (call->method);
+  http->url = g_strdup_printf ("http://%s%s", call->upstream->address, call->path);
+  http->body = g_bytes_ref (call->body);
+  http->timeout_us = call->deadline - board->now;
+  http->fresh = !call->idempotent;
+  http->stream = call->stream;
+  gspan_headers_add (&http->headers, "Content-Type", gspan_str_from (call->content_type));
+  gspan_headers_add_u64 (&http->headers, "X-Request-Id", call->request);
+  gspan_headers_add (&http->headers, "X-Priority", GSPAN_STR ("desk"));
+}
+
+/* Starts the next attempt, or says that there is none. */
+static bool
+attempt (struct GspanBoard *board, struct GspanDeskCall *call, struct GspanOutbox *outbox)
+{
+  struct GspanRouteQuery query = { 0 };
+  struct GspanRouteChoice choice;
+
+  if (call->attempts >= ATTEMPTS_MAX || board->now >= call->deadline)
+    return false;
+  query.policy = board->policy;
+  query.service = call->service;
+  query.zone = board->self.zone;
+  query.prefix_hash = call->prefix_hash;
+  query.now = board->now;
+  query.excluded = call->excluded;
+  choice = gspan_route_choose (&board->upstreams, &query);
+  call->attempts++;
+  log_choice (call, &choice, outbox);
+  if (choice.upstream == NULL)
+    return false;
+  if (call->attempts > 1)
+    gspan_metrics_add (&board->metrics, GSPAN_METRIC_DESK_RETRIES, 1);
+  call->upstream = choice.upstream;
+  gspan_upstream_begin (call->upstream);
+  g_hash_table_steal (board->desk->calls, &call->id);
+  call->id = gspan_board_next_id (board);
+  g_hash_table_insert (board->desk->calls, &call->id, call);
+  send_exchange (board, call, outbox);
+  return true;
+}
+
+static struct GspanDeskCall *
+call_new (struct GspanBoard *board, const struct GspanEventRequest *request,
+          const struct GspanDeskTarget *target)
+{
+  const struct GspanRoute *route = &target->route->u.route;
+  struct GspanDeskCall *call = g_new0 (struct GspanDeskCall, 1);
+  struct GspanStr type = gspan_headers_get (request->headers, "Content-Type");
+
+  call->id = gspan_board_next_id (board);
+  call->request = request->request;
+  call->route = g_strdup (target->route->name);
+  call->service = g_strdup (route->service);
+  call->method = gspan_str_dup (request->method);
+  call->path = g_strdup (target->path);
+  call->content_type = type.len > 0 ? gspan_str_dup (type) : g_strdup ("application/json");
+  call->body = g_bytes_ref (request->body);
+  call->idempotent = route->idempotent;
+  call->stream = target->stream;
+  call->prefix_hash = target->prefix_hash;
+  call->started = board->now;
+  call->deadline = board->now + route->timeout_us;
+  call->excluded = g_ptr_array_new ();
+  g_hash_table_insert (board->desk->calls, &call->id, call);
+  g_hash_table_insert (board->desk->by_request, &call->request, call);
+  return call;
+}
+
+static void
+on_request (struct GspanBoard *board, const struct GspanEventRequest *request,
+            struct GspanOutbox *outbox)
+{
+  struct GspanDeskTarget target;
+  struct GspanError error = { 0 };
+  const char *field = "";
+  int status = 400;
+
+  gspan_metrics_add (&board->metrics, GSPAN_METRIC_DESK_REQUESTS, 1);
+  if (board->draining)
+    {
+      reply_not_run (board, request->request, "this entry is shutting down", outbox);
+      return;
+    }
+  if (!gspan_desk_target_init (&target, request, &board->records, &status, &field, &error))
+    add_outcome_header (
+        gspan_outbox_reply_error (outbox, request->request, status, field, error.message),
+        GSPAN_OUTCOME_FAILED);
+  else
+    {
+      struct GspanDeskCall *call = call_new (board, request, &target);
+
+      if (!attempt (board, call, outbox))
+        conclude (board, call, GSPAN_OUTCOME_NOT_RUN, NULL, outbox);
+    }
+  gspan_desk_target_finish (&target);
+}
+
+static enum GspanUpstreamFeedback
+feedback_of (const struct GspanEventHttp *answer)
+{
+  if (answer->result != GSPAN_HTTP_WHOLE)
+    return GSPAN_FEEDBACK_BROKEN;
+  if (answer->status == 429 || answer->status == 503)
+    return GSPAN_FEEDBACK_REFUSED;
+  return GSPAN_FEEDBACK_GOOD;
+}
+
+static void
+on_done (struct GspanBoard *board, struct GspanDeskCall *call, const struct GspanEventHttp *answer,
+         struct GspanOutbox *outbox)
+{
+  struct GspanUpstreamTraits traits = traits_of (board, call->service);
+  enum GspanOutcome outcome = gspan_outcome_decide (answer->result, answer->status, &traits);
+  struct GspanUpstream *upstream = call->upstream;
+
+  call->upstream = NULL;
+  gspan_upstream_report (upstream, answer->headers, board->now);
+  gspan_upstream_end (upstream, feedback_of (answer), board->now);
+  if (call->begun)
+    {
+      conclude_stream (board, call, outcome, outbox);
+      return;
+    }
+  g_ptr_array_add (call->excluded, upstream);
+  if (gspan_outcome_may_retry (outcome, call->idempotent) && attempt (board, call, outbox))
+    return;
+  conclude (board, call, outcome, answer, outbox);
+}
+
+static void
+on_head (struct GspanDeskCall *call, const struct GspanEventHttp *answer,
+         struct GspanOutbox *outbox)
+{
+  struct GspanAction *action;
+
+  if (answer->status < 200 || answer->status >= 300)
+    return;
+  call->begun = true;
+  action = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_BEGIN, (struct GspanRef){ 0 });
+  action->u.reply.request = call->request;
+  action->u.reply.status = answer->status;
+  gspan_headers_add (&action->u.reply.headers, "Content-Type",
+                     gspan_headers_get (answer->headers, "Content-Type"));
+}
+
+static void
+on_data (struct GspanDeskCall *call, const struct GspanEventHttp *answer,
+         struct GspanOutbox *outbox)
+{
+  struct GspanAction *action;
+
+  if (!call->begun)
+    return;
+  action = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_DATA, (struct GspanRef){ 0 });
+  action->u.reply.request = call->request;
+  action->u.reply.body = g_bytes_ref (answer->body);
+}
+
+static void
+on_gone (struct GspanBoard *board, guint64 request, struct GspanOutbox *outbox)
+{
+  struct GspanDeskCall *call = g_hash_table_lookup (board->desk->by_request, &request);
+  struct GspanRef ref = { GSPAN_OWNER_DESK, 0 };
+
+  if (call == NULL)
+    return;
+  ref.id = call->id;
+  gspan_outbox_add (outbox, GSPAN_ACTION_HTTP_CANCEL, ref);
+  gspan_upstream_end (call->upstream, GSPAN_FEEDBACK_NONE, board->now);
+  forget (board->desk, call);
+}
+
+void
+gspan_desk_handle (struct GspanBoard *board, const struct GspanEvent *event,
+                   struct GspanOutbox *outbox)
+{
+  struct GspanDeskCall *call;
+
+  if (event->kind == GSPAN_EVENT_REQUEST)
+    {
+      on_request (board, &event->u.request, outbox);
+      return;
+    }
+  if (event->kind == GSPAN_EVENT_REQUEST_GONE)
+    {
+      on_gone (board, event->u.gone, outbox);
+      return;
+    }
+  if (event->kind < GSPAN_EVENT_HTTP_HEAD || event->kind > GSPAN_EVENT_HTTP_DONE)
+    return;
+  call = g_hash_table_lookup (board->desk->calls, &event->ref.id);
+  if (call == NULL)
+    return;
+  if (event->kind == GSPAN_EVENT_HTTP_HEAD)
+    on_head (call, &event->u.http, outbox);
+  else if (event->kind == GSPAN_EVENT_HTTP_DATA)
+    on_data (call, &event->u.http, outbox);
+  else
+    on_done (board, call, &event->u.http, outbox);
+}
--- /dev/null
+++ b/http/client.c
@@ -0,0 +1,405 @@
+#include "http/client.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+#include "common/clock.h"
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 1000,
+  KEEPALIVE_S = 5,
+  CONNECTIONS_KEPT = 256,
+  ANSWER_MAX = 64 << 20
+};
+
+struct Exchange
+{
+  struct GspanHttpClient *client;
+  struct GspanRef ref;
+  CURL *easy;
+  struct curl_slist *fields;
+  GBytes *body;
+  struct GspanHeaders headers;
+  GString *answer;
+  bool stream;
+  bool head_told;
+  bool cancelled;
+  guint64 started;
+};
+
+struct Socket
+{
+  struct GspanHttpClient *client;
+  ev_io io;
+  curl_socket_t fd;
+};
+
+struct GspanHttpClient
+{
+  struct ev_loop *loop;
+  CURLM *multi;
+  ev_timer timer;
+  GHashTable *exchanges; /* struct GspanRef to struct Exchange */
+  bool inside;           /* libcurl is on the stack and takes no handle in or out */
+  GPtrArray *starting;   /* exchanges to add once libcurl is off the stack */
+  GPtrArray *doomed;     /* cancelled exchanges to free then */
+  GspanHttpClientCallback callback;
+  void *user;
+};
+
+static guint
+ref_hash (gconstpointer key)
+{
+  const struct GspanRef *ref = key;
+
+  return (guint)(ref->id * 0x9e3779b97f4a7c15ULL >> 32) ^ (guint)ref->owner;
+}
+
+static gboolean
+ref_equal (gconstpointer a, gconstpointer b)
+{
+  const struct GspanRef *x = a;
+  const struct GspanRef *y = b;
+
+  return x->owner == y->owner && x->id == y->id;
+}
+
+static void
+exchange_free (gpointer data)
+{
+  struct Exchange *exchange = data;
+
+  curl_multi_remove_handle (exchange->client->multi, exchange->easy);
+  curl_easy_cleanup (exchange->easy);
+  curl_slist_free_all (exchange->fields);
+  g_clear_pointer (&exchange->body, g_bytes_unref);
+  gspan_headers_finish (&exchange->headers);
+  g_string_free (exchange->answer, TRUE);
+  g_free (exchange);
+}
+
+static int
+answer_status (struct Exchange *exchange)
+{
+  long status = 0;
+
+  curl_easy_getinfo (exchange->easy, CURLINFO_RESPONSE_CODE, &status);
+  return (int)status;
+}
+
+static void
+tell (struct Exchange *exchange, enum GspanEventKind kind, enum GspanHttpResult result,
+      GBytes *body)
+{
+  struct GspanHttpClient *client = exchange->client;
+  struct GspanEvent event = { 0 };
+
+  if (exchange->cancelled)
+    return;
+  event.kind = kind;
+  event.ref = exchange->ref;
+  event.u.http.result = result;
+  event.u.http.status = answer_status (exchange);
+  event.u.http.headers = &exchange->headers;
+  event.u.http.body = body;
+  event.u.http.elapsed_us = gspan_clock_now () - exchange->started;
+  client->callback (client->user, &event);
+}
+
+static size_t
+on_header (char *data, size_t size, size_t count, void *user)
+{
+  struct Exchange *exchange = user;
+  struct GspanStr line = { data, size * count };
+
+  if (gspan_str_has_prefix (line, GSPAN_STR ("HTTP/")))
+    gspan_headers_clear (&exchange->headers);
+  else
+    gspan_headers_add_line (&exchange->headers, line);
+  return line.len;
+}
+
+static size_t
+on_data (char *data, size_t size, size_t count, void *user)
+{
+  struct Exchange *exchange = user;
+  size_t len = size * count;
+  GBytes *body;
+
+  if (exchange->cancelled)
+    return 0;
+  if (!exchange->stream)
+    {
+      if (exchange->answer->len + len > ANSWER_MAX)
+        return 0;
+      g_string_append_len (exchange->answer, data, (gssize)len);
+      return len;
+    }
+  if (!exchange->head_told)
+    {
+      exchange->head_told = true;
+      tell (exchange, GSPAN_EVENT_HTTP_HEAD, GSPAN_HTTP_WHOLE, NULL);
+    }
+  body = g_bytes_new (data, len);
+  tell (exchange, GSPAN_EVENT_HTTP_DATA, GSPAN_HTTP_WHOLE, body);
+  g_bytes_unref (body);
+  return len;
+}
+
+static enum GspanHttpResult
+classify (struct Exchange *exchange, CURLcode code)
+{
+  long request_bytes = 0;
+
+  if (code == CURLE_OK)
+    return GSPAN_HTTP_WHOLE;
+  curl_easy_getinfo (exchange->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  if (request_bytes == 0)
+    return GSPAN_HTTP_NOT_SENT;
+  return code == CURLE_OPERATION_TIMEDOUT ? GSPAN_HTTP_TIMEOUT : GSPAN_HTTP_LOST;
+}
+
+static void
+finish_exchange (struct GspanHttpClient *client, struct Exchange *exchange, CURLcode code)
+{
+  enum GspanHttpResult result = classify (exchange, code);
+  GBytes *body;
+
+  g_hash_table_steal (client->exchanges, &exchange->ref);
+  if (exchange->stream && !exchange->head_told && result == GSPAN_HTTP_WHOLE)
+    tell (exchange, GSPAN_EVENT_HTTP_HEAD, result, NULL);
+  body = g_bytes_new (exchange->answer->str, exchange->answer->len);
+  tell (exchange, GSPAN_EVENT_HTTP_DONE, result, body);
+  g_bytes_unref (body);
+  exchange_free (exchange);
+}
+
+static void
+check_done (struct GspanHttpClient *client)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      struct Exchange *exchange = NULL;
+      CURLcode code = message->data.result;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **)&exchange);
+      finish_exchange (client, exchange, code);
+    }
+}
+
+static void
+run_curl (struct GspanHttpClient *client, curl_socket_t fd, int action)
+{
+  int running;
+
+  client->inside = true;
+  curl_multi_socket_action (client->multi, fd, action, &running);
+  client->inside = false;
+  g_ptr_array_set_size (client->doomed, 0);
+  for (guint i = 0; i < client->starting->len; i++)
+    {
+      struct Exchange *exchange = g_ptr_array_index (client->starting, i);
+
+      curl_multi_add_handle (client->multi, exchange->easy);
+    }
+  g_ptr_array_set_size (client->starting, 0);
+  check_done (client);
+}
+
+static void
+on_socket_ready (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct Socket *socket = watcher->data;
+  int action
+      = (events & EV_READ ? CURL_CSELECT_IN : 0) | (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
+
+  (void)loop;
+  run_curl (socket->client, socket->fd, action);
+}
+
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *user, void *socket_data)
+{
+  struct GspanHttpClient *client = user;
+  struct Socket *socket = socket_data;
+  int events = (what & CURL_POLL_IN ? EV_READ : 0) | (what & CURL_POLL_OUT ? EV_WRITE : 0);
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (socket != NULL)
+        ev_io_stop (client->loop, &socket->io);
+      g_free (socket);
+      curl_multi_assign (client->multi, fd, NULL);
+      return 0;
+    }
+  if (socket == NULL)
+    {
+      socket = g_new0 (struct Socket, 1);
+      socket->client = client;
+      socket->fd = fd;
+      ev_init (&socket->io, on_socket_ready);
+      socket->io.data = socket;
+      curl_multi_assign (client->multi, fd, socket);
+    }
+  ev_io_stop (client->loop, &socket->io);
+  ev_io_set (&socket->io, fd, events);
+  ev_io_start (client->loop, &socket->io);
+  return 0;
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  run_curl (watcher->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int
+on_timer_change (CURLM *multi, long timeout_ms, void *user)
+{
+  struct GspanHttpClient *client = user;
+
+  (void)multi;
+  ev_timer_stop (client->loop, &client->timer);
+  if (timeout_ms < 0)
+    return 0;
+  ev_timer_set (&client->timer, (double)timeout_ms / 1000.0, 0);
+  ev_timer_start (client->loop, &client->timer);
+  return 0;
+}
+
+struct GspanHttpClient *
+gspan_http_client_new (struct ev_loop *loop, GspanHttpClientCallback callback, void *user)
+{
+  struct GspanHttpClient *client = g_new0 (struct GspanHttpClient, 1);
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  client->loop = loop;
+  client->callback = callback;
+  client->user = user;
+  client->exchanges = g_hash_table_new_full (ref_hash, ref_equal, NULL, exchange_free);
+  client->starting = g_ptr_array_new ();
+  client->doomed = g_ptr_array_new_with_free_func (exchange_free);
+  client->multi = curl_multi_init ();
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long)CONNECTIONS_KEPT);
+  ev_timer_init (&client->timer, on_timer, 0, 0);
+  client->timer.data = client;
+  return client;
+}
+
+void
+gspan_http_client_free (struct GspanHttpClient *client)
+{
+  g_ptr_array_unref (client->starting);
+  g_ptr_array_unref (client->doomed);
+  g_hash_table_unref (client->exchanges);
+  curl_multi_cleanup (client->multi);
+  ev_timer_stop (client->loop, &client->timer);
+  g_free (client);
+}
+
+static void
+set_request (struct Exchange *exchange, const struct GspanActionHttp *http)
+{
+  CURL *easy = exchange->easy;
+  struct GspanStr body = gspan_str_from_bytes (exchange->body);
+
+  curl_easy_setopt (easy, CURLOPT_URL, http->url);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, http->method);
+  if (strcmp (http->method, "GET") != 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_POST, 1L);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body.len);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body.len > 0 ? body.data : "");
+    }
+  for (guint i = 0; i < http->headers.items->len; i++)
+    exchange->fields
+        = curl_slist_append (exchange->fields, g_ptr_array_index (http->headers.items, i));
+  exchange->fields = curl_slist_append (exchange->fields, "Expect:");
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, exchange->fields);
+}
+
+static void
+set_limits (struct Exchange *exchange, const struct GspanActionHttp *http)
+{
+  CURL *easy = exchange->easy;
+
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)MAX (1, http->timeout_us / GSPAN_MS));
+  if (http->silence_us > 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+      curl_easy_setopt (easy, CURLOPT_LOW_SPEED_TIME,
+                        (long)MAX (1, http->silence_us / GSPAN_SECOND));
+    }
+  curl_easy_setopt (easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt (easy, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_S);
+  curl_easy_setopt (easy, CURLOPT_TCP_KEEPINTVL, (long)KEEPALIVE_S);
+  if (http->fresh)
+    curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+void
+gspan_http_client_start (struct GspanHttpClient *client, struct GspanRef ref,
+                         const struct GspanActionHttp *http)
+{
+  struct Exchange *exchange = g_new0 (struct Exchange, 1);
+
+  exchange->client = client;
+  exchange->ref = ref;
+  exchange->stream = http->stream;
+  exchange->started = gspan_clock_now ();
+  exchange->body = http->body != NULL ? g_bytes_ref (http->body) : NULL;
+  exchange->answer = g_string_new (NULL);
+  gspan_headers_init (&exchange->headers);
+  exchange->easy = curl_easy_init ();
+  set_request (exchange, http);
+  set_limits (exchange, http);
+  curl_easy_setopt (exchange->easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (exchange->easy, CURLOPT_HEADERDATA, exchange);
+  curl_easy_setopt (exchange->easy, CURLOPT_WRITEFUNCTION, on_data);
+  curl_easy_setopt (exchange->easy, CURLOPT_WRITEDATA, exchange);
+  curl_easy_setopt (exchange->easy, CURLOPT_PRIVATE, exchange);
+  curl_easy_setopt (exchange->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (exchange->easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (exchange->easy, CURLOPT_PROTOCOLS_STR, "http");
+  g_hash_table_insert (client->exchanges, &exchange->ref, exchange);
+  if (client->inside)
+    g_ptr_array_add (client->starting, exchange);
+  else
+    curl_multi_add_handle (client->multi, exchange->easy);
+}
+
+void
+gspan_http_client_cancel (struct GspanHttpClient *client, struct GspanRef ref)
+{
+  struct Exchange *exchange = g_hash_table_lookup (client->exchanges, &ref);
+
+  if (exchange == NULL)
+    return;
+  exchange->cancelled = true;
+  g_hash_table_steal (client->exchanges, &ref);
+  g_ptr_array_remove (client->starting, exchange);
+  if (client->inside)
+    g_ptr_array_add (client->doomed, exchange);
+  else
+    exchange_free (exchange);
+}
+
+guint
+gspan_http_client_open (const struct GspanHttpClient *client)
+{
+  return g_hash_table_size (client->exchanges);
+}
--- /dev/null
+++ b/http/client.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <ev.h>
+#include "board/message.h"
+
+/* HTTP client on a libev loop, by libcurl's multi interface. */
+struct GspanHttpClient;
+
+/* All pointers in the event are borrowed until the callback returns. */
+typedef void (*GspanHttpClientCallback) (void *user, const struct GspanEvent *event);
+
+struct GspanHttpClient *
+gspan_http_client_new (struct ev_loop *loop, GspanHttpClientCallback callback, void *user);
+void
+gspan_http_client_free (struct GspanHttpClient *client);
+
+/*
+ * Starts an exchange under REF. HTTP_HEAD and HTTP_DATA events come for streamed exchanges only;
+ * exactly one HTTP_DONE ends each exchange that is not cancelled. No callback from within this
+ * call.
+ */
+void
+gspan_http_client_start (struct GspanHttpClient *client, struct GspanRef ref,
+                         const struct GspanActionHttp *http);
+
+/* Ends the exchange under REF and closes its connection. No further event comes for it. */
+void
+gspan_http_client_cancel (struct GspanHttpClient *client, struct GspanRef ref);
+
+guint
+gspan_http_client_open (const struct GspanHttpClient *client);
--- /dev/null
+++ b/http/server.c
@@ -0,0 +1,511 @@
+#include "http/server.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <string.h>
+
+enum
+{
+  STREAM_BLOCK = 16384,
+  RUNS_PER_TURN = 8
+};
+
+enum RequestState
+{
+  REQUEST_READING,
+  REQUEST_WAITING,   /* handed over, no answer yet */
+  REQUEST_ANSWERED,  /* the answer is known, not queued yet */
+  REQUEST_STREAMING, /* the answer's head is known or queued, data may follow */
+};
+
+struct Request
+{
+  guint64 id;
+  struct GspanHttpServer *server;
+  struct MHD_Connection *connection;
+  enum RequestState state;
+  char *method;
+  GString *path;
+  struct GspanHeaders headers;
+  GString *body;
+  bool too_large;
+  bool suspended;
+  bool queued;
+  int status;
+  struct GspanHeaders reply_headers;
+  GString *out;
+  size_t out_taken;
+  bool ended;
+  bool cut;
+};
+
+struct GspanHttpServer
+{
+  struct ev_loop *loop;
+  struct MHD_Daemon *daemon;
+  struct GspanHttpLimits limits;
+  struct GspanHttpHandler handler;
+  GHashTable *requests; /* id to struct Request */
+  guint64 next_id;
+  guint16 port;
+  bool run_again;
+  ev_io io;
+  ev_timer timer;
+  ev_prepare prepare;
+};
+
+static enum MHD_Result
+copy_header (void *user, enum MHD_ValueKind kind, const char *key, const char *value)
+{
+  struct Request *request = user;
+
+  (void)kind;
+  gspan_headers_add (&request->headers, key, gspan_str_from (value));
+  return MHD_YES;
+}
+
+static enum MHD_Result
+copy_query (void *user, enum MHD_ValueKind kind, const char *key, const char *value)
+{
+  struct Request *request = user;
+  char *key_text = g_uri_escape_string (key, NULL, FALSE);
+  char *value_text = g_uri_escape_string (value != NULL ? value : "", NULL, FALSE);
+
+  (void)kind;
+  g_string_append_printf (request->path, "%c%s=%s", strchr (request->path->str, '?') ? '&' : '?',
+                          key_text, value_text);
+  g_free (key_text);
+  g_free (value_text);
+  return MHD_YES;
+}
+
+static struct Request *
+request_new (struct GspanHttpServer *server, struct MHD_Connection *connection, const char *method,
+             const char *url)
+{
+  struct Request *request = g_new0 (struct Request, 1);
+
+  request->id = ++server->next_id;
+  request->server = server;
+  request->connection = connection;
+  request->method = g_strdup (method);
+  request->path = g_string_new (url);
+  gspan_headers_init (&request->headers);
+  gspan_headers_init (&request->reply_headers);
+  request->body = g_string_new (NULL);
+  request->out = g_string_new (NULL);
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, copy_header, request);
+  MHD_get_connection_values (connection, MHD_GET_ARGUMENT_KIND, copy_query, request);
+  g_hash_table_insert (server->requests, &request->id, request);
+  return request;
+}
+
+static void
+request_free (gpointer data)
+{
+  struct Request *request = data;
+
+  g_free (request->method);
+  g_string_free (request->path, TRUE);
+  gspan_headers_finish (&request->headers);
+  gspan_headers_finish (&request->reply_headers);
+  g_string_free (request->body, TRUE);
+  g_string_free (request->out, TRUE);
+  g_free (request);
+}
+
+static void
+request_suspend (struct Request *request)
+{
+  if (request->suspended)
+    return;
+  request->suspended = true;
+  MHD_suspend_connection (request->connection);
+}
+
+static void
+request_resume (struct Request *request)
+{
+  if (!request->suspended)
+    return;
+  request->suspended = false;
+  request->server->run_again = true;
+  MHD_resume_connection (request->connection);
+}
+
+static ssize_t
+read_stream (void *user, uint64_t position, char *buffer, size_t max)
+{
+  struct Request *request = user;
+  size_t left = request->out->len - request->out_taken;
+  size_t count = MIN (left, max);
+
+  (void)position;
+  if (count > 0)
+    {
+      memcpy (buffer, request->out->str + request->out_taken, count);
+      request->out_taken += count;
+      if (request->out_taken == request->out->len)
+        {
+          g_string_truncate (request->out, 0);
+          request->out_taken = 0;
+        }
+      return (ssize_t)count;
+    }
+  if (request->cut)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (request->ended)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  request_suspend (request);
+  return 0;
+}
+
+static void
+add_reply_headers (struct MHD_Response *response, const struct GspanHeaders *headers)
+{
+  for (guint i = 0; i < headers->items->len; i++)
+    {
+      char **parts = g_strsplit (g_ptr_array_index (headers->items, i), ":", 2);
+
+      MHD_add_response_header (response, parts[0], g_strstrip (parts[1]));
+      g_strfreev (parts);
+    }
+}
+
+static enum MHD_Result
+queue_response (struct Request *request)
+{
+  struct MHD_Response *response;
+  enum MHD_Result result;
+
+  if (request->state == REQUEST_STREAMING)
+    response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, STREAM_BLOCK, read_stream,
+                                                  request, NULL);
+  else
+    response = MHD_create_response_from_buffer (request->out->len, request->out->str,
+                                                MHD_RESPMEM_MUST_COPY);
+  add_reply_headers (response, &request->reply_headers);
+  result = MHD_queue_response (request->connection, (unsigned)request->status, response);
+  MHD_destroy_response (response);
+  request->queued = true;
+  return result;
+}
+
+static void
+hand_over (struct Request *request)
+{
+  struct GspanHttpServer *server = request->server;
+  struct GspanHttpIncoming incoming = { 0 };
+
+  request->state = REQUEST_WAITING;
+  request_suspend (request);
+  incoming.id = request->id;
+  incoming.method = gspan_str_from (request->method);
+  incoming.path = (struct GspanStr){ request->path->str, request->path->len };
+  incoming.headers = &request->headers;
+  incoming.body = g_bytes_new (request->body->str, request->body->len);
+  server->handler.request (server->handler.user, &incoming);
+  g_bytes_unref (incoming.body);
+}
+
+static void
+refuse_too_large (struct Request *request)
+{
+  static const char text[] = "{\"error\":{\"field\":\"body\",\"message\":\"too large\"}}";
+
+  request->state = REQUEST_ANSWERED;
+  request->status = 413;
+  g_string_assign (request->out, text);
+  gspan_headers_add (&request->reply_headers, "Content-Type", GSPAN_STR ("application/json"));
+}
+
+static enum MHD_Result
+on_access (void *user, struct MHD_Connection *connection, const char *url, const char *method,
+           const char *version, const char *data, size_t *data_size, void **context)
+{
+  struct GspanHttpServer *server = user;
+  struct Request *request = *context;
+
+  (void)version;
+  if (request == NULL)
+    {
+      *context = request_new (server, connection, method, url);
+      return MHD_YES;
+    }
+  if (*data_size > 0)
+    {
+      if (request->body->len + *data_size > server->limits.body_max)
+        request->too_large = true;
+      else
+        g_string_append_len (request->body, data, (gssize)*data_size);
+      *data_size = 0;
+      return MHD_YES;
+    }
+  if (request->state == REQUEST_READING && request->too_large)
+    refuse_too_large (request);
+  if (request->state == REQUEST_READING)
+    {
+      hand_over (request);
+      return MHD_YES;
+    }
+  if (!request->queued && request->state != REQUEST_WAITING)
+    return queue_response (request);
+  return MHD_YES;
+}
+
+static void
+on_completed (void *user, struct MHD_Connection *connection, void **context,
+              enum MHD_RequestTerminationCode code)
+{
+  struct GspanHttpServer *server = user;
+  struct Request *request = *context;
+  guint64 id;
+  bool gone;
+
+  (void)connection;
+  if (request == NULL)
+    return;
+  id = request->id;
+  gone = code != MHD_REQUEST_TERMINATED_COMPLETED_OK && request->state != REQUEST_READING;
+  *context = NULL;
+  g_hash_table_remove (server->requests, &id);
+  if (gone)
+    server->handler.gone (server->handler.user, id);
+}
+
+static void
+run_daemon (struct GspanHttpServer *server)
+{
+  for (int i = 0; i < RUNS_PER_TURN; i++)
+    {
+      server->run_again = false;
+      MHD_run (server->daemon);
+      if (!server->run_again)
+        break;
+    }
+}
+
+static void
+on_io (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  run_daemon (watcher->data);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  run_daemon (watcher->data);
+}
+
+static void
+on_prepare (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  struct GspanHttpServer *server = watcher->data;
+  MHD_UNSIGNED_LONG_LONG timeout_ms;
+
+  (void)events;
+  if (server->run_again)
+    run_daemon (server);
+  ev_timer_stop (loop, &server->timer);
+  if (server->run_again)
+    timeout_ms = 0;
+  else if (MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES)
+    return;
+  ev_timer_set (&server->timer, (double)timeout_ms / 1000.0, 0);
+  ev_timer_start (loop, &server->timer);
+}
+
+static bool
+parse_address (const char *address, struct sockaddr_in *out)
+{
+  const char *colon = strrchr (address, ':');
+  char *ip;
+  bool ok;
+
+  if (colon == NULL)
+    return false;
+  ip = g_strndup (address, (gsize)(colon - address));
+  memset (out, 0, sizeof *out);
+  out->sin_family = AF_INET;
+  out->sin_port = htons ((uint16_t)g_ascii_strtoull (colon + 1, NULL, 10));
+  ok = inet_pton (AF_INET, ip, &out->sin_addr) == 1;
+  g_free (ip);
+  return ok;
+}
+
+static void
+start_watchers (struct GspanHttpServer *server)
+{
+  const union MHD_DaemonInfo *info;
+
+  info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  ev_io_init (&server->io, on_io, info->epoll_fd, EV_READ);
+  server->io.data = server;
+  ev_io_start (server->loop, &server->io);
+  ev_timer_init (&server->timer, on_timer, 0, 0);
+  server->timer.data = server;
+  ev_prepare_init (&server->prepare, on_prepare);
+  server->prepare.data = server;
+  ev_prepare_start (server->loop, &server->prepare);
+}
+
+struct GspanHttpServer *
+gspan_http_server_new (struct ev_loop *loop, const char *address,
+                       const struct GspanHttpLimits *limits, const struct GspanHttpHandler *handler,
+                       struct GspanError *error)
+{
+  struct GspanHttpServer *server;
+  struct sockaddr_in where;
+
+  if (!parse_address (address, &where))
+    {
+      gspan_error_set (error, GSPAN_ERROR_INPUT, "%s: not an IP:PORT address", address);
+      return NULL;
+    }
+  server = g_new0 (struct GspanHttpServer, 1);
+  server->loop = loop;
+  server->limits = *limits;
+  server->handler = *handler;
+  server->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, request_free);
+  server->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, server,
+      MHD_OPTION_SOCK_ADDR, &where, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+      MHD_OPTION_CONNECTION_LIMIT, limits->connections, MHD_OPTION_CONNECTION_TIMEOUT,
+      limits->idle_timeout_s, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (server->daemon == NULL)
+    {
+      gspan_error_set (error, GSPAN_ERROR_SYSTEM, "%s: can't listen", address);
+      g_hash_table_unref (server->requests);
+      g_free (server);
+      return NULL;
+    }
+  server->port = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+  start_watchers (server);
+  return server;
+}
+
+void
+gspan_http_server_free (struct GspanHttpServer *server)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  ev_io_stop (server->loop, &server->io);
+  ev_timer_stop (server->loop, &server->timer);
+  ev_prepare_stop (server->loop, &server->prepare);
+  g_hash_table_iter_init (&iter, server->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct Request *request = value;
+
+      request->cut = true;
+      request_resume (request);
+    }
+  MHD_stop_daemon (server->daemon);
+  g_hash_table_unref (server->requests);
+  g_free (server);
+}
+
+guint16
+gspan_http_server_port (const struct GspanHttpServer *server)
+{
+  return server->port;
+}
+
+guint
+gspan_http_server_open_requests (const struct GspanHttpServer *server)
+{
+  return g_hash_table_size (server->requests);
+}
+
+static void
+copy_headers (struct GspanHeaders *to, const struct GspanHeaders *from)
+{
+  for (guint i = 0; i < from->items->len; i++)
+    g_ptr_array_add (to->items, g_strdup (g_ptr_array_index (from->items, i)));
+}
+
+static struct Request *
+begin_answer (struct GspanHttpServer *server, guint64 id, int status,
+              const struct GspanHeaders *headers, enum RequestState state)
+{
+  struct Request *request = g_hash_table_lookup (server->requests, &id);
+
+  if (request == NULL || request->state != REQUEST_WAITING)
+    return NULL;
+  request->state = state;
+  request->status = status;
+  copy_headers (&request->reply_headers, headers);
+  return request;
+}
+
+void
+gspan_http_server_reply (struct GspanHttpServer *server, guint64 id, int status,
+                         const struct GspanHeaders *headers, GBytes *body)
+{
+  struct Request *request = begin_answer (server, id, status, headers, REQUEST_ANSWERED);
+  struct GspanStr text = gspan_str_from_bytes (body);
+
+  if (request == NULL)
+    return;
+  g_string_append_len (request->out, text.data, (gssize)text.len);
+  request_resume (request);
+}
+
+void
+gspan_http_server_begin (struct GspanHttpServer *server, guint64 id, int status,
+                         const struct GspanHeaders *headers)
+{
+  struct Request *request = begin_answer (server, id, status, headers, REQUEST_STREAMING);
+
+  if (request != NULL)
+    request_resume (request);
+}
+
+static struct Request *
+find_stream (struct GspanHttpServer *server, guint64 id)
+{
+  struct Request *request = g_hash_table_lookup (server->requests, &id);
+
+  if (request == NULL || request->state != REQUEST_STREAMING || request->ended || request->cut)
+    return NULL;
+  return request;
+}
+
+void
+gspan_http_server_data (struct GspanHttpServer *server, guint64 id, GBytes *data)
+{
+  struct Request *request = find_stream (server, id);
+  struct GspanStr text = gspan_str_from_bytes (data);
+
+  if (request == NULL)
+    return;
+  g_string_append_len (request->out, text.data, (gssize)text.len);
+  request_resume (request);
+}
+
+void
+gspan_http_server_end (struct GspanHttpServer *server, guint64 id)
+{
+  struct Request *request = find_stream (server, id);
+
+  if (request == NULL)
+    return;
+  request->ended = true;
+  request_resume (request);
+}
+
+void
+gspan_http_server_cut (struct GspanHttpServer *server, guint64 id)
+{
+  struct Request *request = find_stream (server, id);
+
+  if (request == NULL)
+    return;
+  request->cut = true;
+  request_resume (request);
+}
--- /dev/null
+++ b/http/server.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <ev.h>
+#include "common/error.h"
+#include "common/headers.h"
+
+/*
+ * HTTP server on a libev loop, by libmicrohttpd. Requests are handed over whole, by number; the
+ * answer may come at any later moment. Answers to a number whose caller went away are dropped.
+ */
+struct GspanHttpServer;
+
+struct GspanHttpIncoming
+{
+  guint64 id;
+  struct GspanStr method;
+  struct GspanStr path; /* with its query */
+  const struct GspanHeaders *headers;
+  GBytes *body;
+};
+
+struct GspanHttpHandler
+{
+  void (*request) (void *user, const struct GspanHttpIncoming *incoming);
+  void (*gone) (void *user, guint64 id); /* the caller went away before its answer ended */
+  void *user;
+};
+
+struct GspanHttpLimits
+{
+  size_t body_max;      /* bytes of a request body */
+  guint connections;    /* open connections at once */
+  guint idle_timeout_s; /* a connection without traffic is closed after this; 0 is never */
+};
+
+/* Listens on ADDRESS ("IP:PORT"; port 0 asks the kernel). NULL with ERROR set on failure. */
+struct GspanHttpServer *
+gspan_http_server_new (struct ev_loop *loop, const char *address,
+                       const struct GspanHttpLimits *limits, const struct GspanHttpHandler *handler,
+                       struct GspanError *error);
+void
+gspan_http_server_free (struct GspanHttpServer *server);
+
+guint16
+gspan_http_server_port (const struct GspanHttpServer *server);
+
+/* Requests that wait for the end of their answer. */
+guint
+gspan_http_server_open_requests (const struct GspanHttpServer *server);
+
+/* Whole answer. BODY may be NULL. */
+void
+gspan_http_server_reply (struct GspanHttpServer *server, guint64 id, int status,
+                         const struct GspanHeaders *headers, GBytes *body);
+
+/* Streamed answer: begin once, data any number of times, then end or cut. */
+void
+gspan_http_server_begin (struct GspanHttpServer *server, guint64 id, int status,
+                         const struct GspanHeaders *headers);
+void
+gspan_http_server_data (struct GspanHttpServer *server, guint64 id, GBytes *data);
+void
+gspan_http_server_end (struct GspanHttpServer *server, guint64 id);
+
+/* Closes the connection without the end mark, so that the caller sees the answer as broken. */
+void
+gspan_http_server_cut (struct GspanHttpServer *server, guint64 id);
--- /dev/null
+++ b/settings/node.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "common/log.h"
+#include "settings/options.h"
+
+/* Settings of one process of the system; the same table serves all daemons. */
+struct GspanNodeSettings
+{
+  char *name;
+  char *firm;
+  char *zone;
+  char *http;
+  char *rpc;
+  char *platform;
+  char *policy;
+  char *log_level;
+  gint64 lease_ms;
+  gint64 body_max;
+  gint64 connections;
+  gint64 drain_ms;
+  gint64 request_timeout_ms;
+  gint64 seed;
+};
+
+extern const struct GspanOption gspan_node_options[];
+extern const size_t gspan_node_option_count;
+
+enum GspanPriority
+gspan_node_log_level (const struct GspanNodeSettings *settings);
