--- a/board/board.c
+++ b/board/board.c
@@ -6,6 +6,7 @@
 #include "desk/desk.h"
 #include "desk/pulls.h"
 #include "rollout/rollout.h"
+#include "rpc/codec.h"
 
 void
 gspan_board_init (struct GspanBoard *board, const struct GspanBoardConfig *config)
@@ -89,6 +90,26 @@
     refuse_request (event, outbox);
 }
 
+/* Hands a peer's call to the controller of its procedure; a call of none is refused. */
+static void
+dispatch_call (struct GspanBoard *board, const struct GspanEvent *event, struct GspanOutbox *outbox)
+{
+  struct GspanAction *refusal;
+
+  switch (event->u.rpc.proc)
+    {
+    case GSPAN_PULL:
+      if (board->rollout == NULL)
+        break;
+      gspan_rollout_handle (board, event, outbox);
+      return;
+    default:
+      break;
+    }
+  refusal = gspan_outbox_add (outbox, GSPAN_ACTION_RPC_REPLY, (struct GspanRef){ 0 });
+  refusal->u.rpc.call = event->u.rpc.call;
+}
+
 static void
 dispatch_to_all (struct GspanBoard *board, const struct GspanEvent *event,
                  struct GspanOutbox *outbox)
@@ -126,8 +147,7 @@
       dispatch_request (board, event, outbox);
       break;
     case GSPAN_EVENT_RPC_CALL:
-      if (board->rollout != NULL)
-        gspan_rollout_handle (board, event, outbox);
+      dispatch_call (board, event, outbox);
       break;
     case GSPAN_EVENT_HTTP_HEAD:
     case GSPAN_EVENT_HTTP_DATA:
