desk: an entry that is still starting answers not-run, not "no such route"

Cause: an entry restarted by kill-entry took requests before its first list of records; it answered 404 and outcome "failed" to calls whose route exists. Ruled out: engine answers (status 404 came within 2 ms, no exchange was logged). Test Desk.StartingEntrySaysNotRunInsteadOfUnknownRoute, seen failing first.

--- a/board/board.c
+++ b/board/board.c
@@ -159,6 +159,12 @@
     }
 }
 
+bool
+gspan_board_ready (const struct GspanBoard *board)
+{
+  return !board->draining && board->follow.listed && board->vms.listed;
+}
+
 bool
 gspan_board_busy (const struct GspanBoard *board)
 {
--- a/board/board.h
+++ b/board/board.h
@@ -74,6 +74,10 @@
 gspan_board_handle (struct GspanBoard *board, const struct GspanEvent *event, guint64 now,
                     struct GspanOutbox *outbox);
 
+/* True where this process knows records and upstreams and takes new work. */
+bool
+gspan_board_ready (const struct GspanBoard *board);
+
 /* True while work in flight keeps a draining process from its exit. */
 bool
 gspan_board_busy (const struct GspanBoard *board);
--- a/desk/desk.c
+++ b/desk/desk.c
@@ -285,9 +285,9 @@
   int status = 400;
 
   gspan_metrics_add (&board->metrics, GSPAN_METRIC_DESK_REQUESTS, 1);
-  if (board->draining)
+  if (!gspan_board_ready (board))
     {
-      reply_not_run (board, request->request, "this entry is shutting down", outbox);
+      reply_not_run (board, request->request, "this entry is starting or shutting down", outbox);
       return;
     }
   if (!gspan_desk_target_init (&target, request, &board->records, &status, &field, &error))
--- a/desk/pulls.c
+++ b/desk/pulls.c
@@ -292,10 +292,10 @@
   gspan_metrics_add (&board->metrics, GSPAN_METRIC_PULLS, 1);
   if (wrong != NULL)
     refuse (board, pull, 400, wrong, "missing or of a wrong type", outbox);
+  else if (!gspan_board_ready (board))
+    refuse (board, pull, 503, "entry", "this entry is starting or shutting down", outbox);
   else if (gspan_records_find (&board->records, GSPAN_RECORD_ATTACHMENT, pull->attachment) == NULL)
     refuse (board, pull, 404, "attachment", "no such attachment", outbox);
-  else if (board->draining)
-    refuse (board, pull, 503, "entry", "this entry is shutting down", outbox);
   else
     advance (board, pull, outbox);
 }
--- a/shell/shell.c
+++ b/shell/shell.c
@@ -176,12 +176,6 @@
   g_bytes_unref (body);
 }
 
-static bool
-is_ready (const struct GspanShell *shell)
-{
-  return !shell->board->draining && shell->board->follow.listed && shell->board->vms.listed;
-}
-
 static void
 start_drain (struct GspanShell *shell);
 
@@ -194,8 +188,8 @@
   if (gspan_str_equal (incoming->path, GSPAN_STR ("/-/healthz")))
     reply_text (shell, incoming->id, 200, "alive\n");
   else if (gspan_str_equal (incoming->path, GSPAN_STR ("/-/readyz")))
-    reply_text (shell, incoming->id, is_ready (shell) ? 200 : 503,
-                is_ready (shell) ? "ready\n" : "not ready\n");
+    reply_text (shell, incoming->id, gspan_board_ready (shell->board) ? 200 : 503,
+                gspan_board_ready (shell->board) ? "ready\n" : "not ready\n");
   else if (gspan_str_equal (incoming->path, GSPAN_STR ("/-/metrics")))
     {
       text = gspan_metrics_format (&shell->board->metrics);
--- a/test/bench.h
+++ b/test/bench.h
@@ -38,6 +38,8 @@
     config.request_timeout_us = 10 * GSPAN_SECOND;
     gspan_board_init (&board, &config);
     gspan_outbox_init (&out);
+    board.follow.listed = true;
+    board.vms.listed = true;
   }
 
   ~Bench ()
--- a/test/desk_test.cc
+++ b/test/desk_test.cc
@@ -75,6 +75,15 @@
   EXPECT_EQ (Bench::header (bench.actions (GSPAN_ACTION_REPLY)[0], "Retry-After"), "1");
 }
 
+/* An entry that starts knows no record yet: a route that it doesn't find may well exist. */
+TEST_F (Desk, StartingEntrySaysNotRunInsteadOfUnknownRoute)
+{
+  bench.board.follow.listed = false;
+  bench.request (1, "/call/later/x", "{}");
+  EXPECT_EQ (outcome (), "not-run");
+  EXPECT_EQ (Bench::header (bench.actions (GSPAN_ACTION_REPLY)[0], "Retry-After"), "1");
+}
+
 TEST_F (Desk, BrokenRequestsNameTheField)
 {
   const std::vector<std::tuple<const char *, const char *, int, const char *>> cases
