standin: a wire between two ends that loses track of open connections

The wire forwards TCP; on SIGUSR1 all open connections swallow their bytes for good, new ones work. scripts/demo puts one before every upstream where silent-connections is asked for.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -40,6 +40,7 @@
     "pause-rollout": lambda fleet, rng: pause_for_a_while(pick(fleet, rng, "-rollout")),
     "pause-control": lambda fleet, rng: pause_for_a_while(pick(fleet, rng, "-control")),
     "platform-outage": lambda fleet, rng: post(fleet.platform, "/admin/outage", {"ms": 5000}),
+    "silent-connections": lambda fleet, rng: fleet.processes["wire"].signal(signal.SIGUSR1),
     "lost-answers": lambda fleet, rng: post(fleet.platform, "/admin/lose", {"answers": 10}),
     "engine-crash": lambda fleet, rng: kill_for_a_while(
         fleet.processes[f"{rng.choice(['notovy-model', 'leikur-llm'])}-{rng.randint(1, 10)}"]),
@@ -80,7 +81,8 @@
     if unknown:
         parser.error(f"unknown fault {unknown[0]}, known are {', '.join(FAULTS)}")
 
-    fleet = Fleet(nodes=arguments.nodes, seed=arguments.seed)
+    fleet = Fleet(nodes=arguments.nodes, seed=arguments.seed,
+                  wires="silent-connections" in faults)
     try:
         fleet.start()
         print(f"{len(fleet.processes)} processes, books and logs in {fleet.folder}", flush=True)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -84,12 +84,15 @@
 class Fleet:
     """Both firms' processes around one stand-in platform. Books and logs go to one folder."""
 
-    def __init__(self, nodes=6, seed=1, folder=None, train_ms=1500, policy="affinity"):
+    def __init__(self, nodes=6, seed=1, folder=None, train_ms=1500, policy="affinity",
+                 wires=False):
         self.folder = folder or tempfile.mkdtemp(prefix="gspan-")
         self.nodes = nodes
         self.seed = seed
         self.train_ms = train_ms
         self.policy = policy
+        self.wires = wires
+        self.pairs = []
         self.processes = {}
         self.vms = []
         self.entries = {}
@@ -112,7 +115,11 @@
 
     def add_upstream(self, name, role, service, ip, zone, *arguments):
         address = f"{ip}:{free_port(ip)}"
-        self.vms.append({"name": name, "service": service, "zone": zone, "address": address,
+        listed = address
+        if self.wires:
+            listed = f"{ip}:{free_port(ip)}"
+            self.pairs.append(f"{listed}={address}")
+        self.vms.append({"name": name, "service": service, "zone": zone, "address": listed,
                          "state": "live"})
         return self.add_standin(name, role, "--listen", address, *arguments)
 
@@ -153,6 +160,8 @@
             for i in range(2):
                 self.add_upstream(f"{firm.scorer}-{i + 1}", "service", firm.scorer,
                                   f"{firm.net}.{170 + i}", firm.zones[i % len(firm.zones)])
+        if self.wires:
+            self.add_standin("wire", "wire", "--pairs", ",".join(self.pairs))
         post(self.platform, "/admin/vms", {"vms": self.vms})
         for firm in firms:
             self.ctl("apply", os.path.join(ROOT, "etc", firm.name + ".records.toml"))
--- a/standin/main.c
+++ b/standin/main.c
@@ -156,7 +156,8 @@
   } roles[] = { { "platform", gspan_standin_run_platform },
                 { "engine", gspan_standin_run_engine },
                 { "service", gspan_standin_run_service },
-                { "trainer", gspan_standin_run_trainer } };
+                { "trainer", gspan_standin_run_trainer },
+                { "wire", gspan_standin_run_wire } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (roles); i++)
     {
@@ -167,7 +168,7 @@
       roles[i].run (standin);
       return 0;
     }
-  fprintf (stderr, "gspan-standin: --role is one of platform engine service trainer\n");
+  fprintf (stderr, "gspan-standin: --role is one of platform engine service trainer wire\n");
   return 2;
 }
 
@@ -176,12 +177,14 @@
 {
   struct GspanStandin s = { 0 };
   const GOptionEntry entries[] = {
-    { "role", 0, 0, G_OPTION_ARG_STRING, &s.role, "platform, engine, service or trainer", "ROLE" },
+    { "role", 0, 0, G_OPTION_ARG_STRING, &s.role, "platform, engine, service, trainer or wire",
+      "ROLE" },
     { "name", 0, 0, G_OPTION_ARG_STRING, &s.name, "name in the VM list", "NAME" },
     { "listen", 0, 0, G_OPTION_ARG_STRING, &s.listen, "address to serve", "IP:PORT" },
     { "platform", 0, 0, G_OPTION_ARG_STRING, &s.platform, "the platform", "IP:PORT" },
     { "book", 0, 0, G_OPTION_ARG_FILENAME, &s.book, "file of what was done", "FILE" },
     { "entries", 0, 0, G_OPTION_ARG_STRING, &s.entries, "trainer: entries", "IP:PORT,..." },
+    { "pairs", 0, 0, G_OPTION_ARG_STRING, &s.pairs, "wire: forwards", "LISTEN=TARGET,..." },
     { "attachment", 0, 0, G_OPTION_ARG_STRING, &s.attachment, "trainer: attachment", "NAME" },
     { "model", 0, 0, G_OPTION_ARG_STRING, &s.model, "model in the weight store", "NAME" },
     { "seed", 0, 0, G_OPTION_ARG_INT, &s.seed, "seed of random choices", "N" },
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -26,6 +26,7 @@
   char *platform;
   char *book;
   char *entries; /* trainer: addresses of entries, separated by commas */
+  char *pairs;   /* wire: LISTEN=TARGET, separated by commas */
   char *attachment;
   char *model;
   gint seed;
@@ -70,3 +71,5 @@
 gspan_standin_run_service (struct GspanStandin *standin);
 void
 gspan_standin_run_trainer (struct GspanStandin *standin);
+void
+gspan_standin_run_wire (struct GspanStandin *standin);
