--- a/scripts/audit.py
+++ b/scripts/audit.py
@@ -78,13 +78,24 @@
             counts["false_not_run"] += 1
 
 
+def count_process_faults(folder):
+    """Processes whose log shows a memory error, undefined behaviour or a failed assertion."""
+    signs = ("ERROR: AddressSanitizer", "runtime error:", "assertion failed", "-CRITICAL **")
+    count = 0
+    for path in glob.glob(os.path.join(folder, "*.log")):
+        with open(path, encoding="utf-8", errors="replace") as file:
+            text = file.read()
+        count += any(sign in text for sign in signs)
+    return count
+
+
 KEYS = ("desk_requests", "desk_complete", "desk_failed", "desk_not_run", "desk_unknown",
         "desk_not_whole", "false_not_run", "double_runs", "batches", "samples", "duplicate_samples",
         "missing_samples", "stale_samples", "mislabelled_samples", "staleness_max", "staleness_sum",
-        "idle_us", "train_us")
+        "idle_us", "train_us", "process_faults")
 
 BROKEN_PROMISES = ("desk_not_whole", "false_not_run", "double_runs", "duplicate_samples",
-                   "missing_samples", "stale_samples", "mislabelled_samples")
+                   "missing_samples", "stale_samples", "mislabelled_samples", "process_faults")
 
 
 def audit(folder, trainers):
@@ -92,6 +103,7 @@
     counts = dict.fromkeys(KEYS, 0)
     segments, orders = merge_runs(folder)
     counts["double_runs"] = sum(1 for runs in orders.values() if runs > 1)
+    counts["process_faults"] = count_process_faults(folder)
     for name, bound in trainers.items():
         audit_trainer(read_book(os.path.join(folder, name + ".book")), bound, segments, counts)
     for path in sorted(glob.glob(os.path.join(folder, "*-callers.book"))):
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -2,6 +2,7 @@
 
 import argparse
 import random
+import shutil
 import signal
 import sys
 import threading
@@ -47,20 +48,25 @@
 }
 
 
-def inject(fleet, faults, seconds, rng):
+def inject(fleet, faults, seconds, rng, say):
     """Each fault twice, at drawn moments."""
     moments = sorted((rng.uniform(0.1, 0.8) * seconds, fault) for fault in faults for _ in range(2))
     start = time.monotonic()
     threads = []
     for moment, fault in moments:
         time.sleep(max(0.0, start + moment - time.monotonic()))
-        print(f"{time.monotonic() - start:6.1f} s  {fault}", flush=True)
+        say(f"{time.monotonic() - start:6.1f} s  {fault}")
         threads.append(threading.Thread(target=FAULTS[fault], args=(fleet, rng)))
         threads[-1].start()
     for thread in threads:
         thread.join()
 
 
+def report_promises(problems, faults):
+    for key in (*audit.BROKEN_PROMISES, "samples", *(() if faults else ("desk_complete",))):
+        print(f"{key}: {'broken' if key in problems else 'held'}")
+
+
 def report(counts):
     for key in TABLE:
         print(f"{key:<24}{counts[key]:>12}")
@@ -74,6 +80,8 @@
     parser.add_argument("--nodes", type=int, default=6, help="entry VMs of each firm")
     parser.add_argument("--rate", type=int, default=20, help="desk calls a second of each firm")
     parser.add_argument("--fault", default="", help="of " + ",".join(FAULTS))
+    parser.add_argument("--promises", action="store_true",
+                        help="print only whether each promise was held")
     parser.add_argument("--keep", action="store_true", help="leave everything up")
     arguments = parser.parse_args()
     faults = [fault for fault in arguments.fault.split(",") if fault]
@@ -81,18 +89,22 @@
     if unknown:
         parser.error(f"unknown fault {unknown[0]}, known are {', '.join(FAULTS)}")
 
+    def say(text):
+        if not arguments.promises:
+            print(text, flush=True)
+
     fleet = Fleet(nodes=arguments.nodes, seed=arguments.seed,
                   wires="silent-connections" in faults)
     try:
         fleet.start()
-        print(f"{len(fleet.processes)} processes, books and logs in {fleet.folder}", flush=True)
+        say(f"{len(fleet.processes)} processes, books and logs in {fleet.folder}")
         for firm in FIRMS:
             fleet.add_trainer(firm)
             fleet.add_callers(firm, arguments.seconds, arguments.rate)
-        inject(fleet, faults, arguments.seconds, random.Random(arguments.seed))
+        inject(fleet, faults, arguments.seconds, random.Random(arguments.seed), say)
         for firm in FIRMS:
             fleet.processes[f"{firm.name}-callers"].popen.wait()
-        print(fleet.ctl("status"), end="")
+        say(fleet.ctl("status").rstrip("\n"))
         if arguments.keep:
             print(f"platform {fleet.platform}")
             for firm, entries in fleet.entries.items():
@@ -101,14 +113,19 @@
     finally:
         fleet.stop()
     counts = audit.audit(fleet.folder, BOUNDS)
-    report(counts)
     problems = audit.broken(counts)
     if not faults and counts["desk_complete"] != counts["desk_requests"]:
         problems.append("desk_complete")
     if counts["samples"] == 0:
         problems.append("samples")
-    if problems:
+    if arguments.promises:
+        report_promises(problems, faults)
+    else:
+        report(counts)
+    if problems and not arguments.promises:
         print("broken: " + " ".join(problems), file=sys.stderr)
+    if arguments.promises and not problems:
+        shutil.rmtree(fleet.folder)
     return 1 if problems else 0
 
 
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -62,7 +62,8 @@
     def start(self):
         with open(self.log, "ab") as log:
             self.popen = subprocess.Popen(self.command, stdin=subprocess.DEVNULL, stdout=log,
-                                          stderr=log)
+                                          stderr=log,
+                                          env={**os.environ, "ASAN_OPTIONS": "detect_leaks=0"})
 
     def signal(self, number):
         if self.popen.poll() is None:
