records: two schema versions, converted without loss and merged

Versions 1 and 2 were read alike: a version 1 record was taken for a version 2 one, and its fields for unknown ones. They now differ by a renamed and a split field for each of pool, attachment and route; records/convert.c goes both ways, and what version 1 can't express travels beside the field that stands for it.

--- a/records/record.c
+++ b/records/record.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "records/convert.h"
+
 enum FieldType
 {
   FIELD_TEXT,
@@ -88,6 +90,24 @@
   return false;
 }
 
+static bool
+has_field (const struct Field *fields, size_t count, const char *key)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      if (strcmp (fields[i].key, key) == 0)
+        return true;
+    }
+  return false;
+}
+
+bool
+gspan_record_knows (enum GspanRecordKind kind, const char *key)
+{
+  return has_field (common_fields, G_N_ELEMENTS (common_fields), key)
+         || has_field (kinds[kind].fields, kinds[kind].count, key);
+}
+
 static void
 read_number (const struct Field *field, json_t *value, guint64 *out, const char *file,
              struct GspanFindings *findings)
@@ -159,25 +179,63 @@
     }
 }
 
+static bool
+is_found (const struct GspanFindings *findings, guint first, const char *key)
+{
+  for (guint i = first; i < gspan_findings_count (findings); i++)
+    {
+      if (strcmp (gspan_findings_get (findings, i)->key, key) == 0)
+        return true;
+    }
+  return false;
+}
+
+/*
+ * Adds the findings about version 2 fields under the names that the record's writer knows, but for
+ * fields that have a finding of their conversion, from FIRST on.
+ */
+static void
+add_findings (const struct GspanFindings *found, const struct GspanRecord *record, guint first,
+              const char *file, struct GspanFindings *findings)
+{
+  int schema = gspan_record_schema (record->raw);
+  guint last = gspan_findings_count (findings);
+
+  for (guint i = 0; i < gspan_findings_count (found); i++)
+    {
+      const struct GspanFinding *finding = gspan_findings_get (found, i);
+      const char *name = gspan_record_field_name (record->kind, finding->key, schema);
+
+      if (last > first && is_found (findings, first, name))
+        continue;
+      if (strcmp (name, finding->key) == 0)
+        gspan_findings_add (findings, file, 0, 0, name, "%s", finding->text);
+      else
+        gspan_findings_add (findings, file, 0, 0, name, "as %s: %s", finding->key, finding->text);
+    }
+}
+
 bool
 gspan_record_init (struct GspanRecord *record, enum GspanRecordKind kind, const char *name,
                    guint64 version, json_t *value, const char *file, struct GspanFindings *findings)
 {
   const struct KindFields *fields = &kinds[kind];
-  json_t *schema = json_object_get (value, "schema");
   guint before = gspan_findings_count (findings);
+  struct GspanFindings found;
+  json_t *newest;
 
   memset (record, 0, sizeof *record);
   record->kind = kind;
   record->name = g_strdup (name);
   record->version = version;
   record->raw = json_incref (value);
-  if (!json_is_integer (schema) || json_integer_value (schema) < GSPAN_SCHEMA_MIN
-      || json_integer_value (schema) > GSPAN_SCHEMA_MAX)
-    gspan_findings_add (findings, file, 0, 0, "schema", "unknown, allowed is %d to %d",
-                        GSPAN_SCHEMA_MIN, GSPAN_SCHEMA_MAX);
-  read_fields (record, common_fields, G_N_ELEMENTS (common_fields), value, file, findings);
-  read_fields (record, fields->fields, fields->count, value, file, findings);
+  newest = gspan_record_raise (kind, value, file, findings);
+  gspan_findings_init (&found);
+  read_fields (record, common_fields, G_N_ELEMENTS (common_fields), newest, file, &found);
+  read_fields (record, fields->fields, fields->count, newest, file, &found);
+  add_findings (&found, record, before, file, findings);
+  gspan_findings_finish (&found);
+  json_decref (newest);
   if (gspan_findings_count (findings) == before)
     return true;
   gspan_record_finish (record);
