desk: request ids that are unique over the fleet

Cause: the log named a request by a per-process number, so two processes, or one before and after a restart, logged the same id, and callers and upstreams never learned the logged one. An id is now VM, incarnation and number. The board puts it as Gspan-Request into each answer, refusals too; upstreams get it as X-Request-Id; a caller's own X-Request-Id only becomes the logged field caller_request, cut at 128 bytes, so that nobody chooses the ids of the system. Ruled out: an id in the pull RPC's arguments; older peers refuse longer ones.

--- a/board/board.c
+++ b/board/board.c
@@ -39,6 +39,13 @@
   return ++board->next_id;
 }
 
+char *
+gspan_board_request_id (const struct GspanBoard *board, guint64 request)
+{
+  return g_strdup_printf ("%s-%08x-%" G_GUINT64_FORMAT, board->self.name, board->incarnation,
+                          request);
+}
+
 static void
 dispatch_answer (struct GspanBoard *board, const struct GspanEvent *event,
                  struct GspanOutbox *outbox)
@@ -128,10 +135,29 @@
     gspan_control_handle (board, event, outbox);
 }
 
+/* Names the request in the head of each answer from the action FIRST on. */
+static void
+add_request_ids (const struct GspanBoard *board, struct GspanOutbox *outbox, guint first)
+{
+  for (guint i = first; i < outbox->actions->len; i++)
+    {
+      struct GspanAction *action = g_ptr_array_index (outbox->actions, i);
+      char *id;
+
+      if (action->kind != GSPAN_ACTION_REPLY && action->kind != GSPAN_ACTION_REPLY_BEGIN)
+        continue;
+      id = gspan_board_request_id (board, action->u.reply.request);
+      gspan_headers_add (&action->u.reply.headers, "Gspan-Request", gspan_str_from (id));
+      g_free (id);
+    }
+}
+
 void
 gspan_board_handle (struct GspanBoard *board, const struct GspanEvent *event, guint64 now,
                     struct GspanOutbox *outbox)
 {
+  guint first = outbox->actions->len;
+
   board->now = MAX (board->now, now);
   switch (event->kind)
     {
@@ -157,6 +183,7 @@
       dispatch_answer (board, event, outbox);
       break;
     }
+  add_request_ids (board, outbox, first);
 }
 
 bool
--- a/board/board.h
+++ b/board/board.h
@@ -69,7 +69,17 @@
 guint64
 gspan_board_next_id (struct GspanBoard *board);
 
-/* Runs the controllers that EVENT concerns at the time NOW; their actions go to OUTBOX. */
+/*
+ * Id of REQUEST in logs, headers and towards upstreams, "VM-INCARNATION-NUMBER": unique over the
+ * fleet, also over restarts of one name. Released with g_free ().
+ */
+char *
+gspan_board_request_id (const struct GspanBoard *board, guint64 request);
+
+/*
+ * Runs the controllers that EVENT concerns at the time NOW; their actions go to OUTBOX. Each answer
+ * to a caller gets its request's id in a Gspan-Request header.
+ */
 void
 gspan_board_handle (struct GspanBoard *board, const struct GspanEvent *event, guint64 now,
                     struct GspanOutbox *outbox);
--- a/desk/desk.c
+++ b/desk/desk.c
@@ -10,7 +10,8 @@
 enum
 {
   ATTEMPTS_MAX = 4,
-  RETRY_AFTER_S = 1
+  RETRY_AFTER_S = 1,
+  CALLER_ID_MAX = 128 /* bytes; the rest is cut off */
 };
 
 /* One caller's request under way. It has one exchange at a time. */
@@ -18,6 +19,8 @@
 {
   guint64 id; /* of the exchange under way */
   guint64 request;
+  char *request_id;
+  char *caller_id; /* X-Request-Id of the caller, for the log only; NULL where it sent none */
   char *route;
   char *service;
   char *method;
@@ -40,6 +43,8 @@
 {
   struct GspanDeskCall *call = data;
 
+  g_free (call->request_id);
+  g_free (call->caller_id);
   g_free (call->route);
   g_free (call->service);
   g_free (call->method);
@@ -87,6 +92,14 @@
   g_hash_table_remove (desk->calls, &call->id);
 }
 
+static void
+log_request (struct GspanLine *line, const struct GspanDeskCall *call)
+{
+  gspan_line_cstr (line, "request", call->request_id);
+  if (call->caller_id != NULL)
+    gspan_line_cstr (line, "caller_request", call->caller_id);
+}
+
 static void
 log_choice (const struct GspanDeskCall *call, const struct GspanRouteChoice *choice,
             struct GspanOutbox *outbox)
@@ -94,7 +107,7 @@
   struct GspanLine line;
 
   gspan_line_init (&line, "route");
-  gspan_line_u64 (&line, "request", call->request);
+  log_request (&line, call);
   gspan_line_cstr (&line, "route", call->route);
   gspan_line_u64 (&line, "attempt", call->attempts);
   gspan_line_u64 (&line, "candidates", choice->candidates);
@@ -110,7 +123,7 @@
   struct GspanLine line;
 
   gspan_line_init (&line, "outcome");
-  gspan_line_u64 (&line, "request", call->request);
+  log_request (&line, call);
   gspan_line_cstr (&line, "route", call->route);
   gspan_line_cstr (&line, "outcome", gspan_outcome_name (outcome));
   gspan_line_u64 (&line, "attempts", call->attempts);
@@ -213,7 +226,7 @@
   http->fresh = !call->idempotent;
   http->stream = call->stream;
   gspan_headers_add (&http->headers, "Content-Type", gspan_str_from (call->content_type));
-  gspan_headers_add_u64 (&http->headers, "X-Request-Id", call->request);
+  gspan_headers_add (&http->headers, "X-Request-Id", gspan_str_from (call->request_id));
   gspan_headers_add (&http->headers, "X-Priority", GSPAN_STR ("desk"));
 }
 
@@ -248,6 +261,15 @@
   return true;
 }
 
+static char *
+read_caller_id (const struct GspanHeaders *headers)
+{
+  struct GspanStr id = gspan_headers_get (headers, "X-Request-Id");
+
+  id.len = MIN (id.len, CALLER_ID_MAX);
+  return id.len > 0 ? gspan_str_dup (id) : NULL;
+}
+
 static struct GspanDeskCall *
 call_new (struct GspanBoard *board, const struct GspanEventRequest *request,
           const struct GspanDeskTarget *target)
@@ -258,6 +280,8 @@
 
   call->id = gspan_board_next_id (board);
   call->request = request->request;
+  call->request_id = gspan_board_request_id (board, request->request);
+  call->caller_id = read_caller_id (request->headers);
   call->route = g_strdup (target->route->name);
   call->service = g_strdup (route->service);
   call->method = gspan_str_dup (request->method);
--- a/desk/pulls.c
+++ b/desk/pulls.c
@@ -100,13 +100,15 @@
 }
 
 static void
-log_pull (const struct Pull *pull, const char *event, const char *detail,
-          struct GspanOutbox *outbox)
+log_pull (const struct GspanBoard *board, const struct Pull *pull, const char *event,
+          const char *detail, struct GspanOutbox *outbox)
 {
+  char *id = gspan_board_request_id (board, pull->request);
   struct GspanLine line;
 
   gspan_line_init (&line, event);
-  gspan_line_u64 (&line, "request", pull->request);
+  gspan_line_cstr (&line, "request", id);
+  g_free (id);
   gspan_line_cstr (&line, "attachment", pull->attachment);
   gspan_line_u64 (&line, "weight", pull->weight);
   gspan_line_cstr (&line, "detail", detail);
@@ -121,7 +123,7 @@
 
   if (status == 503)
     gspan_headers_add_u64 (&action->u.reply.headers, "Retry-After", RETRY_AFTER_S);
-  log_pull (pull, "pull-refused", why, outbox);
+  log_pull (board, pull, "pull-refused", why, outbox);
   g_hash_table_remove (board->pulls->pulls, &pull->id);
 }
 
@@ -207,7 +209,7 @@
   gspan_headers_add (&action->u.reply.headers, "Content-Type", GSPAN_STR ("application/json"));
   gspan_headers_add_u64 (&action->u.reply.headers, "Gspan-Fence", res->fence);
   gspan_metrics_add (&board->metrics, GSPAN_METRIC_BATCHES, 1);
-  log_pull (pull, "pull-answered", "", outbox);
+  log_pull (board, pull, "pull-answered", "", outbox);
   g_hash_table_remove (board->pulls->pulls, &pull->id);
 }
 
@@ -228,7 +230,8 @@
     {
       if (outdated || res->status == GSPAN_STATUS_NOT_OWNER)
         g_clear_pointer (&owner->address, g_free);
-      log_pull (pull, "pull-retry", outdated ? "answer under an old fence" : res->detail, outbox);
+      log_pull (board, pull, "pull-retry", outdated ? "answer under an old fence" : res->detail,
+                outbox);
       wait_for_retry (board, pull);
     }
 }
@@ -247,7 +250,7 @@
   else
     {
       g_clear_pointer (&owner->address, g_free);
-      log_pull (pull, "pull-retry", "the owner did not answer", outbox);
+      log_pull (board, pull, "pull-retry", "the owner did not answer", outbox);
       wait_for_retry (board, pull);
     }
   xdr_free ((xdrproc_t)xdr_gspan_pull_res, &res);
--- a/test/desk_test.cc
+++ b/test/desk_test.cc
@@ -1,5 +1,7 @@
 #include "test/bench.h"
 
+#include <set>
+
 static const char order_route[]
     = R"({"schema":2,"firm":"prepis","service":"orders","idempotent":false})";
 static const char model_route[]
@@ -145,3 +147,47 @@
   RC_ASSERT (sent_with_bytes <= 1U);
   RC_ASSERT (replies <= 1U);
 }
+
+static std::string
+log_text (const Bench &bench)
+{
+  std::string text;
+
+  for (const auto *action : bench.actions (GSPAN_ACTION_LOG))
+    text += std::string (action->u.log.text) + "\n";
+  return text;
+}
+
+TEST_F (Desk, RequestIdIsTheSameInLogUpstreamAndAnswerAndNeverTheCallers)
+{
+  bench.request (1, "/call/orders/x", "{}", { { "X-Request-Id", "a b\"c" } });
+  GspanStr sent = gspan_headers_get (&exchange ()->u.http.headers, "X-Request-Id");
+  std::string id (sent.data, sent.len);
+  EXPECT_NE (id.find ("vm-1-"), std::string::npos);
+  EXPECT_NE (log_text (bench).find (" request=" + id + " caller_request=\"a b\\\"c\" "),
+             std::string::npos);
+  bench.answer (exchange ()->ref, GSPAN_HTTP_WHOLE);
+  EXPECT_EQ (Bench::header (bench.actions (GSPAN_ACTION_REPLY)[0], "Gspan-Request"), id);
+}
+
+TEST_F (Desk, RefusedRequestsHaveAnIdToo)
+{
+  bench.request (7, "/call/nowhere", "{}");
+  EXPECT_NE (Bench::header (bench.actions (GSPAN_ACTION_REPLY)[0], "Gspan-Request").find ("-7"),
+             std::string::npos);
+}
+
+TEST (RequestId, DiffersOverVmsAndRestarts)
+{
+  std::set<std::string> seen;
+
+  for (const char *name : { "vm-1", "vm-2" })
+    for (guint32 seed = 1; seed <= 50; seed++)
+      {
+        Bench bench (name, seed);
+        char *id = gspan_board_request_id (&bench.board, 1);
+
+        EXPECT_TRUE (seen.insert (id).second) << id;
+        g_free (id);
+      }
+}
