gspanctl: conditional edits, watch, explain, a status table, exit codes that tell the truth

Cause: apply read the current version and wrote the file's fields over the whole object, so it undid an operator's edit and dropped fields of a newer schema without a word; a lost answer was reported as plain failure; status printed raw JSON; edit, watch, explain and delete did not exist. Now apply merges field by field over what is stored, prints what it changes, and takes a field edited meanwhile to another value as a conflict with both versions shown. Writes are conditional and are tried again after a lost answer, since the condition lets one take effect; what stays open is read back and compared. Log lines carry the wall clock, so that explain can put the lines of several processes in order. Lines are read back by gspan_line_parse. Ruled out: settling a lost write by one read alone; the write may still be under way, so that is reported as unknown (exit 5).

--- a/cmd/daemon.h
+++ b/cmd/daemon.h
@@ -1,16 +1,10 @@
 #pragma once
 
 #include "board/board.h"
+#include "cmd/exit.h"
 
 /* What the daemons have in common: command line, settings, board and shell. */
 
-enum GspanExit
-{
-  GSPAN_EXIT_OK = 0,
-  GSPAN_EXIT_FAILURE = 1,
-  GSPAN_EXIT_USAGE = 2 /* the command line or the settings are wrong */
-};
-
 struct GspanDaemon
 {
   const char *name;                           /* of the program */
--- a/cmd/fetch.h
+++ b/cmd/fetch.h
@@ -11,10 +11,23 @@
   GString *body;
 };
 
-/* BODY may be NULL. False with ERROR set where no whole answer came. FETCH is to be finished
- * always. */
+/* What is to be asked. Fields that are not named are NULL or 0. */
+struct GspanFetchRequest
+{
+  const char *method;
+  const char *url;
+  const char *body;
+  const char *token; /* sent as a bearer token */
+  long timeout_ms;   /* 0 takes 10000 */
+};
+
+/*
+ * Sends REQUEST once, on a connection of its own. False where no whole answer came, with ERROR
+ * UNAVAILABLE where the request surely did not leave and UNKNOWN where it may have. FETCH is to be
+ * finished always.
+ */
 bool
-gspan_fetch (struct GspanFetch *fetch, const char *method, const char *url, const char *body,
+gspan_fetch (struct GspanFetch *fetch, const struct GspanFetchRequest *request,
              struct GspanError *error);
 void
 gspan_fetch_finish (struct GspanFetch *fetch);
--- a/cmd/gspanctl.c
+++ b/cmd/gspanctl.c
@@ -1,192 +1,124 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "cmd/daemon.h"
+#include "cmd/ctl.h"
 #include "cmd/fetch.h"
+#include "common/address.h"
 #include "common/version.h"
-#include "records/file.h"
 
-struct Context
+enum
 {
-  char *platform; /* "IP:PORT" */
-  gboolean json;
-  gboolean version;
-  char **words; /* of the command line, without the command */
+  NAME_LEN_MAX = 200,
+  MANY = 1000 /* words */
 };
 
 struct Command
 {
   const char *name;
   const char *words;
+  guint words_min;
+  guint words_max;
+  bool needs_platform;
   const char *help;
-  int (*run) (struct Context *context);
+  int (*run) (const struct GspanCtl *ctl);
 };
 
-static int
-fail (const char *message)
+int
+gspan_ctl_fail (const char *what, const struct GspanError *error)
 {
-  fprintf (stderr, "gspanctl: %s\n", message);
+  fprintf (stderr, "gspanctl: %s: %s\n", what, error->message);
+  switch (error->code)
+    {
+    case GSPAN_ERROR_INPUT:
+      return GSPAN_EXIT_USAGE;
+    case GSPAN_ERROR_CONFLICT:
+      return GSPAN_EXIT_CONFLICT;
+    case GSPAN_ERROR_UNAVAILABLE:
+      return GSPAN_EXIT_UNAVAILABLE;
+    case GSPAN_ERROR_UNKNOWN:
+      return GSPAN_EXIT_UNKNOWN;
+    case GSPAN_ERROR_NONE:
+    case GSPAN_ERROR_SYSTEM:
+      break;
+    }
   return GSPAN_EXIT_FAILURE;
 }
 
-static GPtrArray *
-read_file (const char *file, bool *ok)
+int
+gspan_ctl_usage (const char *format, ...)
 {
-  struct GspanFindings findings;
-  GPtrArray *list;
+  va_list args;
   char *text;
 
-  gspan_findings_init (&findings);
-  list = gspan_records_read_file (file, &findings);
-  text = gspan_findings_format (&findings);
-  fputs (text, stderr);
+  va_start (args, format);
+  text = g_strdup_vprintf (format, args);
+  va_end (args);
+  fprintf (stderr, "gspanctl: %s; see gspanctl --help\n", text);
   g_free (text);
-  *ok = gspan_findings_count (&findings) == 0;
-  gspan_findings_finish (&findings);
-  return list;
-}
-
-static int
-run_check (struct Context *context)
-{
-  bool ok;
-  GPtrArray *list = read_file (context->words[0], &ok);
-
-  if (ok)
-    printf ("%u records are good\n", list->len);
-  g_ptr_array_unref (list);
-  return ok ? GSPAN_EXIT_OK : GSPAN_EXIT_USAGE;
-}
-
-static char *
-object_url (const struct Context *context, const char *kind, const char *name)
-{
-  return g_strdup_printf ("http://%s/v1/objects/%s/%s", context->platform, kind, name);
+  return GSPAN_EXIT_USAGE;
 }
 
-/* Writes VALUE over the version that is current now. */
 static bool
-put_record (const struct Context *context, const char *kind, const char *name, const char *value,
-            struct GspanError *error)
+word_ok (const char *word)
 {
-  char *url = object_url (context, kind, name);
-  struct GspanFetch fetch;
-  guint64 expect = 0;
-  char *put_url;
-  bool ok = gspan_fetch (&fetch, "GET", url, NULL, error);
+  size_t len = strlen (word);
 
-  if (ok && fetch.status == 200)
-    expect = fetch.revision;
-  gspan_fetch_finish (&fetch);
-  put_url = g_strdup_printf ("%s?expect=%" G_GUINT64_FORMAT, url, expect);
-  if (ok)
+  if (len == 0 || len > NAME_LEN_MAX)
+    return false;
+  for (size_t i = 0; i < len; i++)
     {
-      ok = gspan_fetch (&fetch, "PUT", put_url, value, error);
-      if (ok && fetch.status == 200)
-        printf ("%s/%s version %" G_GUINT64_FORMAT "\n", kind, name, fetch.revision);
-      else if (ok)
-        ok = gspan_error_set (error, GSPAN_ERROR_CONFLICT, "%s/%s: status %ld: %s", kind, name,
-                              fetch.status, fetch.body->str);
-      gspan_fetch_finish (&fetch);
+      if (!g_ascii_isalnum (word[i]) && strchr ("._-", word[i]) == NULL)
+        return false;
     }
-  g_free (put_url);
-  g_free (url);
-  return ok;
+  return true;
 }
 
-static int
-run_apply (struct Context *context)
+char *
+gspan_ctl_path (const struct GspanCtl *ctl)
 {
-  bool ok;
-  GPtrArray *list = read_file (context->words[0], &ok);
-  int code = ok ? GSPAN_EXIT_OK : GSPAN_EXIT_USAGE;
-
-  for (guint i = 0; ok && i < list->len; i++)
+  for (guint i = 0; i < 2; i++)
     {
-      const struct GspanFileRecord *record = g_ptr_array_index (list, i);
-      struct GspanError error = { 0 };
-      char *value = json_dumps (record->value, JSON_COMPACT);
-
-      if (!put_record (context, gspan_record_kind_name (record->kind), record->name, value, &error))
-        code = fail (error.message);
-      free (value);
+      if (word_ok (ctl->words[i]))
+        continue;
+      gspan_ctl_usage ("\"%s\" is no %s: letters, digits, \".\", \"_\" and \"-\", at most %d",
+                       ctl->words[i], i == 0 ? "kind" : "name", NAME_LEN_MAX);
+      return NULL;
     }
-  g_ptr_array_unref (list);
-  return code;
+  return g_strdup_printf ("%s/%s", ctl->words[0], ctl->words[1]);
 }
 
-static int
-run_get (struct Context *context)
+void
+gspan_ctl_print_value (const char *prefix, const json_t *value)
 {
-  char *url = object_url (context, context->words[0], context->words[1]);
-  struct GspanError error = { 0 };
-  struct GspanFetch fetch;
-  int code = GSPAN_EXIT_OK;
+  char *text
+      = value != NULL ? json_dumps (value, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY) : NULL;
 
-  if (!gspan_fetch (&fetch, "GET", url, NULL, &error))
-    code = fail (error.message);
-  else if (fetch.status != 200)
-    code = fail (fetch.body->str);
-  else
-    printf ("%s\n", fetch.body->str);
-  gspan_fetch_finish (&fetch);
-  g_free (url);
-  return code;
-}
-
-static void
-print_status (json_t *object)
-{
-  json_t *value = json_object_get (object, "value");
-  char *text;
-
-  printf ("%-11s %-24s %-12s ", json_string_value (json_object_get (value, "kind")),
-          json_string_value (json_object_get (object, "name")),
-          json_string_value (json_object_get (value, "owner")));
-  json_object_del (value, "kind");
-  json_object_del (value, "owner");
-  text = json_dumps (value, JSON_COMPACT | JSON_SORT_KEYS);
-  printf ("%s\n", text);
+  fprintf (stderr, "%s %s\n", prefix, text != NULL ? text : "none");
   free (text);
 }
 
-static int
-run_status (struct Context *context)
-{
-  char *url = g_strdup_printf ("http://%s/v1/objects?kinds=status", context->platform);
-  struct GspanError error = { 0 };
-  struct GspanFetch fetch;
-  json_t *root = NULL;
-  json_t *object;
-  size_t index;
-  int code = GSPAN_EXIT_OK;
-
-  if (!gspan_fetch (&fetch, "GET", url, NULL, &error))
-    code = fail (error.message);
-  else if (context->json)
-    printf ("%s\n", fetch.body->str);
-  else
-    root = json_loadb (fetch.body->str, fetch.body->len, 0, NULL);
-  json_array_foreach (json_object_get (root, "objects"), index, object)
-  {
-    print_status (object);
-  }
-  json_decref (root);
-  gspan_fetch_finish (&fetch);
-  g_free (url);
-  return code;
-}
-
-static int
-run_drain (struct Context *context)
+int
+gspan_ctl_drain (const struct GspanCtl *ctl)
 {
-  char *url = g_strdup_printf ("http://%s/-/drain", context->words[0]);
+  struct GspanFetchRequest request = { .method = "POST", .body = "", .token = ctl->token };
   struct GspanError error = { 0 };
   struct GspanFetch fetch;
+  struct sockaddr_in address;
   int code = GSPAN_EXIT_OK;
-
-  if (!gspan_fetch (&fetch, "POST", url, "", &error))
-    code = fail (error.message);
+  char *url;
+
+  if (!gspan_address_parse (ctl->words[0], &address))
+    return gspan_ctl_usage ("\"%s\" is no address, allowed is IP:PORT", ctl->words[0]);
+  url = g_strdup_printf ("http://%s/-/drain", ctl->words[0]);
+  request.url = url;
+  if (!gspan_fetch (&fetch, &request, &error))
+    code = gspan_ctl_fail (ctl->words[0], &error);
+  else if (fetch.status != 200)
+    {
+      gspan_error_set (&error, GSPAN_ERROR_SYSTEM, "status %ld: %.200s", fetch.status,
+                       fetch.body->str);
+      code = gspan_ctl_fail (ctl->words[0], &error);
+    }
   else
     printf ("%s", fetch.body->str);
   gspan_fetch_finish (&fetch);
@@ -195,11 +127,29 @@
 }
 
 static const struct Command commands[]
-    = { { "check", "FILE", "check the records of a file", run_check },
-        { "apply", "FILE", "write the records of a file", run_apply },
-        { "get", "KIND NAME", "print an object", run_get },
-        { "status", "", "print what the system reports of its records", run_status },
-        { "drain", "IP:PORT", "shut a process down gracefully", run_drain } };
+    = { { "check", "FILE", 1, 1, false, "check the records of a file", gspan_ctl_check },
+        { "apply", "FILE", 1, 1, true,
+          "put the records of a file in force, merged with others' edits", gspan_ctl_apply },
+        { "get", "KIND NAME", 2, 2, true, "print an object and its version", gspan_ctl_get },
+        { "edit", "KIND NAME FIELD=VALUE...", 3, MANY, true,
+          "change fields of a record; FIELD= takes one out", gspan_ctl_edit },
+        { "delete", "KIND NAME", 2, 2, true, "delete a record", gspan_ctl_delete },
+        { "watch", "[KINDS]", 0, 1, true, "print each change of records, or of KINDS (pool,route)",
+          gspan_ctl_watch },
+        { "status", "", 0, 0, true, "print what the system reports of its records",
+          gspan_ctl_status },
+        { "explain", "ID LOGFILE...", 2, MANY, false,
+          "say why a request or sample went where it went", gspan_ctl_explain },
+        { "drain", "IP:PORT", 1, 1, false, "shut a process down gracefully", gspan_ctl_drain } };
+
+static const char exit_codes[] = "\nExit codes:\n"
+                                 "  0  done\n"
+                                 "  1  failed: no such object, refused\n"
+                                 "  2  wrong usage, settings or file; nothing was done\n"
+                                 "  3  conflict: somebody else changed it first; not written\n"
+                                 "  4  no answer from the other side; nothing was done\n"
+                                 "  5  an answer was lost and could not be settled; done or not\n"
+                                 "Of several records apply gives the highest code.";
 
 static char *
 describe_commands (void)
@@ -207,80 +157,88 @@
   GString *text = g_string_new ("Commands:\n");
 
   for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
-    g_string_append_printf (text, "  %-6s %-10s %s\n", commands[i].name, commands[i].words,
+    g_string_append_printf (text, "  %s %s\n      %s\n", commands[i].name, commands[i].words,
                             commands[i].help);
-  g_string_append (text, "\nExit codes: 0 done, 1 failed, 2 wrong usage or input.");
+  g_string_append (text, exit_codes);
   return g_string_free (text, FALSE);
 }
 
-static int
-usage (const char *message)
-{
-  fprintf (stderr, "gspanctl: %s; see gspanctl --help\n", message);
-  return GSPAN_EXIT_USAGE;
-}
-
-static guint
-count_words (const char *words)
+static bool
+platform_ok (struct GspanCtl *ctl)
 {
-  char **parts = g_strsplit (words, " ", -1);
-  guint count = words[0] != '\0' ? g_strv_length (parts) : 0;
+  struct sockaddr_in address;
 
-  g_strfreev (parts);
-  return count;
+  if (ctl->platform == NULL)
+    ctl->platform = g_getenv ("GSPAN_PLATFORM");
+  if (ctl->platform == NULL || ctl->platform[0] == '\0')
+    gspan_ctl_usage ("where is the platform? Give --platform IP:PORT or set GSPAN_PLATFORM");
+  else if (!gspan_address_parse (ctl->platform, &address))
+    gspan_ctl_usage ("\"%s\" is no address of the platform, allowed is IP:PORT", ctl->platform);
+  else
+    return true;
+  return false;
 }
 
 static int
-dispatch (struct Context *context, int argc, char **argv)
+dispatch (struct GspanCtl *ctl, int argc, char **argv)
 {
-  if (context->version)
-    {
-      printf ("gspanctl %s\n", GSPAN_VERSION);
-      return GSPAN_EXIT_OK;
-    }
   if (argc < 2)
-    return usage ("no command");
+    return gspan_ctl_usage ("no command");
   for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
     {
       const struct Command *command = &commands[i];
 
       if (strcmp (argv[1], command->name) != 0)
         continue;
-      if ((guint)argc - 2 != count_words (command->words))
-        return usage ("wrong number of words");
-      context->words = argv + 2;
-      return command->run (context);
+      ctl->words = argv + 2;
+      ctl->word_count = (guint)argc - 2;
+      if (ctl->word_count < command->words_min || ctl->word_count > command->words_max)
+        return gspan_ctl_usage ("wrong number of words: gspanctl %s %s", command->name,
+                                command->words);
+      if (command->needs_platform && !platform_ok (ctl))
+        return GSPAN_EXIT_USAGE;
+      return command->run (ctl);
     }
-  return usage ("unknown command");
+  return gspan_ctl_usage ("unknown command \"%s\"", argv[1]);
 }
 
 int
 main (int argc, char **argv)
 {
-  struct Context context = { 0 };
+  struct GspanCtl ctl = { .expect = GSPAN_ANY_VERSION };
+  char *platform = NULL;
+  gboolean json = FALSE;
+  gboolean version = FALSE;
   const GOptionEntry entries[]
-      = { { "platform", 'p', 0, G_OPTION_ARG_STRING, &context.platform, "the platform's object API",
-            "IP:PORT" },
-          { "json", 0, 0, G_OPTION_ARG_NONE, &context.json, "print JSON instead of a table", NULL },
-          { "version", 0, 0, G_OPTION_ARG_NONE, &context.version, "print the version and exit",
-            NULL },
+      = { { "platform", 'p', 0, G_OPTION_ARG_STRING, &platform,
+            "the platform's object API; without it GSPAN_PLATFORM of the environment", "IP:PORT" },
+          { "expect", 0, 0, G_OPTION_ARG_INT64, &ctl.expect,
+            "edit, delete: only over this version of the record", "VERSION" },
+          { "count", 0, 0, G_OPTION_ARG_INT64, &ctl.count, "watch: end after so many changes",
+            "N" },
+          { "json", 0, 0, G_OPTION_ARG_NONE, &json, "status: print JSON instead of a table", NULL },
+          { "version", 0, 0, G_OPTION_ARG_NONE, &version, "print the version and exit", NULL },
           { NULL, 0, 0, 0, NULL, NULL, NULL } };
   GOptionContext *options = g_option_context_new ("COMMAND [WORDS]");
   char *description = describe_commands ();
   GError *problem = NULL;
-  int code;
+  int code = GSPAN_EXIT_OK;
 
   g_option_context_set_description (options, description);
   g_option_context_add_main_entries (options, entries, NULL);
-  if (g_option_context_parse (options, &argc, &argv, &problem))
-    code = dispatch (&context, argc, argv);
+  if (!g_option_context_parse (options, &argc, &argv, &problem))
+    code = gspan_ctl_usage ("%s", problem->message);
+  else if (version)
+    printf ("gspanctl %s\n", GSPAN_VERSION);
   else
     {
-      code = usage (problem->message);
-      g_error_free (problem);
+      ctl.platform = platform;
+      ctl.json = json;
+      code = dispatch (&ctl, argc, argv);
     }
+  g_clear_error (&problem);
   g_option_context_free (options);
   g_free (description);
-  g_free (context.platform);
+  g_free (platform);
   return code;
 }
--- a/common/line.h
+++ b/common/line.h
@@ -27,3 +27,22 @@
 /* The text so far; the line gives up its ownership. Released with g_free (). */
 char *
 gspan_line_steal (struct GspanLine *line);
+
+/* One pair of a line. VALUE is as it was before it was escaped. */
+struct GspanPair
+{
+  char *key;
+  GString *value;
+};
+
+/*
+ * Splits a line's text back into its pairs, in order; released with g_ptr_array_unref (). NULL
+ * where TEXT is no such line: a pair without a key or "=", an unknown escape, or quotes that stay
+ * open.
+ */
+GPtrArray *
+gspan_line_parse (struct GspanStr text);
+
+/* Value of the first pair called KEY; NULL where there is none. */
+const char *
+gspan_line_find (const GPtrArray *pairs, const char *key);
--- a/common/log.c
+++ b/common/log.c
@@ -1,15 +1,23 @@
 #include "common/log.h"
 
 #include <stdio.h>
+#include <time.h>
 #include <unistd.h>
 
 void
 gspan_log_text (const struct GspanLog *log, enum GspanPriority priority, const char *text)
 {
+  char stamp[32];
+  struct timespec now;
+  struct tm utc;
+
   if (priority > log->level)
     return;
-  fprintf (stderr, "<%d>%s[%d]: module=%s %s\n", (int)priority, log->program, (int)getpid (),
-           log->module, text);
+  clock_gettime (CLOCK_REALTIME, &now);
+  gmtime_r (&now.tv_sec, &utc);
+  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
+  fprintf (stderr, "<%d>%s[%d]: time=%s.%06ldZ module=%s %s\n", (int)priority, log->program,
+           (int)getpid (), stamp, now.tv_nsec / 1000, log->module, text);
 }
 
 void
--- a/common/log.h
+++ b/common/log.h
@@ -20,7 +20,10 @@
   enum GspanPriority level;
 };
 
-/* Writes "<PRIORITY>PROGRAM[PID]: module=MODULE TEXT" to standard error as one line. */
+/*
+ * Writes "<PRIORITY>PROGRAM[PID]: time=TIME module=MODULE TEXT" to standard error as one line. TIME
+ * is the VM's wall clock in UTC, to the microsecond; it only puts lines in order for readers.
+ */
 void
 gspan_log_text (const struct GspanLog *log, enum GspanPriority priority, const char *text);
 
--- a/records/record.c
+++ b/records/record.c
@@ -88,6 +88,24 @@
   return false;
 }
 
+static bool
+has_field (const struct Field *fields, size_t count, const char *key)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      if (strcmp (fields[i].key, key) == 0)
+        return true;
+    }
+  return false;
+}
+
+bool
+gspan_record_has_field (enum GspanRecordKind kind, const char *key)
+{
+  return has_field (common_fields, G_N_ELEMENTS (common_fields), key)
+         || has_field (kinds[kind].fields, kinds[kind].count, key);
+}
+
 static void
 read_number (const struct Field *field, json_t *value, guint64 *out, const char *file,
              struct GspanFindings *findings)
--- a/records/record.h
+++ b/records/record.h
@@ -82,6 +82,10 @@
 bool
 gspan_record_kind_parse (struct GspanStr text, enum GspanRecordKind *kind);
 
+/* True where records of KIND have a field called KEY; "schema" is none. */
+bool
+gspan_record_has_field (enum GspanRecordKind kind, const char *key);
+
 /*
  * Reads a record of KIND called NAME out of VALUE, which may be of any schema version. Findings
  * name their field; FILE is the place that they report. False where any was added; RECORD then is
--- a/settings/options.c
+++ b/settings/options.c
@@ -1,8 +1,8 @@
 #include "settings/options.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
+#include "common/address.h"
 #include "settings/toml.h"
 
 enum
@@ -22,23 +22,6 @@
   return option->type <= GSPAN_OPTION_CHOICE;
 }
 
-static bool
-address_ok (const char *text)
-{
-  const char *colon = strrchr (text, ':');
-  guint64 port = 0;
-  struct in_addr ip;
-  char *host;
-  bool ok;
-
-  if (colon == NULL || !g_ascii_string_to_unsigned (colon + 1, 10, 0, G_MAXUINT16, &port, NULL))
-    return false;
-  host = g_strndup (text, (gsize)(colon - text));
-  ok = inet_pton (AF_INET, host, &ip) == 1;
-  g_free (host);
-  return ok;
-}
-
 static bool
 choice_ok (const struct GspanOption *option, const char *text)
 {
@@ -54,11 +37,12 @@
           void *target, struct GspanFindings *findings)
 {
   char **text = field (option, target);
+  struct sockaddr_in address;
 
   if (value->type != GSPAN_TOML_STRING)
     gspan_findings_add (findings, file, value->line, value->column, option->key,
                         "wrong type, allowed is a string");
-  else if (option->type == GSPAN_OPTION_ADDRESS && !address_ok (value->text))
+  else if (option->type == GSPAN_OPTION_ADDRESS && !gspan_address_parse (value->text, &address))
     gspan_findings_add (findings, file, value->line, value->column, option->key,
                         "\"%s\" is no address, allowed is \"IP:PORT\"", value->text);
   else if (option->type == GSPAN_OPTION_CHOICE && !choice_ok (option, value->text))
