--- a/cmd/daemon.c
+++ b/cmd/daemon.c
@@ -8,6 +8,13 @@
 #include "settings/node.h"
 #include "shell/shell.h"
 
+static const char settings_head[]
+    = "# Settings\n\n"
+      "One TOML file a process, the same settings for all daemons. `gspan-entry --config FILE "
+      "--check`\n"
+      "prints every finding with its line and column and exits. This page is the output of\n"
+      "`gspan-entry --help-settings`.\n\n";
+
 struct Arguments
 {
   char *config;
@@ -124,7 +131,7 @@
     {
       char *text = gspan_options_describe (gspan_node_options, gspan_node_option_count);
 
-      fputs (text, stdout);
+      printf ("%s%s", settings_head, text);
       g_free (text);
       return GSPAN_EXIT_OK;
     }
--- a/records/file.c
+++ b/records/file.c
@@ -26,6 +26,7 @@
     case GSPAN_TOML_BOOLEAN:
       return json_boolean (value->number != 0);
     case GSPAN_TOML_OTHER:
+    case GSPAN_TOML_EMPTY:
       return NULL;
     }
   return NULL;
@@ -64,7 +65,8 @@
                         "[upstream.NAME]");
   else if (json == NULL)
     gspan_findings_add (findings, file, value->line, value->column, value->key,
-                        "wrong type, allowed is a string, an integer, true or false");
+                        "wrong type, is %s, allowed is a string, an integer, true or false",
+                        value->type_name);
   else
     json_object_set (find_or_add (list, kind, parts[1])->value, parts[2], json);
   json_decref (json);
--- a/settings/node.c
+++ b/settings/node.c
@@ -5,11 +5,11 @@
 #define FIELD(name) offsetof (struct GspanNodeSettings, name)
 
 const struct GspanOption gspan_node_options[]
-    = { { "node.name", GSPAN_OPTION_STRING, NULL, 0, 0, NULL, NULL,
+    = { { "node.name", GSPAN_OPTION_NAME, NULL, 0, 0, NULL, NULL,
           "name of the VM, unique in the fleet", FIELD (name) },
-        { "node.firm", GSPAN_OPTION_STRING, NULL, 0, 0, NULL, NULL, "firm that runs the VM",
+        { "node.firm", GSPAN_OPTION_NAME, NULL, 0, 0, NULL, NULL, "firm that runs the VM",
           FIELD (firm) },
-        { "node.zone", GSPAN_OPTION_STRING, NULL, 0, 0, NULL, NULL, "availability zone of the VM",
+        { "node.zone", GSPAN_OPTION_NAME, NULL, 0, 0, NULL, NULL, "availability zone of the VM",
           FIELD (zone) },
         { "listen.http", GSPAN_OPTION_ADDRESS, NULL, 0, 0, NULL, NULL,
           "address for callers, operators and metrics", FIELD (http) },
--- a/settings/options.c
+++ b/settings/options.c
@@ -7,7 +7,8 @@
 
 enum
 {
-  KEY_LEN_MAX = 64
+  KEY_LEN_MAX = 64,
+  NAME_LEN_MAX = 64
 };
 
 static void *
@@ -32,30 +33,61 @@
   return ok;
 }
 
+/* Names go into log lines, paths and header lines as they are. */
+static bool
+name_ok (const char *text)
+{
+  size_t len = strlen (text);
+
+  for (size_t i = 0; i < len; i++)
+    {
+      if (!g_ascii_isalnum (text[i]) && strchr ("._-", text[i]) == NULL)
+        return false;
+    }
+  return len > 0 && len <= NAME_LEN_MAX;
+}
+
+/* What is wrong with TEXT as a value of OPTION; NULL where nothing is. */
+static char *
+fault_of_text (const struct GspanOption *option, const char *text)
+{
+  struct sockaddr_in address;
+
+  if (option->type == GSPAN_OPTION_ADDRESS && !gspan_address_parse (text, &address))
+    return g_strdup_printf ("\"%s\" is no address, allowed is \"IP:PORT\"", text);
+  if (option->type == GSPAN_OPTION_CHOICE && !choice_ok (option, text))
+    return g_strdup_printf ("\"%s\" is unknown, allowed is one of: %s", text, option->choices);
+  if (option->type == GSPAN_OPTION_NAME && !name_ok (text))
+    return g_strdup_printf ("\"%s\" is no name, allowed are letters, digits, \".\", \"_\" and "
+                            "\"-\", at most %d",
+                            text, NAME_LEN_MAX);
+  if (text[0] == '\0')
+    return g_strdup ("is empty, allowed is a string of one byte or more");
+  return NULL;
+}
+
 static void
 set_text (const struct GspanOption *option, const struct GspanTomlValue *value, const char *file,
           void *target, struct GspanFindings *findings)
 {
   char **text = field (option, target);
-  struct sockaddr_in address;
+  char *fault;
 
   if (value->type != GSPAN_TOML_STRING)
-    gspan_findings_add (findings, file, value->line, value->column, option->key,
-                        "wrong type, allowed is a string");
-  else if (option->type == GSPAN_OPTION_ADDRESS && !gspan_address_parse (value->text, &address))
-    gspan_findings_add (findings, file, value->line, value->column, option->key,
-                        "\"%s\" is no address, allowed is \"IP:PORT\"", value->text);
-  else if (option->type == GSPAN_OPTION_CHOICE && !choice_ok (option, value->text))
-    gspan_findings_add (findings, file, value->line, value->column, option->key,
-                        "\"%s\" is unknown, allowed is one of: %s", value->text, option->choices);
-  else if (value->text[0] == '\0')
-    gspan_findings_add (findings, file, value->line, value->column, option->key,
-                        "is empty, allowed is a string of one byte or more");
+    {
+      gspan_findings_add (findings, file, value->line, value->column, option->key,
+                          "wrong type, is %s, allowed is a string", value->type_name);
+      return;
+    }
+  fault = fault_of_text (option, value->text);
+  if (fault != NULL)
+    gspan_findings_add (findings, file, value->line, value->column, option->key, "%s", fault);
   else
     {
       g_free (*text);
       *text = g_strdup (value->text);
     }
+  g_free (fault);
 }
 
 static void
@@ -68,7 +100,8 @@
 
   if (value->type != (boolean ? GSPAN_TOML_BOOLEAN : GSPAN_TOML_INTEGER))
     gspan_findings_add (findings, file, value->line, value->column, option->key,
-                        "wrong type, allowed is %s", boolean ? "true or false" : "an integer");
+                        "wrong type, is %s, allowed is %s", value->type_name,
+                        boolean ? "true or false" : "an integer");
   else if (!boolean && (value->number < option->min || value->number > option->max))
     gspan_findings_add (findings, file, value->line, value->column, option->key,
                         "%" G_GINT64_FORMAT " is out of range, allowed is %" G_GINT64_FORMAT
@@ -135,6 +168,64 @@
   return best;
 }
 
+/* The option of another table whose last part is that of KEY; NULL where there is none. */
+static const struct GspanOption *
+find_in_other_table (const struct GspanOption *options, size_t count, const char *key)
+{
+  const char *dot = strrchr (key, '.');
+  const char *leaf = dot != NULL ? dot + 1 : key;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (strcmp (strrchr (options[i].key, '.') + 1, leaf) == 0)
+        return &options[i];
+    }
+  return NULL;
+}
+
+static bool
+is_table (const struct GspanOption *options, size_t count, const char *key)
+{
+  size_t len = strlen (key);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (strncmp (options[i].key, key, len) == 0 && options[i].key[len] == '.')
+        return true;
+    }
+  return false;
+}
+
+static void
+add_unknown (const struct GspanOption *options, size_t count, const char *file,
+             const struct GspanTomlValue *value, struct GspanFindings *findings)
+{
+  const struct GspanOption *moved = find_in_other_table (options, count, value->key);
+
+  if (value->type == GSPAN_TOML_EMPTY && is_table (options, count, value->key))
+    return;
+  if (is_table (options, count, value->key))
+    gspan_findings_add (findings, file, value->line, value->column, value->key,
+                        "wrong type, is %s, allowed is a table", value->type_name);
+  else if (moved != NULL)
+    gspan_findings_add (findings, file, value->line, value->column, value->key,
+                        "in the wrong table, the setting is %s", moved->key);
+  else
+    gspan_findings_add (findings, file, value->line, value->column, value->key,
+                        "unknown setting, the nearest known one is %s",
+                        nearest_key (options, count, value->key));
+}
+
+static void
+set_value (const struct GspanOption *option, const struct GspanTomlValue *value, const char *file,
+           void *target, struct GspanFindings *findings)
+{
+  if (is_text (option))
+    set_text (option, value, file, target, findings);
+  else
+    set_number (option, value, file, target, findings);
+}
+
 void
 gspan_options_load (const struct GspanOption *options, size_t count, const char *file, void *target,
                     struct GspanFindings *findings)
@@ -152,16 +243,11 @@
 
       if (option == NULL)
         {
-          gspan_findings_add (findings, file, value->line, value->column, value->key,
-                              "unknown setting, the nearest known one is %s",
-                              nearest_key (options, count, value->key));
+          add_unknown (options, count, file, value, findings);
           continue;
         }
       seen[option - options] = true;
-      if (is_text (option))
-        set_text (option, value, file, target, findings);
-      else
-        set_number (option, value, file, target, findings);
+      set_value (option, value, file, target, findings);
     }
   for (size_t i = 0; i < count && (values->len > 0 || gspan_findings_count (findings) == before);
        i++)
@@ -193,6 +279,9 @@
     case GSPAN_OPTION_STRING:
       g_string_append (text, "string");
       break;
+    case GSPAN_OPTION_NAME:
+      g_string_append (text, "name");
+      break;
     case GSPAN_OPTION_ADDRESS:
       g_string_append (text, "IP:PORT");
       break;
@@ -200,8 +289,9 @@
       g_string_append (text, option->choices);
       break;
     case GSPAN_OPTION_INTEGER:
-      g_string_append_printf (text, "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT " %s", option->min,
-                              option->max, option->unit != NULL ? option->unit : "");
+      g_string_append_printf (text, "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT "%s%s", option->min,
+                              option->max, option->unit != NULL ? " " : "",
+                              option->unit != NULL ? option->unit : "");
       break;
     case GSPAN_OPTION_BOOLEAN:
       g_string_append (text, "true or false");
@@ -209,6 +299,14 @@
     }
 }
 
+static const char *
+describe_fallback (const struct GspanOption *option)
+{
+  if (option->fallback == NULL)
+    return "required";
+  return option->fallback[0] != '\0' ? option->fallback : "unset";
+}
+
 char *
 gspan_options_describe (const struct GspanOption *options, size_t count)
 {
@@ -220,9 +318,7 @@
 
       g_string_append_printf (text, "| `%s` | ", option->key);
       describe_range (text, option);
-      g_string_append_printf (text, " | %s | %s |\n",
-                              option->fallback != NULL ? option->fallback : "required",
-                              option->help);
+      g_string_append_printf (text, " | %s | %s |\n", describe_fallback (option), option->help);
     }
   return g_string_free (text, FALSE);
 }
--- a/settings/options.h
+++ b/settings/options.h
@@ -6,6 +6,7 @@
 enum GspanOptionType
 {
   GSPAN_OPTION_STRING,  /* char * */
+  GSPAN_OPTION_NAME,    /* char *, letters, digits, ".", "_" and "-", at most 64 */
   GSPAN_OPTION_ADDRESS, /* char *, "IP:PORT" */
   GSPAN_OPTION_CHOICE,  /* char *, one of CHOICES */
   GSPAN_OPTION_INTEGER, /* gint64, between MIN and MAX */
@@ -21,7 +22,7 @@
   gint64 min;
   gint64 max;
   const char *choices;  /* separated by blanks */
-  const char *fallback; /* as text; NULL makes the setting required */
+  const char *fallback; /* as text; NULL makes the setting required, "" leaves a string unset */
   const char *help;
   size_t offset; /* of the field in the module's settings struct */
 };
@@ -38,6 +39,6 @@
 void
 gspan_options_finish (const struct GspanOption *options, size_t count, void *target);
 
-/* The table as a reference page in Markdown. Released with g_free (). */
+/* The table as a reference in Markdown. Released with g_free (). */
 char *
 gspan_options_describe (const struct GspanOption *options, size_t count);
