--- a/records/merge.c
+++ b/records/merge.c
@@ -128,7 +128,7 @@
   }
   json_object_foreach (merge->base, key, value)
   {
-    if (json_object_get (merge->edit, key) == NULL && gspan_record_knows (merge->kind, key))
+    if (json_object_get (merge->edit, key) == NULL && gspan_record_has_field (merge->kind, key))
       merge_field (merge, out, key, NULL);
   }
 }
--- a/records/record.c
+++ b/records/record.c
@@ -102,7 +102,7 @@
 }
 
 bool
-gspan_record_knows (enum GspanRecordKind kind, const char *key)
+gspan_record_has_field (enum GspanRecordKind kind, const char *key)
 {
   return has_field (common_fields, G_N_ELEMENTS (common_fields), key)
          || has_field (kinds[kind].fields, kinds[kind].count, key);
