--- a/standin/wire.c
+++ b/standin/wire.c
@@ -211,9 +211,8 @@
 
 /* PAIR is "LISTEN=TARGET". */
 static bool
-open_wire (struct GspanStandin *standin, const char *pair, guint64 *epoch)
+open_wire (struct Wire *wire, struct GspanStandin *standin, const char *pair, guint64 *epoch)
 {
-  struct Wire *wire = g_new0 (struct Wire, 1);
   char **parts = g_strsplit (pair, "=", 2);
   struct sockaddr_in where;
   bool ok = g_strv_length (parts) == 2 && parse_address (parts[0], &where)
@@ -240,16 +239,18 @@
 gspan_standin_run_wire (struct GspanStandin *standin)
 {
   char **pairs = g_strsplit (standin->pairs != NULL ? standin->pairs : "", ",", -1);
+  struct Wire *wires = g_new0 (struct Wire, g_strv_length (pairs));
   guint64 epoch = 0;
   ev_signal silence;
   bool ok = true;
 
   for (guint i = 0; ok && pairs[i] != NULL; i++)
-    ok = open_wire (standin, pairs[i], &epoch);
+    ok = open_wire (&wires[i], standin, pairs[i], &epoch);
   g_strfreev (pairs);
   ev_signal_init (&silence, on_silence, SIGUSR1);
   silence.data = &epoch;
   ev_signal_start (standin->loop, &silence);
   if (ok)
     ev_run (standin->loop, 0);
+  g_free (wires);
 }
