rollout: batches on the pull's own cursor, a planner by engine version, work through outages

Cause: a batch was built on the feed's cursor, which any pull replaced (a malformed or late one too); samples survived an edit of their prompt; deleted attachments were worked on for good; a platform outage stopped all attachments once the leases ran out; an entry forgot the owner's address when it needed it most. Now each pull carries its cursor, an entry checks fence and record version of what it hands on, the last holder works on through an outage, and edits start over. The planner starts ahead only on engines that run the trainer's newest version unless it would be late. Ruled out: refusing every pull behind the plan, which would starve a trainer restored from a checkpoint.

--- a/desk/pulls.c
+++ b/desk/pulls.c
@@ -5,6 +5,7 @@
 
 #include "board/board.h"
 #include "common/clock.h"
+#include "rollout/fault.h"
 #include "rpc/codec.h"
 
 enum
@@ -35,10 +36,14 @@
   enum PullState state;
 };
 
-/* What this entry knows of an attachment's owner. FENCE never goes back. */
+/*
+ * What this entry knows of an attachment's owner. FENCE never goes back. The address outlives a
+ * doubt, since the platform may be down when another one is wanted.
+ */
 struct Owner
 {
   char *address; /* NULL is not known */
+  bool doubted;  /* the lease is to be read before ADDRESS is asked again */
   guint64 fence;
 };
 
@@ -160,7 +165,7 @@
   struct GspanRef ref = { GSPAN_OWNER_PULLS, pull->id };
   char *path;
 
-  if (owner->address != NULL)
+  if (owner->address != NULL && !owner->doubted)
     {
       ask_owner (pull, owner, outbox);
       return;
@@ -171,6 +176,21 @@
   g_free (path);
 }
 
+/* Takes in a lease object. One under an older fence than seen names nobody. */
+static void
+learn_owner (struct Owner *owner, json_t *value)
+{
+  const char *holder = json_string_value (json_object_get (value, "holder"));
+  guint64 fence = (guint64)json_integer_value (json_object_get (value, "fence"));
+
+  if (holder == NULL || holder[0] == '\0' || fence < owner->fence)
+    return;
+  g_free (owner->address);
+  owner->address = g_strdup (holder);
+  owner->fence = fence;
+  owner->doubted = false;
+}
+
 static void
 on_lease (struct GspanBoard *board, struct Pull *pull, const struct GspanEventObject *answer,
           struct GspanOutbox *outbox)
@@ -178,22 +198,17 @@
   struct Owner *owner = owner_of (board->pulls, pull->attachment);
   struct GspanStr text = gspan_str_from_bytes (answer->body);
   json_t *value = NULL;
-  const char *holder;
+  bool unread
+      = answer->result == GSPAN_OBJECT_UNAVAILABLE || answer->result == GSPAN_OBJECT_UNKNOWN;
 
   if (answer->result == GSPAN_OBJECT_OK)
     value = json_loadb (text.data, text.len, 0, NULL);
-  holder = json_string_value (json_object_get (value, "holder"));
-  if (holder != NULL && holder[0] != '\0')
-    {
-      g_free (owner->address);
-      owner->address = g_strdup (holder);
-      owner->fence
-          = MAX (owner->fence, (guint64)json_integer_value (json_object_get (value, "fence")));
-      ask_owner (pull, owner, outbox);
-    }
+  learn_owner (owner, value);
+  json_decref (value);
+  if (owner->address != NULL && (unread || !owner->doubted))
+    ask_owner (pull, owner, outbox);
   else
     wait_for_retry (board, pull);
-  json_decref (value);
 }
 
 static void
@@ -213,25 +228,40 @@
   g_hash_table_remove (board->pulls->pulls, &pull->id);
 }
 
+/* Why the answer may not be handed on although the owner gave a batch; NULL where it may. */
+static const char *
+outdated_by (const struct GspanBoard *board, const struct Pull *pull, const struct Owner *owner,
+             const struct gspan_pull_res *res)
+{
+  const struct GspanRecord *record
+      = gspan_records_find (&board->records, GSPAN_RECORD_ATTACHMENT, pull->attachment);
+
+  if (res->fence < owner->fence && !GSPAN_SEEDED_FAULT (GSPAN_FAULT_FORGET_FENCE))
+    return "answer under an old fence";
+  if (res->status != GSPAN_STATUS_OK || GSPAN_SEEDED_FAULT (GSPAN_FAULT_OLD_RECORD))
+    return NULL;
+  if (record == NULL || record->paused)
+    return "the attachment is paused or deleted";
+  return res->record < record->version ? "answer under an old record" : NULL;
+}
+
 static void
 on_result (struct GspanBoard *board, struct Pull *pull, struct gspan_pull_res *res,
            struct GspanOutbox *outbox)
 {
   struct Owner *owner = owner_of (board->pulls, pull->attachment);
-  bool outdated = res->fence < owner->fence;
+  const char *outdated = outdated_by (board, pull, owner, res);
+  bool old_owner = res->fence < owner->fence;
 
-  if (!outdated)
-    owner->fence = res->fence;
-  if (res->status == GSPAN_STATUS_OK && !outdated)
+  owner->fence = MAX (owner->fence, res->fence);
+  if (outdated == NULL && res->status == GSPAN_STATUS_OK)
     deliver (board, pull, res, outbox);
-  else if (res->status == GSPAN_STATUS_REFUSED)
+  else if (outdated == NULL && res->status == GSPAN_STATUS_REFUSED)
     refuse (board, pull, 409, "cursor", res->detail, outbox);
   else
     {
-      if (outdated || res->status == GSPAN_STATUS_NOT_OWNER)
-        g_clear_pointer (&owner->address, g_free);
-      log_pull (board, pull, "pull-retry", outdated ? "answer under an old fence" : res->detail,
-                outbox);
+      owner->doubted |= old_owner || res->status == GSPAN_STATUS_NOT_OWNER;
+      log_pull (board, pull, "pull-retry", outdated != NULL ? outdated : res->detail, outbox);
       wait_for_retry (board, pull);
     }
 }
@@ -249,7 +279,7 @@
     on_result (board, pull, &res, outbox);
   else
     {
-      g_clear_pointer (&owner->address, g_free);
+      owner->doubted = true;
       log_pull (board, pull, "pull-retry", "the owner did not answer", outbox);
       wait_for_retry (board, pull);
     }
--- a/records/record.c
+++ b/records/record.c
@@ -45,6 +45,8 @@
         { "group_samples", FIELD_NUMBER, true, 1, 256, 0, IN_ATTACHMENT (group_samples) },
         { "staleness_bound", FIELD_NUMBER, true, 0, 1000, 0, IN_ATTACHMENT (staleness_bound) },
         { "max_tokens", FIELD_NUMBER, false, 1, 1048576, 256, IN_ATTACHMENT (max_tokens) },
+        { "ahead_batches", FIELD_NUMBER, false, 0, 16, 2, IN_ATTACHMENT (ahead_batches) },
+        { "fixed_ahead", FIELD_FLAG, false, 0, 1, 0, IN_ATTACHMENT (fixed_ahead) },
         { "idle_weight", FIELD_NUMBER, false, 0, 100, 50, IN_ATTACHMENT (idle_weight) },
         { "staleness_weight", FIELD_NUMBER, false, 0, 100, 50, IN_ATTACHMENT (staleness_weight) } };
 
--- a/records/record.h
+++ b/records/record.h
@@ -40,6 +40,8 @@
   guint64 group_samples;
   guint64 staleness_bound; /* versions */
   guint64 max_tokens;
+  guint64 ahead_batches;    /* most batches worked on before they are asked for; 0 is none */
+  bool fixed_ahead;         /* always that many, without foresight: a baseline to measure against */
   guint64 idle_weight;      /* how much an idle trainer matters, 0 to 100 */
   guint64 staleness_weight; /* how much a stale sample matters, 0 to 100 */
 };
--- a/rollout/cursor.c
+++ b/rollout/cursor.c
@@ -21,6 +21,15 @@
   g_array_unref (cursor->deferred);
 }
 
+void
+gspan_cursor_copy (const struct GspanCursor *from, struct GspanCursor *to)
+{
+  to->batch = from->batch;
+  to->next_group = from->next_group;
+  g_array_set_size (to->deferred, 0);
+  g_array_append_vals (to->deferred, from->deferred->data, from->deferred->len);
+}
+
 static bool
 parse_deferred (struct GspanCursor *cursor, const char *text, struct GspanError *error)
 {
--- a/rollout/cursor.h
+++ b/rollout/cursor.h
@@ -31,6 +31,10 @@
 gspan_cursor_parse (struct GspanCursor *cursor, const char *attachment, struct GspanStr text,
                     struct GspanError *error);
 
+/* Makes the initialised TO the same as FROM. */
+void
+gspan_cursor_copy (const struct GspanCursor *from, struct GspanCursor *to);
+
 /* Text of CURSOR. Released with g_free (). */
 char *
 gspan_cursor_format (const struct GspanCursor *cursor, const char *attachment);
--- a/rollout/feed.h
+++ b/rollout/feed.h
@@ -5,12 +5,13 @@
 #include "rollout/cursor.h"
 #include "rollout/sample.h"
 
-/* A pull that waits for its batch. */
+/* A pull that waits for its batch, which is built on the pull's own cursor. */
 struct GspanFeedPull
 {
   guint64 call; /* RPC call to answer */
   guint64 weight;
   guint64 give_up_at;
+  struct GspanCursor cursor;
 };
 
 /* What the owner of one attachment works on. */
@@ -18,12 +19,17 @@
 {
   char *name;
   struct GspanLease *lease;
-  bool cursor_known; /* a pull under this lease has brought the cursor */
-  struct GspanCursor cursor;
-  guint64 weight;     /* highest version that the trainer has named */
-  GHashTable *groups; /* number to struct GspanGroup, owns them */
-  GArray *pulls;      /* struct GspanFeedPull */
-  guint64 batches;    /* handed over by this process */
+  bool cursor_known;         /* a pull under this lease has brought the cursor */
+  struct GspanCursor cursor; /* what is planned for: the newest that a pull has brought */
+  guint64 weight;            /* version that the trainer named with that cursor, or a higher one */
+  char *recipe;        /* what the samples are made from, by the record they were begun under */
+  GHashTable *groups;  /* number to struct GspanGroup, owns them */
+  GArray *pulls;       /* struct GspanFeedPull */
+  char *behind;        /* cursor of the last pull that was behind the plan; NULL is none */
+  guint64 behind_at;   /* when that cursor first came, microseconds */
+  guint64 answered_at; /* of the last batch, microseconds; 0 is never */
+  guint64 step_us;     /* from an answer to the next pull, smoothed; 0 is not known */
+  guint64 sample_us;   /* from start to whole, of the slow samples; 0 is not known */
 };
 
 struct GspanFeed *
@@ -35,22 +41,24 @@
 struct GspanGroup *
 gspan_feed_group (struct GspanFeed *feed, guint64 number, guint samples);
 
-/* True where SAMPLE, delivered now, would be over the attachment's staleness bound. */
+/* True where SAMPLE, delivered to a trainer at WEIGHT, would be over the staleness bound. */
 bool
-gspan_feed_is_stale (const struct GspanFeed *feed, const struct GspanAttachment *attachment,
-                     const struct GspanSample *sample, guint64 weight);
+gspan_feed_is_stale (const struct GspanAttachment *attachment, const struct GspanSample *sample,
+                     guint64 weight);
 
 /*
- * Body of the batch after the feed's cursor for a trainer at WEIGHT, oldest whole groups first;
- * NULL where too few groups are whole and fresh.
+ * Body of the batch after the cursor of PULL; NULL where too few groups are whole and fresh. Groups
+ * that would be too old for the next batch come first and are waited for, then the oldest whole
+ * ones: what is slow to generate is put off, never thrown away for being slow. The groups handed
+ * over are marked.
  */
 GBytes *
-gspan_feed_build_batch (const struct GspanFeed *feed, const struct GspanAttachment *attachment,
-                        guint64 weight);
+gspan_feed_build_batch (struct GspanFeed *feed, const struct GspanAttachment *attachment,
+                        const struct GspanFeedPull *pull);
 
-/* Groups to work on at once, batch by batch. */
-guint64
-gspan_feed_window (const struct GspanAttachment *attachment);
+/* Text that changes when samples made before no longer are what the record asks for. */
+char *
+gspan_feed_recipe (const struct GspanAttachment *attachment);
 
 /* Prompt of a group. Released with g_free (). */
 char *
--- a/rollout/rollout.h
+++ b/rollout/rollout.h
@@ -12,6 +12,7 @@
 {
   GHashTable *feeds;     /* attachment to struct GspanFeed, owns them */
   GHashTable *exchanges; /* number of an exchange to struct Exchange, owns them */
+  GHashTable *probes;    /* name of an engine to the time of its next probe */
 };
 
 void
--- a/rollout/sample.c
+++ b/rollout/sample.c
@@ -1,5 +1,16 @@
 #include "rollout/sample.h"
 
+#include "common/clock.h"
+#include "rollout/fault.h"
+
+enum
+{
+  BACKOFF_DOUBLINGS = 6,
+  BACKOFF_DOUBLINGS_LOST = 12 /* where the sample itself may be what crashes engines */
+};
+
+#define BACKOFF_MIN_US (50 * GSPAN_MS)
+
 struct GspanGroup *
 gspan_group_new (guint64 number, guint count)
 {
@@ -38,20 +49,74 @@
   return true;
 }
 
+guint64
+gspan_group_oldest (const struct GspanGroup *group)
+{
+  guint64 oldest = 0;
+
+  for (guint i = 0; i < group->count; i++)
+    {
+      const struct GspanSample *sample = &group->samples[i];
+      guint64 weight = sample->oldest != 0 ? sample->oldest : sample->foreseen;
+
+      if (sample->state == GSPAN_SAMPLE_WAITING || weight == 0)
+        continue;
+      oldest = oldest == 0 ? weight : MIN (oldest, weight);
+    }
+  return oldest;
+}
+
 void
 gspan_sample_reset (struct GspanSample *sample)
 {
   sample->state = GSPAN_SAMPLE_WAITING;
   sample->exchange = 0;
-  sample->upstream = NULL;
+  sample->hedge = 0;
+  sample->foreseen = 0;
   sample->oldest = 0;
   g_clear_pointer (&sample->text, g_free);
   g_array_set_size (sample->segments, 0);
 }
 
+void
+gspan_sample_fail (struct GspanSample *sample, bool lost, guint64 now)
+{
+  guint doublings = lost ? BACKOFF_DOUBLINGS_LOST : BACKOFF_DOUBLINGS;
+
+  sample->retry_at = now + (BACKOFF_MIN_US << MIN (sample->failures, doublings));
+  sample->failures++;
+}
+
+static bool
+take_segment (const struct GspanSample *sample, json_t *item, struct GspanSegment *segment)
+{
+  json_t *weight = json_object_get (item, "version");
+  json_t *tokens = json_object_get (item, "tokens");
+
+  if (!json_is_integer (tokens) || json_integer_value (tokens) <= 0)
+    return false;
+  segment->tokens = (guint64)json_integer_value (tokens);
+  segment->weight = (guint64)json_integer_value (weight);
+  if (json_is_integer (weight) && json_integer_value (weight) > 0)
+    return true;
+  segment->weight = sample->foreseen;
+  return GSPAN_SEEDED_FAULT (GSPAN_FAULT_TAKE_UNCERTAIN);
+}
+
+static guint64
+older_of (const struct GspanSample *sample, guint64 weight)
+{
+  if (sample->oldest == 0)
+    return weight;
+  if (GSPAN_SEEDED_FAULT (GSPAN_FAULT_COUNT_FROM_NEWEST))
+    return MAX (sample->oldest, weight);
+  return MIN (sample->oldest, weight);
+}
+
 static bool
-take_segments (struct GspanSample *sample, json_t *list, struct GspanError *error)
+take_segments (struct GspanSample *sample, json_t *list, json_t *total, struct GspanError *error)
 {
+  guint64 tokens = 0;
   json_t *item;
   size_t index;
 
@@ -59,17 +124,18 @@
     return gspan_error_set (error, GSPAN_ERROR_INPUT, "weight_segments: missing or empty");
   json_array_foreach (list, index, item)
   {
-    json_t *weight = json_object_get (item, "version");
     struct GspanSegment segment = { 0 };
 
-    if (!json_is_integer (weight) || json_integer_value (weight) <= 0)
-      return gspan_error_set (error, GSPAN_ERROR_INPUT, "weight_segments[%zu].version: not certain",
-                              index);
-    segment.weight = (guint64)json_integer_value (weight);
-    segment.tokens = (guint64)json_integer_value (json_object_get (item, "tokens"));
-    sample->oldest = index == 0 ? segment.weight : MIN (sample->oldest, segment.weight);
+    if (!take_segment (sample, item, &segment))
+      return gspan_error_set (error, GSPAN_ERROR_INPUT, "weight_segments[%zu]: not certain", index);
+    if (GSPAN_SEEDED_FAULT (GSPAN_FAULT_LABEL_BY_BELIEF))
+      segment.weight = sample->foreseen;
+    tokens += segment.tokens;
+    sample->oldest = older_of (sample, segment.weight);
     g_array_append_val (sample->segments, segment);
   }
+  if (json_is_integer (total) && (guint64)json_integer_value (total) != tokens)
+    return gspan_error_set (error, GSPAN_ERROR_INPUT, "weight_segments: tokens unaccounted for");
   return true;
 }
 
@@ -79,12 +145,13 @@
   json_t *choice = json_array_get (json_object_get (root, "choices"), 0);
   json_t *text = json_object_get (choice, "text");
   json_t *reason = json_object_get (choice, "finish_reason");
+  json_t *total = json_object_get (json_object_get (root, "usage"), "completion_tokens");
 
   if (!json_is_string (text))
     return gspan_error_set (error, GSPAN_ERROR_INPUT, "choices[0].text: missing or no string");
   if (!json_is_string (reason))
     return gspan_error_set (error, GSPAN_ERROR_INPUT, "choices[0].finish_reason: not finished");
-  if (!take_segments (sample, json_object_get (root, "weight_segments"), error))
+  if (!take_segments (sample, json_object_get (root, "weight_segments"), total, error))
     return false;
   sample->text = g_strdup (json_string_value (text));
   return true;
--- a/rollout/sample.h
+++ b/rollout/sample.h
@@ -5,8 +5,6 @@
 #include "common/error.h"
 #include "common/str.h"
 
-struct GspanUpstream;
-
 enum GspanSampleState
 {
   GSPAN_SAMPLE_WAITING,
@@ -27,8 +25,12 @@
 {
   enum GspanSampleState state;
   guint64 exchange; /* generation or scoring under way; 0 is none */
-  struct GspanUpstream *upstream;
-  guint64 started;
+  guint64 hedge;    /* second generation under way; 0 is none */
+  guint64 started;  /* of the generation, microseconds */
+  guint64
+      foreseen; /* weight version that the engine was known to run at the start; 0 is not known */
+  guint64 retry_at; /* not before, microseconds */
+  guint failures;   /* in a row */
   char *text;
   GArray *segments; /* struct GspanSegment, in order */
   guint64 oldest;   /* least weight version of the segments */
@@ -40,6 +42,7 @@
 {
   guint64 number;
   guint count;
+  bool handed; /* in a batch whose pull has been answered, not yet proved taken */
   struct GspanSample *samples;
 };
 
@@ -50,13 +53,25 @@
 bool
 gspan_group_is_whole (const struct GspanGroup *group);
 
+/* Least weight version that the samples begun so far are known or foreseen to hold; 0 is none. */
+guint64
+gspan_group_oldest (const struct GspanGroup *group);
+
 /* Back to WAITING, all that was generated thrown away. */
 void
 gspan_sample_reset (struct GspanSample *sample);
 
+/*
+ * Takes note of a failed exchange at NOW; the next try has to wait for longer each time, for
+ * minutes where LOST answers suggest that the sample crashes what runs it.
+ */
+void
+gspan_sample_fail (struct GspanSample *sample, bool lost, guint64 now);
+
 /*
  * Takes text and segments out of an engine's answer. False with ERROR set where the answer is not
- * whole or a segment states no certain weight version; the sample then has to be generated again.
+ * whole, a segment states no certain weight version or the segments don't account for all tokens;
+ * the sample then has to be generated again.
  */
 bool
 gspan_sample_take_answer (struct GspanSample *sample, struct GspanStr body,
--- a/rpc/gen/gspan.h
+++ b/rpc/gen/gspan.h
@@ -39,6 +39,7 @@
 struct gspan_pull_res {
 	gspan_status status;
 	u_quad_t fence;
+	u_quad_t record;
 	char *detail;
 	struct {
 		u_int body_len;
--- a/rpc/gen/gspan_xdr.c
+++ b/rpc/gen/gspan_xdr.c
@@ -40,6 +40,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->fence))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->record))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->detail, GSPAN_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, GSPAN_MAX_BODY))
--- a/rpc/gspan.x
+++ b/rpc/gspan.x
@@ -19,9 +19,11 @@
   opaque cursor<GSPAN_MAX_CURSOR>;
 };
 
+/* RECORD is the version of the attachment's record that the batch was built under. */
 struct gspan_pull_res {
   gspan_status status;
   unsigned hyper fence;
+  unsigned hyper record;
   string detail<GSPAN_MAX_NAME>;
   opaque body<GSPAN_MAX_BODY>;
 };
