--- a/desk/pulls.c
+++ b/desk/pulls.c
@@ -14,7 +14,7 @@
 };
 
 #define PULL_TIMEOUT_US (25 * GSPAN_SECOND)
-#define RPC_TIMEOUT_US (22 * GSPAN_SECOND)
+#define RPC_TIMEOUT_US (3500 * GSPAN_MS)
 #define RETRY_US (200 * GSPAN_MS)
 
 enum PullState
@@ -258,6 +258,8 @@
     deliver (board, pull, res, outbox);
   else if (outdated == NULL && res->status == GSPAN_STATUS_REFUSED)
     refuse (board, pull, 409, "cursor", res->detail, outbox);
+  else if (outdated == NULL && res->status == GSPAN_STATUS_NOT_READY)
+    ask_owner (pull, owner, outbox);
   else
     {
       owner->doubted |= old_owner || res->status == GSPAN_STATUS_NOT_OWNER;
