rollout: a sample that crashes engines waits longer after each loss

Cause: a sample whose run ends in a crash was tried again after milliseconds, on engine after engine.

--- a/rollout/rollout.c
+++ b/rollout/rollout.c
@@ -767,7 +767,7 @@
       cancel_exchange (board, sample->exchange, outbox);
       sample->exchange = 0;
       sample->state = GSPAN_SAMPLE_GENERATED;
-      sample->failures = 0;
+      gspan_sample_succeed (sample);
       gspan_metrics_add (&board->metrics, GSPAN_METRIC_SAMPLES_GENERATED, 1);
       return;
     }
@@ -799,7 +799,7 @@
       && gspan_sample_take_score (sample, gspan_str_from_bytes (answer->body), NULL))
     {
       sample->state = GSPAN_SAMPLE_WHOLE;
-      sample->failures = 0;
+      gspan_sample_succeed (sample);
       gspan_plan_note_sample (feed, board->now - sample->started);
       return;
     }
--- a/rollout/sample.c
+++ b/rollout/sample.c
@@ -6,10 +6,11 @@
 enum
 {
   BACKOFF_DOUBLINGS = 6,
-  BACKOFF_DOUBLINGS_LOST = 12 /* where the sample itself may be what crashes engines */
+  LOSS_DOUBLINGS = 9
 };
 
 #define BACKOFF_MIN_US (50 * GSPAN_MS)
+#define LOSS_BACKOFF_MIN_US (1 * GSPAN_SECOND)
 
 struct GspanGroup *
 gspan_group_new (guint64 number, guint count)
@@ -81,10 +82,18 @@
 void
 gspan_sample_fail (struct GspanSample *sample, bool lost, guint64 now)
 {
-  guint doublings = lost ? BACKOFF_DOUBLINGS_LOST : BACKOFF_DOUBLINGS;
-
-  sample->retry_at = now + (BACKOFF_MIN_US << MIN (sample->failures, doublings));
   sample->failures++;
+  sample->losses += lost;
+  sample->retry_at = now + (BACKOFF_MIN_US << MIN (sample->failures, BACKOFF_DOUBLINGS));
+  if (lost && sample->losses > 1)
+    sample->retry_at = now + (LOSS_BACKOFF_MIN_US << MIN (sample->losses, LOSS_DOUBLINGS));
+}
+
+void
+gspan_sample_succeed (struct GspanSample *sample)
+{
+  sample->failures = 0;
+  sample->losses = 0;
 }
 
 static bool
--- a/rollout/sample.h
+++ b/rollout/sample.h
@@ -31,6 +31,7 @@
       foreseen; /* weight version that the engine was known to run at the start; 0 is not known */
   guint64 retry_at; /* not before, microseconds */
   guint failures;   /* in a row */
+  guint losses;     /* of these, answers lost after the request had left */
   char *text;
   GArray *segments; /* struct GspanSegment, in order */
   guint64 oldest;   /* least weight version of the segments */
@@ -68,6 +69,10 @@
 void
 gspan_sample_fail (struct GspanSample *sample, bool lost, guint64 now);
 
+/* Takes note of a good exchange. */
+void
+gspan_sample_succeed (struct GspanSample *sample);
+
 /*
  * Takes text and segments out of an engine's answer. False with ERROR set where the answer is not
  * whole, a segment states no certain weight version or the segments don't account for all tokens;
--- a/test/rollout_failures_test.cc
+++ b/test/rollout_failures_test.cc
@@ -293,7 +293,7 @@
 /* A sample that crashes each engine that runs it neither stalls its trainer nor downs them all. */
 TEST_F (RolloutFailure, SampleThatCrashesEnginesIsPutOff)
 {
-  world.poison = "p " + std::to_string (feed ()->cursor.next_group + 5);
+  world.poison = "p " + std::to_string (feed ()->cursor.next_group + 20);
   EXPECT_TRUE (world.run_batches (15, 60 * GSPAN_SECOND));
   guint64 crashes = world.crashes;
   world.run (60 * GSPAN_SECOND);
--- a/test/rollout_world.h
+++ b/test/rollout_world.h
@@ -216,8 +216,14 @@
                            + R"(,"paused":)" + (edit.paused ? "true" : "false") + "}";
 
         if (edit.deleted)
-          gspan_records_put (&node.bench->board.records, GSPAN_RECORD_ATTACHMENT, "a", node.records,
-                             nullptr, nullptr);
+          {
+            GspanFindings findings{};
+
+            gspan_findings_init (&findings);
+            gspan_records_put (&node.bench->board.records, GSPAN_RECORD_ATTACHMENT, "a",
+                               node.records, nullptr, &findings);
+            gspan_findings_finish (&findings);
+          }
         else
           node.bench->put (GSPAN_RECORD_ATTACHMENT, "a", node.records, text.c_str ());
       }
@@ -353,7 +359,7 @@
         run.node = i;
         run.life = life;
         run.ref = ref;
-        run.tokens = length_of (seed);
+        run.tokens = run.prompt == poison ? 100000 : length_of (seed);
         if (run.prompt == poison)
           at (200 * GSPAN_MS, [=] { crash (number); });
         auto &known = seeds[run.prompt];
