metrics: latency histograms and gauges, with a reference page

Cause: counters alone could not say how long callers and trainers wait, how much is under way, nor whether the platform answers.

--- a/board/board.c
+++ b/board/board.c
@@ -208,3 +208,28 @@
     }
   return false;
 }
+
+static guint
+count_leases (const struct GspanBoard *board)
+{
+  guint held = 0;
+
+  for (guint i = 0; i < board->leases.items->len; i++)
+    held += gspan_lease_held (g_ptr_array_index (board->leases.items, i), board->now);
+  return held;
+}
+
+void
+gspan_board_measure (struct GspanBoard *board)
+{
+  struct GspanMetrics *metrics = &board->metrics;
+
+  if (board->desk != NULL)
+    gspan_metrics_set (metrics, GSPAN_GAUGE_DESK_CALLS, g_hash_table_size (board->desk->calls));
+  if (board->pulls != NULL)
+    gspan_metrics_set (metrics, GSPAN_GAUGE_PULLS_WAITING, g_hash_table_size (board->pulls->pulls));
+  gspan_metrics_set (metrics, GSPAN_GAUGE_LEASES_HELD, count_leases (board));
+  gspan_metrics_set (metrics, GSPAN_GAUGE_UPSTREAMS, board->upstreams.items->len);
+  gspan_metrics_set (metrics, GSPAN_GAUGE_RECORDS_REVISION, board->follow.revision);
+  gspan_metrics_set (metrics, GSPAN_GAUGE_DRAINING, board->draining);
+}
--- a/board/board.h
+++ b/board/board.h
@@ -88,6 +88,10 @@
 bool
 gspan_board_ready (const struct GspanBoard *board);
 
+/* Sets the gauges that follow from the board's state. */
+void
+gspan_board_measure (struct GspanBoard *board);
+
 /* True while work in flight keeps a draining process from its exit. */
 bool
 gspan_board_busy (const struct GspanBoard *board);
--- a/cmd/daemon.c
+++ b/cmd/daemon.c
@@ -15,12 +15,22 @@
       "prints every finding with its line and column and exits. This page is the output of\n"
       "`gspan-entry --help-settings`.\n\n";
 
+static const char metrics_head[]
+    = "# Metrics\n\n"
+      "Counters of each process's own, served as text at `/-/metrics` of its `listen.http` "
+      "address.\n"
+      "Every daemon serves all of them; what it does not do stays at 0. Counters start at 0 with "
+      "the\n"
+      "process. [OPERATORS.md](OPERATORS.md) names the alarms. This page is the output of\n"
+      "`gspan-entry --help-metrics`.\n\n";
+
 struct Arguments
 {
   char *config;
   gboolean check;
   gboolean version;
   gboolean help_settings;
+  gboolean help_metrics;
 };
 
 static bool
@@ -32,6 +42,8 @@
     { "check", 0, 0, G_OPTION_ARG_NONE, &arguments->check, "check the settings and exit", NULL },
     { "help-settings", 0, 0, G_OPTION_ARG_NONE, &arguments->help_settings,
       "print the reference of all settings and exit", NULL },
+    { "help-metrics", 0, 0, G_OPTION_ARG_NONE, &arguments->help_metrics,
+      "print the reference of all metrics and exit", NULL },
     { "version", 0, 0, G_OPTION_ARG_NONE, &arguments->version, "print the version and exit", NULL },
     { NULL, 0, 0, 0, NULL, NULL, NULL }
   };
@@ -113,6 +125,15 @@
   return code;
 }
 
+/* Takes over TABLE. */
+static int
+print_reference (const char *head, char *table)
+{
+  printf ("%s%s", head, table);
+  g_free (table);
+  return GSPAN_EXIT_OK;
+}
+
 int
 gspan_daemon_main (const struct GspanDaemon *daemon, int argc, char **argv)
 {
@@ -128,13 +149,10 @@
       return GSPAN_EXIT_OK;
     }
   if (arguments.help_settings)
-    {
-      char *text = gspan_options_describe (gspan_node_options, gspan_node_option_count);
-
-      printf ("%s%s", settings_head, text);
-      g_free (text);
-      return GSPAN_EXIT_OK;
-    }
+    return print_reference (settings_head,
+                            gspan_options_describe (gspan_node_options, gspan_node_option_count));
+  if (arguments.help_metrics)
+    return print_reference (metrics_head, gspan_metrics_describe ());
   if (arguments.config == NULL)
     {
       fprintf (stderr, "%s: --config FILE is required\n", daemon->name);
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -23,28 +23,125 @@
   [GSPAN_METRIC_PLATFORM_READS]
   = { "gspan_platform_reads_total", "reads of the platform, watches too" },
   [GSPAN_METRIC_PLATFORM_WRITES] = { "gspan_platform_writes_total", "writes to the platform" },
+  [GSPAN_METRIC_PLATFORM_FAILURES]
+  = { "gspan_platform_failures_total", "calls of the platform without a good answer" },
   [GSPAN_METRIC_LEASES_TAKEN] = { "gspan_leases_taken_total", "leases acquired" },
   [GSPAN_METRIC_LEASES_LOST]
   = { "gspan_leases_lost_total", "leases that ran out or were taken over" }
 };
 
+static const struct Description gauges[GSPAN_GAUGE_COUNT] = {
+  [GSPAN_GAUGE_DESK_CALLS] = { "gspan_desk_calls", "calls of desk callers under way" },
+  [GSPAN_GAUGE_PULLS_WAITING] = { "gspan_pulls_waiting", "trainers' pulls waiting for a batch" },
+  [GSPAN_GAUGE_OPEN_REQUESTS] = { "gspan_open_requests", "HTTP requests without an answer yet" },
+  [GSPAN_GAUGE_LEASES_HELD] = { "gspan_leases_held", "leases that this process holds" },
+  [GSPAN_GAUGE_UPSTREAMS] = { "gspan_upstreams", "upstreams known from the VM list" },
+  [GSPAN_GAUGE_RECORDS_REVISION]
+  = { "gspan_records_revision", "store revision up to which the records are in force here" },
+  [GSPAN_GAUGE_DRAINING] = { "gspan_draining", "1 during a graceful shutdown" }
+};
+
+static const struct Description histograms[GSPAN_HISTOGRAM_COUNT]
+    = { [GSPAN_HISTOGRAM_DESK]
+        = { "gspan_desk_seconds", "from taking a desk call to its whole answer or its outcome" },
+        [GSPAN_HISTOGRAM_PULL]
+        = { "gspan_pull_seconds",
+            "from a trainer's pull to its batch; pulls without one don't count" } };
+
+#define US_PER_S 1e6
+
+/* Upper bounds of all buckets but the last, microseconds. */
+static const guint64 bounds_us[GSPAN_HISTOGRAM_BUCKETS - 1]
+    = { 5000,    10000,   25000,   50000,    100000,   250000,  500000,
+        1000000, 2500000, 5000000, 10000000, 30000000, 60000000 };
+
 void
 gspan_metrics_add (struct GspanMetrics *metrics, enum GspanMetric metric, guint64 amount)
 {
   metrics->values[metric] += amount;
 }
 
+void
+gspan_metrics_set (struct GspanMetrics *metrics, enum GspanGauge gauge, guint64 value)
+{
+  metrics->gauges[gauge] = value;
+}
+
+void
+gspan_metrics_observe (struct GspanMetrics *metrics, enum GspanHistogram histogram,
+                       guint64 elapsed_us)
+{
+  struct GspanHistogramValues *values = &metrics->histograms[histogram];
+  size_t i = 0;
+
+  while (i < G_N_ELEMENTS (bounds_us) && elapsed_us > bounds_us[i])
+    i++;
+  values->buckets[i]++;
+  values->sum_us += elapsed_us;
+}
+
+static void
+format_head (GString *text, const struct Description *description, const char *type)
+{
+  g_string_append_printf (text, "# HELP %s %s\n# TYPE %s %s\n", description->name,
+                          description->help, description->name, type);
+}
+
+static void
+format_value (GString *text, const struct Description *description, const char *type, guint64 value)
+{
+  format_head (text, description, type);
+  g_string_append_printf (text, "%s %" G_GUINT64_FORMAT "\n", description->name, value);
+}
+
+static void
+format_histogram (GString *text, const struct Description *description,
+                  const struct GspanHistogramValues *values)
+{
+  guint64 count = 0;
+
+  format_head (text, description, "histogram");
+  for (size_t i = 0; i < G_N_ELEMENTS (bounds_us); i++)
+    {
+      count += values->buckets[i];
+      g_string_append_printf (text, "%s_bucket{le=\"%g\"} %" G_GUINT64_FORMAT "\n",
+                              description->name, (double)bounds_us[i] / US_PER_S, count);
+    }
+  count += values->buckets[G_N_ELEMENTS (bounds_us)];
+  g_string_append_printf (text, "%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n", description->name,
+                          count);
+  g_string_append_printf (text, "%s_sum %.6f\n%s_count %" G_GUINT64_FORMAT "\n", description->name,
+                          (double)values->sum_us / US_PER_S, description->name, count);
+}
+
 char *
 gspan_metrics_format (const struct GspanMetrics *metrics)
 {
   GString *text = g_string_new (NULL);
 
   for (int i = 0; i < GSPAN_METRIC_COUNT; i++)
-    {
-      const struct Description *d = &descriptions[i];
+    format_value (text, &descriptions[i], "counter", metrics->values[i]);
+  for (int i = 0; i < GSPAN_GAUGE_COUNT; i++)
+    format_value (text, &gauges[i], "gauge", metrics->gauges[i]);
+  for (int i = 0; i < GSPAN_HISTOGRAM_COUNT; i++)
+    format_histogram (text, &histograms[i], &metrics->histograms[i]);
+  return g_string_free (text, FALSE);
+}
 
-      g_string_append_printf (text, "# HELP %s %s\n# TYPE %s counter\n%s %" G_GUINT64_FORMAT "\n",
-                              d->name, d->help, d->name, d->name, metrics->values[i]);
-    }
+static void
+describe_all (GString *text, const struct Description *items, int count, const char *type)
+{
+  for (int i = 0; i < count; i++)
+    g_string_append_printf (text, "| `%s` | %s | %s |\n", items[i].name, type, items[i].help);
+}
+
+char *
+gspan_metrics_describe (void)
+{
+  GString *text = g_string_new ("| metric | type | meaning |\n|---|---|---|\n");
+
+  describe_all (text, descriptions, GSPAN_METRIC_COUNT, "counter");
+  describe_all (text, gauges, GSPAN_GAUGE_COUNT, "gauge");
+  describe_all (text, histograms, GSPAN_HISTOGRAM_COUNT, "histogram");
   return g_string_free (text, FALSE);
 }
--- a/common/metrics.h
+++ b/common/metrics.h
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-/* Counters of one process, served as text in the usual exposition form. */
+/* Counters, gauges and latency histograms of one process, served in the usual exposition form. */
 
 enum GspanMetric
 {
@@ -20,19 +20,64 @@
   GSPAN_METRIC_ORDERS_FAILED,
   GSPAN_METRIC_PLATFORM_READS,
   GSPAN_METRIC_PLATFORM_WRITES,
+  GSPAN_METRIC_PLATFORM_FAILURES,
   GSPAN_METRIC_LEASES_TAKEN,
   GSPAN_METRIC_LEASES_LOST,
   GSPAN_METRIC_COUNT
 };
 
+/* Values as they are now; set from the state just before they are served. */
+enum GspanGauge
+{
+  GSPAN_GAUGE_DESK_CALLS,
+  GSPAN_GAUGE_PULLS_WAITING,
+  GSPAN_GAUGE_OPEN_REQUESTS,
+  GSPAN_GAUGE_LEASES_HELD,
+  GSPAN_GAUGE_UPSTREAMS,
+  GSPAN_GAUGE_RECORDS_REVISION,
+  GSPAN_GAUGE_DRAINING,
+  GSPAN_GAUGE_COUNT
+};
+
+enum GspanHistogram
+{
+  GSPAN_HISTOGRAM_DESK,
+  GSPAN_HISTOGRAM_PULL,
+  GSPAN_HISTOGRAM_COUNT
+};
+
+enum
+{
+  GSPAN_HISTOGRAM_BUCKETS = 14 /* with the one without a bound */
+};
+
+struct GspanHistogramValues
+{
+  guint64 buckets[GSPAN_HISTOGRAM_BUCKETS]; /* each counts what is above the bound before it */
+  guint64 sum_us;
+};
+
 struct GspanMetrics
 {
   guint64 values[GSPAN_METRIC_COUNT];
+  guint64 gauges[GSPAN_GAUGE_COUNT];
+  struct GspanHistogramValues histograms[GSPAN_HISTOGRAM_COUNT];
 };
 
 void
 gspan_metrics_add (struct GspanMetrics *metrics, enum GspanMetric metric, guint64 amount);
+void
+gspan_metrics_set (struct GspanMetrics *metrics, enum GspanGauge gauge, guint64 value);
 
-/* Exposition text of all counters. Released with g_free (). */
+/* Counts a duration of ELAPSED_US microseconds. */
+void
+gspan_metrics_observe (struct GspanMetrics *metrics, enum GspanHistogram histogram,
+                       guint64 elapsed_us);
+
+/* Exposition text of all metrics; durations are in seconds there. Released with g_free (). */
 char *
 gspan_metrics_format (const struct GspanMetrics *metrics);
+
+/* All metrics with their meaning, as a table in Markdown. Released with g_free (). */
+char *
+gspan_metrics_describe (void);
--- a/desk/desk.c
+++ b/desk/desk.c
@@ -122,6 +122,7 @@
 {
   struct GspanLine line;
 
+  gspan_metrics_observe (&board->metrics, GSPAN_HISTOGRAM_DESK, board->now - call->started);
   gspan_line_init (&line, "outcome");
   log_request (&line, call);
   gspan_line_cstr (&line, "route", call->route);
--- a/desk/pulls.c
+++ b/desk/pulls.c
@@ -224,6 +224,8 @@
   gspan_headers_add (&action->u.reply.headers, "Content-Type", GSPAN_STR ("application/json"));
   gspan_headers_add_u64 (&action->u.reply.headers, "Gspan-Fence", res->fence);
   gspan_metrics_add (&board->metrics, GSPAN_METRIC_BATCHES, 1);
+  gspan_metrics_observe (&board->metrics, GSPAN_HISTOGRAM_PULL,
+                         board->now + PULL_TIMEOUT_US - pull->deadline);
   log_pull (board, pull, "pull-answered", "", outbox);
   g_hash_table_remove (board->pulls->pulls, &pull->id);
 }
--- a/shell/shell.c
+++ b/shell/shell.c
@@ -141,6 +141,9 @@
   done.kind = GSPAN_EVENT_OBJECT_DONE;
   done.ref = event->ref;
   done.u.object.result = gspan_platform_result (call->op, answer);
+  if (done.u.object.result == GSPAN_OBJECT_UNAVAILABLE
+      || done.u.object.result == GSPAN_OBJECT_UNKNOWN)
+    gspan_metrics_add (&shell->board->metrics, GSPAN_METRIC_PLATFORM_FAILURES, 1);
   done.u.object.body = answer->body;
   gspan_headers_get_u64 (answer->headers, "X-Revision", &done.u.object.revision);
   g_hash_table_remove (shell->objects, &event->ref);
@@ -192,6 +195,9 @@
                 gspan_board_ready (shell->board) ? "ready\n" : "not ready\n");
   else if (gspan_str_equal (incoming->path, GSPAN_STR ("/-/metrics")))
     {
+      gspan_board_measure (shell->board);
+      gspan_metrics_set (&shell->board->metrics, GSPAN_GAUGE_OPEN_REQUESTS,
+                         gspan_http_server_open_requests (shell->server));
       text = gspan_metrics_format (&shell->board->metrics);
       reply_text (shell, incoming->id, 200, text);
       g_free (text);
