gspanctl: merge by the records' own merge, in either schema version

Cause: apply's own merge knew one schema version and could not say who made the other edit. Now apply and edit go through gspan_record_merge, note the editor (--editor, else the user's name) and mark each write with a token, so that a lost answer is settled by that token and not by an equal value of somebody else. A record of the older schema version stays one under edit. The gauge of records follows the table's own revision. Ruled out: giving the file as the whole record; a field that it does not name, such as paused, would silently go back to its default.

--- a/board/board.c
+++ b/board/board.c
@@ -230,6 +230,6 @@
     gspan_metrics_set (metrics, GSPAN_GAUGE_PULLS_WAITING, g_hash_table_size (board->pulls->pulls));
   gspan_metrics_set (metrics, GSPAN_GAUGE_LEASES_HELD, count_leases (board));
   gspan_metrics_set (metrics, GSPAN_GAUGE_UPSTREAMS, board->upstreams.items->len);
-  gspan_metrics_set (metrics, GSPAN_GAUGE_RECORDS_REVISION, board->follow.revision);
+  gspan_metrics_set (metrics, GSPAN_GAUGE_RECORDS_REVISION, board->records.complete);
   gspan_metrics_set (metrics, GSPAN_GAUGE_DRAINING, board->draining);
 }
--- a/cmd/apply.c
+++ b/cmd/apply.c
@@ -3,25 +3,33 @@
 
 #include "cmd/ctl.h"
 #include "cmd/objects.h"
+#include "records/convert.h"
 #include "records/file.h"
+#include "records/merge.h"
 
 enum
 {
   MERGES_MAX = 5
 };
 
+static void
+print_findings (const struct GspanFindings *findings)
+{
+  char *text = gspan_findings_format (findings);
+
+  fputs (text, stderr);
+  g_free (text);
+}
+
 static GPtrArray *
 read_file (const char *file, bool *ok)
 {
   struct GspanFindings findings;
   GPtrArray *list;
-  char *text;
 
   gspan_findings_init (&findings);
   list = gspan_records_read_file (file, &findings);
-  text = gspan_findings_format (&findings);
-  fputs (text, stderr);
-  g_free (text);
+  print_findings (&findings);
   *ok = gspan_findings_count (&findings) == 0;
   gspan_findings_finish (&findings);
   return list;
@@ -39,36 +47,72 @@
   return ok ? GSPAN_EXIT_OK : GSPAN_EXIT_USAGE;
 }
 
-/* STORED with the fields of WANTED put over it; fields that WANTED does not name stay. */
+/* STORED in the schema version of WANTED with WANTED's fields over it; the other fields stay. */
 static json_t *
-merge (const json_t *stored, json_t *wanted)
+overlay (enum GspanRecordKind kind, json_t *stored, json_t *wanted, const char *path,
+         struct GspanFindings *findings)
 {
-  json_t *merged = stored != NULL ? json_deep_copy (stored) : json_object ();
-
-  json_object_update (merged, wanted);
-  return merged;
+  json_t *seen;
+  json_t *out;
+
+  if (stored == NULL)
+    return json_incref (wanted);
+  seen = gspan_record_convert (kind, stored, gspan_record_schema (wanted), path, findings);
+  if (seen == NULL)
+    return NULL;
+  out = json_copy (seen);
+  json_object_update (out, wanted);
+  json_decref (seen);
+  return out;
 }
 
-/* True where a field of WANTED was changed since BASE to something else than WANTED has. */
+/* Both without what every write changes. */
 static bool
-is_raced (const json_t *base, const json_t *now, json_t *wanted)
+same_record (const json_t *a, const json_t *b)
 {
-  const char *key;
-  json_t *value;
+  json_t *x = json_copy ((json_t *)a);
+  json_t *y = json_copy ((json_t *)b);
+  bool same;
+
+  json_object_del (x, GSPAN_RECORD_WRITER);
+  json_object_del (x, GSPAN_RECORD_EDITED_BY);
+  json_object_del (y, GSPAN_RECORD_WRITER);
+  json_object_del (y, GSPAN_RECORD_EDITED_BY);
+  same = json_equal (x, y) == 1;
+  json_decref (x);
+  json_decref (y);
+  return same;
+}
 
-  if (base != NULL && now == NULL)
-    return true;
-  json_object_foreach (wanted, key, value)
-  {
-    json_t *before = json_object_get (base, key);
-    json_t *after = json_object_get (now, key);
-    bool changed
-        = before != after && (before == NULL || after == NULL || !json_equal (before, after));
+/*
+ * What to write over STORED so that WANTED, made over BASE, is in force. NULL with ERROR INPUT
+ * where the values are malformed, and CONFLICT where somebody changed one of the fields since BASE.
+ */
+static json_t *
+merge (const struct GspanCtl *ctl, const char *path, enum GspanRecordKind kind,
+       const struct GspanObject *base, const struct GspanObject *stored, json_t *wanted,
+       struct GspanError *error)
+{
+  char *writer = g_strdup_printf ("gspanctl-%08x%08x", g_random_int (), g_random_int ());
+  struct GspanRecordEdit edit = { .base = base->value,
+                                  .stored = stored->value,
+                                  .edit = wanted,
+                                  .editor = ctl->editor,
+                                  .writer = writer };
+  struct GspanFindings findings;
+  json_t *merged;
 
-    if (changed && (after == NULL || !json_equal (after, value)))
-      return true;
-  }
-  return false;
+  gspan_findings_init (&findings);
+  merged = gspan_record_merge (kind, &edit, path, &findings);
+  print_findings (&findings);
+  if (merged == NULL && stored->version != base->version)
+    gspan_error_set (error, GSPAN_ERROR_CONFLICT,
+                     "not written: changed by somebody else meanwhile");
+  else if (merged == NULL)
+    gspan_error_set (error, GSPAN_ERROR_INPUT, "not written: it would be no good record");
+  gspan_findings_finish (&findings);
+  g_free (writer);
+  return merged;
 }
 
 static bool
@@ -76,20 +120,23 @@
 {
   struct GspanFindings findings;
   struct GspanRecord record;
-  char *text;
   bool ok;
 
   gspan_findings_init (&findings);
   ok = gspan_record_init (&record, kind, name, 0, value, path, &findings);
   if (ok)
     gspan_record_finish (&record);
-  text = gspan_findings_format (&findings);
-  fputs (text, stderr);
-  g_free (text);
+  print_findings (&findings);
   gspan_findings_finish (&findings);
   return ok;
 }
 
+static bool
+is_bookkeeping (const char *key)
+{
+  return strcmp (key, GSPAN_RECORD_WRITER) == 0 || strcmp (key, GSPAN_RECORD_EDITED_BY) == 0;
+}
+
 static void
 print_change (const char *key, const json_t *before, const json_t *after)
 {
@@ -113,12 +160,12 @@
   {
     json_t *old = json_object_get (before, key);
 
-    if (old == NULL || !json_equal (old, value))
+    if (!is_bookkeeping (key) && (old == NULL || !json_equal (old, value)))
       print_change (key, old, value);
   }
   json_object_foreach (before, key, value)
   {
-    if (json_object_get (after, key) == NULL)
+    if (!is_bookkeeping (key) && json_object_get (after, key) == NULL)
       print_change (key, value, NULL);
   }
 }
@@ -154,21 +201,19 @@
 
 /* One conditional write of WANTED over CURRENT. CONFLICT leaves what is there in STORED. */
 static bool
-write_merged (const struct GspanCtl *ctl, const char *path, const struct GspanFileRecord *record,
-              const struct GspanObject *current, struct GspanObject *stored,
-              struct GspanError *error)
+write_merged (const struct GspanCtl *ctl, const char *path, enum GspanRecordKind kind,
+              const struct GspanObject *base, const struct GspanObject *current, json_t *wanted,
+              struct GspanObject *stored, struct GspanError *error)
 {
-  json_t *merged = merge (current->value, record->value);
-  bool same = current->value != NULL && json_equal (current->value, merged);
-  bool ok = true;
+  json_t *merged = merge (ctl, path, kind, base, current, wanted, error);
+  bool same = current->value != NULL && merged != NULL && same_record (current->value, merged);
+  bool ok = merged != NULL;
 
-  if (!check_value (path, record->kind, record->name, merged))
-    ok = gspan_error_set (error, GSPAN_ERROR_INPUT,
-                          "not written: what is stored and the file "
-                          "together make no good record");
-  else if (same)
+  if (ok && !check_value (path, kind, strchr (path, '/') + 1, merged))
+    ok = gspan_error_set (error, GSPAN_ERROR_INPUT, "not written: it would be no good record");
+  else if (ok && same)
     printf ("%s version %" G_GUINT64_FORMAT " unchanged\n", path, current->version);
-  else
+  else if (ok)
     ok = gspan_object_write (ctl->platform, path, current->version, merged, stored, error);
   if (ok && !same)
     print_written (path, current, stored, merged);
@@ -177,39 +222,58 @@
 }
 
 /*
- * Puts RECORD in force over what is stored. An edit that somebody makes meanwhile is merged in; one
- * of a field that the file has too, and to another value, is a conflict.
+ * Writes WANTED, made over BASE. An edit that somebody makes meanwhile is merged in; one of a field
+ * that WANTED changes too, and to another value, is a conflict and is shown.
  */
 static bool
-apply_record (const struct GspanCtl *ctl, const char *path, const struct GspanFileRecord *record,
-              struct GspanError *error)
+write_over (const struct GspanCtl *ctl, const char *path, enum GspanRecordKind kind,
+            const struct GspanObject *base, json_t *wanted, struct GspanError *error)
 {
-  struct GspanObject base = { 0 };
-  struct GspanObject current = { 0 };
+  struct GspanObject current = { .version = base->version, .value = json_incref (base->value) };
   struct GspanObject stored = { 0 };
-  bool ok = gspan_object_read (ctl->platform, path, &base, error);
-  bool again = ok;
+  bool ok = false;
 
-  if (ok)
-    current = (struct GspanObject){ .version = base.version, .value = json_incref (base.value) };
-  for (guint i = 0; again; i++)
+  for (guint i = 0; i < MERGES_MAX; i++)
     {
       *error = (struct GspanError){ 0 };
-      ok = write_merged (ctl, path, record, &current, &stored, error);
-      again = !ok && error->code == GSPAN_ERROR_CONFLICT && stored.version != 0 && i < MERGES_MAX
-              && !is_raced (base.value, stored.value, record->value);
-      if (!ok && !again && error->code != GSPAN_ERROR_INPUT)
-        print_conflict (&base, &stored, record->value);
+      ok = write_merged (ctl, path, kind, base, &current, wanted, &stored, error);
+      if (ok || error->code != GSPAN_ERROR_CONFLICT || !stored.known)
+        break;
       gspan_object_finish (&current);
-      current
-          = (struct GspanObject){ .version = stored.version, .value = json_incref (stored.value) };
+      current = stored;
+      stored = (struct GspanObject){ 0 };
     }
-  gspan_object_finish (&base);
+  if (!ok && (error->code == GSPAN_ERROR_CONFLICT || error->code == GSPAN_ERROR_UNKNOWN))
+    print_conflict (base, error->code == GSPAN_ERROR_CONFLICT ? &current : &stored, wanted);
   gspan_object_finish (&current);
   gspan_object_finish (&stored);
   return ok;
 }
 
+static bool
+apply_record (const struct GspanCtl *ctl, const char *path, const struct GspanFileRecord *record,
+              struct GspanError *error)
+{
+  struct GspanObject base = { 0 };
+  struct GspanFindings findings;
+  json_t *wanted = NULL;
+  bool ok = gspan_object_read (ctl->platform, path, &base, error);
+
+  gspan_findings_init (&findings);
+  if (ok)
+    wanted = overlay (record->kind, base.value, record->value, path, &findings);
+  print_findings (&findings);
+  if (ok && wanted == NULL)
+    ok = gspan_error_set (error, GSPAN_ERROR_INPUT,
+                          "not written: what is stored is no good record");
+  else if (ok)
+    ok = write_over (ctl, path, record->kind, &base, wanted, error);
+  json_decref (wanted);
+  gspan_findings_finish (&findings);
+  gspan_object_finish (&base);
+  return ok;
+}
+
 int
 gspan_ctl_apply (const struct GspanCtl *ctl)
 {
@@ -312,45 +376,71 @@
 }
 
 static int
-write_change (const struct GspanCtl *ctl, const char *path, const struct GspanObject *base,
-              json_t *value)
+delete_object (const struct GspanCtl *ctl, const char *path, const struct GspanObject *base)
 {
   struct GspanObject stored = { 0 };
   struct GspanError error = { 0 };
   int code = GSPAN_EXIT_OK;
 
-  if (gspan_object_write (ctl->platform, path, base->version, value, &stored, &error))
-    print_written (path, base, &stored, value);
+  if (gspan_object_write (ctl->platform, path, base->version, NULL, &stored, &error))
+    print_written (path, base, &stored, NULL);
   else
     {
       code = gspan_ctl_fail (path, &error);
       if (code == GSPAN_EXIT_CONFLICT || code == GSPAN_EXIT_UNKNOWN)
-        print_conflict (base, &stored, value);
+        print_conflict (base, &stored, NULL);
     }
   gspan_object_finish (&stored);
   return code;
 }
 
+/* BASE with the fields of the words set, in BASE's schema version; NULL where a word is wrong. */
+static json_t *
+set_fields (const struct GspanCtl *ctl, enum GspanRecordKind kind, const char *path,
+            const struct GspanObject *base)
+{
+  struct GspanFindings findings;
+  json_t *newest;
+  json_t *edited;
+  json_t *out = NULL;
+  bool ok = true;
+
+  gspan_findings_init (&findings);
+  newest = gspan_record_convert (kind, base->value, GSPAN_SCHEMA_MAX, path, &findings);
+  edited = newest != NULL ? json_copy (newest) : NULL;
+  for (guint i = 2; edited != NULL && ok && i < ctl->word_count; i++)
+    ok = set_field (edited, kind, ctl->words[i]);
+  if (edited != NULL && ok && check_value (path, kind, ctl->words[1], edited))
+    out = gspan_record_convert (kind, edited, gspan_record_schema (base->value), path, &findings);
+  print_findings (&findings);
+  gspan_findings_finish (&findings);
+  json_decref (newest);
+  json_decref (edited);
+  return out;
+}
+
+/* One conditional write, no second merge: the operator saw the version that is changed. */
 static int
 edit_object (const struct GspanCtl *ctl, enum GspanRecordKind kind, const char *path)
 {
   struct GspanObject base = { 0 };
-  json_t *value = NULL;
+  struct GspanObject stored = { 0 };
+  struct GspanError error = { 0 };
+  json_t *wanted = NULL;
   int code = read_for_change (ctl, path, &base);
 
   if (code == GSPAN_EXIT_OK)
     {
-      value = json_deep_copy (base.value);
-      for (guint i = 2; code == GSPAN_EXIT_OK && i < ctl->word_count; i++)
-        code = set_field (value, kind, ctl->words[i]) ? GSPAN_EXIT_OK : GSPAN_EXIT_USAGE;
-      if (code == GSPAN_EXIT_OK && !check_value (path, kind, ctl->words[1], value))
+      wanted = set_fields (ctl, kind, path, &base);
+      if (wanted == NULL)
         code = GSPAN_EXIT_USAGE;
+      else if (!write_merged (ctl, path, kind, &base, &base, wanted, &stored, &error))
+        code = gspan_ctl_fail (path, &error);
+      if (code == GSPAN_EXIT_CONFLICT || code == GSPAN_EXIT_UNKNOWN)
+        print_conflict (&base, &stored, wanted);
     }
-  if (code == GSPAN_EXIT_OK && json_equal (base.value, value))
-    printf ("%s version %" G_GUINT64_FORMAT " unchanged\n", path, base.version);
-  else if (code == GSPAN_EXIT_OK)
-    code = write_change (ctl, path, &base, value);
-  json_decref (value);
+  json_decref (wanted);
+  gspan_object_finish (&stored);
   gspan_object_finish (&base);
   return code;
 }
@@ -387,7 +477,7 @@
     return GSPAN_EXIT_USAGE;
   code = read_for_change (ctl, path, &base);
   if (code == GSPAN_EXIT_OK)
-    code = write_change (ctl, path, &base, NULL);
+    code = delete_object (ctl, path, &base);
   gspan_object_finish (&base);
   g_free (path);
   return code;
--- a/cmd/ctl.h
+++ b/cmd/ctl.h
@@ -17,6 +17,7 @@
 {
   const char *platform; /* "IP:PORT"; NULL where neither option nor environment names one */
   const char *token;    /* of the operator; NULL is none */
+  const char *editor;   /* name that edits are noted under */
   bool json;
   gint64 expect; /* version that an edit is made over, or GSPAN_ANY_VERSION */
   gint64 count;  /* changes after which a watch ends; 0 is never */
--- a/cmd/gspanctl.c
+++ b/cmd/gspanctl.c
@@ -5,6 +5,7 @@
 #include "cmd/fetch.h"
 #include "common/address.h"
 #include "common/version.h"
+#include "records/merge.h"
 
 enum
 {
@@ -90,11 +91,14 @@
 void
 gspan_ctl_print_value (const char *prefix, const json_t *value)
 {
-  char *text
-      = value != NULL ? json_dumps (value, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY) : NULL;
+  json_t *shown = json_copy ((json_t *)value);
+  char *text;
 
+  json_object_del (shown, GSPAN_RECORD_WRITER);
+  text = shown != NULL ? json_dumps (shown, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY) : NULL;
   fprintf (stderr, "%s %s\n", prefix, text != NULL ? text : "none");
   free (text);
+  json_decref (shown);
 }
 
 int
@@ -207,6 +211,7 @@
 {
   struct GspanCtl ctl = { .expect = GSPAN_ANY_VERSION };
   char *platform = NULL;
+  char *editor = NULL;
   gboolean json = FALSE;
   gboolean version = FALSE;
   const GOptionEntry entries[]
@@ -216,6 +221,8 @@
             "edit, delete: only over this version of the record", "VERSION" },
           { "count", 0, 0, G_OPTION_ARG_INT64, &ctl.count, "watch: end after so many changes",
             "N" },
+          { "editor", 0, 0, G_OPTION_ARG_STRING, &editor,
+            "apply, edit: name that others see; without it the system's user name", "NAME" },
           { "json", 0, 0, G_OPTION_ARG_NONE, &json, "status: print JSON instead of a table", NULL },
           { "version", 0, 0, G_OPTION_ARG_NONE, &version, "print the version and exit", NULL },
           { NULL, 0, 0, 0, NULL, NULL, NULL } };
@@ -233,6 +240,7 @@
   else
     {
       ctl.platform = platform;
+      ctl.editor = editor != NULL ? editor : g_get_user_name ();
       ctl.json = json;
       code = dispatch (&ctl, argc, argv);
     }
@@ -240,5 +248,6 @@
   g_option_context_free (options);
   g_free (description);
   g_free (platform);
+  g_free (editor);
   return code;
 }
