membership, records: probing between members, and relays in place of watches

Each process listed and watched the platform itself, so its calls grew with the nodes, and a process that started during an outage had nothing. Now one process of a VM is a member: membership/ probes the others over UDP (a ping a second, others asked where it stays unanswered, suspicion before death, incarnations, dead members and seeds pinged now and then so that cut off parts find back together). Two members of a zone, chosen by rendezvous hash, read the platform; everybody else holds a long poll at one of them, and whoever sees a member with other records that are not behind pulls from it. Without any relay for 3 to 6 s a process reads the platform itself. The list of VMs travels the same way.

Records stay monotonic: answers say whether they are changes after the caller's revision or a whole list, and go through the same table as the platform's. A record's status is written by the one member that the rendezvous hash names for it.

Virtual-time tests over several boards (test/mesh.h). Seen failing with the mend taken out: incarnation not raised (PausedNodeReturns..., RestartedProcess...), no indirect probes (OthersProbe...), no pings to dead ones (HalvesCutFromEachOther...), draining not told, suspects never dead, malformed datagrams taken (crash), every process reading directly (OnlyWatchers... and three more), no pulls from peers (HalfCutFromThe Platform..., LastGoodVersion..., NodeStartedDuring..., RecordAccepted JustBefore...), only the newest version told (LastGoodVersion...), no floor (OldVersionArrivingLate...), every member reporting (OneMember...).

--- a/board/board.c
+++ b/board/board.c
@@ -15,9 +15,16 @@
   board->random = g_rand_new_with_seed (config->seed);
   board->incarnation = g_rand_int (board->random);
   board->self = config->self;
+  board->self.udp = config->self.udp != NULL ? config->self.udp : "";
+  board->self.relay = config->self.relay != NULL ? config->self.relay : "";
+  board->self.seeds = config->self.seeds != NULL ? config->self.seeds : "";
   board->policy = config->policy;
   board->request_timeout_us = config->request_timeout_us;
   gspan_records_init (&board->records);
+  gspan_relay_init (&board->relay);
+  gspan_members_init (&board->members);
+  gspan_probe_init (&board->probe);
+  gspan_vms_init (&board->vms);
   gspan_leases_init (&board->leases, config->lease_us);
   gspan_statuses_init (&board->statuses);
   gspan_upstreams_init (&board->upstreams);
@@ -29,6 +36,10 @@
   gspan_upstreams_finish (&board->upstreams);
   gspan_statuses_finish (&board->statuses);
   gspan_leases_finish (&board->leases);
+  gspan_vms_finish (&board->vms);
+  gspan_probe_finish (&board->probe);
+  gspan_members_finish (&board->members);
+  gspan_relay_finish (&board->relay);
   gspan_records_finish (&board->records);
   g_rand_free (board->random);
 }
@@ -58,6 +69,8 @@
     case GSPAN_OWNER_VMS:
       gspan_vms_handle (board, event, outbox);
       break;
+    case GSPAN_OWNER_MEMBERS:
+      break;
     case GSPAN_OWNER_LEASES:
       gspan_leases_handle (board, event, outbox);
       break;
@@ -110,6 +123,9 @@
         break;
       gspan_rollout_handle (board, event, outbox);
       return;
+    case GSPAN_CHANGES:
+      gspan_relay_handle (board, event, outbox);
+      return;
     default:
       break;
     }
@@ -121,8 +137,11 @@
 dispatch_to_all (struct GspanBoard *board, const struct GspanEvent *event,
                  struct GspanOutbox *outbox)
 {
+  gspan_probe_handle (board, event, outbox);
   gspan_follow_handle (board, event, outbox);
   gspan_vms_handle (board, event, outbox);
+  gspan_relay_handle (board, event, outbox);
+  gspan_report_handle (board, event, outbox);
   gspan_leases_handle (board, event, outbox);
   gspan_statuses_handle (board, event, outbox);
   if (board->desk != NULL)
@@ -172,6 +191,9 @@
     case GSPAN_EVENT_REQUEST:
       dispatch_request (board, event, outbox);
       break;
+    case GSPAN_EVENT_DATAGRAM:
+      gspan_probe_handle (board, event, outbox);
+      break;
     case GSPAN_EVENT_RPC_CALL:
       dispatch_call (board, event, outbox);
       break;
--- a/board/board.h
+++ b/board/board.h
@@ -2,9 +2,13 @@
 
 #include "board/message.h"
 #include "common/metrics.h"
+#include "membership/members.h"
+#include "membership/probe.h"
 #include "platform/lease.h"
 #include "platform/status.h"
 #include "records/follow.h"
+#include "records/relay.h"
+#include "records/report.h"
 #include "records/table.h"
 #include "route/choose.h"
 #include "route/upstreams.h"
@@ -22,6 +26,9 @@
   const char *firm;
   const char *zone;
   const char *rpc;
+  const char *udp;   /* of the member; empty where the process is none */
+  const char *relay; /* RPC address of the VM's member, for a process that is none; or empty */
+  const char *seeds; /* UDP addresses of members, separated by commas; or empty */
 };
 
 /*
@@ -39,6 +46,10 @@
   struct GspanMetrics metrics;
   struct GspanRecords records;
   struct GspanFollow follow;
+  struct GspanRelay relay;
+  struct GspanReport report;
+  struct GspanMembers members;
+  struct GspanProbe probe;
   struct GspanLeases leases;
   struct GspanStatuses statuses;
   struct GspanUpstreams upstreams;
--- a/board/message.c
+++ b/board/message.c
@@ -33,6 +33,10 @@
       g_free (action->u.rpc.address);
       g_clear_pointer (&action->u.rpc.payload, g_bytes_unref);
       break;
+    case GSPAN_ACTION_DATAGRAM:
+      g_free (action->u.datagram.address);
+      g_clear_pointer (&action->u.datagram.payload, g_bytes_unref);
+      break;
     case GSPAN_ACTION_LOG:
       g_free (action->u.log.text);
       break;
--- a/board/message.h
+++ b/board/message.h
@@ -13,6 +13,7 @@
 {
   GSPAN_OWNER_RECORDS,
   GSPAN_OWNER_VMS,
+  GSPAN_OWNER_MEMBERS,
   GSPAN_OWNER_LEASES,
   GSPAN_OWNER_STATUS,
   GSPAN_OWNER_DESK,
@@ -75,7 +76,8 @@
   GSPAN_EVENT_HTTP_DONE,
   GSPAN_EVENT_OBJECT_DONE,
   GSPAN_EVENT_RPC_CALL,
-  GSPAN_EVENT_RPC_DONE
+  GSPAN_EVENT_RPC_DONE,
+  GSPAN_EVENT_DATAGRAM
 };
 
 /* A caller's whole request. */
@@ -113,6 +115,12 @@
   struct GspanStr payload;    /* XDR of the arguments or of the result */
 };
 
+/* A datagram of another member. */
+struct GspanEventDatagram
+{
+  struct GspanStr payload;
+};
+
 /* All that an event points to is borrowed until the controller returns. */
 struct GspanEvent
 {
@@ -125,6 +133,7 @@
     struct GspanEventHttp http;
     struct GspanEventObject object;
     struct GspanEventRpc rpc;
+    struct GspanEventDatagram datagram;
   } u;
 };
 
@@ -140,6 +149,7 @@
   GSPAN_ACTION_OBJECT,
   GSPAN_ACTION_RPC,
   GSPAN_ACTION_RPC_REPLY,
+  GSPAN_ACTION_DATAGRAM,
   GSPAN_ACTION_LOG
 };
 
@@ -180,6 +190,13 @@
   guint64 timeout_us;
 };
 
+/* May be lost, doubled or reordered on its way. */
+struct GspanActionDatagram
+{
+  char *address; /* "IP:PORT" */
+  GBytes *payload;
+};
+
 struct GspanActionLog
 {
   enum GspanPriority priority;
@@ -197,6 +214,7 @@
     struct GspanActionHttp http;
     struct GspanActionObject object;
     struct GspanActionRpc rpc;
+    struct GspanActionDatagram datagram;
     struct GspanActionLog log;
   } u;
 };
--- a/cmd/daemon.c
+++ b/cmd/daemon.c
@@ -80,6 +80,9 @@
   config.self.firm = settings->firm;
   config.self.zone = settings->zone;
   config.self.rpc = settings->rpc;
+  config.self.udp = settings->udp;
+  config.self.relay = settings->relay;
+  config.self.seeds = settings->seeds;
   config.seed = settings->seed != 0 ? (guint32)settings->seed : g_random_int ();
   config.lease_us = (guint64)settings->lease_ms * GSPAN_MS;
   config.request_timeout_us = (guint64)settings->request_timeout_ms * GSPAN_MS;
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -25,7 +25,10 @@
   [GSPAN_METRIC_PLATFORM_WRITES] = { "gspan_platform_writes_total", "writes to the platform" },
   [GSPAN_METRIC_LEASES_TAKEN] = { "gspan_leases_taken_total", "leases acquired" },
   [GSPAN_METRIC_LEASES_LOST]
-  = { "gspan_leases_lost_total", "leases that ran out or were taken over" }
+  = { "gspan_leases_lost_total", "leases that ran out or were taken over" },
+  [GSPAN_METRIC_GOSSIP_SENT] = { "gspan_gossip_sent_total", "datagrams sent to other members" },
+  [GSPAN_METRIC_GOSSIP_SENT_BYTES]
+  = { "gspan_gossip_sent_bytes_total", "bytes in datagrams sent to other members" }
 };
 
 void
--- a/records/table.c
+++ b/records/table.c
@@ -132,6 +132,15 @@
   records->complete = MAX (records->complete, revision);
 }
 
+void
+gspan_records_skip_to (struct GspanRecords *records, guint64 revision)
+{
+  if (revision <= records->complete)
+    return;
+  records->complete = revision;
+  records->history_from = revision;
+}
+
 void
 gspan_records_begin_list (struct GspanRecords *records, guint64 revision)
 {
--- a/records/table.h
+++ b/records/table.h
@@ -48,6 +48,13 @@
 void
 gspan_records_set_complete (struct GspanRecords *records, guint64 revision);
 
+/*
+ * Notes that the table equals another one that is complete up to REVISION. Deletions between are
+ * unknown here, so history starts anew.
+ */
+void
+gspan_records_skip_to (struct GspanRecords *records, guint64 revision);
+
 /*
  * Around the puts of a whole list that was read at REVISION. A list behind the table gives nothing
  * back: objects that it lacks count as deleted only where REVISION covers the version seen here.
--- a/rollout/rollout.c
+++ b/rollout/rollout.c
@@ -500,6 +500,7 @@
     case GSPAN_EVENT_HTTP_DATA:
     case GSPAN_EVENT_OBJECT_DONE:
     case GSPAN_EVENT_RPC_DONE:
+    case GSPAN_EVENT_DATAGRAM:
       break;
     }
 }
--- a/route/vms.c
+++ b/route/vms.c
@@ -2,46 +2,110 @@
 
 #include <jansson.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "board/board.h"
 #include "common/clock.h"
 
+/* Service name of the system's own VMs in the list. */
+#define OWN_SERVICE "gspan"
 #define LIST_PERIOD_US (1 * GSPAN_SECOND)
 
+void
+gspan_vms_init (struct GspanVms *vms)
+{
+  memset (vms, 0, sizeof *vms);
+}
+
+void
+gspan_vms_finish (struct GspanVms *vms)
+{
+  g_clear_pointer (&vms->body, g_bytes_unref);
+}
+
+/* One of the system's own VMs. ADDRESS is its member's UDP address. */
 static void
-apply_vm (struct GspanBoard *board, json_t *vm)
+apply_member (struct GspanBoard *board, json_t *vm)
+{
+  gspan_member claim;
+
+  memset (&claim, 0, sizeof claim);
+  claim.name = (char *)json_string_value (json_object_get (vm, "name"));
+  claim.zone = (char *)json_string_value (json_object_get (vm, "zone"));
+  claim.udp = (char *)json_string_value (json_object_get (vm, "address"));
+  claim.rpc = (char *)json_string_value (json_object_get (vm, "rpc"));
+  if (claim.rpc != NULL && strcmp (claim.name, board->self.name) != 0)
+    gspan_members_list (&board->members, &claim, board->now);
+}
+
+static void
+apply_upstream (struct GspanBoard *board, const char *name, const char *service, json_t *vm)
 {
-  const char *name = json_string_value (json_object_get (vm, "name"));
-  const char *service = json_string_value (json_object_get (vm, "service"));
   const char *zone = json_string_value (json_object_get (vm, "zone"));
   const char *address = json_string_value (json_object_get (vm, "address"));
   const char *state = json_string_value (json_object_get (vm, "state"));
-  struct GspanUpstream *upstream;
+  struct GspanUpstream *upstream
+      = gspan_upstreams_add (&board->upstreams, name, service, zone, address);
 
-  if (name == NULL || service == NULL || zone == NULL || address == NULL || state == NULL)
-    return;
-  upstream = gspan_upstreams_add (&board->upstreams, name, service, zone, address);
   upstream->state = strcmp (state, "live") == 0 ? GSPAN_UPSTREAM_LIVE : GSPAN_UPSTREAM_LEAVING;
 }
 
 static void
-apply_list (struct GspanBoard *board, GBytes *body)
+apply_vm (struct GspanBoard *board, json_t *vm)
+{
+  static const char *const fields[] = { "name", "service", "zone", "address", "state" };
+  const char *name = json_string_value (json_object_get (vm, "name"));
+  const char *service = json_string_value (json_object_get (vm, "service"));
+
+  for (guint i = 0; i < G_N_ELEMENTS (fields); i++)
+    {
+      if (!json_is_string (json_object_get (vm, fields[i])))
+        return;
+    }
+  if (strcmp (service, OWN_SERVICE) == 0)
+    apply_member (board, vm);
+  else
+    apply_upstream (board, name, service, vm);
+}
+
+static void
+keep_body (struct GspanVms *vms, GBytes *body)
 {
   struct GspanStr text = gspan_str_from_bytes (body);
-  json_t *root = json_loadb (text.data, text.len, 0, NULL);
-  json_t *list = json_object_get (root, "vms");
+
+  g_clear_pointer (&vms->body, g_bytes_unref);
+  vms->body = g_bytes_ref (body);
+  vms->digest = XXH64 (text.data, text.len, 0);
+  vms->changes++;
+  vms->listed = true;
+}
+
+void
+gspan_vms_apply (struct GspanBoard *board, GBytes *body)
+{
+  struct GspanStr text = gspan_str_from_bytes (body);
+  json_t *root;
+  json_t *list;
   json_t *vm;
   size_t index;
 
+  if (board->vms.listed && XXH64 (text.data, text.len, 0) == board->vms.digest)
+    {
+      gspan_upstreams_sweep (&board->upstreams);
+      return;
+    }
+  root = json_loadb (text.data, text.len, 0, NULL);
+  list = json_object_get (root, "vms");
   if (json_is_array (list))
     {
       gspan_upstreams_mark_gone (&board->upstreams);
+      gspan_members_begin_list (&board->members);
       json_array_foreach (list, index, vm)
       {
         apply_vm (board, vm);
       }
       gspan_upstreams_sweep (&board->upstreams);
-      board->vms.listed = true;
+      keep_body (&board->vms, body);
     }
   json_decref (root);
 }
@@ -56,9 +120,9 @@
     {
       board->vms.busy = false;
       if (event->u.object.result == GSPAN_OBJECT_OK)
-        apply_list (board, event->u.object.body);
+        gspan_vms_apply (board, event->u.object.body);
     }
-  if (board->vms.busy || board->now < board->vms.next_at)
+  if (board->vms.busy || board->now < board->vms.next_at || !gspan_follow_reads_platform (board))
     return;
   board->vms.busy = true;
   board->vms.next_at = board->now + LIST_PERIOD_US;
--- a/route/vms.h
+++ b/route/vms.h
@@ -4,14 +4,29 @@
 
 struct GspanBoard;
 
-/* Controller that follows the platform's list of VMs and keeps the upstream table up with it. */
+/*
+ * Controller that keeps the upstream table and the members up with the platform's list of VMs. Only
+ * processes that read the platform fetch it; the others get it from a relay.
+ */
 struct GspanVms
 {
   bool busy;
   bool listed;
   guint64 next_at;
+  GBytes *body;    /* the latest list, as it came; NULL before the first */
+  guint64 digest;  /* of BODY */
+  guint64 changes; /* rises with each list that differs from the one before */
 };
 
+void
+gspan_vms_init (struct GspanVms *vms);
+void
+gspan_vms_finish (struct GspanVms *vms);
+
+/* Takes in a whole list. A malformed one changes nothing. */
+void
+gspan_vms_apply (struct GspanBoard *board, GBytes *body);
+
 void
 gspan_vms_handle (struct GspanBoard *board, const struct GspanEvent *event,
                   struct GspanOutbox *outbox);
--- a/rpc/gen/gspan.h
+++ b/rpc/gen/gspan.h
@@ -47,6 +47,76 @@
 };
 typedef struct gspan_pull_res gspan_pull_res;
 
+struct gspan_changes_args {
+	u_quad_t since;
+	u_quad_t digest;
+	u_quad_t vms_digest;
+	u_quad_t wait_ms;
+};
+typedef struct gspan_changes_args gspan_changes_args;
+
+enum gspan_changes_kind {
+	GSPAN_CHANGES_DELTA = 0,
+	GSPAN_CHANGES_LIST = 1,
+	GSPAN_CHANGES_SAME = 2,
+};
+typedef enum gspan_changes_kind gspan_changes_kind;
+
+struct gspan_changes_res {
+	gspan_status status;
+	gspan_changes_kind kind;
+	u_quad_t revision;
+	struct {
+		u_int objects_len;
+		char *objects_val;
+	} objects;
+	struct {
+		u_int vms_len;
+		char *vms_val;
+	} vms;
+};
+typedef struct gspan_changes_res gspan_changes_res;
+#define GSPAN_MAX_MEMBER_TEXT 64
+#define GSPAN_MAX_GOSSIP_MEMBERS 6
+
+enum gspan_member_state {
+	GSPAN_MEMBER_ALIVE = 0,
+	GSPAN_MEMBER_SUSPECT = 1,
+	GSPAN_MEMBER_DEAD = 2,
+};
+typedef enum gspan_member_state gspan_member_state;
+
+struct gspan_member {
+	char *name;
+	char *zone;
+	char *udp;
+	char *rpc;
+	u_quad_t incarnation;
+	gspan_member_state state;
+};
+typedef struct gspan_member gspan_member;
+
+enum gspan_gossip_kind {
+	GSPAN_GOSSIP_PING = 0,
+	GSPAN_GOSSIP_ACK = 1,
+	GSPAN_GOSSIP_PING_REQUEST = 2,
+};
+typedef enum gspan_gossip_kind gspan_gossip_kind;
+
+struct gspan_gossip {
+	gspan_gossip_kind kind;
+	u_int sequence;
+	char *target;
+	gspan_member sender;
+	u_quad_t complete;
+	u_quad_t digest;
+	struct {
+		u_int members_len;
+		gspan_member *members_val;
+	} members;
+};
+typedef struct gspan_gossip gspan_gossip;
+
 #define GSPAN_PROGRAM 0x20004753
 #define GSPAN_V1 1
 
@@ -54,12 +124,18 @@
 #define GSPAN_PULL 1
 extern  gspan_pull_res * gspan_pull_1(gspan_pull_args , CLIENT *);
 extern  gspan_pull_res * gspan_pull_1_svc(gspan_pull_args , struct svc_req *);
+#define GSPAN_CHANGES 30
+extern  gspan_changes_res * gspan_changes_1(gspan_changes_args , CLIENT *);
+extern  gspan_changes_res * gspan_changes_1_svc(gspan_changes_args , struct svc_req *);
 extern int gspan_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define GSPAN_PULL 1
 extern  gspan_pull_res * gspan_pull_1();
 extern  gspan_pull_res * gspan_pull_1_svc();
+#define GSPAN_CHANGES 30
+extern  gspan_changes_res * gspan_changes_1();
+extern  gspan_changes_res * gspan_changes_1_svc();
 extern int gspan_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -69,11 +145,25 @@
 extern  bool_t xdr_gspan_status (XDR *, gspan_status*);
 extern  bool_t xdr_gspan_pull_args (XDR *, gspan_pull_args*);
 extern  bool_t xdr_gspan_pull_res (XDR *, gspan_pull_res*);
+extern  bool_t xdr_gspan_changes_args (XDR *, gspan_changes_args*);
+extern  bool_t xdr_gspan_changes_kind (XDR *, gspan_changes_kind*);
+extern  bool_t xdr_gspan_changes_res (XDR *, gspan_changes_res*);
+extern  bool_t xdr_gspan_member_state (XDR *, gspan_member_state*);
+extern  bool_t xdr_gspan_member (XDR *, gspan_member*);
+extern  bool_t xdr_gspan_gossip_kind (XDR *, gspan_gossip_kind*);
+extern  bool_t xdr_gspan_gossip (XDR *, gspan_gossip*);
 
 #else /* K&R C */
 extern bool_t xdr_gspan_status ();
 extern bool_t xdr_gspan_pull_args ();
 extern bool_t xdr_gspan_pull_res ();
+extern bool_t xdr_gspan_changes_args ();
+extern bool_t xdr_gspan_changes_kind ();
+extern bool_t xdr_gspan_changes_res ();
+extern bool_t xdr_gspan_member_state ();
+extern bool_t xdr_gspan_member ();
+extern bool_t xdr_gspan_gossip_kind ();
+extern bool_t xdr_gspan_gossip ();
 
 #endif /* K&R C */
 
--- a/rpc/gen/gspan_xdr.c
+++ b/rpc/gen/gspan_xdr.c
@@ -46,3 +46,110 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_gspan_changes_args (XDR *xdrs, gspan_changes_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->since))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->vms_digest))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->wait_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gspan_changes_kind (XDR *xdrs, gspan_changes_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gspan_changes_res (XDR *xdrs, gspan_changes_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gspan_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_gspan_changes_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->objects.objects_val, (u_int *) &objp->objects.objects_len, GSPAN_MAX_BODY))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->vms.vms_val, (u_int *) &objp->vms.vms_len, GSPAN_MAX_BODY))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gspan_member_state (XDR *xdrs, gspan_member_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gspan_member (XDR *xdrs, gspan_member *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, GSPAN_MAX_MEMBER_TEXT))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->zone, GSPAN_MAX_MEMBER_TEXT))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->udp, GSPAN_MAX_MEMBER_TEXT))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->rpc, GSPAN_MAX_MEMBER_TEXT))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_gspan_member_state (xdrs, &objp->state))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gspan_gossip_kind (XDR *xdrs, gspan_gossip_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gspan_gossip (XDR *xdrs, gspan_gossip *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gspan_gossip_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->target, GSPAN_MAX_MEMBER_TEXT))
+		 return FALSE;
+	 if (!xdr_gspan_member (xdrs, &objp->sender))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->complete))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, GSPAN_MAX_GOSSIP_MEMBERS,
+		sizeof (gspan_member), (xdrproc_t) xdr_gspan_member))
+		 return FALSE;
+	return TRUE;
+}
--- a/rpc/gspan.x
+++ b/rpc/gspan.x
@@ -26,8 +26,70 @@
   opaque body<GSPAN_MAX_BODY>;
 };
 
+/*
+ * A process asks for the records that changed after SINCE. Answered at once where there are some or
+ * where DIGEST differs, otherwise when there are or after WAIT_MS.
+ */
+struct gspan_changes_args {
+  unsigned hyper since;
+  unsigned hyper digest;
+  unsigned hyper vms_digest;
+  unsigned hyper wait_ms;
+};
+
+enum gspan_changes_kind {
+  GSPAN_CHANGES_DELTA = 0,
+  GSPAN_CHANGES_LIST = 1,
+  GSPAN_CHANGES_SAME = 2
+};
+
+/* VMS is empty where the caller's list has the same digest. */
+struct gspan_changes_res {
+  gspan_status status;
+  gspan_changes_kind kind;
+  unsigned hyper revision;
+  opaque objects<GSPAN_MAX_BODY>;
+  opaque vms<GSPAN_MAX_BODY>;
+};
+
+const GSPAN_MAX_MEMBER_TEXT = 64;
+const GSPAN_MAX_GOSSIP_MEMBERS = 6;
+
+enum gspan_member_state {
+  GSPAN_MEMBER_ALIVE = 0,
+  GSPAN_MEMBER_SUSPECT = 1,
+  GSPAN_MEMBER_DEAD = 2
+};
+
+struct gspan_member {
+  string name<GSPAN_MAX_MEMBER_TEXT>;
+  string zone<GSPAN_MAX_MEMBER_TEXT>;
+  string udp<GSPAN_MAX_MEMBER_TEXT>;
+  string rpc<GSPAN_MAX_MEMBER_TEXT>;
+  unsigned hyper incarnation;
+  gspan_member_state state;
+};
+
+enum gspan_gossip_kind {
+  GSPAN_GOSSIP_PING = 0,
+  GSPAN_GOSSIP_ACK = 1,
+  GSPAN_GOSSIP_PING_REQUEST = 2
+};
+
+/* One datagram between members. TARGET is who a PING_REQUEST wants pinged, an address. */
+struct gspan_gossip {
+  gspan_gossip_kind kind;
+  unsigned int sequence;
+  string target<GSPAN_MAX_MEMBER_TEXT>;
+  gspan_member sender;
+  unsigned hyper complete;
+  unsigned hyper digest;
+  gspan_member members<GSPAN_MAX_GOSSIP_MEMBERS>;
+};
+
 program GSPAN_PROGRAM {
   version GSPAN_V1 {
     gspan_pull_res GSPAN_PULL(gspan_pull_args) = 1;
+    gspan_changes_res GSPAN_CHANGES(gspan_changes_args) = 30;
   } = 1;
 } = 0x20004753;
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -43,6 +43,12 @@
         return probe.getsockname()[1]
 
 
+def free_udp_port(ip):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
 def post(address, path, value):
     request = urllib.request.Request(f"http://{address}{path}", json.dumps(value).encode(),
                                      {"Content-Type": "application/json"})
@@ -97,6 +103,7 @@
         self.processes = {}
         self.vms = []
         self.entries = {}
+        self.seeds = []
         self.platform = f"127.0.0.1:{free_port('127.0.0.1')}"
 
     def path(self, name):
@@ -124,9 +131,9 @@
                          "state": "live"})
         return self.add_standin(name, role, "--listen", address, *arguments)
 
-    def settings(self, name, firm, zone, http, rpc):
+    def settings(self, name, firm, zone, http, rpc, member):
         text = (f'[node]\nname = "{name}"\nfirm = "{firm}"\nzone = "{zone}"\n'
-                f'[listen]\nhttp = "{http}"\nrpc = "{rpc}"\n'
+                f'[listen]\nhttp = "{http}"\nrpc = "{rpc}"\n{member}'
                 f'[platform]\naddress = "{self.platform}"\n[route]\npolicy = "{self.policy}"\n'
                 f'[lease]\nduration_ms = 3000\n')
         path = self.path(name + ".toml")
@@ -135,16 +142,25 @@
         return path
 
     def add_node(self, firm, index):
+        """The entry process is the VM's member; the other two follow it."""
         ip = f"{firm.net}.{index + 1}"
         zone = firm.zones[index % len(firm.zones)]
+        udp = f"{ip}:{free_udp_port(ip)}"
+        member = f'udp = "{udp}"\n'
+        if self.seeds:
+            member += f'[member]\nseeds = "{",".join(self.seeds[:3])}"\n'
         for daemon in DAEMONS:
             name = f"{firm.name}-{index + 1}-{daemon}"
             http = f"{ip}:{free_port(ip)}"
             rpc = f"{ip}:{free_port(ip)}"
-            config = self.settings(name, firm.name, zone, http, rpc)
+            config = self.settings(name, firm.name, zone, http, rpc, member)
             self.add(name, f"gspan-{daemon}", "--config", config)
             if daemon == "entry":
                 self.entries.setdefault(firm.name, []).append(http)
+                self.vms.append({"name": name, "service": "gspan", "zone": zone, "address": udp,
+                                 "rpc": rpc, "state": "live"})
+                member = f'[member]\nrelay = "{rpc}"\n'
+        self.seeds.append(udp)
 
     def start(self, firms=FIRMS):
         self.add_standin("platform", "platform", "--listen", self.platform)
@@ -168,6 +184,7 @@
             self.ctl("apply", os.path.join(ROOT, "etc", firm.name + ".records.toml"))
             for i in range(self.nodes):
                 self.add_node(firm, i)
+        post(self.platform, "/admin/vms", {"vms": self.vms})
         for addresses in self.entries.values():
             for address in addresses:
                 wait_for(lambda address=address: get(address, "/-/readyz"))
--- a/settings/node.h
+++ b/settings/node.h
@@ -11,6 +11,9 @@
   char *zone;
   char *http;
   char *rpc;
+  char *udp;
+  char *relay;
+  char *seeds;
   char *platform;
   char *policy;
   char *log_level;
--- a/shell/shell.c
+++ b/shell/shell.c
@@ -7,6 +7,7 @@
 #include "http/server.h"
 #include "rpc/transport.h"
 #include "shell/platform.h"
+#include "shell/udp.h"
 
 enum
 {
@@ -24,6 +25,7 @@
   struct GspanHttpServer *server;
   struct GspanHttpClient *client;
   struct GspanRpcTransport *rpc;
+  struct GspanUdp *udp; /* NULL where the process is no member */
   ev_timer tick;
   ev_signal sigterm;
   ev_signal sigint;
@@ -123,6 +125,14 @@
     case GSPAN_ACTION_RPC_REPLY:
       gspan_rpc_transport_reply (shell->rpc, action->u.rpc.call, action->u.rpc.payload);
       break;
+    case GSPAN_ACTION_DATAGRAM:
+      if (shell->udp == NULL)
+        break;
+      gspan_metrics_add (&shell->board->metrics, GSPAN_METRIC_GOSSIP_SENT, 1);
+      gspan_metrics_add (&shell->board->metrics, GSPAN_METRIC_GOSSIP_SENT_BYTES,
+                         g_bytes_get_size (action->u.datagram.payload));
+      gspan_udp_send (shell->udp, &action->u.datagram);
+      break;
     case GSPAN_ACTION_LOG:
       do_log (shell, &action->u.log);
       break;
@@ -157,6 +167,12 @@
     run_event (shell, event);
 }
 
+static void
+on_datagram (void *user, const struct GspanEvent *event)
+{
+  run_event (user, event);
+}
+
 static void
 on_rpc (void *user, const struct GspanEvent *event)
 {
@@ -322,7 +338,12 @@
   if (shell->server == NULL)
     return false;
   shell->rpc = gspan_rpc_transport_new (shell->loop, shell->settings->rpc, on_rpc, shell, error);
-  return shell->rpc != NULL;
+  if (shell->rpc == NULL)
+    return false;
+  if (shell->settings->udp[0] == '\0')
+    return true;
+  shell->udp = gspan_udp_new (shell->loop, shell->settings->udp, on_datagram, shell, error);
+  return shell->udp != NULL;
 }
 
 struct GspanShell *
@@ -351,6 +372,8 @@
 void
 gspan_shell_free (struct GspanShell *shell)
 {
+  if (shell->udp != NULL)
+    gspan_udp_free (shell->udp);
   if (shell->rpc != NULL)
     gspan_rpc_transport_free (shell->rpc);
   if (shell->server != NULL)
--- /dev/null
+++ b/shell/udp.c
@@ -0,0 +1,128 @@
+#include "shell/udp.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  DATAGRAM_MAX = 2048,
+  BURST = 64 /* datagrams taken in one turn of the loop */
+};
+
+struct GspanUdp
+{
+  struct ev_loop *loop;
+  GspanUdpCallback callback;
+  void *user;
+  int fd;
+  ev_io io;
+};
+
+static bool
+parse_address (const char *text, struct sockaddr_in *address)
+{
+  const char *colon = strrchr (text, ':');
+  char *ip = colon != NULL ? g_strndup (text, (gsize)(colon - text)) : NULL;
+  guint64 port;
+  bool ok;
+
+  memset (address, 0, sizeof *address);
+  address->sin_family = AF_INET;
+  ok = ip != NULL && inet_pton (AF_INET, ip, &address->sin_addr) == 1
+       && gspan_str_to_u64 (gspan_str_from (colon + 1), &port) && port <= G_MAXUINT16;
+  if (ok)
+    address->sin_port = htons ((guint16)port);
+  g_free (ip);
+  return ok;
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct GspanUdp *udp = io->data;
+  char data[DATAGRAM_MAX];
+
+  (void)loop;
+  (void)events;
+  for (int i = 0; i < BURST; i++)
+    {
+      ssize_t len = recv (udp->fd, data, sizeof data, 0);
+      struct GspanEvent event = { 0 };
+
+      if (len < 0)
+        return;
+      event.kind = GSPAN_EVENT_DATAGRAM;
+      event.u.datagram.payload = (struct GspanStr){ data, (size_t)len };
+      udp->callback (udp->user, &event);
+    }
+}
+
+static bool
+open_socket (struct GspanUdp *udp, const char *address, struct GspanError *error)
+{
+  struct sockaddr_in local;
+
+  if (!parse_address (address, &local))
+    return gspan_error_set (error, GSPAN_ERROR_INPUT, "%s is no IP:PORT", address);
+  udp->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (udp->fd < 0 || bind (udp->fd, (const struct sockaddr *)&local, sizeof local) < 0)
+    return gspan_error_set (error, GSPAN_ERROR_SYSTEM, "can't listen on %s: %s", address,
+                            g_strerror (errno));
+  return true;
+}
+
+struct GspanUdp *
+gspan_udp_new (struct ev_loop *loop, const char *address, GspanUdpCallback callback, void *user,
+               struct GspanError *error)
+{
+  struct GspanUdp *udp = g_new0 (struct GspanUdp, 1);
+
+  udp->loop = loop;
+  udp->callback = callback;
+  udp->user = user;
+  udp->fd = -1;
+  if (!open_socket (udp, address, error))
+    {
+      if (udp->fd >= 0)
+        close (udp->fd);
+      g_free (udp);
+      return NULL;
+    }
+  ev_io_init (&udp->io, on_readable, udp->fd, EV_READ);
+  udp->io.data = udp;
+  ev_io_start (loop, &udp->io);
+  return udp;
+}
+
+void
+gspan_udp_free (struct GspanUdp *udp)
+{
+  ev_io_stop (udp->loop, &udp->io);
+  close (udp->fd);
+  g_free (udp);
+}
+
+guint16
+gspan_udp_port (const struct GspanUdp *udp)
+{
+  struct sockaddr_in local;
+  socklen_t len = sizeof local;
+
+  if (getsockname (udp->fd, (struct sockaddr *)&local, &len) < 0)
+    return 0;
+  return ntohs (local.sin_port);
+}
+
+void
+gspan_udp_send (struct GspanUdp *udp, const struct GspanActionDatagram *datagram)
+{
+  struct sockaddr_in peer;
+  gsize len;
+  const void *data = g_bytes_get_data (datagram->payload, &len);
+
+  if (parse_address (datagram->address, &peer))
+    (void)sendto (udp->fd, data, len, 0, (const struct sockaddr *)&peer, sizeof peer);
+}
