--- a/common/metrics.c
+++ b/common/metrics.c
@@ -27,7 +27,10 @@
   = { "gspan_platform_failures_total", "calls of the platform without a good answer" },
   [GSPAN_METRIC_LEASES_TAKEN] = { "gspan_leases_taken_total", "leases acquired" },
   [GSPAN_METRIC_LEASES_LOST]
-  = { "gspan_leases_lost_total", "leases that ran out or were taken over" }
+  = { "gspan_leases_lost_total", "leases that ran out or were taken over" },
+  [GSPAN_METRIC_GOSSIP_SENT] = { "gspan_gossip_sent_total", "datagrams sent to other members" },
+  [GSPAN_METRIC_GOSSIP_SENT_BYTES]
+  = { "gspan_gossip_sent_bytes_total", "bytes in datagrams sent to other members" }
 };
 
 static const struct Description gauges[GSPAN_GAUGE_COUNT] = {
