platform: leases that hold through lost answers, deletions and restarts

Cause: a property over three boards and a fake platform under virtual time (pauses, crashes, outages, lost and late answers, deletions) found two processes holding one fencing number. While a settling read was under way a tick sent a second one; its answer, OK with the object's version, was taken for the answer of the next conditional write. Two more holes by the same property: a deleted object restarted the fence at 1, and whoever found it missing took it while the old holder still believed.

Now: never a second call of one lease; fences of a new object start above the store's revision (a missing object's answer carries it), a deleted object is made anew as nobody's and taken after a whole life; an object that does not parse counts as held; back-off with jitter instead of reads each second in an outage; a process that holds leases competes later for the next, and only three peers by rendezvous hash compete where the board knows its peers; a lease of a deleted record is given up; a busy lease is renewed until its work is over and then released; a fence seen elsewhere is outbid.

Ruled out: fences equal to object versions (readers would have to know the version of the take-over); waiting a life on every missing object (each first start would wait too).

The property fails too when a holder's clock is slowed (SlowClockIsCaughtByTheProperty).

--- a/board/board.h
+++ b/board/board.h
@@ -39,6 +39,7 @@
   struct GspanMetrics metrics;
   struct GspanRecords records;
   struct GspanFollow follow;
+  const GPtrArray *peers; /* names of the live processes of this kind; NULL is not known */
   struct GspanLeases leases;
   struct GspanStatuses statuses;
   struct GspanUpstreams upstreams;
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -283,7 +283,7 @@
   else if (!gspan_str_equal (incoming->method, GSPAN_STR ("GET")))
     put_object (platform, incoming, path);
   else if (object == NULL || object->value == NULL)
-    gspan_standin_reply (platform->standin, incoming->id, 404, json_object (), 0);
+    gspan_standin_reply (platform->standin, incoming->id, 404, json_object (), platform->revision);
   else
     gspan_standin_reply (platform->standin, incoming->id, 200, json_incref (object->value),
                          object->version);
