--- a/board/message.h
+++ b/board/message.h
@@ -158,6 +158,7 @@
   struct GspanHeaders headers;
   GBytes *body; /* may be NULL */
   guint64 timeout_us;
+  guint64 not_after;  /* not begun after this time of the board's clock; 0 is no limit */
   guint64 silence_us; /* longest pause between answer bytes; 0 is no limit */
   bool fresh;         /* never on a used connection: the request may not run twice */
   bool stream;        /* HEAD and DATA events as they come */
--- a/shell/shell.c
+++ b/shell/shell.c
@@ -76,6 +76,33 @@
   g_free (http.url);
 }
 
+/* A process paused between its decision and this moment may no longer be entitled to the action. */
+static bool
+is_overdue (const struct GspanActionHttp *http)
+{
+  return http->not_after != 0 && gspan_clock_now () >= http->not_after;
+}
+
+static void
+do_http (struct GspanShell *shell, const struct GspanAction *action)
+{
+  struct GspanEvent event = { 0 };
+  struct GspanHeaders headers;
+
+  if (!is_overdue (&action->u.http))
+    {
+      gspan_http_client_start (shell->client, action->ref, &action->u.http);
+      return;
+    }
+  gspan_headers_init (&headers);
+  event.kind = GSPAN_EVENT_HTTP_DONE;
+  event.ref = action->ref;
+  event.u.http.result = GSPAN_HTTP_NOT_SENT;
+  event.u.http.headers = &headers;
+  run_event (shell, &event);
+  gspan_headers_finish (&headers);
+}
+
 static void
 do_log (struct GspanShell *shell, const struct GspanActionLog *text)
 {
@@ -109,7 +136,7 @@
       gspan_http_server_cut (shell->server, reply->request);
       break;
     case GSPAN_ACTION_HTTP:
-      gspan_http_client_start (shell->client, action->ref, &action->u.http);
+      do_http (shell, action);
       break;
     case GSPAN_ACTION_HTTP_CANCEL:
       gspan_http_client_cancel (shell->client, action->ref);
--- a/test/lease_test.cc
+++ b/test/lease_test.cc
@@ -171,7 +171,8 @@
   GspanLease *second = gspan_leases_want (&again.board.leases, "pool.p");
 
   again.tick ();
-  again.object_done (again.actions (GSPAN_ACTION_OBJECT)[0]->ref, GSPAN_OBJECT_OK, 10, mine);
+  again.object_done (again.actions (GSPAN_ACTION_OBJECT, GSPAN_OWNER_LEASES).at (0)->ref,
+                     GSPAN_OBJECT_OK, 10, mine);
   EXPECT_TRUE (again.actions (GSPAN_ACTION_OBJECT, GSPAN_OWNER_LEASES).empty ());
   EXPECT_FALSE (gspan_lease_held (second, again.now));
 }
