--- a/board/board.h
+++ b/board/board.h
@@ -50,6 +50,7 @@
   struct GspanReport report;
   struct GspanMembers members;
   struct GspanProbe probe;
+  const GPtrArray *peers; /* names of the live processes of this kind; NULL is not known */
   struct GspanLeases leases;
   struct GspanStatuses statuses;
   struct GspanUpstreams upstreams;
