http: an answer is whole only when its length or end mark says so

Cause: an answer closed without Content-Length or chunks, and an event stream ended without its end mark, counted as whole; libcurl's own repeat of a request on a reused connection was invisible; the limit on silence was libcurl's low-speed logic of whole seconds.

http/framing.c decides whether an ended answer is whole. A prerequest callback counts every sending and refuses a second one of a request that may not run twice, besides CURLOPT_FRESH_CONNECT. Sockets get TCP_USER_TIMEOUT and keepalive; silence between answer bytes is checked every 20 ms and ends the exchange by closing its connection.

Seen failing first: http-test against the old client failed Client.AnswerIsWholeOnlyByItsLengthOrItsEndMark, Client.RepeatOfAnIdempotentCallIsCounted and Client.ConnectionEndsWhereThePeerAcknowledgesNothing. With FRESH_CONNECT and the send limit both taken out, Client.CallThatMayNotRunTwiceNeverTakesAUsedConnection fails (the call is sent twice); with only FRESH_CONNECT taken out it passes, so each guard suffices alone. A peer that stops acknowledging can't be made on loopback; the test reads the options back from the socket.

--- a/board/message.h
+++ b/board/message.h
@@ -98,6 +98,7 @@
   const struct GspanHeaders *headers;
   GBytes *body;
   guint64 elapsed_us; /* DONE only */
+  guint sends;        /* DONE only: times that the request went out, libcurl's own repeat too */
 };
 
 struct GspanEventObject
--- a/http/client.c
+++ b/http/client.c
@@ -1,18 +1,26 @@
 #include "http/client.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 
 #include "common/clock.h"
+#include "http/framing.h"
 
 enum
 {
   CONNECT_TIMEOUT_MS = 1000,
-  KEEPALIVE_S = 5,
+  KEEPALIVE_IDLE_S = 2,
+  KEEPALIVE_INTERVAL_S = 1,
+  UNACKNOWLEDGED_MAX_MS = 4000, /* sent bytes without an acknowledgement end the connection */
+  SENDS_MAX = 2,                /* of a request that may run twice: libcurl repeats it once */
   CONNECTIONS_KEPT = 256,
   ANSWER_MAX = 64 << 20
 };
 
+#define SILENCE_CHECK_S 0.02
+
 struct Exchange
 {
   struct GspanHttpClient *client;
@@ -22,10 +30,15 @@
   GBytes *body;
   struct GspanHeaders headers;
   GString *answer;
+  struct GspanFraming framing;
   bool stream;
+  bool fresh;
   bool head_told;
   bool cancelled;
+  guint sends; /* times that libcurl began to send the request */
   guint64 started;
+  guint64 silence_us;
+  guint64 heard_at; /* last answer byte; 0 before the first */
 };
 
 struct Socket
@@ -40,6 +53,8 @@
   struct ev_loop *loop;
   CURLM *multi;
   ev_timer timer;
+  ev_timer silence;      /* runs while exchanges with a limit on silence are open */
+  guint limited;         /* their number */
   GHashTable *exchanges; /* struct GspanRef to struct Exchange */
   bool inside;           /* libcurl is on the stack and takes no handle in or out */
   GPtrArray *starting;   /* exchanges to add once libcurl is off the stack */
@@ -70,11 +85,14 @@
 {
   struct Exchange *exchange = data;
 
+  if (exchange->silence_us > 0)
+    exchange->client->limited--;
   curl_multi_remove_handle (exchange->client->multi, exchange->easy);
   curl_easy_cleanup (exchange->easy);
   curl_slist_free_all (exchange->fields);
   g_clear_pointer (&exchange->body, g_bytes_unref);
   gspan_headers_finish (&exchange->headers);
+  gspan_framing_finish (&exchange->framing);
   g_string_free (exchange->answer, TRUE);
   g_free (exchange);
 }
@@ -104,6 +122,7 @@
   event.u.http.headers = &exchange->headers;
   event.u.http.body = body;
   event.u.http.elapsed_us = gspan_clock_now () - exchange->started;
+  event.u.http.sends = exchange->sends;
   client->callback (client->user, &event);
 }
 
@@ -113,6 +132,7 @@
   struct Exchange *exchange = user;
   struct GspanStr line = { data, size * count };
 
+  exchange->heard_at = gspan_clock_now ();
   if (gspan_str_has_prefix (line, GSPAN_STR ("HTTP/")))
     gspan_headers_clear (&exchange->headers);
   else
@@ -129,6 +149,8 @@
 
   if (exchange->cancelled)
     return 0;
+  exchange->heard_at = gspan_clock_now ();
+  gspan_framing_data (&exchange->framing, (struct GspanStr){ data, len });
   if (!exchange->stream)
     {
       if (exchange->answer->len + len > ANSWER_MAX)
@@ -147,15 +169,53 @@
   return len;
 }
 
-static enum GspanHttpResult
-classify (struct Exchange *exchange, CURLcode code)
+/*
+ * Called before each sending, the ones that libcurl repeats by itself too. A request that may not
+ * run twice is never sent a second time, whatever libcurl's reason.
+ */
+static int
+on_send (void *user, char *peer_ip, char *local_ip, int peer_port, int local_port)
+{
+  struct Exchange *exchange = user;
+
+  (void)peer_ip;
+  (void)local_ip;
+  (void)peer_port;
+  (void)local_port;
+  if (exchange->sends >= (exchange->fresh ? 1 : SENDS_MAX))
+    return CURL_PREREQFUNC_ABORT;
+  exchange->sends++;
+  return CURL_PREREQFUNC_OK;
+}
+
+/* Ends a connection whose peer no longer acknowledges anything. */
+static int
+on_socket_created (void *user, curl_socket_t fd, curlsocktype purpose)
+{
+  const unsigned timeout_ms = UNACKNOWLEDGED_MAX_MS;
+
+  (void)user;
+  (void)purpose;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+  return CURL_SOCKOPT_OK;
+}
+
+static bool
+was_sent (struct Exchange *exchange)
 {
   long request_bytes = 0;
 
-  if (code == CURLE_OK)
-    return GSPAN_HTTP_WHOLE;
   curl_easy_getinfo (exchange->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-  if (request_bytes == 0)
+  return exchange->sends > 1 || (exchange->sends == 1 && request_bytes > 0);
+}
+
+static enum GspanHttpResult
+classify (struct Exchange *exchange, CURLcode code)
+{
+  if (code == CURLE_OK
+      && gspan_framing_whole (&exchange->framing, answer_status (exchange), &exchange->headers))
+    return GSPAN_HTTP_WHOLE;
+  if (!was_sent (exchange))
     return GSPAN_HTTP_NOT_SENT;
   return code == CURLE_OPERATION_TIMEDOUT ? GSPAN_HTTP_TIMEOUT : GSPAN_HTTP_LOST;
 }
@@ -175,6 +235,43 @@
   exchange_free (exchange);
 }
 
+static bool
+is_silent (const struct Exchange *exchange, guint64 now)
+{
+  return exchange->silence_us > 0 && exchange->heard_at != 0
+         && now - exchange->heard_at >= exchange->silence_us;
+}
+
+/* Gives up exchanges that went silent; taking them out of libcurl closes their connections. */
+static void
+on_silence (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct GspanHttpClient *client = watcher->data;
+  GArray *silent = g_array_new (FALSE, FALSE, sizeof (struct GspanRef));
+  guint64 now = gspan_clock_now ();
+  GHashTableIter iter;
+  gpointer value;
+
+  (void)events;
+  g_hash_table_iter_init (&iter, client->exchanges);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (is_silent (value, now))
+        g_array_append_val (silent, ((struct Exchange *)value)->ref);
+    }
+  for (guint i = 0; i < silent->len; i++)
+    {
+      struct GspanRef *ref = &g_array_index (silent, struct GspanRef, i);
+      struct Exchange *exchange = g_hash_table_lookup (client->exchanges, ref);
+
+      if (exchange != NULL)
+        finish_exchange (client, exchange, CURLE_OPERATION_TIMEDOUT);
+    }
+  g_array_unref (silent);
+  if (client->limited == 0)
+    ev_timer_stop (loop, &client->silence);
+}
+
 static void
 check_done (struct GspanHttpClient *client)
 {
@@ -296,6 +393,8 @@
   curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long)CONNECTIONS_KEPT);
   ev_timer_init (&client->timer, on_timer, 0, 0);
   client->timer.data = client;
+  ev_timer_init (&client->silence, on_silence, SILENCE_CHECK_S, SILENCE_CHECK_S);
+  client->silence.data = client;
   return client;
 }
 
@@ -307,6 +406,7 @@
   g_hash_table_unref (client->exchanges);
   curl_multi_cleanup (client->multi);
   ev_timer_stop (client->loop, &client->timer);
+  ev_timer_stop (client->loop, &client->silence);
   g_free (client);
 }
 
@@ -318,7 +418,9 @@
 
   curl_easy_setopt (easy, CURLOPT_URL, http->url);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, http->method);
-  if (strcmp (http->method, "GET") != 0)
+  if (strcmp (http->method, "HEAD") == 0)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  else if (strcmp (http->method, "GET") != 0)
     {
       curl_easy_setopt (easy, CURLOPT_POST, 1L);
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body.len);
@@ -338,15 +440,12 @@
 
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)MAX (1, http->timeout_us / GSPAN_MS));
-  if (http->silence_us > 0)
-    {
-      curl_easy_setopt (easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
-      curl_easy_setopt (easy, CURLOPT_LOW_SPEED_TIME,
-                        (long)MAX (1, http->silence_us / GSPAN_SECOND));
-    }
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPALIVE, 1L);
-  curl_easy_setopt (easy, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_S);
-  curl_easy_setopt (easy, CURLOPT_TCP_KEEPINTVL, (long)KEEPALIVE_S);
+  curl_easy_setopt (easy, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_IDLE_S);
+  curl_easy_setopt (easy, CURLOPT_TCP_KEEPINTVL, (long)KEEPALIVE_INTERVAL_S);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_send);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, exchange);
   if (http->fresh)
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
 }
@@ -360,6 +459,9 @@
   exchange->client = client;
   exchange->ref = ref;
   exchange->stream = http->stream;
+  exchange->fresh = http->fresh;
+  exchange->silence_us = http->silence_us;
+  gspan_framing_init (&exchange->framing, http->method);
   exchange->started = gspan_clock_now ();
   exchange->body = http->body != NULL ? g_bytes_ref (http->body) : NULL;
   exchange->answer = g_string_new (NULL);
@@ -375,7 +477,10 @@
   curl_easy_setopt (exchange->easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (exchange->easy, CURLOPT_PROXY, "");
   curl_easy_setopt (exchange->easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (exchange->easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
   g_hash_table_insert (client->exchanges, &exchange->ref, exchange);
+  if (exchange->silence_us > 0 && client->limited++ == 0)
+    ev_timer_again (client->loop, &client->silence);
   if (client->inside)
     g_ptr_array_add (client->starting, exchange);
   else
--- /dev/null
+++ b/test/http_test.cc
@@ -0,0 +1,211 @@
+#include "test/bench.h"
+#include "test/wire.h"
+
+#include <netinet/tcp.h>
+#include <rapidcheck/gtest.h>
+
+extern "C"
+{
+#include "http/client.h"
+#include "http/framing.h"
+#include "http/server.h"
+}
+
+static const char whole[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+static const char events[]
+    = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+static std::string
+chunk (const std::string &text)
+{
+  char size[16];
+
+  g_snprintf (size, sizeof size, "%zx\r\n", text.size ());
+  return size + text + "\r\n";
+}
+
+class Client : public testing::Test
+{
+protected:
+  Wire wire;
+  WireServer server{ wire };
+  GspanHttpClient *client = nullptr;
+  unsigned done = 0;
+  GspanHttpResult result{};
+  unsigned sends = 0;
+  std::string data;
+
+  void
+  SetUp () override
+  {
+    client = gspan_http_client_new (wire.loop, on_event, this);
+  }
+
+  void
+  TearDown () override
+  {
+    gspan_http_client_free (client);
+  }
+
+  static void
+  on_event (void *user, const GspanEvent *event)
+  {
+    auto *self = static_cast<Client *> (user);
+    GspanStr text = gspan_str_from_bytes (event->u.http.body);
+
+    if (event->kind == GSPAN_EVENT_HTTP_DATA)
+      self->data.append (text.data, text.len);
+    if (event->kind != GSPAN_EVENT_HTTP_DONE)
+      return;
+    self->done++;
+    self->result = event->u.http.result;
+    self->sends = event->u.http.sends;
+  }
+
+  GspanHttpResult
+  call (bool fresh, bool stream = false, guint64 silence_us = 0)
+  {
+    std::string url = "http://" + server.address + "/x";
+    GspanActionHttp http{};
+    unsigned before = done;
+
+    gspan_headers_init (&http.headers);
+    http.method = const_cast<char *> ("POST");
+    http.url = const_cast<char *> (url.c_str ());
+    http.body = g_bytes_new_static ("{}", 2);
+    http.timeout_us = (silence_us > 0 ? 60 : 1) * GSPAN_SECOND;
+    http.fresh = fresh;
+    http.stream = stream;
+    http.silence_us = silence_us;
+    gspan_http_client_start (client, { GSPAN_OWNER_DESK, done + 1 }, &http);
+    gspan_headers_finish (&http.headers);
+    g_bytes_unref (http.body);
+    EXPECT_TRUE (wire.run_until ([&] { return done > before; }));
+    return result;
+  }
+};
+
+TEST_F (Client, AnswerIsWholeOnlyByItsLengthOrItsEndMark)
+{
+  const std::string text = "data: {\"text\":\"data: [DONE]\"}\n\n";
+  const std::vector<std::tuple<const char *, std::string, GspanHttpResult>> cases = {
+    { "whole by length", whole, GSPAN_HTTP_WHOLE },
+    { "no body by status", "HTTP/1.1 204 No Content\r\n\r\n", GSPAN_HTTP_WHOLE },
+    { "dies after reading", "", GSPAN_HTTP_LOST },
+    { "dies in the head", "HTTP/1.1 200 OK\r\nConte", GSPAN_HTTP_LOST },
+    { "dies in the body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{", GSPAN_HTTP_LOST },
+    { "closes without length", "HTTP/1.1 200 OK\r\n\r\n{}", GSPAN_HTTP_LOST },
+    { "chunks cut", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+      GSPAN_HTTP_LOST },
+    { "417", "HTTP/1.1 417 No\r\nContent-Length: 0\r\n\r\n", GSPAN_HTTP_WHOLE },
+    { "events whole", events + chunk (text) + chunk ("data: [DO") + chunk ("NE]\n\n") + chunk (""),
+      GSPAN_HTTP_WHOLE },
+    { "events ended without the mark", events + chunk (text) + chunk (""), GSPAN_HTTP_LOST },
+  };
+
+  for (const auto &[name, bytes, expected] : cases)
+    for (bool stream : { false, true })
+      {
+        server.script = { { bytes, true } };
+        server.requests = 0;
+        EXPECT_EQ (call (true, stream), expected) << name << stream;
+        EXPECT_EQ (server.requests, 1U) << name << stream;
+        EXPECT_EQ (sends, 1U) << name << stream;
+      }
+}
+
+TEST_F (Client, RefusedConnectionIsNotSent)
+{
+  server.address = "127.0.0.1:1";
+  EXPECT_EQ (call (true), GSPAN_HTTP_NOT_SENT);
+  EXPECT_EQ (sends, 0U);
+}
+
+/* libcurl repeats a request whose reused connection dies before the first answer byte. */
+TEST_F (Client, CallThatMayNotRunTwiceNeverTakesAUsedConnection)
+{
+  server.script = { { whole, false }, { "", true } };
+  EXPECT_EQ (call (false), GSPAN_HTTP_WHOLE);
+  EXPECT_EQ (call (true), GSPAN_HTTP_LOST);
+  EXPECT_EQ (server.requests, 2U);
+  EXPECT_EQ (server.connections, 2U);
+}
+
+TEST_F (Client, RepeatOfAnIdempotentCallIsCounted)
+{
+  server.script = { { whole, false }, { "", true }, { whole, false } };
+  call (false);
+  EXPECT_EQ (call (false), GSPAN_HTTP_WHOLE);
+  EXPECT_EQ (server.requests, 3U);
+  EXPECT_EQ (sends, 2U);
+}
+
+TEST_F (Client, ServerThatIsSilentForGoodEndsInATimeout)
+{
+  server.script = { { "", false } };
+  EXPECT_EQ (call (true), GSPAN_HTTP_TIMEOUT);
+  EXPECT_EQ (server.requests, 1U);
+}
+
+/* The exchange's own deadline is far off: only the limit on silence can end it. */
+TEST_F (Client, StreamThatGoesSilentIsGivenUpAndItsConnectionClosed)
+{
+  server.script = { { events + chunk ("data: x\n\n"), false }, { whole, false } };
+  EXPECT_EQ (call (false, true, 100 * GSPAN_MS), GSPAN_HTTP_TIMEOUT);
+  EXPECT_EQ (data, "data: x\n\n");
+  EXPECT_EQ (call (false), GSPAN_HTTP_WHOLE);
+  EXPECT_EQ (server.connections, 2U);
+}
+
+TEST_F (Client, ConnectionEndsWhereThePeerAcknowledgesNothing)
+{
+  unsigned found = 0;
+
+  server.script = { { whole, false } };
+  call (false);
+  for (int fd = 0; fd < 1024; fd++)
+    {
+      sockaddr_in peer{};
+      socklen_t len = sizeof peer;
+      unsigned timeout_ms = 0;
+      int keepalive = 0;
+      socklen_t size = sizeof timeout_ms;
+
+      if (getpeername (fd, reinterpret_cast<sockaddr *> (&peer), &len) != 0
+          || "127.0.0.1:" + std::to_string (ntohs (peer.sin_port)) != server.address)
+        continue;
+      getsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, &size);
+      getsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &keepalive, &size);
+      EXPECT_GT (timeout_ms, 0U);
+      EXPECT_NE (keepalive, 0);
+      found++;
+    }
+  EXPECT_EQ (found, 1U);
+}
+
+/* The end mark is found wherever the pieces are cut, and only as the last event. */
+RC_GTEST_PROP (Framing, EndMarkInAnyPieces, (std::vector<uint8_t> cuts, bool marked, bool comment))
+{
+  std::string text = "data: {\"t\":\"data: [DONE]\"}\n\ndata: [DONE] no\n\n";
+  GspanFraming framing{};
+  GspanHeaders headers{};
+  size_t at = 0;
+
+  text += marked ? "data: [DONE]\r\n\n" : "data: [DONE]";
+  text += marked && comment ? ": end\n\n" : "";
+  gspan_headers_init (&headers);
+  gspan_headers_add (&headers, "Content-Type", gspan_str_from ("text/event-stream; charset=utf-8"));
+  gspan_headers_add (&headers, "Transfer-Encoding", gspan_str_from ("chunked"));
+  gspan_framing_init (&framing, "POST");
+  for (uint8_t cut : cuts)
+    {
+      size_t len = std::min<size_t> (cut % 8, text.size () - at);
+
+      gspan_framing_data (&framing, { text.data () + at, len });
+      at += len;
+    }
+  gspan_framing_data (&framing, { text.data () + at, text.size () - at });
+  RC_ASSERT (gspan_framing_whole (&framing, 200, &headers) == marked);
+  gspan_framing_finish (&framing);
+  gspan_headers_finish (&headers);
+}
--- /dev/null
+++ b/test/wire.h
@@ -0,0 +1,220 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <ev.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/* One loop with raw sockets on loopback, for faults that no HTTP library would commit. */
+class Wire
+{
+public:
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+
+  ~Wire ()
+  {
+    ev_loop_destroy (loop);
+  }
+
+  /* Runs the loop until DONE holds. False after a bound that only a hanging run reaches. */
+  bool
+  run_until (const std::function<bool ()> &done) const
+  {
+    for (int i = 0; i < 20000; i++)
+      {
+        if (done ())
+          return true;
+        ev_run (loop, EVRUN_NOWAIT);
+        usleep (500);
+      }
+    return false;
+  }
+};
+
+/* Bytes to send for one request, and whether the connection is closed after them. */
+struct WireStep
+{
+  std::string bytes;
+  bool close;
+};
+
+/* Server that reads whole requests and answers them by a script, wherever they come in. */
+class WireServer
+{
+public:
+  std::vector<WireStep> script; /* by request; the last one is repeated */
+  unsigned requests = 0;
+  unsigned connections = 0;
+  std::string address;
+
+  explicit WireServer (Wire &wire) : wire_ (wire)
+  {
+    sockaddr_in where{};
+    socklen_t len = sizeof where;
+
+    fd_ = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    where.sin_family = AF_INET;
+    where.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    bind (fd_, reinterpret_cast<sockaddr *> (&where), sizeof where);
+    listen (fd_, 16);
+    getsockname (fd_, reinterpret_cast<sockaddr *> (&where), &len);
+    address = "127.0.0.1:" + std::to_string (ntohs (where.sin_port));
+    watch (fd_, on_accept);
+  }
+
+  ~WireServer ()
+  {
+    for (auto &[fd, io] : watchers_)
+      {
+        ev_io_stop (wire_.loop, io.get ());
+        close (fd);
+      }
+  }
+
+  WireServer (const WireServer &) = delete;
+  WireServer &
+  operator= (const WireServer &)
+      = delete;
+
+private:
+  Wire &wire_;
+  int fd_;
+  std::map<int, std::unique_ptr<ev_io>> watchers_;
+  std::map<int, std::string> input_;
+
+  void
+  watch (int fd, void (*callback) (struct ev_loop *, ev_io *, int))
+  {
+    auto io = std::make_unique<ev_io> ();
+
+    ev_io_init (io.get (), callback, fd, EV_READ);
+    io->data = this;
+    ev_io_start (wire_.loop, io.get ());
+    watchers_[fd] = std::move (io);
+  }
+
+  static void
+  on_accept (struct ev_loop *, ev_io *io, int)
+  {
+    auto *self = static_cast<WireServer *> (io->data);
+    int fd = accept4 (io->fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+    if (fd < 0)
+      return;
+    self->connections++;
+    self->watch (fd, on_readable);
+  }
+
+  static bool
+  is_whole (const std::string &text)
+  {
+    size_t end = text.find ("\r\n\r\n");
+    size_t length = text.find ("Content-Length: ");
+
+    if (end == std::string::npos)
+      return false;
+    return length == std::string::npos
+           || text.size () >= end + 4 + std::stoul (text.substr (length + 16));
+  }
+
+  void
+  drop (int fd)
+  {
+    ev_io_stop (wire_.loop, watchers_[fd].get ());
+    watchers_.erase (fd);
+    input_.erase (fd);
+    close (fd);
+  }
+
+  static void
+  on_readable (struct ev_loop *, ev_io *io, int)
+  {
+    auto *self = static_cast<WireServer *> (io->data);
+    int fd = io->fd;
+    char buffer[4096];
+    ssize_t len = read (fd, buffer, sizeof buffer);
+
+    if (len <= 0)
+      {
+        self->drop (fd);
+        return;
+      }
+    self->input_[fd].append (buffer, static_cast<size_t> (len));
+    if (!is_whole (self->input_[fd]))
+      return;
+    self->input_[fd].clear ();
+    const WireStep &step
+        = self->script[std::min<size_t> (self->requests++, self->script.size () - 1)];
+    if (!step.bytes.empty () && write (fd, step.bytes.data (), step.bytes.size ()) < 0)
+      perror ("write");
+    if (step.close)
+      self->drop (fd);
+  }
+};
+
+/* Caller with one raw connection to PORT. */
+class WireCaller
+{
+public:
+  int fd;
+  std::string got;
+  bool closed = false;
+
+  explicit WireCaller (uint16_t port)
+  {
+    sockaddr_in where{};
+
+    fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    where.sin_family = AF_INET;
+    where.sin_port = htons (port);
+    where.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    if (connect (fd, reinterpret_cast<sockaddr *> (&where), sizeof where) != 0)
+      perror ("connect");
+    fcntl (fd, F_SETFL, O_NONBLOCK);
+  }
+
+  ~WireCaller ()
+  {
+    if (fd >= 0)
+      close (fd);
+  }
+
+  WireCaller (const WireCaller &) = delete;
+  WireCaller &
+  operator= (const WireCaller &)
+      = delete;
+
+  void
+  say (const std::string &text) const
+  {
+    (void)!::send (fd, text.data (), text.size (), MSG_NOSIGNAL);
+  }
+
+  void
+  hang_up ()
+  {
+    close (fd);
+    fd = -1;
+  }
+
+  /* Reads what has come. True once TEXT is in it, or, for "", once the other side has closed. */
+  bool
+  hears (const std::string &text)
+  {
+    char buffer[65536];
+    ssize_t len;
+
+    while ((len = recv (fd, buffer, sizeof buffer, 0)) > 0)
+      got.append (buffer, static_cast<size_t> (len));
+    closed = closed || len == 0 || (len < 0 && errno != EAGAIN);
+    return text.empty () ? closed : got.find (text) != std::string::npos;
+  }
+};
