http: notice callers who leave, bound slow readers and slow senders

Cause: libmicrohttpd doesn't look at a suspended connection, so a caller that went away while its request waited was never noticed and its exchange ran on; a stream's unread bytes had no bound; a head or body could come in byte by byte for ever; a body over the limit was read whole before the refusal.

A timer polls the suspended connections for the peer's end and closes connections whose head or body takes longer than its limit; a stream with more than its bound unread is cut; an announced length over the limit is refused with 413 before the body.

--- a/http/server.c
+++ b/http/server.c
@@ -2,14 +2,21 @@
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
+#include <poll.h>
 #include <string.h>
+#include <sys/socket.h>
+
+#include "common/clock.h"
 
 enum
 {
   STREAM_BLOCK = 16384,
-  RUNS_PER_TURN = 8
+  RUNS_PER_TURN = 8,
+  CONNECTION_MEMORY = 32768 /* bytes; holds a request's head */
 };
 
+#define WATCH_S 0.05
+
 enum RequestState
 {
   REQUEST_READING,
@@ -18,6 +25,13 @@
   REQUEST_STREAMING, /* the answer's head is known or queued, data may follow */
 };
 
+/* One caller's connection, from its acceptance on. */
+struct Connection
+{
+  int fd;
+  guint64 reading_since; /* start of the head or body being read; 0 while a request is at work */
+};
+
 struct Request
 {
   guint64 id;
@@ -37,6 +51,7 @@
   size_t out_taken;
   bool ended;
   bool cut;
+  bool gone; /* the caller went away, and the handler knows it */
 };
 
 struct GspanHttpServer
@@ -45,15 +60,26 @@
   struct MHD_Daemon *daemon;
   struct GspanHttpLimits limits;
   struct GspanHttpHandler handler;
-  GHashTable *requests; /* id to struct Request */
+  GHashTable *requests;    /* id to struct Request */
+  GHashTable *connections; /* set of struct Connection, owns them */
   guint64 next_id;
   guint16 port;
   bool run_again;
   ev_io io;
   ev_timer timer;
   ev_prepare prepare;
+  ev_timer watch;
 };
 
+static struct Connection *
+connection_of (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return info->socket_context;
+}
+
 static enum MHD_Result
 copy_header (void *user, enum MHD_ValueKind kind, const char *key, const char *value)
 {
@@ -97,6 +123,7 @@
   MHD_get_connection_values (connection, MHD_HEADER_KIND, copy_header, request);
   MHD_get_connection_values (connection, MHD_GET_ARGUMENT_KIND, copy_query, request);
   g_hash_table_insert (server->requests, &request->id, request);
+  connection_of (connection)->reading_since = gspan_clock_now ();
   return request;
 }
 
@@ -198,6 +225,7 @@
   struct GspanHttpIncoming incoming = { 0 };
 
   request->state = REQUEST_WAITING;
+  connection_of (request->connection)->reading_since = 0;
   request_suspend (request);
   incoming.id = request->id;
   incoming.method = gspan_str_from (request->method);
@@ -219,6 +247,16 @@
   gspan_headers_add (&request->reply_headers, "Content-Type", GSPAN_STR ("application/json"));
 }
 
+/* True where the request's own Content-Length is above the bound: its body needn't be read. */
+static bool
+announces_too_much (const struct Request *request)
+{
+  guint64 length;
+
+  return gspan_headers_get_u64 (&request->headers, "Content-Length", &length)
+         && length > request->server->limits.body_max;
+}
+
 static enum MHD_Result
 on_access (void *user, struct MHD_Connection *connection, const char *url, const char *method,
            const char *version, const char *data, size_t *data_size, void **context)
@@ -229,9 +267,15 @@
   (void)version;
   if (request == NULL)
     {
-      *context = request_new (server, connection, method, url);
-      return MHD_YES;
+      request = request_new (server, connection, method, url);
+      *context = request;
+      if (!announces_too_much (request))
+        return MHD_YES;
+      refuse_too_large (request);
+      return queue_response (request);
     }
+  if (request->gone)
+    return MHD_NO;
   if (*data_size > 0)
     {
       if (request->body->len + *data_size > server->limits.body_max)
@@ -262,11 +306,12 @@
   guint64 id;
   bool gone;
 
-  (void)connection;
   if (request == NULL)
     return;
   id = request->id;
-  gone = code != MHD_REQUEST_TERMINATED_COMPLETED_OK && request->state != REQUEST_READING;
+  connection_of (connection)->reading_since = gspan_clock_now ();
+  gone = !request->gone && code != MHD_REQUEST_TERMINATED_COMPLETED_OK
+         && request->state != REQUEST_READING;
   *context = NULL;
   g_hash_table_remove (server->requests, &id);
   if (gone)
@@ -285,6 +330,108 @@
     }
 }
 
+static void
+on_connection (void *user, struct MHD_Connection *connection, void **context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  struct GspanHttpServer *server = user;
+  struct Connection *item = *context;
+
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+    {
+      g_hash_table_remove (server->connections, item);
+      return;
+    }
+  item = g_new0 (struct Connection, 1);
+  item->fd = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+  item->reading_since = gspan_clock_now ();
+  g_hash_table_add (server->connections, item);
+  *context = item;
+}
+
+/* Tells the handler that the caller went away, and lets libmicrohttpd close the connection. */
+static void
+abandon (struct Request *request)
+{
+  struct GspanHttpServer *server = request->server;
+  guint64 id = request->id;
+
+  request->gone = true;
+  request->cut = true;
+  request_resume (request);
+  server->handler.gone (server->handler.user, id);
+}
+
+/* Closes connections whose request takes too long to come in; libmicrohttpd then drops them. */
+static void
+close_slow_senders (struct GspanHttpServer *server)
+{
+  guint64 limit = (guint64)server->limits.read_timeout_ms * GSPAN_MS;
+  guint64 now = gspan_clock_now ();
+  GHashTableIter iter;
+  gpointer key;
+
+  if (limit == 0)
+    return;
+  g_hash_table_iter_init (&iter, server->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct Connection *connection = key;
+
+      if (connection->reading_since != 0 && now - connection->reading_since > limit)
+        shutdown (connection->fd, SHUT_RDWR);
+    }
+}
+
+/*
+ * Finds callers that closed their end: libmicrohttpd doesn't look at a suspended connection. Events
+ * are asked for by poll (), since bytes of a next request may stand before the end.
+ */
+static void
+find_gone_callers (struct GspanHttpServer *server)
+{
+  GArray *polls = g_array_new (FALSE, TRUE, sizeof (struct pollfd));
+  GArray *ids = g_array_new (FALSE, FALSE, sizeof (guint64));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, server->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct Request *request = value;
+      struct pollfd item = { 0 };
+
+      if (!request->suspended)
+        continue;
+      item.fd = connection_of (request->connection)->fd;
+      item.events = POLLRDHUP;
+      g_array_append_val (polls, item);
+      g_array_append_val (ids, request->id);
+    }
+  poll ((struct pollfd *)(void *)polls->data, polls->len, 0);
+  for (guint i = 0; i < polls->len; i++)
+    {
+      struct Request *request
+          = g_hash_table_lookup (server->requests, &g_array_index (ids, guint64, i));
+
+      if (request != NULL && g_array_index (polls, struct pollfd, i).revents != 0)
+        abandon (request);
+    }
+  g_array_unref (polls);
+  g_array_unref (ids);
+}
+
+static void
+on_watch (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct GspanHttpServer *server = watcher->data;
+
+  (void)loop;
+  (void)events;
+  close_slow_senders (server);
+  find_gone_callers (server);
+}
+
 static void
 on_io (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -351,6 +498,9 @@
   ev_prepare_init (&server->prepare, on_prepare);
   server->prepare.data = server;
   ev_prepare_start (server->loop, &server->prepare);
+  ev_timer_init (&server->watch, on_watch, WATCH_S, WATCH_S);
+  server->watch.data = server;
+  ev_timer_start (server->loop, &server->watch);
 }
 
 struct GspanHttpServer *
@@ -371,15 +521,19 @@
   server->limits = *limits;
   server->handler = *handler;
   server->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, request_free);
+  server->connections = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, server,
       MHD_OPTION_SOCK_ADDR, &where, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
-      MHD_OPTION_CONNECTION_LIMIT, limits->connections, MHD_OPTION_CONNECTION_TIMEOUT,
-      limits->idle_timeout_s, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)CONNECTION_MEMORY, MHD_OPTION_CONNECTION_LIMIT, limits->connections,
+      MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_timeout_s, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+      MHD_OPTION_END);
   if (server->daemon == NULL)
     {
       gspan_error_set (error, GSPAN_ERROR_SYSTEM, "%s: can't listen", address);
       g_hash_table_unref (server->requests);
+      g_hash_table_unref (server->connections);
       g_free (server);
       return NULL;
     }
@@ -397,6 +551,7 @@
   ev_io_stop (server->loop, &server->io);
   ev_timer_stop (server->loop, &server->timer);
   ev_prepare_stop (server->loop, &server->prepare);
+  ev_timer_stop (server->loop, &server->watch);
   g_hash_table_iter_init (&iter, server->requests);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -407,6 +562,7 @@
     }
   MHD_stop_daemon (server->daemon);
   g_hash_table_unref (server->requests);
+  g_hash_table_unref (server->connections);
   g_free (server);
 }
 
@@ -435,7 +591,7 @@
 {
   struct Request *request = g_hash_table_lookup (server->requests, &id);
 
-  if (request == NULL || request->state != REQUEST_WAITING)
+  if (request == NULL || request->gone || request->state != REQUEST_WAITING)
     return NULL;
   request->state = state;
   request->status = status;
@@ -486,6 +642,9 @@
     return;
   g_string_append_len (request->out, text.data, (gssize)text.len);
   request_resume (request);
+  if (server->limits.stream_max != 0
+      && request->out->len - request->out_taken > server->limits.stream_max)
+    abandon (request);
 }
 
 void
--- a/http/server.h
+++ b/http/server.h
@@ -28,9 +28,11 @@
 
 struct GspanHttpLimits
 {
-  size_t body_max;      /* bytes of a request body */
-  guint connections;    /* open connections at once */
-  guint idle_timeout_s; /* a connection without traffic is closed after this; 0 is never */
+  size_t body_max;       /* bytes of a request body */
+  guint connections;     /* open connections at once */
+  guint idle_timeout_s;  /* a connection without traffic is closed after this; 0 is never */
+  guint read_timeout_ms; /* longest for a request's head, and for its body; 0 is no limit */
+  size_t stream_max;     /* bytes of a stream that wait for a slow caller; above them it is cut */
 };
 
 /* Listens on ADDRESS ("IP:PORT"; port 0 asks the kernel). NULL with ERROR set on failure. */
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -209,3 +209,163 @@
   gspan_framing_finish (&framing);
   gspan_headers_finish (&headers);
 }
+
+class Server : public testing::Test
+{
+protected:
+  Wire wire;
+  GspanHttpServer *server = nullptr;
+  std::vector<std::pair<guint64, std::string>> taken; /* body by request */
+  std::vector<guint64> gone;
+
+  void
+  SetUp () override
+  {
+    GspanHttpLimits limits = { 1000, 50, 0, 300, 100000 };
+    GspanHttpHandler handler = { on_request, on_gone, this };
+
+    server = gspan_http_server_new (wire.loop, "127.0.0.1:0", &limits, &handler, nullptr);
+  }
+
+  void
+  TearDown () override
+  {
+    gspan_http_server_free (server);
+  }
+
+  static void
+  on_request (void *user, const GspanHttpIncoming *incoming)
+  {
+    GspanStr body = gspan_str_from_bytes (incoming->body);
+
+    static_cast<Server *> (user)->taken.emplace_back (incoming->id,
+                                                      std::string (body.data, body.len));
+  }
+
+  static void
+  on_gone (void *user, guint64 id)
+  {
+    static_cast<Server *> (user)->gone.push_back (id);
+  }
+
+  uint16_t
+  port () const
+  {
+    return gspan_http_server_port (server);
+  }
+
+  static std::string
+  post (const std::string &body)
+  {
+    return "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string (body.size ())
+           + "\r\n\r\n" + body;
+  }
+
+  void
+  reply (guint64 id, const char *text, bool stream = false)
+  {
+    GspanHeaders headers{};
+    GBytes *body = g_bytes_new_static (text, strlen (text));
+
+    gspan_headers_init (&headers);
+    if (stream)
+      gspan_http_server_begin (server, id, 200, &headers);
+    else
+      gspan_http_server_reply (server, id, 200, &headers, body);
+    gspan_headers_finish (&headers);
+    g_bytes_unref (body);
+  }
+
+  /* A request of somebody else is served whole. */
+  void
+  expect_served ()
+  {
+    WireCaller caller (port ());
+    size_t before = taken.size ();
+
+    caller.say (post ("other"));
+    ASSERT_TRUE (wire.run_until ([&] { return taken.size () > before; }));
+    reply (taken.back ().first, "served");
+    EXPECT_TRUE (wire.run_until ([&] { return caller.hears ("served"); }));
+  }
+};
+
+TEST_F (Server, BadInputIsRefusedAndNobodyElseHarmed)
+{
+  const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const std::vector<std::tuple<const char *, std::string, const char *>> cases = {
+    { "announced body too large", head + "Content-Length: 5000\r\n\r\n", " 413 " },
+    { "chunked body too large",
+      head + "Transfer-Encoding: chunked\r\n\r\n" + chunk (std::string (2000, 'x')) + chunk (""),
+      " 413 " },
+    { "malformed chunk size", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n{}\r\n0\r\n\r\n",
+      " 400 " },
+    { "malformed length", head + "Content-Length: -3\r\n\r\n{}", " 400 " },
+    { "header flood", head + "X: " + std::string (40000, 'x') + "\r\n\r\n", " 431 " },
+    { "no HTTP", "\x16\x03\x01 nonsense\r\n\r\n", "" },
+    { "slow head", "POST /x HT", "" },
+    { "slow body", head + "Content-Length: 9\r\n\r\n{", "" },
+  };
+
+  for (const auto &[name, bytes, answer] : cases)
+    {
+      WireCaller caller (port ());
+
+      caller.say (bytes);
+      EXPECT_TRUE (wire.run_until ([&] { return caller.hears (answer); })) << name << caller.got;
+      EXPECT_TRUE (taken.empty ()) << name;
+      expect_served ();
+      taken.clear ();
+    }
+}
+
+TEST_F (Server, CallerWhoLeavesWhileItsRequestWaitsIsNoticedOnce)
+{
+  WireCaller caller (port ());
+
+  caller.say (post ("{}") + "GET /next");
+  ASSERT_TRUE (wire.run_until ([&] { return !taken.empty (); }));
+  caller.hang_up ();
+  EXPECT_TRUE (wire.run_until ([&] { return !gone.empty (); }));
+  reply (taken[0].first, "too late");
+  EXPECT_TRUE (wire.run_until ([&] { return gspan_http_server_open_requests (server) == 0; }));
+  EXPECT_EQ (gone, std::vector<guint64>{ taken[0].first });
+  expect_served ();
+}
+
+TEST_F (Server, CallerWhoLeavesBetweenStreamedBytesIsNoticed)
+{
+  WireCaller caller (port ());
+
+  caller.say (post ("{}"));
+  ASSERT_TRUE (wire.run_until ([&] { return !taken.empty (); }));
+  reply (taken[0].first, "", true);
+  EXPECT_TRUE (wire.run_until ([&] { return caller.hears ("200"); }));
+  caller.hang_up ();
+  EXPECT_TRUE (wire.run_until ([&] { return !gone.empty (); }));
+}
+
+TEST_F (Server, SlowReaderOfAStreamIsCutAtABound)
+{
+  WireCaller caller (port ());
+  std::string block (50000, 'x');
+  size_t given = 0;
+
+  caller.say (post ("{}"));
+  ASSERT_TRUE (wire.run_until ([&] { return !taken.empty (); }));
+  reply (taken[0].first, "", true);
+  for (int i = 0; i < 2000 && gone.empty (); i++)
+    {
+      GBytes *data = g_bytes_new_static (block.data (), block.size ());
+
+      gspan_http_server_data (server, taken[0].first, data);
+      g_bytes_unref (data);
+      given += block.size ();
+      ev_run (wire.loop, EVRUN_NOWAIT);
+    }
+  EXPECT_EQ (gone.size (), 1U);
+  EXPECT_LT (given, 32U << 20);
+  EXPECT_TRUE (wire.run_until ([&] { return caller.hears (""); }));
+  EXPECT_EQ (caller.got.find ("\r\n0\r\n"), std::string::npos);
+  expect_served ();
+}
