desk: keyed calls run at most once, whichever entry they come in at

Cause: a caller that repeats a non-idempotent request after a lost answer had no way to do it without a second run.

A key (firm, route, Idempotency-Key) belongs to one of 16 slots, each owned by lease; only entries that need a slot become candidates. Writes of all waiting calls go together, at most one per slot in 200 ms. A write whose answer was lost is settled by its writer token. A platform that doesn't answer gives not-run at once. Attempts of idempotent calls get half of the time left, so that another can follow a silent connection; retries use fresh connections; streams are given up after 10 s of silence; X-Deadline-Ms goes upstream.

No test fails where the claim write at take-over is left out: each intent write is conditional by itself. It stays, so that an old owner finds out at its next write.

--- a/board/board.c
+++ b/board/board.c
@@ -4,7 +4,9 @@
 
 #include "control/control.h"
 #include "desk/desk.h"
+#include "desk/keyed.h"
 #include "desk/pulls.h"
+#include "desk/slots.h"
 #include "rollout/rollout.h"
 #include "rpc/codec.h"
 
@@ -89,6 +91,12 @@
     case GSPAN_OWNER_CONTROL:
       gspan_control_handle (board, event, outbox);
       break;
+    case GSPAN_OWNER_KEYED:
+      gspan_keyed_handle (board, event, outbox);
+      break;
+    case GSPAN_OWNER_SLOTS:
+      gspan_slots_handle (board, event, outbox);
+      break;
     }
 }
 
@@ -126,6 +134,11 @@
     case GSPAN_CHANGES:
       gspan_relay_handle (board, event, outbox);
       return;
+    case GSPAN_KEYED:
+      if (board->slots == NULL)
+        break;
+      gspan_slots_handle (board, event, outbox);
+      return;
     default:
       break;
     }
@@ -146,6 +159,10 @@
   gspan_statuses_handle (board, event, outbox);
   if (board->desk != NULL)
     gspan_desk_handle (board, event, outbox);
+  if (board->keyed != NULL)
+    gspan_keyed_handle (board, event, outbox);
+  if (board->slots != NULL)
+    gspan_slots_handle (board, event, outbox);
   if (board->pulls != NULL)
     gspan_pulls_handle (board, event, outbox);
   if (board->rollout != NULL)
@@ -219,6 +236,10 @@
 {
   if (board->desk != NULL && gspan_desk_busy (board->desk))
     return true;
+  if (board->keyed != NULL && gspan_keyed_busy (board->keyed))
+    return true;
+  if (board->slots != NULL && gspan_slots_busy (board->slots))
+    return true;
   if (board->pulls != NULL && gspan_pulls_busy (board->pulls))
     return true;
   for (guint i = 0; i < board->leases.items->len; i++)
--- a/board/board.h
+++ b/board/board.h
@@ -16,8 +16,10 @@
 
 struct GspanControl;
 struct GspanDesk;
+struct GspanKeyed;
 struct GspanPulls;
 struct GspanRollout;
+struct GspanSlots;
 
 /* Who this process is. All strings are borrowed from the settings. */
 struct GspanSelf
@@ -57,6 +59,8 @@
   enum GspanRoutePolicy policy;
   guint64 request_timeout_us;
   struct GspanDesk *desk;
+  struct GspanKeyed *keyed;
+  struct GspanSlots *slots;
   struct GspanPulls *pulls;
   struct GspanRollout *rollout;
   struct GspanControl *control;
--- a/board/message.h
+++ b/board/message.h
@@ -19,7 +19,9 @@
   GSPAN_OWNER_DESK,
   GSPAN_OWNER_PULLS,
   GSPAN_OWNER_ROLLOUT,
-  GSPAN_OWNER_CONTROL
+  GSPAN_OWNER_CONTROL,
+  GSPAN_OWNER_KEYED,
+  GSPAN_OWNER_SLOTS
 };
 
 /* Names one operation: ID is chosen by OWNER and unique among its open operations. */
--- a/cmd/gspan-entry.c
+++ b/cmd/gspan-entry.c
@@ -1,12 +1,18 @@
 #include "cmd/daemon.h"
 #include "desk/desk.h"
+#include "desk/keyed.h"
 #include "desk/pulls.h"
+#include "desk/slots.h"
 
 static void
 compose (struct GspanBoard *board)
 {
   board->desk = g_new0 (struct GspanDesk, 1);
   gspan_desk_init (board->desk);
+  board->keyed = g_new0 (struct GspanKeyed, 1);
+  gspan_keyed_init (board->keyed);
+  board->slots = g_new0 (struct GspanSlots, 1);
+  gspan_slots_init (board->slots);
   board->pulls = g_new0 (struct GspanPulls, 1);
   gspan_pulls_init (board->pulls);
 }
--- a/desk/desk.c
+++ b/desk/desk.c
@@ -4,21 +4,27 @@
 
 #include "board/board.h"
 #include "common/clock.h"
+#include "desk/keyed.h"
 #include "desk/outcome.h"
 #include "desk/parse.h"
+#include "desk/slots.h"
 
 enum
 {
   ATTEMPTS_MAX = 4,
   RETRY_AFTER_S = 1,
-  CALLER_ID_MAX = 128 /* bytes; the rest is cut off */
+  CALLER_ID_MAX = 128, /* bytes; the rest is cut off */
+  ATTEMPT_DIVISOR = 2  /* an attempt that may be followed by another gets this part of the time */
 };
 
-/* One caller's request under way. It has one exchange at a time. */
+#define STREAM_SILENCE_US (10 * GSPAN_SECOND)
+
+/* One caller's request or one keyed run under way. It has one exchange at a time. */
 struct GspanDeskCall
 {
-  guint64 id; /* of the exchange under way */
-  guint64 request;
+  guint64 id;      /* of the exchange under way */
+  guint64 request; /* 0 for a keyed run */
+  guint64 run;     /* 0 for a caller's request */
   char *request_id;
   char *caller_id; /* X-Request-Id of the caller, for the log only; NULL where it sent none */
   char *route;
@@ -88,7 +94,8 @@
 static void
 forget (struct GspanDesk *desk, struct GspanDeskCall *call)
 {
-  g_hash_table_remove (desk->by_request, &call->request);
+  if (call->run == 0)
+    g_hash_table_remove (desk->by_request, &call->request);
   g_hash_table_remove (desk->calls, &call->id);
 }
 
@@ -151,15 +158,30 @@
     gspan_headers_add_u64 (&action->u.reply.headers, "Retry-After", RETRY_AFTER_S);
 }
 
-static void
-reply_not_run (struct GspanBoard *board, guint64 request, const char *why,
-               struct GspanOutbox *outbox)
+void
+gspan_desk_reply (struct GspanBoard *board, guint64 request, enum GspanOutcome outcome,
+                  const char *why, struct GspanOutbox *outbox)
+{
+  struct GspanAction *action
+      = gspan_outbox_reply_error (outbox, request, gspan_outcome_status (outcome), "upstream", why);
+
+  add_outcome_header (action, outcome);
+  count_outcome (board, outcome);
+}
+
+void
+gspan_desk_pass (struct GspanBoard *board, guint64 request, enum GspanOutcome outcome, int status,
+                 struct GspanStr content_type, GBytes *body, struct GspanOutbox *outbox)
 {
-  struct GspanAction *action = gspan_outbox_reply_error (
-      outbox, request, gspan_outcome_status (GSPAN_OUTCOME_NOT_RUN), "upstream", why);
+  struct GspanAction *action
+      = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY, (struct GspanRef){ 0 });
 
-  add_outcome_header (action, GSPAN_OUTCOME_NOT_RUN);
-  count_outcome (board, GSPAN_OUTCOME_NOT_RUN);
+  action->u.reply.request = request;
+  action->u.reply.status = status;
+  action->u.reply.body = g_bytes_ref (body);
+  gspan_headers_add (&action->u.reply.headers, "Content-Type", content_type);
+  add_outcome_header (action, outcome);
+  count_outcome (board, outcome);
 }
 
 /* Answers the caller with what the last attempt came to, and ends the call. */
@@ -167,26 +189,25 @@
 conclude (struct GspanBoard *board, struct GspanDeskCall *call, enum GspanOutcome outcome,
           const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
 {
-  struct GspanAction *action;
   bool passes = outcome == GSPAN_OUTCOME_COMPLETE || outcome == GSPAN_OUTCOME_FAILED;
+  guint64 run = call->run;
 
   log_outcome (board, call, outcome, outbox);
-  if (passes)
+  if (run != 0)
     {
-      action = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY, (struct GspanRef){ 0 });
-      action->u.reply.request = call->request;
-      action->u.reply.status = answer->status;
-      action->u.reply.body = g_bytes_ref (answer->body);
-      gspan_headers_add (&action->u.reply.headers, "Content-Type",
-                         gspan_headers_get (answer->headers, "Content-Type"));
+      forget (board->desk, call);
+      gspan_slots_concluded (board, run, outcome, passes ? answer : NULL, outbox);
+      return;
     }
+  if (passes)
+    gspan_desk_pass (board, call->request, outcome, answer->status,
+                     gspan_headers_get (answer->headers, "Content-Type"), answer->body, outbox);
   else
-    action = gspan_outbox_reply_error (
-        outbox, call->request, gspan_outcome_status (outcome), "upstream",
-        outcome == GSPAN_OUTCOME_NOT_RUN ? "no upstream took the call; it did not run"
-                                         : "the answer was lost; the call may have run");
-  add_outcome_header (action, outcome);
-  count_outcome (board, outcome);
+    gspan_desk_reply (board, call->request, outcome,
+                      outcome == GSPAN_OUTCOME_NOT_RUN
+                          ? "no upstream took the call; it did not run"
+                          : "the answer was lost; the call may have run",
+                      outbox);
   forget (board->desk, call);
 }
 
@@ -213,6 +234,15 @@
   forget (board->desk, call);
 }
 
+/* Time of this attempt: where another may follow, part of what is left, so that it can. */
+static guint64
+attempt_timeout (const struct GspanBoard *board, const struct GspanDeskCall *call)
+{
+  guint64 left = call->deadline - board->now;
+
+  return call->idempotent && call->attempts < ATTEMPTS_MAX ? left / ATTEMPT_DIVISOR : left;
+}
+
 static void
 send_exchange (struct GspanBoard *board, struct GspanDeskCall *call, struct GspanOutbox *outbox)
 {
@@ -223,11 +253,13 @@
   http->method = g_strdup (call->method);
   http->url = g_strdup_printf ("http://%s%s", call->upstream->address, call->path);
   http->body = g_bytes_ref (call->body);
-  http->timeout_us = call->deadline - board->now;
-  http->fresh = !call->idempotent;
+  http->timeout_us = call->stream ? call->deadline - board->now : attempt_timeout (board, call);
+  http->silence_us = call->stream ? STREAM_SILENCE_US : 0;
+  http->fresh = !call->idempotent || call->attempts > 1;
   http->stream = call->stream;
   gspan_headers_add (&http->headers, "Content-Type", gspan_str_from (call->content_type));
   gspan_headers_add (&http->headers, "X-Request-Id", gspan_str_from (call->request_id));
+  gspan_headers_add_u64 (&http->headers, "X-Deadline-Ms", (call->deadline - board->now) / GSPAN_MS);
   gspan_headers_add (&http->headers, "X-Priority", GSPAN_STR ("desk"));
 }
 
@@ -262,44 +294,91 @@
   return true;
 }
 
-static char *
-read_caller_id (const struct GspanHeaders *headers)
-{
-  struct GspanStr id = gspan_headers_get (headers, "X-Request-Id");
-
-  id.len = MIN (id.len, CALLER_ID_MAX);
-  return id.len > 0 ? gspan_str_dup (id) : NULL;
-}
-
 static struct GspanDeskCall *
-call_new (struct GspanBoard *board, const struct GspanEventRequest *request,
-          const struct GspanDeskTarget *target)
+call_new (struct GspanBoard *board, const struct GspanDeskWork *work)
 {
-  const struct GspanRoute *route = &target->route->u.route;
   struct GspanDeskCall *call = g_new0 (struct GspanDeskCall, 1);
-  struct GspanStr type = gspan_headers_get (request->headers, "Content-Type");
 
   call->id = gspan_board_next_id (board);
-  call->request = request->request;
-  call->request_id = gspan_board_request_id (board, request->request);
-  call->caller_id = read_caller_id (request->headers);
-  call->route = g_strdup (target->route->name);
-  call->service = g_strdup (route->service);
-  call->method = gspan_str_dup (request->method);
-  call->path = g_strdup (target->path);
-  call->content_type = type.len > 0 ? gspan_str_dup (type) : g_strdup ("application/json");
-  call->body = g_bytes_ref (request->body);
-  call->idempotent = route->idempotent;
-  call->stream = target->stream;
-  call->prefix_hash = target->prefix_hash;
+  call->request_id = g_strdup (work->request_id);
+  call->caller_id = work->caller_id.len > 0 ? gspan_str_dup (work->caller_id) : NULL;
+  call->route = g_strdup (work->route);
+  call->service = g_strdup (work->service);
+  call->method = gspan_str_dup (work->method);
+  call->path = g_strdup (work->path);
+  call->content_type = gspan_str_dup (work->content_type);
+  call->body = g_bytes_ref (work->body);
+  call->idempotent = work->idempotent;
+  call->stream = work->stream;
+  call->prefix_hash = work->prefix_hash;
   call->started = board->now;
-  call->deadline = board->now + route->timeout_us;
+  call->deadline = board->now + work->timeout_us;
   call->excluded = g_ptr_array_new ();
   g_hash_table_insert (board->desk->calls, &call->id, call);
-  g_hash_table_insert (board->desk->by_request, &call->request, call);
   return call;
 }
 
+void
+gspan_desk_run (struct GspanBoard *board, guint64 run, const struct GspanDeskWork *work,
+                struct GspanOutbox *outbox)
+{
+  struct GspanDeskCall *call = call_new (board, work);
+
+  call->run = run;
+  if (!attempt (board, call, outbox))
+    conclude (board, call, GSPAN_OUTCOME_NOT_RUN, NULL, outbox);
+}
+
+static void
+start_call (struct GspanBoard *board, guint64 request, const struct GspanDeskWork *work,
+            struct GspanOutbox *outbox)
+{
+  struct GspanDeskCall *call = call_new (board, work);
+
+  call->request = request;
+  g_hash_table_insert (board->desk->by_request, &call->request, call);
+  if (!attempt (board, call, outbox))
+    conclude (board, call, GSPAN_OUTCOME_NOT_RUN, NULL, outbox);
+}
+
+static struct GspanDeskWork
+work_of (const struct GspanEventRequest *request, const struct GspanDeskTarget *target)
+{
+  const struct GspanRoute *route = &target->route->u.route;
+  struct GspanStr type = gspan_headers_get (request->headers, "Content-Type");
+  struct GspanDeskWork work = { 0 };
+
+  work.caller_id = gspan_headers_get (request->headers, "X-Request-Id");
+  work.caller_id.len = MIN (work.caller_id.len, CALLER_ID_MAX);
+  work.route = target->route->name;
+  work.service = route->service;
+  work.method = request->method;
+  work.path = target->path;
+  work.content_type = type.len > 0 ? type : GSPAN_STR ("application/json");
+  work.body = request->body;
+  work.idempotent = route->idempotent;
+  work.stream = target->stream;
+  work.prefix_hash = target->prefix_hash;
+  work.timeout_us = route->timeout_us;
+  return work;
+}
+
+static void
+take_request (struct GspanBoard *board, const struct GspanEventRequest *request,
+              const struct GspanDeskTarget *target, struct GspanOutbox *outbox)
+{
+  struct GspanStr key = gspan_headers_get (request->headers, "Idempotency-Key");
+  struct GspanDeskWork work = work_of (request, target);
+  char *id = gspan_board_request_id (board, request->request);
+
+  work.request_id = id;
+  if (board->keyed != NULL && key.data != NULL && !work.idempotent)
+    gspan_keyed_start (board, request->request, key, target->route->firm, &work, outbox);
+  else
+    start_call (board, request->request, &work, outbox);
+  g_free (id);
+}
+
 static void
 on_request (struct GspanBoard *board, const struct GspanEventRequest *request,
             struct GspanOutbox *outbox)
@@ -312,7 +391,8 @@
   gspan_metrics_add (&board->metrics, GSPAN_METRIC_DESK_REQUESTS, 1);
   if (!gspan_board_ready (board))
     {
-      reply_not_run (board, request->request, "this entry is starting or shutting down", outbox);
+      gspan_desk_reply (board, request->request, GSPAN_OUTCOME_NOT_RUN,
+                        "this entry is starting or shutting down", outbox);
       return;
     }
   if (!gspan_desk_target_init (&target, request, &board->records, &status, &field, &error))
@@ -320,12 +400,7 @@
         gspan_outbox_reply_error (outbox, request->request, status, field, error.message),
         GSPAN_OUTCOME_FAILED);
   else
-    {
-      struct GspanDeskCall *call = call_new (board, request, &target);
-
-      if (!attempt (board, call, outbox))
-        conclude (board, call, GSPAN_OUTCOME_NOT_RUN, NULL, outbox);
-    }
+    take_request (board, request, &target, outbox);
   gspan_desk_target_finish (&target);
 }
 
--- a/http/server.c
+++ b/http/server.c
@@ -1,3 +1,5 @@
+#define _GNU_SOURCE /* POLLRDHUP */
+
 #include "http/server.h"
 
 #include <arpa/inet.h>
--- a/rpc/gen/gspan.h
+++ b/rpc/gen/gspan.h
@@ -117,6 +117,35 @@
 	} members;
 };
 typedef struct gspan_gossip gspan_gossip;
+#define GSPAN_MAX_PATH 8192
+
+struct gspan_keyed_args {
+	char *request_id;
+	char *caller_id;
+	char *key;
+	char *route;
+	char *method;
+	char *path;
+	char *content_type;
+	u_quad_t timeout_us;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+typedef struct gspan_keyed_args gspan_keyed_args;
+
+struct gspan_keyed_res {
+	gspan_status status;
+	u_int outcome;
+	u_int http_status;
+	char *content_type;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+typedef struct gspan_keyed_res gspan_keyed_res;
 
 #define GSPAN_PROGRAM 0x20004753
 #define GSPAN_V1 1
@@ -128,6 +157,9 @@
 #define GSPAN_CHANGES 30
 extern  gspan_changes_res * gspan_changes_1(gspan_changes_args , CLIENT *);
 extern  gspan_changes_res * gspan_changes_1_svc(gspan_changes_args , struct svc_req *);
+#define GSPAN_KEYED 10
+extern  gspan_keyed_res * gspan_keyed_1(gspan_keyed_args , CLIENT *);
+extern  gspan_keyed_res * gspan_keyed_1_svc(gspan_keyed_args , struct svc_req *);
 extern int gspan_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -137,6 +169,9 @@
 #define GSPAN_CHANGES 30
 extern  gspan_changes_res * gspan_changes_1();
 extern  gspan_changes_res * gspan_changes_1_svc();
+#define GSPAN_KEYED 10
+extern  gspan_keyed_res * gspan_keyed_1();
+extern  gspan_keyed_res * gspan_keyed_1_svc();
 extern int gspan_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -153,6 +188,8 @@
 extern  bool_t xdr_gspan_member (XDR *, gspan_member*);
 extern  bool_t xdr_gspan_gossip_kind (XDR *, gspan_gossip_kind*);
 extern  bool_t xdr_gspan_gossip (XDR *, gspan_gossip*);
+extern  bool_t xdr_gspan_keyed_args (XDR *, gspan_keyed_args*);
+extern  bool_t xdr_gspan_keyed_res (XDR *, gspan_keyed_res*);
 
 #else /* K&R C */
 extern bool_t xdr_gspan_status ();
@@ -165,6 +202,8 @@
 extern bool_t xdr_gspan_member ();
 extern bool_t xdr_gspan_gossip_kind ();
 extern bool_t xdr_gspan_gossip ();
+extern bool_t xdr_gspan_keyed_args ();
+extern bool_t xdr_gspan_keyed_res ();
 
 #endif /* K&R C */
 
--- a/rpc/gen/gspan_xdr.c
+++ b/rpc/gen/gspan_xdr.c
@@ -155,3 +155,47 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_gspan_keyed_args (XDR *xdrs, gspan_keyed_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->request_id, GSPAN_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->caller_id, GSPAN_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->key, GSPAN_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->route, GSPAN_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->method, GSPAN_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->path, GSPAN_MAX_PATH))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->content_type, GSPAN_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->timeout_us))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, GSPAN_MAX_BODY))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gspan_keyed_res (XDR *xdrs, gspan_keyed_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gspan_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->http_status))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->content_type, GSPAN_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, GSPAN_MAX_BODY))
+		 return FALSE;
+	return TRUE;
+}
--- a/rpc/gspan.x
+++ b/rpc/gspan.x
@@ -89,9 +89,34 @@
   gspan_member members<GSPAN_MAX_GOSSIP_MEMBERS>;
 };
 
+const GSPAN_MAX_PATH = 8192;
+
+/* A call under an idempotency key, for the owner of the key's slot. Asking again is harmless. */
+struct gspan_keyed_args {
+  string request_id<GSPAN_MAX_NAME>;
+  string caller_id<GSPAN_MAX_NAME>;
+  string key<GSPAN_MAX_NAME>;
+  string route<GSPAN_MAX_NAME>;
+  string method<GSPAN_MAX_NAME>;
+  string path<GSPAN_MAX_PATH>;
+  string content_type<GSPAN_MAX_NAME>;
+  unsigned hyper timeout_us;
+  opaque body<GSPAN_MAX_BODY>;
+};
+
+/* STATUS other than OK says that the owner isn't one (yet) and that this asking ran nothing. */
+struct gspan_keyed_res {
+  gspan_status status;
+  unsigned outcome;
+  unsigned http_status;
+  string content_type<GSPAN_MAX_NAME>;
+  opaque body<GSPAN_MAX_BODY>;
+};
+
 program GSPAN_PROGRAM {
   version GSPAN_V1 {
     gspan_pull_res GSPAN_PULL(gspan_pull_args) = 1;
     gspan_changes_res GSPAN_CHANGES(gspan_changes_args) = 30;
+    gspan_keyed_res GSPAN_KEYED(gspan_keyed_args) = 10;
   } = 1;
 } = 0x20004753;
--- a/test/bench.h
+++ b/test/bench.h
@@ -15,7 +15,9 @@
 #include "common/clock.h"
 #include "control/control.h"
 #include "desk/desk.h"
+#include "desk/keyed.h"
 #include "desk/pulls.h"
+#include "desk/slots.h"
 #include "records/table.h"
 #include "rollout/rollout.h"
 }
@@ -47,6 +49,12 @@
     gspan_outbox_finish (&out);
     if (board.desk != nullptr)
       gspan_desk_finish (board.desk);
+    if (board.keyed != nullptr)
+      gspan_keyed_finish (board.keyed);
+    if (board.slots != nullptr)
+      gspan_slots_finish (board.slots);
+    g_free (board.keyed);
+    g_free (board.slots);
     if (board.pulls != nullptr)
       gspan_pulls_finish (board.pulls);
     if (board.rollout != nullptr)
@@ -72,6 +80,18 @@
     gspan_desk_init (board.desk);
   }
 
+  /* The desk with keyed calls; ADDRESS is where peers reach it by RPC. */
+  void
+  with_slots (const char *address)
+  {
+    board.self.rpc = address;
+    with_desk ();
+    board.keyed = g_new0 (GspanKeyed, 1);
+    gspan_keyed_init (board.keyed);
+    board.slots = g_new0 (GspanSlots, 1);
+    gspan_slots_init (board.slots);
+  }
+
   void
   handle (const GspanEvent &event)
   {
