desk: give up on requests that crash upstreams, and bound retries

Cause: a request that crashes each upstream was retried up to four times and sent anew by its caller; retries had no bound but four per call, so a failing fleet got its load multiplied; upstreams that failed a call were kept by pointer and could be swept under it; a retry could go out on another connection that had gone silent too.

desk/poison.{h,c}: a content fingerprint in flight at the crashes of two different upstreams gets its final answer (422; unknown where this call was sent, failed where it was not), for 10 minutes; gspan_poison_learn () and gspan_poison_facts () are for sharing it with peers. Requests under which one upstream broke are kept apart where there is room, so that bystanders are told from the cause. Retries after bytes left are paid from a budget of 10% of fresh calls, with 10 in reserve. A retry takes a fresh connection, and so does any call for 10 s after an upstream broke; connections idle for 5 s aren't used again.

Left: where all upstreams have such a request, bystanders may share one with the cause again and be given up with it. Fingerprints aren't shared between entries yet.

--- a/board/board.h
+++ b/board/board.h
@@ -2,6 +2,7 @@
 
 #include "board/message.h"
 #include "common/metrics.h"
+#include "desk/poison.h"
 #include "membership/members.h"
 #include "membership/probe.h"
 #include "platform/lease.h"
@@ -55,6 +56,7 @@
   struct GspanLeases leases;
   struct GspanStatuses statuses;
   struct GspanUpstreams upstreams;
+  struct GspanPoison poison;
   struct GspanVms vms;
   enum GspanRoutePolicy policy;
   guint64 request_timeout_us;
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -13,6 +13,8 @@
   [GSPAN_METRIC_DESK_NOT_RUN] = { "gspan_desk_not_run_total", "calls that surely did not run" },
   [GSPAN_METRIC_DESK_UNKNOWN] = { "gspan_desk_unknown_total", "calls that may have run" },
   [GSPAN_METRIC_DESK_RETRIES] = { "gspan_desk_retries_total", "second and later attempts" },
+  [GSPAN_METRIC_DESK_POISON]
+  = { "gspan_desk_poison_total", "calls given up since their content crashes upstreams" },
   [GSPAN_METRIC_PULLS] = { "gspan_pulls_total", "batches asked for by trainers" },
   [GSPAN_METRIC_BATCHES] = { "gspan_batches_total", "batches handed over" },
   [GSPAN_METRIC_SAMPLES_GENERATED] = { "gspan_samples_generated_total", "samples generated whole" },
--- a/desk/desk.c
+++ b/desk/desk.c
@@ -13,8 +13,12 @@
 {
   ATTEMPTS_MAX = 4,
   RETRY_AFTER_S = 1,
-  CALLER_ID_MAX = 128, /* bytes; the rest is cut off */
-  ATTEMPT_DIVISOR = 2  /* an attempt that may be followed by another gets this part of the time */
+  RETRY_SHARE = 10,           /* hundredths of a retry that each fresh call adds to the budget */
+  RETRY_COST = 100,           /* hundredths */
+  RETRY_BUDGET_MAX = 1000,    /* hundredths; the budget at start, and at most */
+  STATUS_UNPROCESSABLE = 422, /* to a caller whose request crashes upstreams */
+  CALLER_ID_MAX = 128,        /* bytes; the rest is cut off */
+  ATTEMPT_DIVISOR = 2 /* an attempt that may be followed by another gets this part of the time */
 };
 
 #define STREAM_SILENCE_US (10 * GSPAN_SECOND)
@@ -37,10 +41,13 @@
   bool stream;
   bool begun; /* the head of a streamed answer is out */
   guint64 prefix_hash;
+  guint64 fingerprint;
+  bool suspect; /* this exchange counts among the upstream's suspects */
+  bool sent;    /* bytes of an attempt left, or may have */
   guint64 started;
   guint64 deadline;
   guint attempts;
-  GPtrArray *excluded;
+  GPtrArray *failed; /* names of upstreams */
   struct GspanUpstream *upstream;
 };
 
@@ -57,7 +64,7 @@
   g_free (call->path);
   g_free (call->content_type);
   g_bytes_unref (call->body);
-  g_ptr_array_unref (call->excluded);
+  g_ptr_array_unref (call->failed);
   g_free (call);
 }
 
@@ -66,6 +73,7 @@
 {
   desk->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, call_free);
   desk->by_request = g_hash_table_new (g_int64_hash, g_int64_equal);
+  desk->retry_budget = RETRY_BUDGET_MAX;
 }
 
 void
@@ -184,6 +192,29 @@
   count_outcome (board, outcome);
 }
 
+static bool
+is_poison (const struct GspanBoard *board, const struct GspanDeskCall *call)
+{
+  return gspan_poison_crashes (&board->poison, call->fingerprint, board->now)
+         >= GSPAN_POISON_CRASHES;
+}
+
+/* Final answer to a call whose content crashes upstreams; a retry would do it again. */
+static void
+conclude_poison (struct GspanBoard *board, struct GspanDeskCall *call, struct GspanOutbox *outbox)
+{
+  enum GspanOutcome outcome = call->sent ? GSPAN_OUTCOME_UNKNOWN : GSPAN_OUTCOME_FAILED;
+  struct GspanAction *action;
+
+  log_outcome (board, call, outcome, outbox);
+  gspan_metrics_add (&board->metrics, GSPAN_METRIC_DESK_POISON, 1);
+  action = gspan_outbox_reply_error (outbox, call->request, STATUS_UNPROCESSABLE, "body",
+                                     "upstreams crash under this request; it is given up");
+  add_outcome_header (action, outcome);
+  count_outcome (board, outcome);
+  forget (board->desk, call);
+}
+
 /* Answers the caller with what the last attempt came to, and ends the call. */
 static void
 conclude (struct GspanBoard *board, struct GspanDeskCall *call, enum GspanOutcome outcome,
@@ -192,6 +223,11 @@
   bool passes = outcome == GSPAN_OUTCOME_COMPLETE || outcome == GSPAN_OUTCOME_FAILED;
   guint64 run = call->run;
 
+  if (run == 0 && !passes && is_poison (board, call))
+    {
+      conclude_poison (board, call, outbox);
+      return;
+    }
   log_outcome (board, call, outcome, outbox);
   if (run != 0)
     {
@@ -255,7 +291,8 @@
   http->body = g_bytes_ref (call->body);
   http->timeout_us = call->stream ? call->deadline - board->now : attempt_timeout (board, call);
   http->silence_us = call->stream ? STREAM_SILENCE_US : 0;
-  http->fresh = !call->idempotent || call->attempts > 1;
+  http->fresh
+      = !call->idempotent || call->attempts > 1 || board->now < call->upstream->distrust_until;
   http->stream = call->stream;
   gspan_headers_add (&http->headers, "Content-Type", gspan_str_from (call->content_type));
   gspan_headers_add (&http->headers, "X-Request-Id", gspan_str_from (call->request_id));
@@ -270,15 +307,22 @@
   struct GspanRouteQuery query = { 0 };
   struct GspanRouteChoice choice;
 
-  if (call->attempts >= ATTEMPTS_MAX || board->now >= call->deadline)
+  if (call->attempts >= ATTEMPTS_MAX || board->now >= call->deadline || is_poison (board, call))
     return false;
   query.policy = board->policy;
   query.service = call->service;
   query.zone = board->self.zone;
   query.prefix_hash = call->prefix_hash;
   query.now = board->now;
-  query.excluded = call->excluded;
+  query.failed = call->failed;
+  query.suspect = gspan_poison_crashes (&board->poison, call->fingerprint, board->now) > 0;
   choice = gspan_route_choose (&board->upstreams, &query);
+  if (choice.upstream == NULL && query.suspect)
+    {
+      query.suspect = false;
+      choice = gspan_route_choose (&board->upstreams, &query);
+      query.suspect = true;
+    }
   call->attempts++;
   log_choice (call, &choice, outbox);
   if (choice.upstream == NULL)
@@ -287,6 +331,8 @@
     gspan_metrics_add (&board->metrics, GSPAN_METRIC_DESK_RETRIES, 1);
   call->upstream = choice.upstream;
   gspan_upstream_begin (call->upstream);
+  call->suspect = query.suspect;
+  call->upstream->suspects += call->suspect;
   g_hash_table_steal (board->desk->calls, &call->id);
   call->id = gspan_board_next_id (board);
   g_hash_table_insert (board->desk->calls, &call->id, call);
@@ -313,7 +359,10 @@
   call->prefix_hash = work->prefix_hash;
   call->started = board->now;
   call->deadline = board->now + work->timeout_us;
-  call->excluded = g_ptr_array_new ();
+  call->fingerprint
+      = gspan_poison_fingerprint (work->service, work->path, gspan_str_from_bytes (work->body));
+  call->failed = g_ptr_array_new_with_free_func (g_free);
+  board->desk->retry_budget = MIN (board->desk->retry_budget + RETRY_SHARE, RETRY_BUDGET_MAX);
   g_hash_table_insert (board->desk->calls, &call->id, call);
   return call;
 }
@@ -414,6 +463,27 @@
   return GSPAN_FEEDBACK_GOOD;
 }
 
+/* The exchange at the call's upstream is over. */
+static void
+release_upstream (struct GspanDeskCall *call)
+{
+  call->upstream->suspects -= call->suspect;
+  call->suspect = false;
+  call->upstream = NULL;
+}
+
+/* Pays for another attempt. One whose predecessor never left this process is free. */
+static bool
+take_retry (struct GspanDesk *desk, enum GspanHttpResult last)
+{
+  if (last == GSPAN_HTTP_NOT_SENT)
+    return true;
+  if (desk->retry_budget < RETRY_COST)
+    return false;
+  desk->retry_budget -= RETRY_COST;
+  return true;
+}
+
 static void
 on_done (struct GspanBoard *board, struct GspanDeskCall *call, const struct GspanEventHttp *answer,
          struct GspanOutbox *outbox)
@@ -421,17 +491,23 @@
   struct GspanUpstreamTraits traits = traits_of (board, call->service);
   enum GspanOutcome outcome = gspan_outcome_decide (answer->result, answer->status, &traits);
   struct GspanUpstream *upstream = call->upstream;
+  char *name = g_strdup (upstream->name);
 
-  call->upstream = NULL;
+  release_upstream (call);
+  call->sent = call->sent || answer->result != GSPAN_HTTP_NOT_SENT;
+  if (answer->result == GSPAN_HTTP_LOST)
+    gspan_poison_note (&board->poison, call->fingerprint, upstream->name, board->now);
   gspan_upstream_report (upstream, answer->headers, board->now);
   gspan_upstream_end (upstream, feedback_of (answer), board->now);
   if (call->begun)
     {
+      g_free (name);
       conclude_stream (board, call, outcome, outbox);
       return;
     }
-  g_ptr_array_add (call->excluded, upstream);
-  if (gspan_outcome_may_retry (outcome, call->idempotent) && attempt (board, call, outbox))
+  g_ptr_array_add (call->failed, name);
+  if (gspan_outcome_may_retry (outcome, call->idempotent)
+      && take_retry (board->desk, answer->result) && attempt (board, call, outbox))
     return;
   conclude (board, call, outcome, answer, outbox);
 }
@@ -476,6 +552,7 @@
   ref.id = call->id;
   gspan_outbox_add (outbox, GSPAN_ACTION_HTTP_CANCEL, ref);
   gspan_upstream_end (call->upstream, GSPAN_FEEDBACK_NONE, board->now);
+  release_upstream (call);
   forget (board->desk, call);
 }
 
--- a/desk/desk.h
+++ b/desk/desk.h
@@ -27,6 +27,7 @@
 {
   GHashTable *calls;      /* number of the exchange to struct GspanDeskCall, owns them */
   GHashTable *by_request; /* caller's request to struct GspanDeskCall */
+  guint64 retry_budget;   /* hundredths of retries that may still be sent */
 };
 
 void
--- a/http/client.c
+++ b/http/client.c
@@ -16,6 +16,7 @@
   UNACKNOWLEDGED_MAX_MS = 4000, /* sent bytes without an acknowledgement end the connection */
   SENDS_MAX = 2,                /* of a request that may run twice: libcurl repeats it once */
   CONNECTIONS_KEPT = 256,
+  IDLE_AGE_MAX_S = 5, /* a connection idle for longer isn't used again */
   ANSWER_MAX = 64 << 20
 };
 
@@ -443,6 +444,7 @@
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPALIVE, 1L);
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_IDLE_S);
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPINTVL, (long)KEEPALIVE_INTERVAL_S);
+  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long)IDLE_AGE_MAX_S);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_send);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, exchange);
--- a/route/choose.c
+++ b/route/choose.c
@@ -58,6 +58,11 @@
     return false;
   if (upstream->open_until != 0 && upstream->inflight > 0)
     return false;
+  if (query->suspect && upstream->suspects > 0)
+    return false;
+  if (query->failed != NULL
+      && g_ptr_array_find_with_equal_func (query->failed, upstream->name, g_str_equal, NULL))
+    return false;
   return query->excluded == NULL || !g_ptr_array_find (query->excluded, upstream, NULL);
 }
 
--- a/route/upstreams.c
+++ b/route/upstreams.c
@@ -11,6 +11,7 @@
 
 #define BREAKER_PAUSE_MIN (1 * GSPAN_SECOND)
 #define BREAKER_PAUSE_MAX (30 * GSPAN_SECOND)
+#define DISTRUST_US (10 * GSPAN_SECOND) /* above the idle age at which connections are closed */
 
 static void
 upstream_free (gpointer data)
@@ -92,6 +93,7 @@
 note_failure (struct GspanUpstream *upstream, guint64 now)
 {
   upstream->failures++;
+  upstream->distrust_until = now + DISTRUST_US;
   if (upstream->failures < FAILURES_TO_OPEN)
     return;
   upstream->open_until = now + upstream->breaker_pause;
--- a/route/upstreams.h
+++ b/route/upstreams.h
@@ -26,15 +26,17 @@
   char *zone;
   char *address; /* "IP:PORT" */
   enum GspanUpstreamState state;
-  guint inflight;        /* exchanges of this process */
-  guint64 load;          /* the upstream's last own report, in requests */
-  guint64 load_at;       /* when that came, microseconds; 0 is never */
-  guint64 weight;        /* weight version that it last reported; 0 is not known */
-  bool uncertain;        /* its weight version is uncertain: takes no work */
-  guint failures;        /* broken exchanges in a row */
-  guint64 open_until;    /* breaker: no work before this, then one probe */
-  guint64 breaker_pause; /* microseconds, doubles from failure to failure */
-  guint64 picks;         /* exchanges begun so far */
+  guint inflight;         /* exchanges of this process */
+  guint64 load;           /* the upstream's last own report, in requests */
+  guint64 load_at;        /* when that came, microseconds; 0 is never */
+  guint64 weight;         /* weight version that it last reported; 0 is not known */
+  bool uncertain;         /* its weight version is uncertain: takes no work */
+  guint failures;         /* broken exchanges in a row */
+  guint64 open_until;     /* breaker: no work before this, then one probe */
+  guint64 breaker_pause;  /* microseconds, doubles from failure to failure */
+  guint64 picks;          /* exchanges begun so far */
+  guint suspects;         /* of INFLIGHT, requests under which another upstream broke */
+  guint64 distrust_until; /* used connections may be silent: fresh ones before this */
 };
 
 struct GspanUpstreams
--- a/test/desk_test.cc
+++ b/test/desk_test.cc
@@ -207,3 +207,147 @@
   EXPECT_EQ (metrics.gauges[GSPAN_GAUGE_DESK_CALLS], 0U);
   EXPECT_EQ (metrics.histograms[GSPAN_HISTOGRAM_DESK].sum_us, 2 * GSPAN_SECOND);
 }
+
+/* A request under which two upstreams crash gets its final answer, here and on later sendings. */
+TEST_F (Desk, RequestThatCrashesUpstreamsIsGivenUp)
+{
+  const char *body = R"({"model":"m","prompt":"poison"})";
+
+  bench.request (1, "/v1/completions", body);
+  bench.answer (exchange ()->ref, GSPAN_HTTP_LOST, 0, "");
+  bench.answer (exchange ()->ref, GSPAN_HTTP_LOST, 0, "");
+  ASSERT_EQ (exchange (), nullptr);
+  ASSERT_EQ (outcome (), "unknown");
+  EXPECT_EQ (bench.actions (GSPAN_ACTION_REPLY)[0]->u.reply.status, 422);
+  bench.request (2, "/v1/completions", body);
+  ASSERT_EQ (exchange (), nullptr);
+  ASSERT_EQ (outcome (), "failed");
+  EXPECT_EQ (Bench::header (bench.actions (GSPAN_ACTION_REPLY)[0], "Retry-After"), "");
+  bench.request (3, "/v1/completions", R"({"model":"m","prompt":"innocent"})");
+  EXPECT_NE (exchange (), nullptr);
+  bench.now += GSPAN_POISON_LIFE_US;
+  bench.request (4, "/v1/completions", body);
+  EXPECT_NE (exchange (), nullptr);
+}
+
+TEST_F (Desk, PoisonIsHeardOfFromPeers)
+{
+  const char *body = R"({"model":"m","prompt":"poison"})";
+  GspanPoisonFact facts[4];
+  guint64 fingerprint
+      = gspan_poison_fingerprint ("model", "/v1/completions", gspan_str_from (body));
+  Bench other ("vm-2");
+
+  for (const char *name : { "m1", "m1", "m2" })
+    gspan_poison_note (&other.board.poison, fingerprint, name, other.now);
+  ASSERT_EQ (gspan_poison_facts (&other.board.poison, facts, 4, other.now), 1U);
+  gspan_poison_learn (&bench.board.poison, facts[0].fingerprint, facts[0].life_us, bench.now);
+  bench.request (1, "/v1/completions", body);
+  EXPECT_EQ (outcome (), "failed");
+}
+
+TEST_F (Desk, OneCrashTwiceAtTheSameUpstreamIsNoPoison)
+{
+  GspanPoison &poison = bench.board.poison;
+
+  for (int i = 0; i < 5; i++)
+    gspan_poison_note (&poison, 7, "m1", bench.now);
+  EXPECT_EQ (gspan_poison_crashes (&poison, 7, bench.now), 1U);
+  for (guint64 i = 100; i < 100 + GSPAN_POISON_MAX; i++)
+    gspan_poison_note (&poison, i, "m1", bench.now);
+  EXPECT_EQ (gspan_poison_crashes (&poison, 7, bench.now), 0U);
+}
+
+/* Requests that shared a crashed upstream are kept apart, so that the next crash tells them apart.
+ */
+TEST_F (Desk, SuspectsGoToDifferentUpstreams)
+{
+  std::vector<GspanRef> refs;
+  std::vector<GspanRef> again;
+  std::vector<std::string> urls;
+
+  for (guint64 id : { 1, 2 })
+    {
+      bench.request (id, "/v1/completions",
+                     R"({"model":"m","prompt":"same","id":)" + std::to_string (id) + "}");
+      refs.push_back (exchange ()->ref);
+    }
+  for (GspanRef ref : refs)
+    {
+      bench.answer (ref, GSPAN_HTTP_LOST, 0, "");
+      ASSERT_NE (exchange (), nullptr);
+      urls.push_back (exchange ()->u.http.url);
+      again.push_back (exchange ()->ref);
+    }
+  EXPECT_NE (urls[0], urls[1]);
+  for (guint i = 0; i < refs.size (); i++)
+    bench.answer (again[i], GSPAN_HTTP_WHOLE);
+  for (guint i = 0; i < bench.board.upstreams.items->len; i++)
+    EXPECT_EQ (
+        static_cast<GspanUpstream *> (g_ptr_array_index (bench.board.upstreams.items, i))->suspects,
+        0U);
+}
+
+/* All upstreams fail: retries stay a share of fresh traffic, whatever comes. */
+RC_GTEST_FIXTURE_PROP (Desk, RetriesStayWithinTheBudget, (const std::vector<uint8_t> &script))
+{
+  unsigned sent = 0;
+  unsigned id = 0;
+
+  for (uint8_t step : script)
+    for (int i = 0; i < 20; i++)
+      {
+        id++;
+        bench.request (id, "/v1/completions",
+                       R"({"model":"m","prompt":")" + std::to_string (id) + "\"}");
+        for (GspanAction *action = exchange (); action != nullptr; action = exchange ())
+          {
+            auto result = static_cast<GspanHttpResult> (2 + step % 2);
+
+            sent++;
+            bench.answer (action->ref, result, 0, "");
+            bench.now += 40 * GSPAN_SECOND;
+          }
+      }
+  RC_ASSERT (sent <= id + id / 10 + 10);
+}
+
+/* An upstream that breaks gets nothing for a while, then one probe at a time. */
+TEST_F (Desk, BreakerLetsOneProbeThrough)
+{
+  GspanUpstream *upstream = bench.add_upstream ("only", "single");
+  GspanRouteQuery query{};
+
+  query.service = "single";
+  query.zone = "bratislava";
+  for (int i = 0; i < 3; i++)
+    {
+      gspan_upstream_begin (upstream);
+      gspan_upstream_end (upstream, GSPAN_FEEDBACK_BROKEN, bench.now);
+    }
+  query.now = bench.now;
+  EXPECT_EQ (gspan_route_choose (&bench.board.upstreams, &query).upstream, nullptr);
+  query.now = upstream->open_until;
+  EXPECT_EQ (gspan_route_choose (&bench.board.upstreams, &query).upstream, upstream);
+  gspan_upstream_begin (upstream);
+  EXPECT_EQ (gspan_route_choose (&bench.board.upstreams, &query).upstream, nullptr);
+  gspan_upstream_end (upstream, GSPAN_FEEDBACK_GOOD, query.now);
+  EXPECT_EQ (gspan_route_choose (&bench.board.upstreams, &query).upstream, upstream);
+}
+
+/* The upstreams that failed a call are known by name: they may be swept and others allocated. */
+TEST_F (Desk, FailedUpstreamMayBeSweptWhileTheCallGoesOn)
+{
+  bench.request (1, "/v1/completions", R"({"model":"m","prompt":"p"})");
+  GspanRef ref = exchange ()->ref;
+  gspan_upstreams_mark_gone (&bench.board.upstreams);
+  GspanUpstream *fresh = bench.add_upstream ("m9", "model");
+  bench.answer (ref, GSPAN_HTTP_NOT_SENT, 0, "");
+  ASSERT_NE (exchange (), nullptr);
+  EXPECT_EQ (exchange ()->u.http.url, "http://" + std::string (fresh->address) + "/v1/completions");
+  gspan_upstreams_sweep (&bench.board.upstreams);
+  bench.add_upstream ("m10", "model");
+  bench.answer (exchange ()->ref, GSPAN_HTTP_NOT_SENT, 0, "");
+  ASSERT_NE (exchange (), nullptr);
+  EXPECT_TRUE (exchange ()->u.http.fresh);
+}
