--- a/board/board.h
+++ b/board/board.h
@@ -2,6 +2,7 @@
 
 #include "board/message.h"
 #include "common/metrics.h"
+#include "desk/poison.h"
 #include "membership/members.h"
 #include "membership/probe.h"
 #include "platform/lease.h"
@@ -16,8 +17,10 @@
 
 struct GspanControl;
 struct GspanDesk;
+struct GspanKeyed;
 struct GspanPulls;
 struct GspanRollout;
+struct GspanSlots;
 
 /* Who this process is. All strings are borrowed from the settings. */
 struct GspanSelf
@@ -54,10 +57,13 @@
   struct GspanLeases leases;
   struct GspanStatuses statuses;
   struct GspanUpstreams upstreams;
+  struct GspanPoison poison;
   struct GspanVms vms;
   enum GspanRoutePolicy policy;
   guint64 request_timeout_us;
   struct GspanDesk *desk;
+  struct GspanKeyed *keyed;
+  struct GspanSlots *slots;
   struct GspanPulls *pulls;
   struct GspanRollout *rollout;
   struct GspanControl *control;
--- a/board/message.h
+++ b/board/message.h
@@ -19,7 +19,9 @@
   GSPAN_OWNER_DESK,
   GSPAN_OWNER_PULLS,
   GSPAN_OWNER_ROLLOUT,
-  GSPAN_OWNER_CONTROL
+  GSPAN_OWNER_CONTROL,
+  GSPAN_OWNER_KEYED,
+  GSPAN_OWNER_SLOTS
 };
 
 /* Names one operation: ID is chosen by OWNER and unique among its open operations. */
@@ -98,6 +100,7 @@
   const struct GspanHeaders *headers;
   GBytes *body;
   guint64 elapsed_us; /* DONE only */
+  guint sends;        /* DONE only: times that the request went out, libcurl's own repeat too */
 };
 
 struct GspanEventObject
--- a/desk/desk.c
+++ b/desk/desk.c
@@ -4,21 +4,31 @@
 
 #include "board/board.h"
 #include "common/clock.h"
+#include "desk/keyed.h"
 #include "desk/outcome.h"
 #include "desk/parse.h"
+#include "desk/slots.h"
 
 enum
 {
   ATTEMPTS_MAX = 4,
   RETRY_AFTER_S = 1,
-  CALLER_ID_MAX = 128 /* bytes; the rest is cut off */
+  RETRY_SHARE = 10,           /* hundredths of a retry that each fresh call adds to the budget */
+  RETRY_COST = 100,           /* hundredths */
+  RETRY_BUDGET_MAX = 1000,    /* hundredths; the budget at start, and at most */
+  STATUS_UNPROCESSABLE = 422, /* to a caller whose request crashes upstreams */
+  CALLER_ID_MAX = 128,        /* bytes; the rest is cut off */
+  ATTEMPT_DIVISOR = 2 /* an attempt that may be followed by another gets this part of the time */
 };
 
-/* One caller's request under way. It has one exchange at a time. */
+#define STREAM_SILENCE_US (10 * GSPAN_SECOND)
+
+/* One caller's request or one keyed run under way. It has one exchange at a time. */
 struct GspanDeskCall
 {
-  guint64 id; /* of the exchange under way */
-  guint64 request;
+  guint64 id;      /* of the exchange under way */
+  guint64 request; /* 0 for a keyed run */
+  guint64 run;     /* 0 for a caller's request */
   char *request_id;
   char *caller_id; /* X-Request-Id of the caller, for the log only; NULL where it sent none */
   char *route;
@@ -31,10 +41,13 @@
   bool stream;
   bool begun; /* the head of a streamed answer is out */
   guint64 prefix_hash;
+  guint64 fingerprint;
+  bool suspect; /* this exchange counts among the upstream's suspects */
+  bool sent;    /* bytes of an attempt left, or may have */
   guint64 started;
   guint64 deadline;
   guint attempts;
-  GPtrArray *excluded;
+  GPtrArray *failed; /* names of upstreams */
   struct GspanUpstream *upstream;
 };
 
@@ -51,7 +64,7 @@
   g_free (call->path);
   g_free (call->content_type);
   g_bytes_unref (call->body);
-  g_ptr_array_unref (call->excluded);
+  g_ptr_array_unref (call->failed);
   g_free (call);
 }
 
@@ -60,6 +73,7 @@
 {
   desk->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, call_free);
   desk->by_request = g_hash_table_new (g_int64_hash, g_int64_equal);
+  desk->retry_budget = RETRY_BUDGET_MAX;
 }
 
 void
@@ -88,7 +102,8 @@
 static void
 forget (struct GspanDesk *desk, struct GspanDeskCall *call)
 {
-  g_hash_table_remove (desk->by_request, &call->request);
+  if (call->run == 0)
+    g_hash_table_remove (desk->by_request, &call->request);
   g_hash_table_remove (desk->calls, &call->id);
 }
 
@@ -151,15 +166,53 @@
     gspan_headers_add_u64 (&action->u.reply.headers, "Retry-After", RETRY_AFTER_S);
 }
 
+void
+gspan_desk_reply (struct GspanBoard *board, guint64 request, enum GspanOutcome outcome,
+                  const char *why, struct GspanOutbox *outbox)
+{
+  struct GspanAction *action
+      = gspan_outbox_reply_error (outbox, request, gspan_outcome_status (outcome), "upstream", why);
+
+  add_outcome_header (action, outcome);
+  count_outcome (board, outcome);
+}
+
+void
+gspan_desk_pass (struct GspanBoard *board, guint64 request, enum GspanOutcome outcome, int status,
+                 struct GspanStr content_type, GBytes *body, struct GspanOutbox *outbox)
+{
+  struct GspanAction *action
+      = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY, (struct GspanRef){ 0 });
+
+  action->u.reply.request = request;
+  action->u.reply.status = status;
+  action->u.reply.body = g_bytes_ref (body);
+  gspan_headers_add (&action->u.reply.headers, "Content-Type", content_type);
+  add_outcome_header (action, outcome);
+  count_outcome (board, outcome);
+}
+
+static bool
+is_poison (const struct GspanBoard *board, const struct GspanDeskCall *call)
+{
+  return gspan_poison_crashes (&board->poison, call->fingerprint, board->now)
+         >= GSPAN_POISON_CRASHES;
+}
+
+/* Final answer to a call whose content crashes upstreams; a retry would do it again. */
 static void
-reply_not_run (struct GspanBoard *board, guint64 request, const char *why,
-               struct GspanOutbox *outbox)
+conclude_poison (struct GspanBoard *board, struct GspanDeskCall *call, struct GspanOutbox *outbox)
 {
-  struct GspanAction *action = gspan_outbox_reply_error (
-      outbox, request, gspan_outcome_status (GSPAN_OUTCOME_NOT_RUN), "upstream", why);
+  enum GspanOutcome outcome = call->sent ? GSPAN_OUTCOME_UNKNOWN : GSPAN_OUTCOME_FAILED;
+  struct GspanAction *action;
 
-  add_outcome_header (action, GSPAN_OUTCOME_NOT_RUN);
-  count_outcome (board, GSPAN_OUTCOME_NOT_RUN);
+  log_outcome (board, call, outcome, outbox);
+  gspan_metrics_add (&board->metrics, GSPAN_METRIC_DESK_POISON, 1);
+  action = gspan_outbox_reply_error (outbox, call->request, STATUS_UNPROCESSABLE, "body",
+                                     "upstreams crash under this request; it is given up");
+  add_outcome_header (action, outcome);
+  count_outcome (board, outcome);
+  forget (board->desk, call);
 }
 
 /* Answers the caller with what the last attempt came to, and ends the call. */
@@ -167,26 +220,30 @@
 conclude (struct GspanBoard *board, struct GspanDeskCall *call, enum GspanOutcome outcome,
           const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
 {
-  struct GspanAction *action;
   bool passes = outcome == GSPAN_OUTCOME_COMPLETE || outcome == GSPAN_OUTCOME_FAILED;
+  guint64 run = call->run;
 
+  if (run == 0 && !passes && is_poison (board, call))
+    {
+      conclude_poison (board, call, outbox);
+      return;
+    }
   log_outcome (board, call, outcome, outbox);
-  if (passes)
+  if (run != 0)
     {
-      action = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY, (struct GspanRef){ 0 });
-      action->u.reply.request = call->request;
-      action->u.reply.status = answer->status;
-      action->u.reply.body = g_bytes_ref (answer->body);
-      gspan_headers_add (&action->u.reply.headers, "Content-Type",
-                         gspan_headers_get (answer->headers, "Content-Type"));
+      forget (board->desk, call);
+      gspan_slots_concluded (board, run, outcome, passes ? answer : NULL, outbox);
+      return;
     }
+  if (passes)
+    gspan_desk_pass (board, call->request, outcome, answer->status,
+                     gspan_headers_get (answer->headers, "Content-Type"), answer->body, outbox);
   else
-    action = gspan_outbox_reply_error (
-        outbox, call->request, gspan_outcome_status (outcome), "upstream",
-        outcome == GSPAN_OUTCOME_NOT_RUN ? "no upstream took the call; it did not run"
-                                         : "the answer was lost; the call may have run");
-  add_outcome_header (action, outcome);
-  count_outcome (board, outcome);
+    gspan_desk_reply (board, call->request, outcome,
+                      outcome == GSPAN_OUTCOME_NOT_RUN
+                          ? "no upstream took the call; it did not run"
+                          : "the answer was lost; the call may have run",
+                      outbox);
   forget (board->desk, call);
 }
 
@@ -213,6 +270,15 @@
   forget (board->desk, call);
 }
 
+/* Time of this attempt: where another may follow, part of what is left, so that it can. */
+static guint64
+attempt_timeout (const struct GspanBoard *board, const struct GspanDeskCall *call)
+{
+  guint64 left = call->deadline - board->now;
+
+  return call->idempotent && call->attempts < ATTEMPTS_MAX ? left / ATTEMPT_DIVISOR : left;
+}
+
 static void
 send_exchange (struct GspanBoard *board, struct GspanDeskCall *call, struct GspanOutbox *outbox)
 {
@@ -223,11 +289,14 @@
   http->method = g_strdup (call->method);
   http->url = g_strdup_printf ("http://%s%s", call->upstream->address, call->path);
   http->body = g_bytes_ref (call->body);
-  http->timeout_us = call->deadline - board->now;
-  http->fresh = !call->idempotent;
+  http->timeout_us = call->stream ? call->deadline - board->now : attempt_timeout (board, call);
+  http->silence_us = call->stream ? STREAM_SILENCE_US : 0;
+  http->fresh
+      = !call->idempotent || call->attempts > 1 || board->now < call->upstream->distrust_until;
   http->stream = call->stream;
   gspan_headers_add (&http->headers, "Content-Type", gspan_str_from (call->content_type));
   gspan_headers_add (&http->headers, "X-Request-Id", gspan_str_from (call->request_id));
+  gspan_headers_add_u64 (&http->headers, "X-Deadline-Ms", (call->deadline - board->now) / GSPAN_MS);
   gspan_headers_add (&http->headers, "X-Priority", GSPAN_STR ("desk"));
 }
 
@@ -238,15 +307,22 @@
   struct GspanRouteQuery query = { 0 };
   struct GspanRouteChoice choice;
 
-  if (call->attempts >= ATTEMPTS_MAX || board->now >= call->deadline)
+  if (call->attempts >= ATTEMPTS_MAX || board->now >= call->deadline || is_poison (board, call))
     return false;
   query.policy = board->policy;
   query.service = call->service;
   query.zone = board->self.zone;
   query.prefix_hash = call->prefix_hash;
   query.now = board->now;
-  query.excluded = call->excluded;
+  query.failed = call->failed;
+  query.suspect = gspan_poison_crashes (&board->poison, call->fingerprint, board->now) > 0;
   choice = gspan_route_choose (&board->upstreams, &query);
+  if (choice.upstream == NULL && query.suspect)
+    {
+      query.suspect = false;
+      choice = gspan_route_choose (&board->upstreams, &query);
+      query.suspect = true;
+    }
   call->attempts++;
   log_choice (call, &choice, outbox);
   if (choice.upstream == NULL)
@@ -255,6 +331,8 @@
     gspan_metrics_add (&board->metrics, GSPAN_METRIC_DESK_RETRIES, 1);
   call->upstream = choice.upstream;
   gspan_upstream_begin (call->upstream);
+  call->suspect = query.suspect;
+  call->upstream->suspects += call->suspect;
   g_hash_table_steal (board->desk->calls, &call->id);
   call->id = gspan_board_next_id (board);
   g_hash_table_insert (board->desk->calls, &call->id, call);
@@ -262,44 +340,94 @@
   return true;
 }
 
-static char *
-read_caller_id (const struct GspanHeaders *headers)
-{
-  struct GspanStr id = gspan_headers_get (headers, "X-Request-Id");
-
-  id.len = MIN (id.len, CALLER_ID_MAX);
-  return id.len > 0 ? gspan_str_dup (id) : NULL;
-}
-
 static struct GspanDeskCall *
-call_new (struct GspanBoard *board, const struct GspanEventRequest *request,
-          const struct GspanDeskTarget *target)
+call_new (struct GspanBoard *board, const struct GspanDeskWork *work)
 {
-  const struct GspanRoute *route = &target->route->u.route;
   struct GspanDeskCall *call = g_new0 (struct GspanDeskCall, 1);
-  struct GspanStr type = gspan_headers_get (request->headers, "Content-Type");
 
   call->id = gspan_board_next_id (board);
-  call->request = request->request;
-  call->request_id = gspan_board_request_id (board, request->request);
-  call->caller_id = read_caller_id (request->headers);
-  call->route = g_strdup (target->route->name);
-  call->service = g_strdup (route->service);
-  call->method = gspan_str_dup (request->method);
-  call->path = g_strdup (target->path);
-  call->content_type = type.len > 0 ? gspan_str_dup (type) : g_strdup ("application/json");
-  call->body = g_bytes_ref (request->body);
-  call->idempotent = route->idempotent;
-  call->stream = target->stream;
-  call->prefix_hash = target->prefix_hash;
+  call->request_id = g_strdup (work->request_id);
+  call->caller_id = work->caller_id.len > 0 ? gspan_str_dup (work->caller_id) : NULL;
+  call->route = g_strdup (work->route);
+  call->service = g_strdup (work->service);
+  call->method = gspan_str_dup (work->method);
+  call->path = g_strdup (work->path);
+  call->content_type = gspan_str_dup (work->content_type);
+  call->body = g_bytes_ref (work->body);
+  call->idempotent = work->idempotent;
+  call->stream = work->stream;
+  call->prefix_hash = work->prefix_hash;
   call->started = board->now;
-  call->deadline = board->now + route->timeout_us;
-  call->excluded = g_ptr_array_new ();
+  call->deadline = board->now + work->timeout_us;
+  call->fingerprint
+      = gspan_poison_fingerprint (work->service, work->path, gspan_str_from_bytes (work->body));
+  call->failed = g_ptr_array_new_with_free_func (g_free);
+  board->desk->retry_budget = MIN (board->desk->retry_budget + RETRY_SHARE, RETRY_BUDGET_MAX);
   g_hash_table_insert (board->desk->calls, &call->id, call);
-  g_hash_table_insert (board->desk->by_request, &call->request, call);
   return call;
 }
 
+void
+gspan_desk_run (struct GspanBoard *board, guint64 run, const struct GspanDeskWork *work,
+                struct GspanOutbox *outbox)
+{
+  struct GspanDeskCall *call = call_new (board, work);
+
+  call->run = run;
+  if (!attempt (board, call, outbox))
+    conclude (board, call, GSPAN_OUTCOME_NOT_RUN, NULL, outbox);
+}
+
+static void
+start_call (struct GspanBoard *board, guint64 request, const struct GspanDeskWork *work,
+            struct GspanOutbox *outbox)
+{
+  struct GspanDeskCall *call = call_new (board, work);
+
+  call->request = request;
+  g_hash_table_insert (board->desk->by_request, &call->request, call);
+  if (!attempt (board, call, outbox))
+    conclude (board, call, GSPAN_OUTCOME_NOT_RUN, NULL, outbox);
+}
+
+static struct GspanDeskWork
+work_of (const struct GspanEventRequest *request, const struct GspanDeskTarget *target)
+{
+  const struct GspanRoute *route = &target->route->u.route;
+  struct GspanStr type = gspan_headers_get (request->headers, "Content-Type");
+  struct GspanDeskWork work = { 0 };
+
+  work.caller_id = gspan_headers_get (request->headers, "X-Request-Id");
+  work.caller_id.len = MIN (work.caller_id.len, CALLER_ID_MAX);
+  work.route = target->route->name;
+  work.service = route->service;
+  work.method = request->method;
+  work.path = target->path;
+  work.content_type = type.len > 0 ? type : GSPAN_STR ("application/json");
+  work.body = request->body;
+  work.idempotent = route->idempotent;
+  work.stream = target->stream;
+  work.prefix_hash = target->prefix_hash;
+  work.timeout_us = route->timeout_us;
+  return work;
+}
+
+static void
+take_request (struct GspanBoard *board, const struct GspanEventRequest *request,
+              const struct GspanDeskTarget *target, struct GspanOutbox *outbox)
+{
+  struct GspanStr key = gspan_headers_get (request->headers, "Idempotency-Key");
+  struct GspanDeskWork work = work_of (request, target);
+  char *id = gspan_board_request_id (board, request->request);
+
+  work.request_id = id;
+  if (board->keyed != NULL && key.data != NULL && !work.idempotent)
+    gspan_keyed_start (board, request->request, key, target->route->firm, &work, outbox);
+  else
+    start_call (board, request->request, &work, outbox);
+  g_free (id);
+}
+
 static void
 on_request (struct GspanBoard *board, const struct GspanEventRequest *request,
             struct GspanOutbox *outbox)
@@ -312,7 +440,8 @@
   gspan_metrics_add (&board->metrics, GSPAN_METRIC_DESK_REQUESTS, 1);
   if (!gspan_board_ready (board))
     {
-      reply_not_run (board, request->request, "this entry is starting or shutting down", outbox);
+      gspan_desk_reply (board, request->request, GSPAN_OUTCOME_NOT_RUN,
+                        "this entry is starting or shutting down", outbox);
       return;
     }
   if (!gspan_desk_target_init (&target, request, &board->records, &status, &field, &error))
@@ -320,12 +449,7 @@
         gspan_outbox_reply_error (outbox, request->request, status, field, error.message),
         GSPAN_OUTCOME_FAILED);
   else
-    {
-      struct GspanDeskCall *call = call_new (board, request, &target);
-
-      if (!attempt (board, call, outbox))
-        conclude (board, call, GSPAN_OUTCOME_NOT_RUN, NULL, outbox);
-    }
+    take_request (board, request, &target, outbox);
   gspan_desk_target_finish (&target);
 }
 
@@ -339,6 +463,27 @@
   return GSPAN_FEEDBACK_GOOD;
 }
 
+/* The exchange at the call's upstream is over. */
+static void
+release_upstream (struct GspanDeskCall *call)
+{
+  call->upstream->suspects -= call->suspect;
+  call->suspect = false;
+  call->upstream = NULL;
+}
+
+/* Pays for another attempt. One whose predecessor never left this process is free. */
+static bool
+take_retry (struct GspanDesk *desk, enum GspanHttpResult last)
+{
+  if (last == GSPAN_HTTP_NOT_SENT)
+    return true;
+  if (desk->retry_budget < RETRY_COST)
+    return false;
+  desk->retry_budget -= RETRY_COST;
+  return true;
+}
+
 static void
 on_done (struct GspanBoard *board, struct GspanDeskCall *call, const struct GspanEventHttp *answer,
          struct GspanOutbox *outbox)
@@ -346,17 +491,23 @@
   struct GspanUpstreamTraits traits = traits_of (board, call->service);
   enum GspanOutcome outcome = gspan_outcome_decide (answer->result, answer->status, &traits);
   struct GspanUpstream *upstream = call->upstream;
+  char *name = g_strdup (upstream->name);
 
-  call->upstream = NULL;
+  release_upstream (call);
+  call->sent = call->sent || answer->result != GSPAN_HTTP_NOT_SENT;
+  if (answer->result == GSPAN_HTTP_LOST)
+    gspan_poison_note (&board->poison, call->fingerprint, upstream->name, board->now);
   gspan_upstream_report (upstream, answer->headers, board->now);
   gspan_upstream_end (upstream, feedback_of (answer), board->now);
   if (call->begun)
     {
+      g_free (name);
       conclude_stream (board, call, outcome, outbox);
       return;
     }
-  g_ptr_array_add (call->excluded, upstream);
-  if (gspan_outcome_may_retry (outcome, call->idempotent) && attempt (board, call, outbox))
+  g_ptr_array_add (call->failed, name);
+  if (gspan_outcome_may_retry (outcome, call->idempotent)
+      && take_retry (board->desk, answer->result) && attempt (board, call, outbox))
     return;
   conclude (board, call, outcome, answer, outbox);
 }
@@ -401,6 +552,7 @@
   ref.id = call->id;
   gspan_outbox_add (outbox, GSPAN_ACTION_HTTP_CANCEL, ref);
   gspan_upstream_end (call->upstream, GSPAN_FEEDBACK_NONE, board->now);
+  release_upstream (call);
   forget (board->desk, call);
 }
 
