--- a/desk/slots.c
+++ b/desk/slots.c
@@ -162,7 +162,7 @@
 {
   struct GspanLease *lease = slot_at (board, slot)->lease;
 
-  if (lease != NULL && !lease->mine)
+  if (lease != NULL && lease->held_until == 0 && lease->state == GSPAN_LEASE_IDLE)
     lease->wanted = false;
 }
 
