--- a/test/membership_test.cc
+++ b/test/membership_test.cc
@@ -31,6 +31,28 @@
   EXPECT_GT (mesh.nodes[2]->bench->board.probe.incarnation, 0U);
 }
 
+/* A suspicion that was young before the pause is not held for old after it. */
+TEST (Membership, PauseCountsForNoSuspicion)
+{
+  Mesh mesh (4);
+  GspanMembers &members = mesh.nodes[0]->bench->board.members;
+
+  mesh.run (10);
+  const GspanMember *member = gspan_members_find (&members, "vm-1");
+  gspan_member claim = { member->name, member->zone,        member->udp,
+                         member->rpc,  member->incarnation, GSPAN_MEMBER_SUSPECT };
+  gspan_members_claim (&members, &claim, mesh.now);
+  mesh.nodes[0]->paused = true;
+  mesh.run (60);
+  mesh.nodes[0]->paused = false;
+  for (int i = 0; i < 10; i++)
+    {
+      mesh.run (0.5);
+      EXPECT_NE (member->state, GSPAN_MEMBER_DEAD);
+    }
+  EXPECT_EQ (member->state, GSPAN_MEMBER_ALIVE);
+}
+
 /* Only the one way between two nodes is cut: the others vouch for them. */
 TEST (Membership, OthersProbeForANodeThatIsOutOfReach)
 {
@@ -97,6 +119,7 @@
   EXPECT_EQ (mesh.count_state ("vm-6", GSPAN_MEMBER_ALIVE), 5);
   for (int i = 0; i < 30; i++)
     {
+      mesh.unlisted = { i % 2 == 0 ? "vm-5" : "vm-6" }; /* the list changes, so it is read anew */
       mesh.run (1);
       EXPECT_EQ (mesh.count_state ("vm-4", GSPAN_MEMBER_DEAD), 6);
     }
--- a/test/spread_test.cc
+++ b/test/spread_test.cc
@@ -155,6 +155,7 @@
 
   for (auto &node : mesh->nodes)
     node->rpc_cut = true;
+  mesh->run (8); /* until the calls that were open are over */
   mesh->write ("r", "s2");
   mesh->run (16);
   EXPECT_EQ (mesh->lacking ("r", "s2"), "");
