records: a caller from before a relist is proved to get the whole list

The test passes as the code stands and was seen failing with the start of history not moved by a list (the caller got a delta that can't tell it of a record written and deleted inside the gap).

--- a/test/records_follow_test.cc
+++ b/test/records_follow_test.cc
@@ -1,5 +1,10 @@
 #include "test/bench.h"
 
+extern "C"
+{
+#include "rpc/codec.h"
+}
+
 static std::string
 object (const char *name, guint64 version, const char *service)
 {
@@ -171,6 +176,33 @@
   EXPECT_NE (state->findings, nullptr);
 }
 
+/* A record was written and deleted where this node had a gap: it can't tell a caller of that. */
+TEST (RecordsFollow, CallerFromBeforeARelistGetsTheWholeList)
+{
+  Follower follower;
+  gspan_changes_args args = { 7, 99, 0, 0 };
+  gspan_changes_res res{};
+  GspanEvent event{};
+
+  follower.answer_platform (GSPAN_OBJECT_OK, 3, objects ({}));
+  follower.answer_platform (GSPAN_OBJECT_GAP, 0);
+  follower.wait ();
+  follower.answer_platform (GSPAN_OBJECT_OK, 20, objects ({ object ("b", 15, "s") }));
+  GBytes *payload = gspan_xdr_encode (reinterpret_cast<xdrproc_t> (xdr_gspan_changes_args), &args);
+  event.kind = GSPAN_EVENT_RPC_CALL;
+  event.u.rpc.proc = GSPAN_CHANGES;
+  event.u.rpc.payload = gspan_str_from_bytes (payload);
+  follower.handle (event);
+  g_bytes_unref (payload);
+  auto replies = follower.actions (GSPAN_ACTION_RPC_REPLY);
+  ASSERT_EQ (replies.size (), 1U);
+  ASSERT_TRUE (gspan_xdr_decode (reinterpret_cast<xdrproc_t> (xdr_gspan_changes_res), &res,
+                                 gspan_str_from_bytes (replies[0]->u.rpc.payload), nullptr));
+  EXPECT_EQ (res.kind, GSPAN_CHANGES_LIST);
+  EXPECT_EQ (res.revision, 20U);
+  xdr_free (reinterpret_cast<xdrproc_t> (xdr_gspan_changes_res), &res);
+}
+
 /* Whatever arrives in whatever order, what is in force never goes back. */
 RC_GTEST_PROP (RecordsFollow, VersionsInForceNeverGoBack, ())
 {
