--- a/membership/members.c
+++ b/membership/members.c
@@ -140,7 +140,10 @@
   struct GspanMember *member = gspan_members_find (members, claim->name);
 
   if (member == NULL)
-    member = add_member (members, claim, now);
+    {
+      member = add_member (members, claim, now);
+      member->gossip_left = 0; /* the others have the same list */
+    }
   member->listed = true;
 }
 
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -1,13 +1,12 @@
 """What control costs: time until a record is in force everywhere, platform calls, bytes, processor, memory."""
 
 import argparse
-import json
 import os
 import re
 import sys
 import time
 
-from fleet import DAEMONS, FIRMS, Fleet, get, post
+from fleet import DAEMONS, FIRMS, Fleet, get
 
 IN_FORCE = re.compile(r"record-in-force kind=route name=probe version=(\d+) at_us=(\d+)")
 METRIC = re.compile(r"^(gspan_\w+) (\d+)$", re.M)
@@ -61,36 +60,34 @@
     return busy, resident
 
 
-def gossip_bytes(fleet):
-    total = 0
-    for addresses in fleet.entries.values():
-        for address in addresses:
-            values = dict(METRIC.findall(get(address, "/-/metrics").decode()))
-            total += int(values["gspan_gossip_sent_bytes_total"])
-            total += HEADER * int(values["gspan_gossip_sent_total"])
-    return total
-
-
-def counts(fleet):
-    answer = json.loads(post(fleet.platform, "/admin/counts", {}))
-    return answer["reads"], answer["writes"]
+def metrics(fleet):
+    """Sums over all processes: platform calls of each kind of daemon, and bytes of datagrams."""
+    sums = {"gossip": 0, "writes": 0, **{kind: 0 for kind in DAEMONS}}
+    for process in daemons(fleet):
+        with open(fleet.path(process.name + ".toml"), encoding="utf-8") as file:
+            address = re.search(r'http = "(\S+)"', file.read()).group(1)
+        values = {k: int(v) for k, v in METRIC.findall(get(address, "/-/metrics").decode())}
+        sums["gossip"] += values["gspan_gossip_sent_bytes_total"]
+        sums["gossip"] += HEADER * values["gspan_gossip_sent_total"]
+        sums["writes"] += values["gspan_platform_writes_total"]
+        sums[process.name.rsplit("-", 1)[-1]] += values["gspan_platform_reads_total"]
+    return sums
 
 
 def measure_idle(fleet, seconds):
     nodes = sum(len(addresses) for addresses in fleet.entries.values())
+    sums = metrics(fleet)
     busy, _ = cost(fleet)
-    reads, writes = counts(fleet)
-    sent = gossip_bytes(fleet)
     start = time.monotonic()
     time.sleep(seconds)
     passed = time.monotonic() - start
     busy_after, resident = cost(fleet)
-    reads_after, writes_after = counts(fleet)
-    sent_after = gossip_bytes(fleet)
+    sums_after = metrics(fleet)
+    rate = {key: (sums_after[key] - sums[key]) / passed for key in sums}
     cpu = {kind: (busy_after[kind] - busy[kind]) / passed / nodes * 100 for kind in busy}
-    return {"reads_per_s": (reads_after - reads) / passed,
-            "writes_per_s": (writes_after - writes) / passed,
-            "gossip_bytes_per_s_node": (sent_after - sent) / passed / nodes,
+    return {**{f"reads_per_s_{kind}": rate[kind] for kind in DAEMONS},
+            "writes_per_s": rate["writes"],
+            "gossip_bytes_per_s_node": rate["gossip"] / nodes,
             **{f"cpu_pct_node_{kind}": value for kind, value in cpu.items()},
             "cpu_pct_node": sum(cpu.values()),
             "memory_mb_node": resident / nodes / 1e6}
@@ -121,13 +118,14 @@
     parser = argparse.ArgumentParser(description=__doc__, prog="measure control")
     parser.add_argument("--nodes", default="6", help="VMs in all, several sizes separated by commas")
     parser.add_argument("--seconds", type=int, default=20, help="idle time that is measured")
+    parser.add_argument("--settle", type=int, default=8, help="seconds after the start")
     parser.add_argument("--writes", type=int, default=20, help="records written")
     arguments = parser.parse_args()
     for size in (int(text) for text in arguments.nodes.split(",")):
         fleet = Fleet(nodes=size // 2)
         try:
             fleet.start(FIRMS)
-            time.sleep(8)
+            time.sleep(arguments.settle)
             row = {"nodes": size // 2 * 2, **measure_idle(fleet, arguments.seconds),
                    **measure_spread(fleet, arguments.writes)}
         finally:
