rollout: the planner leads by the mean time of a sample and keeps spare groups

Cause: the lead was the slow samples' time, longer than a step with one slow engine, so everything ran on engines not yet swapped.

--- a/rollout/feed.h
+++ b/rollout/feed.h
@@ -30,6 +30,7 @@
   guint64 answered_at; /* of the last batch, microseconds; 0 is never */
   guint64 step_us;     /* from an answer to the next pull, smoothed; 0 is not known */
   guint64 sample_us;   /* from start to whole, of the slow samples; 0 is not known */
+  guint64 mean_us;     /* from start to whole, of all samples; 0 is not known */
 };
 
 struct GspanFeed *
--- a/rollout/plan.c
+++ b/rollout/plan.c
@@ -2,9 +2,11 @@
 
 enum
 {
-  SAMPLE_DECAY = 64,  /* part by which the estimate of slow samples sinks with each faster one */
-  STEP_SMOOTHING = 4, /* part of a new step in the estimate */
-  HEDGE_FACTOR = 2,   /* times the slow samples' time */
+  SAMPLE_DECAY = 64,   /* part by which the estimate of slow samples sinks with each faster one */
+  MEAN_SMOOTHING = 32, /* part of a new sample in the mean */
+  SPARE_DIVISOR = 400, /* spare groups of a batch for each point of the idle weight */
+  STEP_SMOOTHING = 4,  /* part of a new step in the estimate */
+  HEDGE_FACTOR = 2,    /* times the slow samples' time */
   PERCENT = 100
 };
 
@@ -12,15 +14,18 @@
 gspan_plan_window (const struct GspanFeed *feed, const struct GspanAttachment *attachment)
 {
   guint64 ahead = MIN (attachment->ahead_batches, 1);
+  guint64 spare = 0;
 
   if (attachment->fixed_ahead)
     return attachment->batch_groups * (1 + attachment->ahead_batches);
   if (attachment->staleness_bound == 0)
     return attachment->batch_groups;
-  if (feed->step_us != 0 && feed->sample_us > feed->step_us
+  if (feed->step_us != 0 && feed->mean_us > feed->step_us
       && attachment->idle_weight > attachment->staleness_weight)
     ahead = MIN (attachment->ahead_batches, attachment->staleness_bound);
-  return attachment->batch_groups * (1 + ahead);
+  if (ahead > 0 && attachment->staleness_bound > 1)
+    spare = attachment->batch_groups * attachment->idle_weight / SPARE_DIVISOR;
+  return attachment->batch_groups * (1 + ahead) + spare;
 }
 
 void
@@ -28,7 +33,7 @@
                  const struct GspanAttachment *attachment, guint64 now)
 {
   guint64 margin = PERCENT + attachment->idle_weight;
-  guint64 lead = feed->sample_us * margin / PERCENT;
+  guint64 lead = feed->mean_us * margin / PERCENT;
 
   plan->pulled = feed->pulls->len > 0;
   plan->window = gspan_plan_window (feed, attachment);
@@ -70,6 +75,9 @@
     feed->sample_us = elapsed_us;
   else
     feed->sample_us -= (feed->sample_us - elapsed_us) / SAMPLE_DECAY;
+  if (feed->mean_us == 0)
+    feed->mean_us = elapsed_us;
+  feed->mean_us += elapsed_us / MEAN_SMOOTHING - feed->mean_us / MEAN_SMOOTHING;
 }
 
 void
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -249,13 +249,20 @@
   admit (engine);
 }
 
-/* Heavy-tailed length: most answers are short, a few are many times longer. */
+/*
+ * Heavy-tailed length: most answers are short, a few are many times longer. A request that brings
+ * its own SEED gets the same length on every engine.
+ */
 static guint64
-draw_tokens (struct Engine *engine, guint64 max)
+draw_tokens (struct Engine *engine, guint64 max, json_t *seed)
 {
-  double uniform = g_rand_double_range (engine->standin->random, 1e-6, 1.0);
+  GRand *random = json_is_integer (seed) ? g_rand_new_with_seed ((guint32)json_integer_value (seed))
+                                         : g_rand_copy (engine->standin->random);
+  double uniform = g_rand_double_range (random, 1e-6, 1.0);
   double tokens = (double)max / 8 * pow (uniform, -1 / TAIL_EXPONENT);
 
+  g_rand_free (random);
+  g_rand_double (engine->standin->random);
   return CLAMP ((guint64)tokens, MIN (TOKENS_MIN, max), max);
 }
 
@@ -283,7 +290,8 @@
   sequence->run = g_strdup_printf ("%s-%x-%" G_GUINT64_FORMAT, engine->standin->name,
                                    (guint)getpid (), ++engine->runs);
   sequence->tokens = draw_tokens (
-      engine, json_is_integer (max) ? MAX (1, (guint64)json_integer_value (max)) : 64);
+      engine, json_is_integer (max) ? MAX (1, (guint64)json_integer_value (max)) : 64,
+      json_object_get (body, "seed"));
   sequence->segments = json_array ();
   json_decref (body);
   if (sequence->desk)
@@ -348,8 +356,11 @@
     {
       struct Sequence *sequence = g_ptr_array_index (engine->running, i - 1);
 
-      if (sequence->request == id)
-        g_ptr_array_remove_index (engine->running, i - 1);
+      if (sequence->request != id)
+        continue;
+      gspan_standin_book (engine->standin, json_pack ("{s:s, s:I}", "cancelled", sequence->run,
+                                                      "tokens", (json_int_t)sequence->done));
+      g_ptr_array_remove_index (engine->running, i - 1);
     }
   for (GList *item = engine->waiting.head; item != NULL; item = item->next)
     {
--- a/standin/trainer.c
+++ b/standin/trainer.c
@@ -104,6 +104,15 @@
   wait (trainer, trainer->standin->train_ms / 1000.0);
 }
 
+/* True where the batch is the one after this trainer's own cursor. */
+static bool
+follows (const struct Trainer *trainer, json_t *batch)
+{
+  const char *after = json_string_value (json_object_get (batch, "after"));
+
+  return trainer->cursor[0] == '\0' || g_strcmp0 (after, trainer->cursor) == 0;
+}
+
 static void
 on_pulled (struct Trainer *trainer, const struct GspanEventHttp *answer)
 {
@@ -112,7 +121,7 @@
 
   if (answer->result == GSPAN_HTTP_WHOLE && answer->status == 200)
     batch = json_loadb (text.data, text.len, 0, NULL);
-  if (json_is_string (json_object_get (batch, "cursor")))
+  if (json_is_string (json_object_get (batch, "cursor")) && follows (trainer, batch))
     take_batch (trainer, batch);
   else
     wait (trainer, RETRY_S);
