--- a/rollout/plan.c
+++ b/rollout/plan.c
@@ -2,11 +2,11 @@
 
 enum
 {
-  SAMPLE_DECAY = 64,   /* part by which the estimate of slow samples sinks with each faster one */
-  MEAN_SMOOTHING = 32, /* part of a new sample in the mean */
-  SPARE_DIVISOR = 400, /* spare groups of a batch for each point of the idle weight */
-  STEP_SMOOTHING = 4,  /* part of a new step in the estimate */
-  HEDGE_FACTOR = 2,    /* times the slow samples' time */
+  SAMPLE_DECAY = 64,     /* part by which the estimate of slow samples sinks with each faster one */
+  MEAN_SMOOTHING = 32,   /* part of a new sample in the mean */
+  STEP_SMOOTHING = 4,    /* part of a new step in the estimate */
+  HEDGE_FACTOR = 2,      /* times the slow samples' time */
+  LEAD_MIN_PERCENT = 50, /* of the mean time of a sample */
   PERCENT = 100
 };
 
@@ -14,7 +14,6 @@
 gspan_plan_window (const struct GspanFeed *feed, const struct GspanAttachment *attachment)
 {
   guint64 ahead = MIN (attachment->ahead_batches, 1);
-  guint64 spare = 0;
 
   if (attachment->fixed_ahead)
     return attachment->batch_groups * (1 + attachment->ahead_batches);
@@ -23,16 +22,14 @@
   if (feed->step_us != 0 && feed->mean_us > feed->step_us
       && attachment->idle_weight > attachment->staleness_weight)
     ahead = MIN (attachment->ahead_batches, attachment->staleness_bound);
-  if (ahead > 0 && attachment->staleness_bound > 1)
-    spare = attachment->batch_groups * attachment->idle_weight / SPARE_DIVISOR;
-  return attachment->batch_groups * (1 + ahead) + spare;
+  return attachment->batch_groups * (1 + ahead);
 }
 
 void
 gspan_plan_init (struct GspanPlan *plan, const struct GspanFeed *feed,
                  const struct GspanAttachment *attachment, guint64 now)
 {
-  guint64 margin = PERCENT + attachment->idle_weight;
+  guint64 margin = LEAD_MIN_PERCENT + attachment->idle_weight;
   guint64 lead = feed->mean_us * margin / PERCENT;
 
   plan->pulled = feed->pulls->len > 0;
