rollout: a new owner starts from its predecessor's status; trainers share a process's places

Cause: after a fail-over nothing was generated until the trainer asked, and the first attachment by name took all places at the engines. The status object now carries the cursor that the trainer should have next, as a hint that any pull replaces, beside ready groups, samples in flight and deferred groups; each attachment of a process has an equal share of its places at the pool's engines. docs/design/ledger.md weighs the ways of delivering exactly once. Seen failing first: with the hint unused the next batch after a kill idles 620 ms (bound 500 ms); without shares one trainer places 16 samples and the other none. Not covered: shares between processes, where only the engines' reported load speaks.

--- a/rollout/feed.c
+++ b/rollout/feed.c
@@ -237,3 +237,26 @@
   g_array_unref (chosen);
   return bytes;
 }
+
+void
+gspan_feed_expect (const struct GspanFeed *feed, struct GspanCursor *next)
+{
+  GArray *handed = g_array_new (FALSE, FALSE, sizeof (guint64));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, feed->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct GspanGroup *group = value;
+
+      if (group->handed && gspan_cursor_wants (&feed->cursor, group->number))
+        g_array_append_val (handed, group->number);
+    }
+  g_array_sort (handed, compare_numbers);
+  if (handed->len > 0)
+    gspan_cursor_advance (&feed->cursor, handed, next);
+  else
+    gspan_cursor_copy (&feed->cursor, next);
+  g_array_unref (handed);
+}
--- a/rollout/feed.h
+++ b/rollout/feed.h
@@ -14,6 +14,16 @@
   struct GspanCursor cursor;
 };
 
+/* What a new owner knows before the first pull, from the status object that its predecessor left.
+ */
+enum GspanFeedHint
+{
+  GSPAN_FEED_HINT_NONE,    /* to be read */
+  GSPAN_FEED_HINT_READING, /* a read is under way */
+  GSPAN_FEED_HINT_USED,    /* the plan follows it; any pull replaces it */
+  GSPAN_FEED_HINT_OVER
+};
+
 /* What the owner of one attachment works on. */
 struct GspanFeed
 {
@@ -22,9 +32,13 @@
   bool cursor_known;         /* a pull under this lease has brought the cursor */
   struct GspanCursor cursor; /* what is planned for: the newest that a pull has brought */
   guint64 weight;            /* version that the trainer named with that cursor, or a higher one */
-  char *recipe;        /* what the samples are made from, by the record they were begun under */
-  GHashTable *groups;  /* number to struct GspanGroup, owns them */
-  GArray *pulls;       /* struct GspanFeedPull */
+  char *recipe;       /* what the samples are made from, by the record they were begun under */
+  GHashTable *groups; /* number to struct GspanGroup, owns them */
+  GArray *pulls;      /* struct GspanFeedPull */
+  enum GspanFeedHint hint;
+  guint64 hint_ref;
+  guint in_flight;     /* samples being generated or scored */
+  guint share;         /* of these at most */
   char *behind;        /* cursor of the last pull that was behind the plan; NULL is none */
   guint64 behind_at;   /* when that cursor first came, microseconds */
   guint64 answered_at; /* of the last batch, microseconds; 0 is never */
@@ -57,6 +71,11 @@
 gspan_feed_build_batch (struct GspanFeed *feed, const struct GspanAttachment *attachment,
                         const struct GspanFeedPull *pull);
 
+/* Makes the initialised NEXT the cursor that the trainer has if it took all that was handed over.
+ */
+void
+gspan_feed_expect (const struct GspanFeed *feed, struct GspanCursor *next);
+
 /* Text that changes when samples made before no longer are what the record asks for. */
 char *
 gspan_feed_recipe (const struct GspanAttachment *attachment);
--- a/rollout/rollout.c
+++ b/rollout/rollout.c
@@ -145,6 +145,7 @@
 {
   cancel_groups (board, feed, outbox);
   feed->cursor_known = false;
+  feed->hint = GSPAN_FEED_HINT_NONE;
   feed->answered_at = 0;
   for (guint i = 0; i < feed->pulls->len; i++)
     answer_pull (g_array_index (feed->pulls, struct GspanFeedPull, i).call, GSPAN_STATUS_NOT_OWNER,
@@ -287,9 +288,12 @@
 
   if (board->now < sample->retry_at)
     return true;
+  if (feed->in_flight >= feed->share)
+    return false;
   exchange = start_run (board, feed, attachment, group, index, floor, NULL, outbox);
   if (exchange == NULL)
     return false;
+  feed->in_flight++;
   sample->state = GSPAN_SAMPLE_GENERATING;
   sample->exchange = exchange->id;
   sample->started = board->now;
@@ -520,16 +524,153 @@
     }
 }
 
+struct Tally
+{
+  guint ready;
+  guint in_flight;
+};
+
+static struct Tally
+count_samples (const struct GspanFeed *feed)
+{
+  struct Tally tally = { 0 };
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, feed->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct GspanGroup *group = value;
+
+      for (guint i = 0; i < group->count; i++)
+        tally.in_flight += group->samples[i].exchange != 0;
+      tally.ready += !group->handed && gspan_group_is_whole (group);
+    }
+  return tally;
+}
+
+/* The cursor in the status object is a hint for the next owner and proves nothing. */
 static void
 report_status (struct GspanBoard *board, const struct GspanFeed *feed,
                const struct GspanRecord *record)
 {
-  gspan_statuses_set (&board->statuses, feed->name,
-                      json_pack ("{s:s, s:s, s:I, s:I, s:I, s:I, s:b}", "kind", "attachment",
-                                 "owner", board->self.name, "fence", (json_int_t)feed->lease->fence,
-                                 "observed_version", (json_int_t)record->version, "batch",
-                                 (json_int_t)feed->cursor.batch, "weight", (json_int_t)feed->weight,
-                                 "paused", record->paused));
+  struct Tally tally = count_samples (feed);
+  struct GspanCursor expected;
+  char *cursor;
+
+  gspan_cursor_init (&expected);
+  gspan_feed_expect (feed, &expected);
+  cursor = gspan_cursor_format (&expected, feed->name);
+  gspan_statuses_set (
+      &board->statuses, feed->name,
+      json_pack ("{s:s, s:s, s:I, s:I, s:I, s:I, s:i, s:i, s:i, s:s, s:b}", "kind", "attachment",
+                 "owner", board->self.name, "fence", (json_int_t)feed->lease->fence,
+                 "observed_version", (json_int_t)record->version, "batch",
+                 (json_int_t)feed->cursor.batch, "weight", (json_int_t)feed->weight, "ready_groups",
+                 (int)tally.ready, "samples_in_flight", (int)tally.in_flight, "deferred_groups",
+                 (int)feed->cursor.deferred->len, "cursor", cursor, "paused", record->paused));
+  g_free (cursor);
+  gspan_cursor_finish (&expected);
+}
+
+/* Reads what the owner before left in the status object; true once that is over. */
+static bool
+read_hint (struct GspanBoard *board, struct GspanFeed *feed, struct GspanOutbox *outbox)
+{
+  struct GspanRef ref = { GSPAN_OWNER_ROLLOUT, 0 };
+  char *path;
+
+  if (feed->cursor_known)
+    return true;
+  if (feed->hint != GSPAN_FEED_HINT_NONE)
+    return feed->hint != GSPAN_FEED_HINT_READING;
+  feed->hint = GSPAN_FEED_HINT_READING;
+  feed->hint_ref = gspan_board_next_id (board);
+  ref.id = feed->hint_ref;
+  path = g_strdup_printf ("status/%s", feed->name);
+  gspan_outbox_object (outbox, ref, GSPAN_OBJECT_GET, path, 0, NULL);
+  g_free (path);
+  return false;
+}
+
+static void
+take_hint (struct GspanFeed *feed, const struct GspanEventObject *answer)
+{
+  struct GspanStr text = gspan_str_from_bytes (answer->body);
+  json_t *value = NULL;
+  const char *cursor;
+
+  feed->hint = GSPAN_FEED_HINT_OVER;
+  if (feed->cursor_known)
+    return;
+  if (answer->result == GSPAN_OBJECT_OK)
+    value = json_loadb (text.data, text.len, 0, NULL);
+  cursor = json_string_value (json_object_get (value, "cursor"));
+  if (cursor != NULL
+      && gspan_cursor_parse (&feed->cursor, feed->name, gspan_str_from (cursor), NULL))
+    {
+      feed->weight = (guint64)json_integer_value (json_object_get (value, "weight"));
+      feed->cursor_known = true;
+      feed->hint = GSPAN_FEED_HINT_USED;
+    }
+  json_decref (value);
+}
+
+static void
+on_object_done (struct GspanBoard *board, const struct GspanEvent *event)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, board->rollout->feeds);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct GspanFeed *feed = value;
+
+      if (feed->hint == GSPAN_FEED_HINT_READING && feed->hint_ref == event->ref.id)
+        take_hint (feed, &event->u.object);
+    }
+}
+
+/* Attachments of this process that have samples generated by the engines of POOL. */
+static guint
+count_sharers (struct GspanBoard *board, const char *pool)
+{
+  guint count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, board->rollout->feeds);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct GspanFeed *feed = value;
+      const struct GspanRecord *record
+          = gspan_records_find (&board->records, GSPAN_RECORD_ATTACHMENT, feed->name);
+
+      count += feed->cursor_known && record != NULL && !record->paused
+               && strcmp (record->u.attachment.pool, pool) == 0;
+    }
+  return count;
+}
+
+/* Equal parts of what this process may have in flight at the pool's engines. */
+static void
+set_share (struct GspanBoard *board, struct GspanFeed *feed,
+           const struct GspanAttachment *attachment)
+{
+  const struct GspanPool *pool = pool_of (board, attachment);
+  guint sharers = count_sharers (board, attachment->pool);
+  guint engines = 0;
+
+  for (guint i = 0; pool != NULL && i < board->upstreams.items->len; i++)
+    {
+      const struct GspanUpstream *upstream = g_ptr_array_index (board->upstreams.items, i);
+
+      engines += upstream->state == GSPAN_UPSTREAM_LIVE
+                 && strcmp (upstream->service, pool->service) == 0;
+    }
+  feed->in_flight = count_samples (feed).in_flight;
+  feed->share = MAX (1, engines * INFLIGHT_MAX / MAX (1, sharers));
 }
 
 static void
@@ -553,10 +694,12 @@
       stop_feed (board, feed, outbox);
       return;
     }
-  report_status (board, feed, record);
+  if (read_hint (board, feed, outbox))
+    report_status (board, feed, record);
   follow_recipe (board, feed, &record->u.attachment, outbox);
   if (!record->paused)
     {
+      set_share (board, feed, &record->u.attachment);
       probe_engines (board, feed, &record->u.attachment, outbox);
       advance_feed (board, feed, &record->u.attachment, outbox);
     }
@@ -682,6 +825,7 @@
     gspan_plan_note_step (feed, board->now - feed->answered_at);
   feed->weight = back ? pull->weight : MAX (feed->weight, pull->weight);
   feed->cursor_known = true;
+  feed->hint = GSPAN_FEED_HINT_OVER;
   g_clear_pointer (&feed->behind, g_free);
   gspan_cursor_copy (&pull->cursor, &feed->cursor);
   drop_taken (board, feed, outbox);
@@ -701,7 +845,8 @@
   gspan_cursor_init (&pull.cursor);
   if (!gspan_cursor_parse (&pull.cursor, feed->name, cursor, &error))
     refuse_pull (feed, call->call, error.message, outbox);
-  else if (feed->cursor_known && pull.cursor.batch < feed->cursor.batch
+  else if (feed->cursor_known && feed->hint != GSPAN_FEED_HINT_USED
+           && pull.cursor.batch < feed->cursor.batch
            && !GSPAN_SEEDED_FAULT (GSPAN_FAULT_SHARED_CURSOR)
            && !confirms_rewind (board, feed, &pull.cursor))
     refuse_pull (feed, call->call, "superseded by a newer pull", outbox);
@@ -875,11 +1020,13 @@
     case GSPAN_EVENT_HTTP_DONE:
       on_exchange_done (board, event, outbox);
       break;
+    case GSPAN_EVENT_OBJECT_DONE:
+      on_object_done (board, event);
+      break;
     case GSPAN_EVENT_REQUEST:
     case GSPAN_EVENT_REQUEST_GONE:
     case GSPAN_EVENT_HTTP_HEAD:
     case GSPAN_EVENT_HTTP_DATA:
-    case GSPAN_EVENT_OBJECT_DONE:
     case GSPAN_EVENT_RPC_DONE:
     case GSPAN_EVENT_DATAGRAM:
       break;
--- a/test/rollout_failures_test.cc
+++ b/test/rollout_failures_test.cc
@@ -159,6 +159,60 @@
     }
 }
 
+/* The next owner starts from its predecessor's status object, before the trainer asks. */
+TEST_F (RolloutFailure, OwnerKilledWhileTheTrainerLearnsIsNotNoticed)
+{
+  world.train = 12 * GSPAN_SECOND;
+  ASSERT_TRUE (world.run_batches (2, 40 * GSPAN_SECOND));
+  world.run (3 * GSPAN_SECOND);
+  world.kill (world.owner ());
+  ASSERT_TRUE (world.run_batches (1, 30 * GSPAN_SECOND));
+  EXPECT_LE (world.last_idle, GSPAN_SECOND / 2);
+}
+
+/* Two trainers on one engine: neither takes all of it while the other has work. */
+TEST (RolloutShare, TwoTrainersShareAnEngine)
+{
+  Bench bench;
+  std::map<char, int> placed;
+
+  bench.board.rollout = g_new0 (GspanRollout, 1);
+  gspan_rollout_init (bench.board.rollout);
+  bench.put (GSPAN_RECORD_POOL, "m", 1, R"({"schema":2,"firm":"f","service":"e","model":"m"})");
+  bench.add_upstream ("e1", "e")->weight = 1;
+  for (const char *name : { "a", "b" })
+    {
+      std::string lease = std::string ("attachment.") + name;
+      std::string record = std::string (R"({"schema":2,"firm":"f","pool":"m","scorer":"s",)")
+                           + R"("batch_groups":16,"group_samples":4,"staleness_bound":1,"prompt":")"
+                           + name + "\"}";
+
+      bench.put (GSPAN_RECORD_ATTACHMENT, name, 2, record.c_str ());
+      gspan_leases_want (&bench.board.leases, lease.c_str ())->held_until
+          = bench.now + 1000 * GSPAN_SECOND;
+    }
+  bench.tick ();
+  auto reads = bench.actions (GSPAN_ACTION_OBJECT, GSPAN_OWNER_ROLLOUT);
+  std::vector<GspanRef> refs;
+  for (const GspanAction *read : reads)
+    refs.push_back (read->ref);
+  ASSERT_EQ (refs.size (), 2U);
+  bench.object_done (refs[0], GSPAN_OBJECT_OK, 1, R"({"cursor":"a:0:0:","weight":1})");
+  bench.object_done (refs[1], GSPAN_OBJECT_OK, 1, R"({"cursor":"b:0:0:","weight":1})");
+  bench.tick ();
+  for (const GspanAction *action : bench.actions (GSPAN_ACTION_HTTP, GSPAN_OWNER_ROLLOUT))
+    {
+      GspanStr body = gspan_str_from_bytes (action->u.http.body);
+      std::string text (body.data != nullptr ? body.data : "", body.len);
+      size_t at = text.find (R"("prompt":")");
+
+      if (at != std::string::npos)
+        placed[text[at + 10]]++;
+    }
+  EXPECT_EQ (placed['a'], 8);
+  EXPECT_EQ (placed['b'], 8);
+}
+
 TEST_F (RolloutFailure, OwnerPausedPastItsLeaseAndWokenWhileTheNewOneDelivers)
 {
   size_t old = world.owner ();
--- a/test/rollout_world.h
+++ b/test/rollout_world.h
@@ -90,6 +90,7 @@
   int lost_answers = 0;
   int failing_swaps = 0;
   int doubled_calls = 0;
+  guint64 train = TRAIN;
   guint64 scorer_delay = 20 * GSPAN_MS;
   int scorer_failures = 0;
   bool scorer_doubles = false;
@@ -112,7 +113,7 @@
   guint64 pull_at;
   guint64 asked_at = 0;
   guint64 idle = 0;
-  guint64 last_stale = 0;
+  guint64 last_idle = 0;
 
   World (guint32 seed, size_t owners, size_t entries, size_t count) : random (seed)
   {
@@ -465,7 +466,7 @@
     GspanRef ref = action->ref;
     GspanObjectResult result = GSPAN_OBJECT_OK;
 
-    if (path.rfind ("lease/", 0) != 0)
+    if (path.rfind ("lease/", 0) != 0 && path.rfind ("status/", 0) != 0)
       return;
     auto &object = objects[path];
     bool lost = lost_answers > 0 && lost_answers-- > 0;
@@ -645,7 +646,6 @@
     broken (oldest == 0, "uncertain");
     broken (oldest + bound < weight, "stale");
     broken (run.prompt != prompt || !known, "prompt");
-    last_stale = std::max (last_stale, weight - std::min (weight, oldest));
     lengths.push_back (run.tokens);
   }
 
@@ -707,10 +707,11 @@
     batches++;
     if (batches < CHECKED_BATCHES || batches % CHECKED_BATCHES == 0)
       check_cursor ();
-    idle += now - asked_at;
+    last_idle = now - asked_at;
+    idle += last_idle;
     pull_at = 0;
     guint64 life = trainer_life;
-    at (TRAIN, [=] {
+    at (train, [=] {
       if (life == trainer_life)
         publish ();
     });
