--- a/desk/slots.c
+++ b/desk/slots.c
@@ -10,7 +10,6 @@
 #include "rpc/codec.h"
 
 #define WRITE_PERIOD_US (200 * GSPAN_MS)
-#define OUTCOME_DELAY_US (1 * GSPAN_SECOND) /* an outcome waits this long for an intent to join */
 #define STALL_PAUSE_US (500 * GSPAN_MS)
 
 enum
@@ -40,8 +39,8 @@
   struct GspanJournal journal;
   guint64 version; /* of the object that the journal stands for */
   char token[TOKEN_MAX];
-  GBytes *written;     /* what the write under way holds; may be NULL */
-  guint64 dirty_since; /* 0 where the object holds all that the journal does */
+  GBytes *written; /* what the write under way holds; may be NULL */
+  bool dirty;      /* the journal holds what the object doesn't */
   guint64 next_write_at;
 };
 
@@ -251,13 +250,6 @@
   run_free (run);
 }
 
-static void
-mark_dirty (struct GspanBoard *board, struct Slot *slot)
-{
-  if (slot->dirty_since == 0)
-    slot->dirty_since = board->now;
-}
-
 /* Gives up a run that was not dispatched and never will be. */
 static void
 abandon_run (struct GspanBoard *board, struct Run *run, struct GspanOutbox *outbox)
@@ -266,7 +258,7 @@
   struct gspan_keyed_res res = { 0 };
 
   gspan_journal_forget (&slot->journal, run->key);
-  mark_dirty (board, slot);
+  slot->dirty = true;
   res.status = GSPAN_STATUS_OK;
   res.outcome = GSPAN_OUTCOME_NOT_RUN;
   end_run (board, run, &res, outbox);
@@ -328,7 +320,7 @@
   slot->claimed = false;
   slot->stalled = false;
   slot->fence = 0;
-  slot->dirty_since = 0;
+  slot->dirty = false;
 }
 
 /* Another owner wrote the journal: nothing of ours lands any more. */
@@ -375,7 +367,7 @@
   gspan_journal_age (&slot->journal, board->now);
   g_clear_pointer (&slot->written, g_bytes_unref);
   slot->written = gspan_journal_encode (&slot->journal, slot->token, board->now);
-  slot->dirty_since = 0;
+  slot->dirty = false;
   slot->next_write_at = board->now + WRITE_PERIOD_US;
   for (guint i = 0; i < ids->len; i++)
     {
@@ -516,22 +508,10 @@
     }
 }
 
-static bool
-has_waiting (const struct GspanBoard *board, const struct Slot *slot)
-{
-  GArray *ids = runs_until (board, slot->index, RUN_WAITING);
-  bool found = ids->len > 0;
-
-  g_array_unref (ids);
-  return found;
-}
-
 static bool
 is_write_due (const struct GspanBoard *board, const struct Slot *slot)
 {
-  if (slot->state != SLOT_QUIET || board->now < slot->next_write_at || slot->dirty_since == 0)
-    return false;
-  return board->now >= slot->dirty_since + OUTCOME_DELAY_US || has_waiting (board, slot);
+  return slot->state == SLOT_QUIET && slot->dirty && board->now >= slot->next_write_at;
 }
 
 static void
@@ -644,7 +624,7 @@
   g_hash_table_insert (board->slots->runs, &run->id, run);
   g_hash_table_insert (board->slots->by_key, run->key, run);
   log_key ("keyed-start", run->key, "", outbox);
-  mark_dirty (board, slot);
+  slot->dirty = true;
   if (is_write_due (board, slot))
     start_write (board, slot, outbox);
 }
@@ -699,7 +679,7 @@
     }
   gspan_journal_conclude (&slot->journal, run->key, outcome, answer != NULL ? answer->status : 0,
                           type, answer != NULL ? answer->body : NULL, board->now);
-  mark_dirty (board, slot);
+  slot->dirty = true;
   type_text = gspan_str_dup ((struct GspanStr){ type.data, MIN (type.len, GSPAN_MAX_NAME) });
   res.status = GSPAN_STATUS_OK;
   res.outcome = outcome;
