security: tokens of callers and operators, firms apart, RPC from known networks

Cause: whoever reached an entry could call any route, pull any attachment and drain the process; any address could call by RPC. Now token files named in the settings say who may call; a token names its firm, and a route or attachment of the other firm reads like a missing one unless its record's shared_with names the caller's firm. /-/drain asks for the operator's token, orders carry a credential of their own, RPC is taken from the networks in security.peers. Where nothing is set, everything is as before. Ruled out: peers by the VM list; it lags, so a new VM would be refused.

--- a/board/board.c
+++ b/board/board.c
@@ -21,6 +21,7 @@
   board->self.relay = config->self.relay != NULL ? config->self.relay : "";
   board->self.seeds = config->self.seeds != NULL ? config->self.seeds : "";
   board->policy = config->policy;
+  board->access = config->access;
   board->request_timeout_us = config->request_timeout_us;
   gspan_records_init (&board->records);
   gspan_relay_init (&board->relay);
@@ -120,6 +121,31 @@
     refuse_request (event, outbox);
 }
 
+static void
+refuse_caller (const struct GspanEvent *event, struct GspanOutbox *outbox)
+{
+  struct GspanAction *action = gspan_outbox_reply_error (
+      outbox, event->u.request.request, 401, "Authorization", "no token of a known caller");
+
+  gspan_headers_add (&action->u.reply.headers, "WWW-Authenticate", GSPAN_STR ("Bearer"));
+  gspan_headers_add (&action->u.reply.headers, "Gspan-Outcome", GSPAN_STR ("not-run"));
+}
+
+/* Hands a request on under the firm that its token names. */
+static void
+admit_request (struct GspanBoard *board, const struct GspanEvent *event, struct GspanOutbox *outbox)
+{
+  struct GspanEvent admitted = *event;
+
+  if (gspan_access_admit (board->access, event->u.request.headers, &admitted.u.request.firm))
+    dispatch_request (board, &admitted, outbox);
+  else
+    {
+      gspan_metrics_add (&board->metrics, GSPAN_METRIC_CALLERS_REFUSED, 1);
+      refuse_caller (event, outbox);
+    }
+}
+
 /* Hands a peer's call to the controller of its procedure; a call of none is refused. */
 static void
 dispatch_call (struct GspanBoard *board, const struct GspanEvent *event, struct GspanOutbox *outbox)
@@ -208,7 +234,7 @@
       dispatch_to_all (board, event, outbox);
       break;
     case GSPAN_EVENT_REQUEST:
-      dispatch_request (board, event, outbox);
+      admit_request (board, event, outbox);
       break;
     case GSPAN_EVENT_DATAGRAM:
       gspan_probe_handle (board, event, outbox);
--- a/board/board.h
+++ b/board/board.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "board/message.h"
+#include "common/access.h"
 #include "common/metrics.h"
 #include "desk/poison.h"
 #include "membership/members.h"
@@ -61,6 +62,7 @@
   struct GspanVms vms;
   enum GspanRoutePolicy policy;
   guint64 request_timeout_us;
+  const struct GspanAccess *access; /* borrowed; NULL lets everybody in */
   struct GspanDesk *desk;
   struct GspanKeyed *keyed;
   struct GspanSlots *slots;
@@ -76,6 +78,7 @@
   guint64 lease_us;
   guint64 request_timeout_us;
   enum GspanRoutePolicy policy;
+  const struct GspanAccess *access; /* borrowed, may be NULL */
 };
 
 void
--- a/board/message.h
+++ b/board/message.h
@@ -90,6 +90,7 @@
   struct GspanStr path; /* with its query */
   const struct GspanHeaders *headers;
   GBytes *body;
+  const char *firm; /* that the caller's token names; NULL where callers aren't checked */
 };
 
 /* STATUS is 0 where no status line came. BODY is empty for a streamed exchange. */
--- a/cmd/daemon.c
+++ b/cmd/daemon.c
@@ -5,7 +5,7 @@
 
 #include "common/clock.h"
 #include "common/version.h"
-#include "settings/node.h"
+#include "settings/secrets.h"
 #include "shell/shell.h"
 
 static const char settings_head[]
@@ -64,7 +64,7 @@
 }
 
 static bool
-load_settings (const char *file, struct GspanNodeSettings *settings)
+load_settings (const char *file, struct GspanNodeSettings *settings, struct GspanAccess *access)
 {
   struct GspanFindings findings;
   char *text;
@@ -72,6 +72,8 @@
 
   gspan_findings_init (&findings);
   gspan_options_load (gspan_node_options, gspan_node_option_count, file, settings, &findings);
+  if (gspan_findings_count (&findings) == 0)
+    gspan_secrets_load (settings, access, &findings);
   text = gspan_findings_format (&findings);
   fputs (text, stderr);
   g_free (text);
@@ -81,7 +83,8 @@
 }
 
 static int
-serve (const struct GspanDaemon *daemon, const struct GspanNodeSettings *settings)
+serve (const struct GspanDaemon *daemon, const struct GspanNodeSettings *settings,
+       const struct GspanAccess *access)
 {
   struct GspanBoardConfig config = { 0 };
   struct GspanError error = { 0 };
@@ -96,6 +99,7 @@
   config.self.relay = settings->relay;
   config.self.seeds = settings->seeds;
   config.seed = settings->seed != 0 ? (guint32)settings->seed : g_random_int ();
+  config.access = access;
   config.lease_us = (guint64)settings->lease_ms * GSPAN_MS;
   config.request_timeout_us = (guint64)settings->request_timeout_ms * GSPAN_MS;
   gspan_route_policy_parse (settings->policy, &config.policy);
@@ -118,13 +122,16 @@
 run_with_settings (const struct GspanDaemon *daemon, const struct Arguments *arguments)
 {
   struct GspanNodeSettings settings = { 0 };
+  struct GspanAccess access;
   int code = GSPAN_EXIT_OK;
 
-  if (!load_settings (arguments->config, &settings))
+  gspan_access_init (&access);
+  if (!load_settings (arguments->config, &settings, &access))
     code = GSPAN_EXIT_USAGE;
   else if (!arguments->check)
-    code = serve (daemon, &settings);
+    code = serve (daemon, &settings, &access);
   gspan_options_finish (gspan_node_options, gspan_node_option_count, &settings);
+  gspan_access_finish (&access);
   return code;
 }
 
--- a/cmd/gspanctl.c
+++ b/cmd/gspanctl.c
@@ -6,6 +6,7 @@
 #include "common/address.h"
 #include "common/version.h"
 #include "records/merge.h"
+#include "settings/secrets.h"
 
 enum
 {
@@ -206,12 +207,31 @@
   return gspan_ctl_usage ("unknown command \"%s\"", argv[1]);
 }
 
+static bool
+read_token (const char *file, char **token)
+{
+  struct GspanFindings findings;
+  char *text;
+  bool ok;
+
+  gspan_findings_init (&findings);
+  *token = gspan_secret_read (file, &findings);
+  text = gspan_findings_format (&findings);
+  fputs (text, stderr);
+  g_free (text);
+  ok = gspan_findings_count (&findings) == 0;
+  gspan_findings_finish (&findings);
+  return ok;
+}
+
 int
 main (int argc, char **argv)
 {
   struct GspanCtl ctl = { .expect = GSPAN_ANY_VERSION };
   char *platform = NULL;
   char *editor = NULL;
+  char *token_file = NULL;
+  char *token = NULL;
   gboolean json = FALSE;
   gboolean version = FALSE;
   const GOptionEntry entries[]
@@ -223,6 +243,8 @@
             "N" },
           { "editor", 0, 0, G_OPTION_ARG_STRING, &editor,
             "apply, edit: name that others see; without it the system's user name", "NAME" },
+          { "token-file", 0, 0, G_OPTION_ARG_FILENAME, &token_file,
+            "drain: file of the operator's token", "FILE" },
           { "json", 0, 0, G_OPTION_ARG_NONE, &json, "status: print JSON instead of a table", NULL },
           { "version", 0, 0, G_OPTION_ARG_NONE, &version, "print the version and exit", NULL },
           { NULL, 0, 0, 0, NULL, NULL, NULL } };
@@ -242,12 +264,20 @@
       ctl.platform = platform;
       ctl.editor = editor != NULL ? editor : g_get_user_name ();
       ctl.json = json;
-      code = dispatch (&ctl, argc, argv);
+      if (token_file != NULL && !read_token (token_file, &token))
+        code = GSPAN_EXIT_USAGE;
+      else
+        {
+          ctl.token = token;
+          code = dispatch (&ctl, argc, argv);
+        }
     }
   g_clear_error (&problem);
   g_option_context_free (options);
   g_free (description);
   g_free (platform);
   g_free (editor);
+  g_free (token_file);
+  g_free (token);
   return code;
 }
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -32,7 +32,11 @@
   = { "gspan_leases_lost_total", "leases that ran out or were taken over" },
   [GSPAN_METRIC_GOSSIP_SENT] = { "gspan_gossip_sent_total", "datagrams sent to other members" },
   [GSPAN_METRIC_GOSSIP_SENT_BYTES]
-  = { "gspan_gossip_sent_bytes_total", "bytes in datagrams sent to other members" }
+  = { "gspan_gossip_sent_bytes_total", "bytes in datagrams sent to other members" },
+  [GSPAN_METRIC_CALLERS_REFUSED]
+  = { "gspan_callers_refused_total", "requests without a token of a known caller or operator" },
+  [GSPAN_METRIC_PEERS_REFUSED]
+  = { "gspan_peers_refused_total", "RPC connections from addresses that are no peer's" }
 };
 
 static const struct Description gauges[GSPAN_GAUGE_COUNT] = {
--- a/control/control.c
+++ b/control/control.c
@@ -146,6 +146,7 @@
   action->u.http.not_after = work->lease->held_until;
   action->u.http.fresh = true;
   gspan_headers_add (&action->u.http.headers, "Content-Type", GSPAN_STR ("application/json"));
+  gspan_access_add_order_token (board->access, &action->u.http.headers);
   json_decref (body);
   gspan_metrics_add (&board->metrics, GSPAN_METRIC_ORDERS, 1);
   log_order (work, replica, "order", replica->uncertain ? "uncertain" : "behind", outbox);
--- a/desk/parse.c
+++ b/desk/parse.c
@@ -10,10 +10,11 @@
 
 static bool
 find_route (struct GspanDeskTarget *target, const struct GspanRecords *records, const char *name,
-            bool completions, struct GspanError *error)
+            const char *firm, bool completions, struct GspanError *error)
 {
   target->route = gspan_records_find (records, GSPAN_RECORD_ROUTE, name);
-  if (target->route == NULL || target->route->u.route.completions != completions)
+  if (!gspan_record_serves (target->route, firm)
+      || target->route->u.route.completions != completions)
     {
       target->route = NULL;
       return gspan_error_set (error, GSPAN_ERROR_INPUT, "no %s route is called \"%s\"",
@@ -24,7 +25,7 @@
 
 static bool
 read_completion (struct GspanDeskTarget *target, json_t *root, const struct GspanRecords *records,
-                 int *status, const char **field, struct GspanError *error)
+                 const char *firm, int *status, const char **field, struct GspanError *error)
 {
   json_t *model = json_object_get (root, "model");
   json_t *prompt = json_object_get (root, "prompt");
@@ -42,7 +43,7 @@
     return gspan_error_set (error, GSPAN_ERROR_INPUT, "neither true nor false");
   *status = 404;
   *field = "model";
-  if (!find_route (target, records, json_string_value (model), true, error))
+  if (!find_route (target, records, json_string_value (model), firm, true, error))
     return false;
   target->path = gspan_str_dup (completions_path);
   target->stream = json_is_true (stream);
@@ -69,7 +70,7 @@
       return gspan_error_set (error, GSPAN_ERROR_INPUT, "no JSON object: line %d column %d: %s",
                               problem.line, problem.column, problem.text);
     }
-  ok = read_completion (target, root, records, status, field, error);
+  ok = read_completion (target, root, records, request->firm, status, field, error);
   json_decref (root);
   return ok;
 }
@@ -88,7 +89,7 @@
 
   *status = 404;
   *field = "path";
-  ok = find_route (target, records, name, false, error);
+  ok = find_route (target, records, name, request->firm, false, error);
   g_free (name);
   if (!ok)
     return false;
--- a/desk/pulls.c
+++ b/desk/pulls.c
@@ -331,7 +331,9 @@
     refuse (board, pull, 400, wrong, "missing or of a wrong type", outbox);
   else if (!gspan_board_ready (board))
     refuse (board, pull, 503, "entry", "this entry is starting or shutting down", outbox);
-  else if (gspan_records_find (&board->records, GSPAN_RECORD_ATTACHMENT, pull->attachment) == NULL)
+  else if (!gspan_record_serves (
+               gspan_records_find (&board->records, GSPAN_RECORD_ATTACHMENT, pull->attachment),
+               request->firm))
     refuse (board, pull, 404, "attachment", "no such attachment", outbox);
   else
     advance (board, pull, outbox);
--- a/records/record.c
+++ b/records/record.c
@@ -30,6 +30,7 @@
 
 static const struct Field common_fields[]
     = { { "firm", FIELD_TEXT, true, 0, 0, 0, offsetof (struct GspanRecord, firm) },
+        { "shared_with", FIELD_TEXT, false, 0, 0, 0, offsetof (struct GspanRecord, shared_with) },
         { "paused", FIELD_FLAG, false, 0, 1, 0, offsetof (struct GspanRecord, paused) } };
 
 static const struct Field pool_fields[]
@@ -110,6 +111,22 @@
          || has_field (kinds[kind].fields, kinds[kind].count, key);
 }
 
+bool
+gspan_record_serves (const struct GspanRecord *record, const char *firm)
+{
+  char **others;
+  bool serves;
+
+  if (record == NULL || firm == NULL || strcmp (record->firm, firm) == 0)
+    return record != NULL;
+  if (record->shared_with == NULL)
+    return false;
+  others = g_strsplit (record->shared_with, " ", -1);
+  serves = g_strv_contains ((const char *const *)others, firm);
+  g_strfreev (others);
+  return serves;
+}
+
 static void
 read_number (const struct Field *field, json_t *value, guint64 *out, const char *file,
              struct GspanFindings *findings)
--- a/records/record.h
+++ b/records/record.h
@@ -67,7 +67,8 @@
   enum GspanRecordKind kind;
   char *name;
   char *firm;
-  guint64 version; /* of the platform's object */
+  guint64 version;   /* of the platform's object */
+  char *shared_with; /* other firms whose callers may use it, separated by blanks; may be NULL */
   bool paused;
   json_t *raw; /* as it was read, unknown fields included */
   union
@@ -88,6 +89,10 @@
 bool
 gspan_record_has_field (enum GspanRecordKind kind, const char *key);
 
+/* True where callers of FIRM may use RECORD; FIRM is NULL where callers aren't checked. */
+bool
+gspan_record_serves (const struct GspanRecord *record, const char *firm);
+
 /*
  * Reads a record of KIND called NAME out of VALUE, which may be of any schema version. Findings
  * name their field; FILE is the place that they report. False where any was added; RECORD then is
--- a/rpc/transport.c
+++ b/rpc/transport.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "common/address.h"
 #include "common/clock.h"
 #include "rpc/codec.h"
 
@@ -48,6 +49,8 @@
   GspanRpcCallback callback;
   void *user;
   int listen_fd;
+  const GArray *networks; /* that may call; NULL is all */
+  void (*refused) (void *user, const char *peer);
   guint16 port;
   ev_io accept_io;
   ev_timer sweep;
@@ -295,16 +298,41 @@
   return connection;
 }
 
+static void
+refuse_peer (struct GspanRpcTransport *transport, int fd, const struct sockaddr_in *peer)
+{
+  char text[INET_ADDRSTRLEN] = "";
+
+  close (fd);
+  inet_ntop (AF_INET, &peer->sin_addr, text, sizeof text);
+  if (transport->refused != NULL)
+    transport->refused (transport->user, text);
+}
+
+void
+gspan_rpc_transport_allow (struct GspanRpcTransport *transport, const GArray *networks,
+                           void (*refused) (void *user, const char *peer))
+{
+  transport->networks = networks;
+  transport->refused = refused;
+}
+
 static void
 on_accept (struct ev_loop *loop, ev_io *watcher, int events)
 {
   struct GspanRpcTransport *transport = watcher->data;
-  int fd = accept (transport->listen_fd, NULL, NULL);
+  struct sockaddr_in peer = { 0 };
+  socklen_t len = sizeof peer;
+  int fd = accept (transport->listen_fd, (struct sockaddr *)&peer, &len);
 
   (void)loop;
   (void)events;
-  if (fd >= 0)
+  if (fd < 0)
+    return;
+  if (transport->networks == NULL || gspan_networks_contain (transport->networks, peer.sin_addr))
     connection_new (transport, fd, NULL);
+  else
+    refuse_peer (transport, fd, &peer);
 }
 
 static bool
--- a/rpc/transport.h
+++ b/rpc/transport.h
@@ -14,6 +14,14 @@
 struct GspanRpcTransport *
 gspan_rpc_transport_new (struct ev_loop *loop, const char *address, GspanRpcCallback callback,
                          void *user, struct GspanError *error);
+/*
+ * Takes calls from addresses in NETWORKS only, an array of struct GspanNetwork that is borrowed;
+ * from all where it is NULL. REFUSED, which may be NULL, is called for each connection closed.
+ */
+void
+gspan_rpc_transport_allow (struct GspanRpcTransport *transport, const GArray *networks,
+                           void (*refused) (void *user, const char *peer));
+
 void
 gspan_rpc_transport_free (struct GspanRpcTransport *transport);
 
--- a/settings/node.h
+++ b/settings/node.h
@@ -17,6 +17,10 @@
   char *platform;
   char *policy;
   char *log_level;
+  char *callers_file;
+  char *operator_file;
+  char *order_file;
+  char *peers;
   gint64 lease_ms;
   gint64 body_max;
   gint64 connections;
--- a/settings/options.c
+++ b/settings/options.c
@@ -61,6 +61,8 @@
     return g_strdup_printf ("\"%s\" is no name, allowed are letters, digits, \".\", \"_\" and "
                             "\"-\", at most %d",
                             text, NAME_LEN_MAX);
+  if (option->type == GSPAN_OPTION_NETWORKS && !gspan_networks_parse (text, NULL))
+    return g_strdup_printf ("\"%s\" is no list of networks, allowed is \"IP/BITS IP/BITS\"", text);
   if (text[0] == '\0')
     return g_strdup ("is empty, allowed is a string of one byte or more");
   return NULL;
@@ -285,6 +287,9 @@
     case GSPAN_OPTION_ADDRESS:
       g_string_append (text, "IP:PORT");
       break;
+    case GSPAN_OPTION_NETWORKS:
+      g_string_append (text, "IP/BITS IP/BITS");
+      break;
     case GSPAN_OPTION_CHOICE:
       g_string_append (text, option->choices);
       break;
--- a/settings/options.h
+++ b/settings/options.h
@@ -5,12 +5,13 @@
 
 enum GspanOptionType
 {
-  GSPAN_OPTION_STRING,  /* char * */
-  GSPAN_OPTION_NAME,    /* char *, letters, digits, ".", "_" and "-", at most 64 */
-  GSPAN_OPTION_ADDRESS, /* char *, "IP:PORT" */
-  GSPAN_OPTION_CHOICE,  /* char *, one of CHOICES */
-  GSPAN_OPTION_INTEGER, /* gint64, between MIN and MAX */
-  GSPAN_OPTION_BOOLEAN  /* gint64, 0 or 1 */
+  GSPAN_OPTION_STRING,   /* char * */
+  GSPAN_OPTION_NAME,     /* char *, letters, digits, ".", "_" and "-", at most 64 */
+  GSPAN_OPTION_ADDRESS,  /* char *, "IP:PORT" */
+  GSPAN_OPTION_NETWORKS, /* char *, "IP/BITS" separated by blanks */
+  GSPAN_OPTION_CHOICE,   /* char *, one of CHOICES */
+  GSPAN_OPTION_INTEGER,  /* gint64, between MIN and MAX */
+  GSPAN_OPTION_BOOLEAN   /* gint64, 0 or 1 */
 };
 
 /* One setting. A module declares its settings as a table of these. */
--- a/shell/shell.c
+++ b/shell/shell.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "common/address.h"
 #include "common/clock.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -28,6 +29,7 @@
   struct GspanHttpClient *client;
   struct GspanRpcTransport *rpc;
   struct GspanUdp *udp; /* NULL where the process is no member */
+  GArray *peers;        /* struct GspanNetwork; NULL takes RPC from everywhere */
   ev_timer tick;
   ev_signal sigterm;
   ev_signal sigint;
@@ -247,6 +249,13 @@
       reply_text (shell, incoming->id, 200, text);
       g_free (text);
     }
+  else if (gspan_str_equal (incoming->path, GSPAN_STR ("/-/drain"))
+           && gspan_str_equal (incoming->method, GSPAN_STR ("POST"))
+           && !gspan_access_admit_operator (shell->board->access, incoming->headers))
+    {
+      gspan_metrics_add (&shell->board->metrics, GSPAN_METRIC_CALLERS_REFUSED, 1);
+      reply_text (shell, incoming->id, 401, "no token of an operator\n");
+    }
   else if (gspan_str_equal (incoming->path, GSPAN_STR ("/-/drain"))
            && gspan_str_equal (incoming->method, GSPAN_STR ("POST")))
     {
@@ -361,6 +370,18 @@
   ev_signal_start (shell->loop, &shell->sigint);
 }
 
+static void
+on_peer_refused (void *user, const char *peer)
+{
+  struct GspanShell *shell = user;
+  struct GspanLine line;
+
+  gspan_metrics_add (&shell->board->metrics, GSPAN_METRIC_PEERS_REFUSED, 1);
+  gspan_line_init (&line, "peer-refused");
+  gspan_line_cstr (&line, "peer", peer);
+  gspan_log_line (&shell->log, GSPAN_PRIORITY_WARNING, &line);
+}
+
 static bool
 open_listeners (struct GspanShell *shell, struct GspanError *error)
 {
@@ -376,6 +397,12 @@
   shell->rpc = gspan_rpc_transport_new (shell->loop, shell->settings->rpc, on_rpc, shell, error);
   if (shell->rpc == NULL)
     return false;
+  if (shell->settings->peers[0] != '\0')
+    {
+      shell->peers = g_array_new (FALSE, FALSE, sizeof (struct GspanNetwork));
+      gspan_networks_parse (shell->settings->peers, shell->peers);
+    }
+  gspan_rpc_transport_allow (shell->rpc, shell->peers, on_peer_refused);
   if (shell->settings->udp[0] == '\0')
     return true;
   shell->udp = gspan_udp_new (shell->loop, shell->settings->udp, on_datagram, shell, error);
@@ -415,6 +442,8 @@
   if (shell->server != NULL)
     gspan_http_server_free (shell->server);
   gspan_http_client_free (shell->client);
+  if (shell->peers != NULL)
+    g_array_unref (shell->peers);
   g_hash_table_unref (shell->objects);
   g_free (shell);
 }
