--- a/board/message.c
+++ b/board/message.c
@@ -94,12 +94,14 @@
 gspan_outbox_reply_error (struct GspanOutbox *outbox, guint64 request, int status,
                           const char *field, const char *message)
 {
-  json_t *error = json_pack ("{s:{s:s, s:s}}", "error", "field", field, "message", message);
+  char *valid = g_utf8_make_valid (message, -1); /* callers' bytes are quoted in messages */
+  json_t *error = json_pack ("{s:{s:s, s:s}}", "error", "field", field, "message", valid);
   char *text = json_dumps (error, JSON_COMPACT);
   struct GspanAction *action = gspan_outbox_reply_json (outbox, request, status, text);
 
   free (text);
   json_decref (error);
+  g_free (valid);
   return action;
 }
 
--- a/rollout/cursor.c
+++ b/rollout/cursor.c
@@ -77,6 +77,8 @@
   g_array_set_size (cursor->deferred, 0);
   if (text.len == 0)
     return true;
+  if (memchr (text.data, '\0', text.len) != NULL)
+    return gspan_error_set (error, GSPAN_ERROR_INPUT, "holds a NUL byte");
   copy = gspan_str_dup (text);
   fields = g_strsplit (copy, ":", -1);
   ok = parse_fields (cursor, attachment, fields, error);
