rollout: every exchange on a fresh connection

Cause: in scripts/demo with silent-connections one trainer waited 27.5 s: the samples in flight went silent, and their second runs and scores were put on kept connections that had gone silent with them. Ruled out: lease and owner (both unchanged in the logs of that time), the entries (pull-refused "not ready yet"). The fake world now breaks on a reused connection: RolloutWorld.KeepsItsPromises… failed before the change (2 failed), passes after (46 passed, 0 failed). Cost: 2 trainers x 1,024 samples in 9 min are 3.8 connections a second, and as many for scores.

--- a/rollout/rollout.c
+++ b/rollout/rollout.c
@@ -183,6 +183,10 @@
   return exchange;
 }
 
+/*
+ * Always on a fresh connection: a kept one may have gone silent since, and a step waits for its
+ * slowest sample. Samples are few beside desk requests, so that the connections cost little.
+ */
 static void
 send_json (struct GspanOutbox *outbox, guint64 id, const char *address, const char *path,
            json_t *body, guint64 timeout_us)
@@ -195,6 +199,7 @@
   action->u.http.url = g_strdup_printf ("http://%s%s", address, path);
   action->u.http.body = g_bytes_new_with_free_func (text, strlen (text), free, text);
   action->u.http.timeout_us = timeout_us;
+  action->u.http.fresh = true;
   gspan_headers_add (&action->u.http.headers, "Content-Type", GSPAN_STR ("application/json"));
   gspan_headers_add (&action->u.http.headers, "X-Priority", GSPAN_STR ("rollout"));
   json_decref (body);
@@ -474,6 +479,7 @@
   action->u.http.method = g_strdup ("GET");
   action->u.http.url = g_strdup_printf ("http://%s/v1/state", upstream->address);
   action->u.http.timeout_us = PROBE_TIMEOUT_US;
+  action->u.http.fresh = true;
 }
 
 /* Asks the engines last known to run an old or an uncertain version what they run now. */
--- a/test/rollout_world.h
+++ b/test/rollout_world.h
@@ -323,6 +323,7 @@
     guint life = nodes[i].life;
     GspanRef ref = action->ref;
 
+    broken (!action->u.http.fresh, "reused");
     if (url.find ("/score") != std::string::npos)
       {
         bool fails = scorer_failures > 0 && scorer_failures-- > 0;
