--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -460,10 +460,11 @@
     if (action.kind == GSPAN_ACTION_HTTP && action.u.http.body != nullptr)
       not_after = action.u.http.not_after;
     if (action.kind == GSPAN_ACTION_OBJECT && action.u.object.op == GSPAN_OBJECT_PUT)
-      released
-          |= strstr (static_cast<const char *> (g_bytes_get_data (action.u.object.body, nullptr)),
-                     R"("holder":"")")
-             != nullptr;
+      {
+        GspanStr text = gspan_str_from_bytes (action.u.object.body);
+
+        released |= std::string (text.data, text.len).find (R"("holder":"")") != std::string::npos;
+      }
     take (node, action);
   };
   while (not_after == 0)
