--- a/desk/desk.c
+++ b/desk/desk.c
@@ -276,7 +276,9 @@
 {
   guint64 left = call->deadline - board->now;
 
-  return call->idempotent && call->attempts < ATTEMPTS_MAX ? left / ATTEMPT_DIVISOR : left;
+  bool more = call->attempts < ATTEMPTS_MAX && board->desk->retry_budget >= RETRY_COST;
+
+  return call->idempotent && more ? left / ATTEMPT_DIVISOR : left;
 }
 
 static void
--- a/test/desk_test.cc
+++ b/test/desk_test.cc
@@ -312,6 +312,21 @@
   RC_ASSERT (sent <= id + id / 10 + 10);
 }
 
+/* An attempt leaves time for another only where the budget can pay for that one. */
+TEST_F (Desk, AttemptWithoutASuccessorGetsAllTheTime)
+{
+  const char *body = R"({"model":"m","prompt":"p"})";
+
+  bench.request (1, "/v1/completions", body);
+  EXPECT_EQ (exchange ()->u.http.timeout_us, 15 * GSPAN_SECOND);
+  bench.now += 15 * GSPAN_SECOND;
+  bench.answer (exchange ()->ref, GSPAN_HTTP_TIMEOUT, 0, "");
+  EXPECT_EQ (exchange ()->u.http.timeout_us, 7500 * GSPAN_MS);
+  bench.board.desk->retry_budget = 0;
+  bench.request (2, "/v1/completions", R"({"model":"m","prompt":"q"})");
+  EXPECT_EQ (exchange ()->u.http.timeout_us, 30 * GSPAN_SECOND);
+}
+
 /* An upstream that breaks gets nothing for a while, then one probe at a time. */
 TEST_F (Desk, BreakerLetsOneProbeThrough)
 {
@@ -351,3 +366,35 @@
   ASSERT_NE (exchange (), nullptr);
   EXPECT_TRUE (exchange ()->u.http.fresh);
 }
+
+/* However hot one prefix is, affinity takes no upstream above the bound over the mean load. */
+RC_GTEST_FIXTURE_PROP (Desk, AffinityKeepsItsBound, (const std::vector<uint8_t> &script))
+{
+  std::vector<GspanUpstream *> upstreams;
+  std::vector<GspanUpstream *> open;
+  GspanRouteQuery query{};
+
+  for (int i = 0; i < 8; i++)
+    upstreams.push_back (bench.add_upstream (("e" + std::to_string (i)).c_str (), "engines"));
+  query.service = "engines";
+  query.zone = "bratislava";
+  query.now = bench.now;
+  for (uint8_t step : script)
+    for (int i = 0; i < 10; i++)
+      {
+        size_t before = open.size ();
+
+        if (step % 4 == 0 && !open.empty ())
+          {
+            gspan_upstream_end (open.back (), GSPAN_FEEDBACK_GOOD, bench.now);
+            open.pop_back ();
+            continue;
+          }
+        query.prefix_hash = step % 16 == 1 ? step : 7;
+        GspanRouteChoice choice = gspan_route_choose (&bench.board.upstreams, &query);
+        RC_ASSERT (choice.upstream != nullptr);
+        RC_ASSERT (choice.upstream->inflight <= before / upstreams.size () * 5 / 4 + 2);
+        gspan_upstream_begin (choice.upstream);
+        open.push_back (choice.upstream);
+      }
+}
