--- a/board/board.h
+++ b/board/board.h
@@ -81,38 +81,30 @@
   const struct GspanAccess *access; /* borrowed, may be NULL */
 };
 
-void
-gspan_board_init (struct GspanBoard *board, const struct GspanBoardConfig *config);
-void
-gspan_board_finish (struct GspanBoard *board);
+void gspan_board_init (struct GspanBoard *board, const struct GspanBoardConfig *config);
+void gspan_board_finish (struct GspanBoard *board);
 
 /* Number of an operation, unique on this board. */
-guint64
-gspan_board_next_id (struct GspanBoard *board);
+guint64 gspan_board_next_id (struct GspanBoard *board);
 
 /*
  * Id of REQUEST in logs, headers and towards upstreams, "VM-INCARNATION-NUMBER": unique over the
  * fleet, also over restarts of one name. Released with g_free ().
  */
-char *
-gspan_board_request_id (const struct GspanBoard *board, guint64 request);
+char *gspan_board_request_id (const struct GspanBoard *board, guint64 request);
 
 /*
  * Runs the controllers that EVENT concerns at the time NOW; their actions go to OUTBOX. Each answer
  * to a caller gets its request's id in a Gspan-Request header.
  */
-void
-gspan_board_handle (struct GspanBoard *board, const struct GspanEvent *event, guint64 now,
-                    struct GspanOutbox *outbox);
+void gspan_board_handle (struct GspanBoard *board, const struct GspanEvent *event, guint64 now,
+                         struct GspanOutbox *outbox);
 
 /* True where this process knows records and upstreams and takes new work. */
-bool
-gspan_board_ready (const struct GspanBoard *board);
+bool gspan_board_ready (const struct GspanBoard *board);
 
 /* Sets the gauges that follow from the board's state. */
-void
-gspan_board_measure (struct GspanBoard *board);
+void gspan_board_measure (struct GspanBoard *board);
 
 /* True while work in flight keeps a draining process from its exit. */
-bool
-gspan_board_busy (const struct GspanBoard *board);
+bool gspan_board_busy (const struct GspanBoard *board);
--- a/board/message.h
+++ b/board/message.h
@@ -230,32 +230,26 @@
   GPtrArray *actions;
 };
 
-void
-gspan_outbox_init (struct GspanOutbox *outbox);
-void
-gspan_outbox_finish (struct GspanOutbox *outbox);
-void
-gspan_outbox_clear (struct GspanOutbox *outbox);
+void gspan_outbox_init (struct GspanOutbox *outbox);
+void gspan_outbox_finish (struct GspanOutbox *outbox);
+void gspan_outbox_clear (struct GspanOutbox *outbox);
 
 /* Appends an empty action of KIND, its headers ready, for the caller to fill in. */
-struct GspanAction *
-gspan_outbox_add (struct GspanOutbox *outbox, enum GspanActionKind kind, struct GspanRef ref);
+struct GspanAction *gspan_outbox_add (struct GspanOutbox *outbox, enum GspanActionKind kind,
+                                      struct GspanRef ref);
 
 /* Whole answer with a body of JSON text. */
-struct GspanAction *
-gspan_outbox_reply_json (struct GspanOutbox *outbox, guint64 request, int status, const char *json);
+struct GspanAction *gspan_outbox_reply_json (struct GspanOutbox *outbox, guint64 request,
+                                             int status, const char *json);
 
 /* Answer {"error": {"field": FIELD, "message": MESSAGE}}. */
-struct GspanAction *
-gspan_outbox_reply_error (struct GspanOutbox *outbox, guint64 request, int status,
-                          const char *field, const char *message);
+struct GspanAction *gspan_outbox_reply_error (struct GspanOutbox *outbox, guint64 request,
+                                              int status, const char *field, const char *message);
 
 /* Operation on a platform object. Takes over a reference to BODY, which may be NULL. */
-void
-gspan_outbox_object (struct GspanOutbox *outbox, struct GspanRef ref, enum GspanObjectOp op,
-                     const char *path, guint64 revision, GBytes *body);
+void gspan_outbox_object (struct GspanOutbox *outbox, struct GspanRef ref, enum GspanObjectOp op,
+                          const char *path, guint64 revision, GBytes *body);
 
 /* Takes over LINE. MODULE has static storage. */
-void
-gspan_outbox_log (struct GspanOutbox *outbox, const char *module, enum GspanPriority priority,
-                  struct GspanLine *line);
+void gspan_outbox_log (struct GspanOutbox *outbox, const char *module, enum GspanPriority priority,
+                       struct GspanLine *line);
--- a/cmd/ctl.h
+++ b/cmd/ctl.h
@@ -26,36 +26,23 @@
 };
 
 /* Writes "gspanctl: WHAT: MESSAGE" to standard error and returns the exit code of ERROR. */
-int
-gspan_ctl_fail (const char *what, const struct GspanError *error);
+int gspan_ctl_fail (const char *what, const struct GspanError *error);
 
 /* Says what is wrong with the words and returns GSPAN_EXIT_USAGE. */
-int
-gspan_ctl_usage (const char *format, ...) G_GNUC_PRINTF (1, 2);
+int gspan_ctl_usage (const char *format, ...) G_GNUC_PRINTF (1, 2);
 
 /* "KIND/NAME" of the first two words; NULL, with the fault said, where they can't be one. */
-char *
-gspan_ctl_path (const struct GspanCtl *ctl);
+char *gspan_ctl_path (const struct GspanCtl *ctl);
 
 /* Prints "PREFIX VALUE" on a line; a NULL value is printed as "none". */
-void
-gspan_ctl_print_value (const char *prefix, const json_t *value);
-
-int
-gspan_ctl_apply (const struct GspanCtl *ctl);
-int
-gspan_ctl_check (const struct GspanCtl *ctl);
-int
-gspan_ctl_delete (const struct GspanCtl *ctl);
-int
-gspan_ctl_drain (const struct GspanCtl *ctl);
-int
-gspan_ctl_edit (const struct GspanCtl *ctl);
-int
-gspan_ctl_explain (const struct GspanCtl *ctl);
-int
-gspan_ctl_get (const struct GspanCtl *ctl);
-int
-gspan_ctl_status (const struct GspanCtl *ctl);
-int
-gspan_ctl_watch (const struct GspanCtl *ctl);
+void gspan_ctl_print_value (const char *prefix, const json_t *value);
+
+int gspan_ctl_apply (const struct GspanCtl *ctl);
+int gspan_ctl_check (const struct GspanCtl *ctl);
+int gspan_ctl_delete (const struct GspanCtl *ctl);
+int gspan_ctl_drain (const struct GspanCtl *ctl);
+int gspan_ctl_edit (const struct GspanCtl *ctl);
+int gspan_ctl_explain (const struct GspanCtl *ctl);
+int gspan_ctl_get (const struct GspanCtl *ctl);
+int gspan_ctl_status (const struct GspanCtl *ctl);
+int gspan_ctl_watch (const struct GspanCtl *ctl);
--- a/cmd/daemon.h
+++ b/cmd/daemon.h
@@ -13,5 +13,4 @@
 };
 
 /* Runs the program until it is told to stop. Returns its exit code. */
-int
-gspan_daemon_main (const struct GspanDaemon *daemon, int argc, char **argv);
+int gspan_daemon_main (const struct GspanDaemon *daemon, int argc, char **argv);
--- a/cmd/fetch.h
+++ b/cmd/fetch.h
@@ -26,8 +26,6 @@
  * UNAVAILABLE where the request surely did not leave and UNKNOWN where it may have. FETCH is to be
  * finished always.
  */
-bool
-gspan_fetch (struct GspanFetch *fetch, const struct GspanFetchRequest *request,
-             struct GspanError *error);
-void
-gspan_fetch_finish (struct GspanFetch *fetch);
+bool gspan_fetch (struct GspanFetch *fetch, const struct GspanFetchRequest *request,
+                  struct GspanError *error);
+void gspan_fetch_finish (struct GspanFetch *fetch);
--- a/cmd/objects.h
+++ b/cmd/objects.h
@@ -16,13 +16,11 @@
 };
 
 /* Releases the value; a zeroed OBJECT is fine. */
-void
-gspan_object_finish (struct GspanObject *object);
+void gspan_object_finish (struct GspanObject *object);
 
 /* False with ERROR UNAVAILABLE where the platform gave no answer. A missing object is no error. */
-bool
-gspan_object_read (const char *platform, const char *path, struct GspanObject *object,
-                   struct GspanError *error);
+bool gspan_object_read (const char *platform, const char *path, struct GspanObject *object,
+                        struct GspanError *error);
 
 /*
  * Writes VALUE, or deletes where it is NULL, over version EXPECT and no other. Refusals and lost
@@ -33,19 +31,16 @@
  *   INPUT        not written, the platform refuses the value,
  *   UNKNOWN      an answer was lost and reading back did not settle it.
  */
-bool
-gspan_object_write (const char *platform, const char *path, guint64 expect, json_t *value,
-                    struct GspanObject *stored, struct GspanError *error);
+bool gspan_object_write (const char *platform, const char *path, guint64 expect, json_t *value,
+                         struct GspanObject *stored, struct GspanError *error);
 
 /* Objects of KINDS ("a,b") as the platform's JSON array; NULL with ERROR set. */
-json_t *
-gspan_object_list (const char *platform, const char *kinds, guint64 *revision,
-                   struct GspanError *error);
+json_t *gspan_object_list (const char *platform, const char *kinds, guint64 *revision,
+                           struct GspanError *error);
 
 /*
  * Waits up to WAIT_MS for changes of KINDS after *REVISION and moves it on. NULL with ERROR set;
  * CONFLICT says that the platform can't go on from that revision and a list is needed.
  */
-json_t *
-gspan_object_watch (const char *platform, const char *kinds, guint64 *revision, guint wait_ms,
-                    struct GspanError *error);
+json_t *gspan_object_watch (const char *platform, const char *kinds, guint64 *revision,
+                            guint wait_ms, struct GspanError *error);
--- a/common/address.h
+++ b/common/address.h
@@ -5,8 +5,7 @@
 #include <stdbool.h>
 
 /* Reads "IP:PORT" of IPv4, port 0 to 65535. False on anything else; ADDRESS is zeroed first. */
-bool
-gspan_address_parse (const char *text, struct sockaddr_in *address);
+bool gspan_address_parse (const char *text, struct sockaddr_in *address);
 
 struct GspanNetwork
 {
@@ -19,9 +18,7 @@
  * GspanNetwork that may be NULL. False where a word is none, has bits set beyond BITS, or there is
  * no word.
  */
-bool
-gspan_networks_parse (const char *text, GArray *networks);
+bool gspan_networks_parse (const char *text, GArray *networks);
 
 /* True where ADDRESS is in one of NETWORKS. */
-bool
-gspan_networks_contain (const GArray *networks, struct in_addr address);
+bool gspan_networks_contain (const GArray *networks, struct in_addr address);
--- a/common/clock.h
+++ b/common/clock.h
@@ -6,5 +6,4 @@
 #define GSPAN_SECOND ((guint64)1000000)
 
 /* Microseconds since boot, suspended time included, so that a lease runs out during a suspend. */
-guint64
-gspan_clock_now (void);
+guint64 gspan_clock_now (void);
--- a/common/line.h
+++ b/common/line.h
@@ -11,22 +11,15 @@
   GString *text;
 };
 
-void
-gspan_line_init (struct GspanLine *line, const char *event);
-void
-gspan_line_finish (struct GspanLine *line);
-void
-gspan_line_str (struct GspanLine *line, const char *key, struct GspanStr value);
-void
-gspan_line_cstr (struct GspanLine *line, const char *key, const char *value);
-void
-gspan_line_int (struct GspanLine *line, const char *key, gint64 value);
-void
-gspan_line_u64 (struct GspanLine *line, const char *key, guint64 value);
+void gspan_line_init (struct GspanLine *line, const char *event);
+void gspan_line_finish (struct GspanLine *line);
+void gspan_line_str (struct GspanLine *line, const char *key, struct GspanStr value);
+void gspan_line_cstr (struct GspanLine *line, const char *key, const char *value);
+void gspan_line_int (struct GspanLine *line, const char *key, gint64 value);
+void gspan_line_u64 (struct GspanLine *line, const char *key, guint64 value);
 
 /* The text so far; the line gives up its ownership. Released with g_free (). */
-char *
-gspan_line_steal (struct GspanLine *line);
+char *gspan_line_steal (struct GspanLine *line);
 
 /* One pair of a line. VALUE is as it was before it was escaped. */
 struct GspanPair
@@ -40,9 +33,7 @@
  * where TEXT is no such line: a pair without a key or "=", an unknown escape, or quotes that stay
  * open.
  */
-GPtrArray *
-gspan_line_parse (struct GspanStr text);
+GPtrArray *gspan_line_parse (struct GspanStr text);
 
 /* Value of the first pair called KEY; NULL where there is none. */
-const char *
-gspan_line_find (const GPtrArray *pairs, const char *key);
+const char *gspan_line_find (const GPtrArray *pairs, const char *key);
--- a/common/log.h
+++ b/common/log.h
@@ -24,9 +24,8 @@
  * Writes "<PRIORITY>PROGRAM[PID]: time=TIME module=MODULE TEXT" to standard error as one line. TIME
  * is the VM's wall clock in UTC, to the microsecond; it only puts lines in order for readers.
  */
-void
-gspan_log_text (const struct GspanLog *log, enum GspanPriority priority, const char *text);
+void gspan_log_text (const struct GspanLog *log, enum GspanPriority priority, const char *text);
 
 /* Writes LINE and finishes it. */
-void
-gspan_log_line (const struct GspanLog *log, enum GspanPriority priority, struct GspanLine *line);
+void gspan_log_line (const struct GspanLog *log, enum GspanPriority priority,
+                     struct GspanLine *line);
--- a/common/metrics.h
+++ b/common/metrics.h
@@ -69,20 +69,15 @@
   struct GspanHistogramValues histograms[GSPAN_HISTOGRAM_COUNT];
 };
 
-void
-gspan_metrics_add (struct GspanMetrics *metrics, enum GspanMetric metric, guint64 amount);
-void
-gspan_metrics_set (struct GspanMetrics *metrics, enum GspanGauge gauge, guint64 value);
+void gspan_metrics_add (struct GspanMetrics *metrics, enum GspanMetric metric, guint64 amount);
+void gspan_metrics_set (struct GspanMetrics *metrics, enum GspanGauge gauge, guint64 value);
 
 /* Counts a duration of ELAPSED_US microseconds. */
-void
-gspan_metrics_observe (struct GspanMetrics *metrics, enum GspanHistogram histogram,
-                       guint64 elapsed_us);
+void gspan_metrics_observe (struct GspanMetrics *metrics, enum GspanHistogram histogram,
+                            guint64 elapsed_us);
 
 /* Exposition text of all metrics; durations are in seconds there. Released with g_free (). */
-char *
-gspan_metrics_format (const struct GspanMetrics *metrics);
+char *gspan_metrics_format (const struct GspanMetrics *metrics);
 
 /* All metrics with their meaning, as a table in Markdown. Released with g_free (). */
-char *
-gspan_metrics_describe (void);
+char *gspan_metrics_describe (void);
--- a/control/control.h
+++ b/control/control.h
@@ -20,10 +20,7 @@
   GHashTable *exchanges; /* number to struct Exchange, owns them */
 };
 
-void
-gspan_control_init (struct GspanControl *control);
-void
-gspan_control_finish (struct GspanControl *control);
-void
-gspan_control_handle (struct GspanBoard *board, const struct GspanEvent *event,
-                      struct GspanOutbox *outbox);
+void gspan_control_init (struct GspanControl *control);
+void gspan_control_finish (struct GspanControl *control);
+void gspan_control_handle (struct GspanBoard *board, const struct GspanEvent *event,
+                           struct GspanOutbox *outbox);
--- a/control/pool.h
+++ b/control/pool.h
@@ -47,26 +47,21 @@
   GHashTable *replicas; /* name to struct GspanReplica, owns them */
 };
 
-struct GspanPoolWork *
-gspan_pool_work_new (const char *name);
-void
-gspan_pool_work_free (gpointer work);
+struct GspanPoolWork *gspan_pool_work_new (const char *name);
+void gspan_pool_work_free (gpointer work);
 
 /* Replica called NAME, created where it is new. */
-struct GspanReplica *
-gspan_pool_work_replica (struct GspanPoolWork *work, const char *name);
+struct GspanReplica *gspan_pool_work_replica (struct GspanPoolWork *work, const char *name);
 
-struct GspanPoolCounts
-gspan_pool_work_count (const struct GspanPoolWork *work);
+struct GspanPoolCounts gspan_pool_work_count (const struct GspanPoolWork *work);
 
 /*
  * The replica to order next, or NULL: uncertain ones first, since they serve nobody, then the
  * furthest behind. Until one replica is at a new target only a few are tried with it and half stay
  * in service; after that at most MAX_OUT are out at once, and never all, unless there is only one.
  */
-struct GspanReplica *
-gspan_pool_work_next (const struct GspanPoolWork *work, guint64 max_out, guint64 now);
+struct GspanReplica *gspan_pool_work_next (const struct GspanPoolWork *work, guint64 max_out,
+                                           guint64 now);
 
 /* Takes in a report of the replica itself. An answer that is no report makes it unknown. */
-void
-gspan_replica_take_report (struct GspanReplica *replica, const struct GspanEventHttp *answer);
+void gspan_replica_take_report (struct GspanReplica *replica, const struct GspanEventHttp *answer);
--- a/desk/desk.h
+++ b/desk/desk.h
@@ -30,31 +30,25 @@
   guint64 retry_budget;   /* hundredths of retries that may still be sent */
 };
 
-void
-gspan_desk_init (struct GspanDesk *desk);
-void
-gspan_desk_finish (struct GspanDesk *desk);
-void
-gspan_desk_handle (struct GspanBoard *board, const struct GspanEvent *event,
-                   struct GspanOutbox *outbox);
+void gspan_desk_init (struct GspanDesk *desk);
+void gspan_desk_finish (struct GspanDesk *desk);
+void gspan_desk_handle (struct GspanBoard *board, const struct GspanEvent *event,
+                        struct GspanOutbox *outbox);
 
 /*
  * Runs WORK, which isn't idempotent, for the run numbered RUN of the slots; its end is told by
  * gspan_slots_concluded (), from within this call too.
  */
-void
-gspan_desk_run (struct GspanBoard *board, guint64 run, const struct GspanDeskWork *work,
-                struct GspanOutbox *outbox);
+void gspan_desk_run (struct GspanBoard *board, guint64 run, const struct GspanDeskWork *work,
+                     struct GspanOutbox *outbox);
 
 /* Answers a caller's REQUEST with what came of it, where no upstream's answer is passed on. */
-void
-gspan_desk_reply (struct GspanBoard *board, guint64 request, enum GspanOutcome outcome,
-                  const char *why, struct GspanOutbox *outbox);
+void gspan_desk_reply (struct GspanBoard *board, guint64 request, enum GspanOutcome outcome,
+                       const char *why, struct GspanOutbox *outbox);
 
 /* Passes an upstream's whole answer on to a caller. */
-void
-gspan_desk_pass (struct GspanBoard *board, guint64 request, enum GspanOutcome outcome, int status,
-                 struct GspanStr content_type, GBytes *body, struct GspanOutbox *outbox);
+void gspan_desk_pass (struct GspanBoard *board, guint64 request, enum GspanOutcome outcome,
+                      int status, struct GspanStr content_type, GBytes *body,
+                      struct GspanOutbox *outbox);
 
-bool
-gspan_desk_busy (const struct GspanDesk *desk);
+bool gspan_desk_busy (const struct GspanDesk *desk);
--- a/desk/journal.h
+++ b/desk/journal.h
@@ -38,40 +38,32 @@
   size_t size;        /* bytes of the object at most */
 };
 
-void
-gspan_journal_init (struct GspanJournal *journal);
-void
-gspan_journal_finish (struct GspanJournal *journal);
+void gspan_journal_init (struct GspanJournal *journal);
+void gspan_journal_finish (struct GspanJournal *journal);
 
-const struct GspanJournalEntry *
-gspan_journal_find (const struct GspanJournal *journal, const char *key);
+const struct GspanJournalEntry *gspan_journal_find (const struct GspanJournal *journal,
+                                                    const char *key);
 
 /* Notes that a new KEY is about to run. False where the journal is full of young keys. */
-bool
-gspan_journal_intend (struct GspanJournal *journal, const char *key, guint64 fingerprint,
-                      guint64 now);
+bool gspan_journal_intend (struct GspanJournal *journal, const char *key, guint64 fingerprint,
+                           guint64 now);
 
 /* Notes what came of KEY, if it is still known. BODY may be NULL. */
-void
-gspan_journal_conclude (struct GspanJournal *journal, const char *key, enum GspanOutcome outcome,
-                        int status, struct GspanStr content_type, GBytes *body, guint64 now);
+void gspan_journal_conclude (struct GspanJournal *journal, const char *key,
+                             enum GspanOutcome outcome, int status, struct GspanStr content_type,
+                             GBytes *body, guint64 now);
 
 /* Forgets KEY, which surely did not run. */
-void
-gspan_journal_forget (struct GspanJournal *journal, const char *key);
+void gspan_journal_forget (struct GspanJournal *journal, const char *key);
 
 /* Drops the keys that have reached their age. */
-void
-gspan_journal_age (struct GspanJournal *journal, guint64 now);
+void gspan_journal_age (struct GspanJournal *journal, guint64 now);
 
 /* The platform's object: WRITER names this very write. Ages are stored, since clocks differ. */
-GBytes *
-gspan_journal_encode (const struct GspanJournal *journal, const char *writer, guint64 now);
+GBytes *gspan_journal_encode (const struct GspanJournal *journal, const char *writer, guint64 now);
 
 /* Fills an empty JOURNAL. False where DATA is no journal. */
-bool
-gspan_journal_decode (struct GspanJournal *journal, struct GspanStr data, guint64 now);
+bool gspan_journal_decode (struct GspanJournal *journal, struct GspanStr data, guint64 now);
 
 /* True where DATA is the journal that WRITER's write left. */
-bool
-gspan_journal_written_by (struct GspanStr data, const char *writer);
+bool gspan_journal_written_by (struct GspanStr data, const char *writer);
--- a/desk/parse.h
+++ b/desk/parse.h
@@ -16,9 +16,8 @@
  * Understands "/v1/completions" (the body's "model" names the route) and "/call/ROUTE/PATH". On
  * failure false, with STATUS, FIELD and ERROR set for the answer. TARGET is to be finished always.
  */
-bool
-gspan_desk_target_init (struct GspanDeskTarget *target, const struct GspanEventRequest *request,
-                        const struct GspanRecords *records, int *status, const char **field,
-                        struct GspanError *error);
-void
-gspan_desk_target_finish (struct GspanDeskTarget *target);
+bool gspan_desk_target_init (struct GspanDeskTarget *target,
+                             const struct GspanEventRequest *request,
+                             const struct GspanRecords *records, int *status, const char **field,
+                             struct GspanError *error);
+void gspan_desk_target_finish (struct GspanDeskTarget *target);
--- a/desk/pulls.h
+++ b/desk/pulls.h
@@ -11,17 +11,12 @@
   GHashTable *owners; /* attachment to struct Owner */
 };
 
-void
-gspan_pulls_init (struct GspanPulls *pulls);
-void
-gspan_pulls_finish (struct GspanPulls *pulls);
+void gspan_pulls_init (struct GspanPulls *pulls);
+void gspan_pulls_finish (struct GspanPulls *pulls);
 
 /* True for the paths that this controller answers. */
-bool
-gspan_pulls_takes (struct GspanStr path);
+bool gspan_pulls_takes (struct GspanStr path);
 
-void
-gspan_pulls_handle (struct GspanBoard *board, const struct GspanEvent *event,
-                    struct GspanOutbox *outbox);
-bool
-gspan_pulls_busy (const struct GspanPulls *pulls);
+void gspan_pulls_handle (struct GspanBoard *board, const struct GspanEvent *event,
+                         struct GspanOutbox *outbox);
+bool gspan_pulls_busy (const struct GspanPulls *pulls);
--- a/desk/slots.h
+++ b/desk/slots.h
@@ -41,42 +41,31 @@
   GHashTable *by_key; /* key to struct Run */
 };
 
-void
-gspan_slots_init (struct GspanSlots *slots);
-void
-gspan_slots_finish (struct GspanSlots *slots);
+void gspan_slots_init (struct GspanSlots *slots);
+void gspan_slots_finish (struct GspanSlots *slots);
 
-guint
-gspan_slot_of (const char *key);
+guint gspan_slot_of (const char *key);
 
 /* Name of SLOT's lease, to be released with g_free (). */
-char *
-gspan_slot_lease_name (guint slot);
+char *gspan_slot_lease_name (guint slot);
 
 /* Tries to become the owner of SLOT as soon as its lease is free. */
-void
-gspan_slots_want (struct GspanBoard *board, guint slot);
+void gspan_slots_want (struct GspanBoard *board, guint slot);
 
 /* Somebody else owns SLOT: no longer tries to. */
-void
-gspan_slots_yield (struct GspanBoard *board, guint slot);
+void gspan_slots_yield (struct GspanBoard *board, guint slot);
 
 /* True while this process may act as the owner of SLOT. */
-bool
-gspan_slots_owns (const struct GspanBoard *board, guint slot);
+bool gspan_slots_owns (const struct GspanBoard *board, guint slot);
 
 /* Takes a keyed call. Its answer goes to WAITER, from within this call too. */
-void
-gspan_slots_call (struct GspanBoard *board, const struct gspan_keyed_args *args,
-                  struct GspanKeyedWaiter waiter, struct GspanOutbox *outbox);
+void gspan_slots_call (struct GspanBoard *board, const struct gspan_keyed_args *args,
+                       struct GspanKeyedWaiter waiter, struct GspanOutbox *outbox);
 
 /* What came of RUN. ANSWER is NULL where no upstream's answer is to be passed on. */
-void
-gspan_slots_concluded (struct GspanBoard *board, guint64 run, enum GspanOutcome outcome,
-                       const struct GspanEventHttp *answer, struct GspanOutbox *outbox);
-
-void
-gspan_slots_handle (struct GspanBoard *board, const struct GspanEvent *event,
-                    struct GspanOutbox *outbox);
-bool
-gspan_slots_busy (const struct GspanSlots *slots);
+void gspan_slots_concluded (struct GspanBoard *board, guint64 run, enum GspanOutcome outcome,
+                            const struct GspanEventHttp *answer, struct GspanOutbox *outbox);
+
+void gspan_slots_handle (struct GspanBoard *board, const struct GspanEvent *event,
+                         struct GspanOutbox *outbox);
+bool gspan_slots_busy (const struct GspanSlots *slots);
--- a/http/framing.h
+++ b/http/framing.h
@@ -16,16 +16,12 @@
 };
 
 /* METHOD is the request's. */
-void
-gspan_framing_init (struct GspanFraming *framing, const char *method);
-void
-gspan_framing_finish (struct GspanFraming *framing);
+void gspan_framing_init (struct GspanFraming *framing, const char *method);
+void gspan_framing_finish (struct GspanFraming *framing);
 
 /* Takes in the next bytes of the body, in any pieces. */
-void
-gspan_framing_data (struct GspanFraming *framing, struct GspanStr data);
+void gspan_framing_data (struct GspanFraming *framing, struct GspanStr data);
 
 /* True where an answer of STATUS and HEADERS, ended without a transport error, is whole. */
-bool
-gspan_framing_whole (const struct GspanFraming *framing, int status,
-                     const struct GspanHeaders *headers);
+bool gspan_framing_whole (const struct GspanFraming *framing, int status,
+                          const struct GspanHeaders *headers);
--- a/http/server.h
+++ b/http/server.h
@@ -36,34 +36,26 @@
 };
 
 /* Listens on ADDRESS ("IP:PORT"; port 0 asks the kernel). NULL with ERROR set on failure. */
-struct GspanHttpServer *
-gspan_http_server_new (struct ev_loop *loop, const char *address,
-                       const struct GspanHttpLimits *limits, const struct GspanHttpHandler *handler,
-                       struct GspanError *error);
-void
-gspan_http_server_free (struct GspanHttpServer *server);
+struct GspanHttpServer *gspan_http_server_new (struct ev_loop *loop, const char *address,
+                                               const struct GspanHttpLimits *limits,
+                                               const struct GspanHttpHandler *handler,
+                                               struct GspanError *error);
+void gspan_http_server_free (struct GspanHttpServer *server);
 
-guint16
-gspan_http_server_port (const struct GspanHttpServer *server);
+guint16 gspan_http_server_port (const struct GspanHttpServer *server);
 
 /* Requests that wait for the end of their answer. */
-guint
-gspan_http_server_open_requests (const struct GspanHttpServer *server);
+guint gspan_http_server_open_requests (const struct GspanHttpServer *server);
 
 /* Whole answer. BODY may be NULL. */
-void
-gspan_http_server_reply (struct GspanHttpServer *server, guint64 id, int status,
-                         const struct GspanHeaders *headers, GBytes *body);
+void gspan_http_server_reply (struct GspanHttpServer *server, guint64 id, int status,
+                              const struct GspanHeaders *headers, GBytes *body);
 
 /* Streamed answer: begin once, data any number of times, then end or cut. */
-void
-gspan_http_server_begin (struct GspanHttpServer *server, guint64 id, int status,
-                         const struct GspanHeaders *headers);
-void
-gspan_http_server_data (struct GspanHttpServer *server, guint64 id, GBytes *data);
-void
-gspan_http_server_end (struct GspanHttpServer *server, guint64 id);
+void gspan_http_server_begin (struct GspanHttpServer *server, guint64 id, int status,
+                              const struct GspanHeaders *headers);
+void gspan_http_server_data (struct GspanHttpServer *server, guint64 id, GBytes *data);
+void gspan_http_server_end (struct GspanHttpServer *server, guint64 id);
 
 /* Closes the connection without the end mark, so that the caller sees the answer as broken. */
-void
-gspan_http_server_cut (struct GspanHttpServer *server, guint64 id);
+void gspan_http_server_cut (struct GspanHttpServer *server, guint64 id);
--- a/membership/probe.h
+++ b/membership/probe.h
@@ -27,11 +27,8 @@
   GHashTable *relays; /* own sequence to struct of the ping that another member asked for */
 };
 
-void
-gspan_probe_init (struct GspanProbe *probe);
-void
-gspan_probe_finish (struct GspanProbe *probe);
+void gspan_probe_init (struct GspanProbe *probe);
+void gspan_probe_finish (struct GspanProbe *probe);
 
-void
-gspan_probe_handle (struct GspanBoard *board, const struct GspanEvent *event,
-                    struct GspanOutbox *outbox);
+void gspan_probe_handle (struct GspanBoard *board, const struct GspanEvent *event,
+                         struct GspanOutbox *outbox);
--- a/records/apply.h
+++ b/records/apply.h
@@ -19,6 +19,5 @@
 };
 
 /* False where BODY is malformed: then nothing was put and nothing counts as known. */
-bool
-gspan_records_apply (struct GspanBoard *board, enum GspanApplyKind kind, guint64 revision,
-                     struct GspanStr body, struct GspanOutbox *outbox);
+bool gspan_records_apply (struct GspanBoard *board, enum GspanApplyKind kind, guint64 revision,
+                          struct GspanStr body, struct GspanOutbox *outbox);
--- a/records/convert.h
+++ b/records/convert.h
@@ -23,22 +23,18 @@
 #define GSPAN_RECORD_NEWER "newer_schema"
 
 /* Schema version that VALUE states, or 0 where it states none that is known. */
-int
-gspan_record_schema (const json_t *value);
+int gspan_record_schema (const json_t *value);
 
 /*
  * VALUE in the schema version TO, as a new reference. NULL with a finding for each field that has
  * the wrong form or belongs to the other version. FILE is the place that findings report.
  */
-json_t *
-gspan_record_convert (enum GspanRecordKind kind, json_t *value, int to, const char *file,
-                      struct GspanFindings *findings);
+json_t *gspan_record_convert (enum GspanRecordKind kind, json_t *value, int to, const char *file,
+                              struct GspanFindings *findings);
 
 /* As gspan_record_convert () to the newest version, with all fields that could be converted. */
-json_t *
-gspan_record_raise (enum GspanRecordKind kind, json_t *value, const char *file,
-                    struct GspanFindings *findings);
+json_t *gspan_record_raise (enum GspanRecordKind kind, json_t *value, const char *file,
+                            struct GspanFindings *findings);
 
 /* The name in schema version SCHEMA of the version 2 field KEY. */
-const char *
-gspan_record_field_name (enum GspanRecordKind kind, const char *key, int schema);
+const char *gspan_record_field_name (enum GspanRecordKind kind, const char *key, int schema);
--- a/records/file.h
+++ b/records/file.h
@@ -14,5 +14,4 @@
  * Reads a TOML file of tables called [KIND.NAME]. Every finding has its line and column. The list
  * holds struct GspanFileRecord, the good ones only; released with g_ptr_array_unref ().
  */
-GPtrArray *
-gspan_records_read_file (const char *file, struct GspanFindings *findings);
+GPtrArray *gspan_records_read_file (const char *file, struct GspanFindings *findings);
--- a/records/follow.h
+++ b/records/follow.h
@@ -33,9 +33,7 @@
 };
 
 /* True where this process is to read the platform itself. */
-bool
-gspan_follow_reads_platform (const struct GspanBoard *board);
+bool gspan_follow_reads_platform (const struct GspanBoard *board);
 
-void
-gspan_follow_handle (struct GspanBoard *board, const struct GspanEvent *event,
-                     struct GspanOutbox *outbox);
+void gspan_follow_handle (struct GspanBoard *board, const struct GspanEvent *event,
+                          struct GspanOutbox *outbox);
--- a/records/merge.h
+++ b/records/merge.h
@@ -31,6 +31,5 @@
  * FILE is the place that findings report. Findings about the merged record itself (ranges, missing
  * fields) are for gspan_record_init ().
  */
-json_t *
-gspan_record_merge (enum GspanRecordKind kind, const struct GspanRecordEdit *edit, const char *file,
-                    struct GspanFindings *findings);
+json_t *gspan_record_merge (enum GspanRecordKind kind, const struct GspanRecordEdit *edit,
+                            const char *file, struct GspanFindings *findings);
--- a/records/record.h
+++ b/records/record.h
@@ -80,27 +80,21 @@
   } u;
 };
 
-const char *
-gspan_record_kind_name (enum GspanRecordKind kind);
-bool
-gspan_record_kind_parse (struct GspanStr text, enum GspanRecordKind *kind);
+const char *gspan_record_kind_name (enum GspanRecordKind kind);
+bool gspan_record_kind_parse (struct GspanStr text, enum GspanRecordKind *kind);
 
 /* True where records of KIND have a field called KEY; "schema" is none. */
-bool
-gspan_record_has_field (enum GspanRecordKind kind, const char *key);
+bool gspan_record_has_field (enum GspanRecordKind kind, const char *key);
 
 /* True where callers of FIRM may use RECORD; FIRM is NULL where callers aren't checked. */
-bool
-gspan_record_serves (const struct GspanRecord *record, const char *firm);
+bool gspan_record_serves (const struct GspanRecord *record, const char *firm);
 
 /*
  * Reads a record of KIND called NAME out of VALUE, which may be of any schema version. Findings
  * name their field; FILE is the place that they report. False where any was added; RECORD then is
  * empty.
  */
-bool
-gspan_record_init (struct GspanRecord *record, enum GspanRecordKind kind, const char *name,
-                   guint64 version, json_t *value, const char *file,
-                   struct GspanFindings *findings);
-void
-gspan_record_finish (struct GspanRecord *record);
+bool gspan_record_init (struct GspanRecord *record, enum GspanRecordKind kind, const char *name,
+                        guint64 version, json_t *value, const char *file,
+                        struct GspanFindings *findings);
+void gspan_record_finish (struct GspanRecord *record);
--- a/records/relay.h
+++ b/records/relay.h
@@ -14,11 +14,8 @@
   guint64 answered_at_change; /* counters of the tables when the waiting ones were last looked at */
 };
 
-void
-gspan_relay_init (struct GspanRelay *relay);
-void
-gspan_relay_finish (struct GspanRelay *relay);
+void gspan_relay_init (struct GspanRelay *relay);
+void gspan_relay_finish (struct GspanRelay *relay);
 
-void
-gspan_relay_handle (struct GspanBoard *board, const struct GspanEvent *event,
-                    struct GspanOutbox *outbox);
+void gspan_relay_handle (struct GspanBoard *board, const struct GspanEvent *event,
+                         struct GspanOutbox *outbox);
--- a/records/report.h
+++ b/records/report.h
@@ -14,6 +14,5 @@
   guint64 next_at;
 };
 
-void
-gspan_report_handle (struct GspanBoard *board, const struct GspanEvent *event,
-                     struct GspanOutbox *outbox);
+void gspan_report_handle (struct GspanBoard *board, const struct GspanEvent *event,
+                          struct GspanOutbox *outbox);
--- a/records/table.h
+++ b/records/table.h
@@ -29,10 +29,8 @@
   guint64 digest;       /* of the highest versions seen; equal tables have equal ones */
 };
 
-void
-gspan_records_init (struct GspanRecords *records);
-void
-gspan_records_finish (struct GspanRecords *records);
+void gspan_records_init (struct GspanRecords *records);
+void gspan_records_finish (struct GspanRecords *records);
 
 /*
  * Takes in the object KIND/NAME of VERSION. VALUE is NULL for a deleted one. A version that is not
@@ -40,40 +38,34 @@
  * revision up to which the table is complete: that object was deleted. One with findings leaves the
  * last good version in force. True where what is in force changed.
  */
-bool
-gspan_records_put (struct GspanRecords *records, enum GspanRecordKind kind, const char *name,
-                   guint64 version, json_t *value, struct GspanFindings *findings);
+bool gspan_records_put (struct GspanRecords *records, enum GspanRecordKind kind, const char *name,
+                        guint64 version, json_t *value, struct GspanFindings *findings);
 
 /* Notes that every change up to REVISION was put. A lower revision than before changes nothing. */
-void
-gspan_records_set_complete (struct GspanRecords *records, guint64 revision);
+void gspan_records_set_complete (struct GspanRecords *records, guint64 revision);
 
 /*
  * Notes that the table equals another one that is complete up to REVISION. Deletions between are
  * unknown here, so history starts anew.
  */
-void
-gspan_records_skip_to (struct GspanRecords *records, guint64 revision);
+void gspan_records_skip_to (struct GspanRecords *records, guint64 revision);
 
 /*
  * Around the puts of a whole list that was read at REVISION. A list behind the table gives nothing
  * back: objects that it lacks count as deleted only where REVISION covers the version seen here.
  * Finish returns their paths, released with g_ptr_array_unref (), after removing them.
  */
-void
-gspan_records_begin_list (struct GspanRecords *records, guint64 revision);
-GPtrArray *
-gspan_records_finish_list (struct GspanRecords *records, guint64 revision, GHashTable *listed);
+void gspan_records_begin_list (struct GspanRecords *records, guint64 revision);
+GPtrArray *gspan_records_finish_list (struct GspanRecords *records, guint64 revision,
+                                      GHashTable *listed);
 
 /* State of the object at PATH ("KIND/NAME"), or NULL. Valid until the next put. */
-const struct GspanRecordState *
-gspan_records_state (const struct GspanRecords *records, const char *path);
+const struct GspanRecordState *gspan_records_state (const struct GspanRecords *records,
+                                                    const char *path);
 
 /* The record in force, or NULL. Valid until the next put. */
-const struct GspanRecord *
-gspan_records_find (const struct GspanRecords *records, enum GspanRecordKind kind,
-                    const char *name);
+const struct GspanRecord *gspan_records_find (const struct GspanRecords *records,
+                                              enum GspanRecordKind kind, const char *name);
 
 /* All records of KIND, sorted by name. Released with g_ptr_array_unref (); records are borrowed. */
-GPtrArray *
-gspan_records_list (const struct GspanRecords *records, enum GspanRecordKind kind);
+GPtrArray *gspan_records_list (const struct GspanRecords *records, enum GspanRecordKind kind);
--- a/rollout/cursor.h
+++ b/rollout/cursor.h
@@ -20,34 +20,26 @@
   GSPAN_CURSOR_DEFERRED_MAX = 4096
 };
 
-void
-gspan_cursor_init (struct GspanCursor *cursor);
-void
-gspan_cursor_finish (struct GspanCursor *cursor);
+void gspan_cursor_init (struct GspanCursor *cursor);
+void gspan_cursor_finish (struct GspanCursor *cursor);
 
 /* Replaces CURSOR by what TEXT says. False with ERROR set where TEXT is not a cursor of ATTACHMENT.
  */
-bool
-gspan_cursor_parse (struct GspanCursor *cursor, const char *attachment, struct GspanStr text,
-                    struct GspanError *error);
+bool gspan_cursor_parse (struct GspanCursor *cursor, const char *attachment, struct GspanStr text,
+                         struct GspanError *error);
 
 /* Makes the initialised TO the same as FROM. */
-void
-gspan_cursor_copy (const struct GspanCursor *from, struct GspanCursor *to);
+void gspan_cursor_copy (const struct GspanCursor *from, struct GspanCursor *to);
 
 /* Text of CURSOR. Released with g_free (). */
-char *
-gspan_cursor_format (const struct GspanCursor *cursor, const char *attachment);
+char *gspan_cursor_format (const struct GspanCursor *cursor, const char *attachment);
 
 /* True where the trainer has not taken GROUP yet. */
-bool
-gspan_cursor_wants (const struct GspanCursor *cursor, guint64 group);
+bool gspan_cursor_wants (const struct GspanCursor *cursor, guint64 group);
 
 /* The group that is the INDEX-th not taken, counted from the oldest. */
-guint64
-gspan_cursor_nth (const struct GspanCursor *cursor, guint64 index);
+guint64 gspan_cursor_nth (const struct GspanCursor *cursor, guint64 index);
 
 /* Makes NEXT the cursor after a batch of the groups CHOSEN (guint64, rising, all wanted). */
-void
-gspan_cursor_advance (const struct GspanCursor *cursor, const GArray *chosen,
-                      struct GspanCursor *next);
+void gspan_cursor_advance (const struct GspanCursor *cursor, const GArray *chosen,
+                           struct GspanCursor *next);
--- a/rollout/feed.h
+++ b/rollout/feed.h
@@ -47,19 +47,15 @@
   guint64 mean_us;     /* from start to whole, of all samples; 0 is not known */
 };
 
-struct GspanFeed *
-gspan_feed_new (const char *name);
-void
-gspan_feed_free (gpointer feed);
+struct GspanFeed *gspan_feed_new (const char *name);
+void gspan_feed_free (gpointer feed);
 
 /* The group of that NUMBER, created where it is new. */
-struct GspanGroup *
-gspan_feed_group (struct GspanFeed *feed, guint64 number, guint samples);
+struct GspanGroup *gspan_feed_group (struct GspanFeed *feed, guint64 number, guint samples);
 
 /* True where SAMPLE, delivered to a trainer at WEIGHT, would be over the staleness bound. */
-bool
-gspan_feed_is_stale (const struct GspanAttachment *attachment, const struct GspanSample *sample,
-                     guint64 weight);
+bool gspan_feed_is_stale (const struct GspanAttachment *attachment,
+                          const struct GspanSample *sample, guint64 weight);
 
 /*
  * Body of the batch after the cursor of PULL; NULL where too few groups are whole and fresh. Groups
@@ -67,19 +63,15 @@
  * ones: what is slow to generate is put off, never thrown away for being slow. The groups handed
  * over are marked.
  */
-GBytes *
-gspan_feed_build_batch (struct GspanFeed *feed, const struct GspanAttachment *attachment,
-                        const struct GspanFeedPull *pull);
+GBytes *gspan_feed_build_batch (struct GspanFeed *feed, const struct GspanAttachment *attachment,
+                                const struct GspanFeedPull *pull);
 
 /* Makes the initialised NEXT the cursor that the trainer has if it took all that was handed over.
  */
-void
-gspan_feed_expect (const struct GspanFeed *feed, struct GspanCursor *next);
+void gspan_feed_expect (const struct GspanFeed *feed, struct GspanCursor *next);
 
 /* Text that changes when samples made before no longer are what the record asks for. */
-char *
-gspan_feed_recipe (const struct GspanAttachment *attachment);
+char *gspan_feed_recipe (const struct GspanAttachment *attachment);
 
 /* Prompt of a group. Released with g_free (). */
-char *
-gspan_feed_prompt (const struct GspanAttachment *attachment, guint64 group);
+char *gspan_feed_prompt (const struct GspanAttachment *attachment, guint64 group);
--- a/rollout/rollout.h
+++ b/rollout/rollout.h
@@ -15,10 +15,7 @@
   GHashTable *probes;    /* name of an engine to the time of its next probe */
 };
 
-void
-gspan_rollout_init (struct GspanRollout *rollout);
-void
-gspan_rollout_finish (struct GspanRollout *rollout);
-void
-gspan_rollout_handle (struct GspanBoard *board, const struct GspanEvent *event,
-                      struct GspanOutbox *outbox);
+void gspan_rollout_init (struct GspanRollout *rollout);
+void gspan_rollout_finish (struct GspanRollout *rollout);
+void gspan_rollout_handle (struct GspanBoard *board, const struct GspanEvent *event,
+                           struct GspanOutbox *outbox);
--- a/rollout/sample.h
+++ b/rollout/sample.h
@@ -47,47 +47,37 @@
   struct GspanSample *samples;
 };
 
-struct GspanGroup *
-gspan_group_new (guint64 number, guint count);
-void
-gspan_group_free (gpointer group);
-bool
-gspan_group_is_whole (const struct GspanGroup *group);
+struct GspanGroup *gspan_group_new (guint64 number, guint count);
+void gspan_group_free (gpointer group);
+bool gspan_group_is_whole (const struct GspanGroup *group);
 
 /* Least weight version that the samples begun so far are known or foreseen to hold; 0 is none. */
-guint64
-gspan_group_oldest (const struct GspanGroup *group);
+guint64 gspan_group_oldest (const struct GspanGroup *group);
 
 /* Back to WAITING, all that was generated thrown away. */
-void
-gspan_sample_reset (struct GspanSample *sample);
+void gspan_sample_reset (struct GspanSample *sample);
 
 /*
  * Takes note of a failed exchange at NOW; the next try has to wait for longer each time, for
  * minutes where LOST answers suggest that the sample crashes what runs it.
  */
-void
-gspan_sample_fail (struct GspanSample *sample, bool lost, guint64 now);
+void gspan_sample_fail (struct GspanSample *sample, bool lost, guint64 now);
 
 /* Takes note of a good exchange. */
-void
-gspan_sample_succeed (struct GspanSample *sample);
+void gspan_sample_succeed (struct GspanSample *sample);
 
 /*
  * Takes text and segments out of an engine's answer. False with ERROR set where the answer is not
  * whole, a segment states no certain weight version or the segments don't account for all tokens;
  * the sample then has to be generated again.
  */
-bool
-gspan_sample_take_answer (struct GspanSample *sample, struct GspanStr body,
-                          struct GspanError *error);
+bool gspan_sample_take_answer (struct GspanSample *sample, struct GspanStr body,
+                               struct GspanError *error);
 
 /* Takes the reward out of a scorer's answer. */
-bool
-gspan_sample_take_score (struct GspanSample *sample, struct GspanStr body,
-                         struct GspanError *error);
+bool gspan_sample_take_score (struct GspanSample *sample, struct GspanStr body,
+                              struct GspanError *error);
 
 /* The sample as the trainer gets it. A new reference. */
-json_t *
-gspan_sample_describe (const struct GspanSample *sample, const char *attachment, guint64 group,
-                       guint index, const char *prompt);
+json_t *gspan_sample_describe (const struct GspanSample *sample, const char *attachment,
+                               guint64 group, guint index, const char *prompt);
--- a/route/choose.h
+++ b/route/choose.h
@@ -39,14 +39,11 @@
 };
 
 /* Picks the upstream for one exchange. Draws nothing at random and changes nothing. */
-struct GspanRouteChoice
-gspan_route_choose (const struct GspanUpstreams *upstreams, const struct GspanRouteQuery *query);
+struct GspanRouteChoice gspan_route_choose (const struct GspanUpstreams *upstreams,
+                                            const struct GspanRouteQuery *query);
 
-const char *
-gspan_route_reason_name (enum GspanRouteReason reason);
-bool
-gspan_route_policy_parse (const char *text, enum GspanRoutePolicy *policy);
+const char *gspan_route_reason_name (enum GspanRouteReason reason);
+bool gspan_route_policy_parse (const char *text, enum GspanRoutePolicy *policy);
 
 /* Affinity hash of the first bytes of a prompt; never 0. */
-guint64
-gspan_route_prefix_hash (struct GspanStr prompt);
+guint64 gspan_route_prefix_hash (struct GspanStr prompt);
--- a/route/upstreams.h
+++ b/route/upstreams.h
@@ -44,31 +44,24 @@
   GPtrArray *items;
 };
 
-void
-gspan_upstreams_init (struct GspanUpstreams *upstreams);
-void
-gspan_upstreams_finish (struct GspanUpstreams *upstreams);
+void gspan_upstreams_init (struct GspanUpstreams *upstreams);
+void gspan_upstreams_finish (struct GspanUpstreams *upstreams);
 
 /* The upstream of that NAME and ADDRESS, created live where it is new. */
-struct GspanUpstream *
-gspan_upstreams_add (struct GspanUpstreams *upstreams, const char *name, const char *service,
-                     const char *zone, const char *address);
+struct GspanUpstream *gspan_upstreams_add (struct GspanUpstreams *upstreams, const char *name,
+                                           const char *service, const char *zone,
+                                           const char *address);
 
 /* Marks every upstream gone, so that a fresh list can mark what it holds as live or leaving. */
-void
-gspan_upstreams_mark_gone (struct GspanUpstreams *upstreams);
+void gspan_upstreams_mark_gone (struct GspanUpstreams *upstreams);
 
 /* Drops gone upstreams without open exchanges. */
-void
-gspan_upstreams_sweep (struct GspanUpstreams *upstreams);
+void gspan_upstreams_sweep (struct GspanUpstreams *upstreams);
 
-void
-gspan_upstream_begin (struct GspanUpstream *upstream);
-void
-gspan_upstream_end (struct GspanUpstream *upstream, enum GspanUpstreamFeedback feedback,
-                    guint64 now);
+void gspan_upstream_begin (struct GspanUpstream *upstream);
+void gspan_upstream_end (struct GspanUpstream *upstream, enum GspanUpstreamFeedback feedback,
+                         guint64 now);
 
 /* Takes in what an answer's headers report: load and weight version. HEADERS may be NULL. */
-void
-gspan_upstream_report (struct GspanUpstream *upstream, const struct GspanHeaders *headers,
-                       guint64 now);
+void gspan_upstream_report (struct GspanUpstream *upstream, const struct GspanHeaders *headers,
+                            guint64 now);
--- a/route/vms.h
+++ b/route/vms.h
@@ -18,15 +18,11 @@
   guint64 changes; /* rises with each list that differs from the one before */
 };
 
-void
-gspan_vms_init (struct GspanVms *vms);
-void
-gspan_vms_finish (struct GspanVms *vms);
+void gspan_vms_init (struct GspanVms *vms);
+void gspan_vms_finish (struct GspanVms *vms);
 
 /* Takes in a whole list. A malformed one changes nothing. */
-void
-gspan_vms_apply (struct GspanBoard *board, GBytes *body);
+void gspan_vms_apply (struct GspanBoard *board, GBytes *body);
 
-void
-gspan_vms_handle (struct GspanBoard *board, const struct GspanEvent *event,
-                  struct GspanOutbox *outbox);
+void gspan_vms_handle (struct GspanBoard *board, const struct GspanEvent *event,
+                       struct GspanOutbox *outbox);
--- a/settings/node.h
+++ b/settings/node.h
@@ -32,5 +32,4 @@
 extern const struct GspanOption gspan_node_options[];
 extern const size_t gspan_node_option_count;
 
-enum GspanPriority
-gspan_node_log_level (const struct GspanNodeSettings *settings);
+enum GspanPriority gspan_node_log_level (const struct GspanNodeSettings *settings);
--- a/settings/options.h
+++ b/settings/options.h
@@ -32,14 +32,11 @@
  * Fills TARGET from FILE by the COUNT options. Every finding is collected; an unknown key names the
  * nearest known one. TARGET is usable only where no finding was added, but always to be finished.
  */
-void
-gspan_options_load (const struct GspanOption *options, size_t count, const char *file, void *target,
-                    struct GspanFindings *findings);
+void gspan_options_load (const struct GspanOption *options, size_t count, const char *file,
+                         void *target, struct GspanFindings *findings);
 
 /* Releases the strings that gspan_options_load () put into TARGET. */
-void
-gspan_options_finish (const struct GspanOption *options, size_t count, void *target);
+void gspan_options_finish (const struct GspanOption *options, size_t count, void *target);
 
 /* The table as a reference in Markdown. Released with g_free (). */
-char *
-gspan_options_describe (const struct GspanOption *options, size_t count);
+char *gspan_options_describe (const struct GspanOption *options, size_t count);
--- a/settings/toml.h
+++ b/settings/toml.h
@@ -29,5 +29,4 @@
  * is such a fault. A key that is empty or holds a dot, and a text with a NUL, give a finding each
  * and are left out, since they would be taken for something else.
  */
-GPtrArray *
-gspan_toml_read (const char *file, struct GspanFindings *findings);
+GPtrArray *gspan_toml_read (const char *file, struct GspanFindings *findings);
--- a/shell/shell.c
+++ b/shell/shell.c
@@ -44,8 +44,7 @@
   enum GspanObjectOp op;
 };
 
-static void
-do_action (struct GspanShell *shell, const struct GspanAction *action);
+static void do_action (struct GspanShell *shell, const struct GspanAction *action);
 
 static void
 run_event (struct GspanShell *shell, const struct GspanEvent *event)
@@ -226,8 +225,7 @@
   g_bytes_unref (body);
 }
 
-static void
-start_drain (struct GspanShell *shell);
+static void start_drain (struct GspanShell *shell);
 
 /* Answers the operators' paths. False where the path is none of them. */
 static bool
--- a/shell/udp.h
+++ b/shell/udp.h
@@ -12,15 +12,11 @@
 typedef void (*GspanUdpCallback) (void *user, const struct GspanEvent *event);
 
 /* Listens on ADDRESS ("IP:PORT"; port 0 asks the kernel). NULL with ERROR set on failure. */
-struct GspanUdp *
-gspan_udp_new (struct ev_loop *loop, const char *address, GspanUdpCallback callback, void *user,
-               struct GspanError *error);
-void
-gspan_udp_free (struct GspanUdp *udp);
+struct GspanUdp *gspan_udp_new (struct ev_loop *loop, const char *address,
+                                GspanUdpCallback callback, void *user, struct GspanError *error);
+void gspan_udp_free (struct GspanUdp *udp);
 
-guint16
-gspan_udp_port (const struct GspanUdp *udp);
+guint16 gspan_udp_port (const struct GspanUdp *udp);
 
 /* Sends once, without waiting; what can't be sent is dropped. */
-void
-gspan_udp_send (struct GspanUdp *udp, const struct GspanActionDatagram *datagram);
+void gspan_udp_send (struct GspanUdp *udp, const struct GspanActionDatagram *datagram);
--- a/test/bench.h
+++ b/test/bench.h
@@ -69,9 +69,7 @@
   }
 
   Bench (const Bench &) = delete;
-  Bench &
-  operator= (const Bench &)
-      = delete;
+  Bench &operator= (const Bench &) = delete;
 
   void
   with_desk ()
--- a/test/wire.h
+++ b/test/wire.h
@@ -80,9 +80,7 @@
   }
 
   WireServer (const WireServer &) = delete;
-  WireServer &
-  operator= (const WireServer &)
-      = delete;
+  WireServer &operator= (const WireServer &) = delete;
 
 private:
   Wire &wire_;
@@ -188,9 +186,7 @@
   }
 
   WireCaller (const WireCaller &) = delete;
-  WireCaller &
-  operator= (const WireCaller &)
-      = delete;
+  WireCaller &operator= (const WireCaller &) = delete;
 
   void
   say (const std::string &text) const
