--- a/board/board.c
+++ b/board/board.c
@@ -34,9 +34,33 @@
   gspan_poison_init (&board->poison);
 }
 
+static void
+finish_controllers (struct GspanBoard *board)
+{
+  if (board->desk != NULL)
+    gspan_desk_finish (board->desk);
+  if (board->keyed != NULL)
+    gspan_keyed_finish (board->keyed);
+  if (board->slots != NULL)
+    gspan_slots_finish (board->slots);
+  if (board->pulls != NULL)
+    gspan_pulls_finish (board->pulls);
+  if (board->rollout != NULL)
+    gspan_rollout_finish (board->rollout);
+  if (board->control != NULL)
+    gspan_control_finish (board->control);
+  g_free (board->desk);
+  g_free (board->keyed);
+  g_free (board->slots);
+  g_free (board->pulls);
+  g_free (board->rollout);
+  g_free (board->control);
+}
+
 void
 gspan_board_finish (struct GspanBoard *board)
 {
+  finish_controllers (board);
   gspan_poison_finish (&board->poison);
   gspan_upstreams_finish (&board->upstreams);
   gspan_statuses_finish (&board->statuses);
--- a/board/board.h
+++ b/board/board.h
@@ -82,6 +82,8 @@
 };
 
 void gspan_board_init (struct GspanBoard *board, const struct GspanBoardConfig *config);
+
+/* Finishes and frees the composed controllers too, which come from g_new0 (). */
 void gspan_board_finish (struct GspanBoard *board);
 
 /* Number of an operation, unique on this board. */
--- a/test/bench.h
+++ b/test/bench.h
@@ -47,24 +47,6 @@
   ~Bench ()
   {
     gspan_outbox_finish (&out);
-    if (board.desk != nullptr)
-      gspan_desk_finish (board.desk);
-    if (board.keyed != nullptr)
-      gspan_keyed_finish (board.keyed);
-    if (board.slots != nullptr)
-      gspan_slots_finish (board.slots);
-    g_free (board.keyed);
-    g_free (board.slots);
-    if (board.pulls != nullptr)
-      gspan_pulls_finish (board.pulls);
-    if (board.rollout != nullptr)
-      gspan_rollout_finish (board.rollout);
-    if (board.control != nullptr)
-      gspan_control_finish (board.control);
-    g_free (board.desk);
-    g_free (board.pulls);
-    g_free (board.rollout);
-    g_free (board.control);
     gspan_board_finish (&board);
   }
 
