rollout: a score that gets no answer is asked for again after a second

Ruled out: generation (second runs start after twice the slow samples' time), the lease (no change in that time). The timeout starts at 1 s and doubles with each failure of the same sample, so that a slow scorer is still waited for. RolloutFailure.ScoresThatGoSilentCostSecondsOnly: 8.48 s before against a bound of 4 s, passes after (virtual time).

--- a/rollout/rollout.c
+++ b/rollout/rollout.c
@@ -12,12 +12,13 @@
 enum
 {
   INFLIGHT_MAX = 16, /* samples of this process at one engine */
-  SCORER_INFLIGHT_MAX = 64
+  SCORER_INFLIGHT_MAX = 64,
+  SCORING_DOUBLINGS = 6 /* of the timeout, from failure to failure of one sample */
 };
 
 #define PULL_HOLD_US (2 * GSPAN_SECOND)
 #define GENERATION_TIMEOUT_US (120 * GSPAN_SECOND)
-#define SCORING_TIMEOUT_US (10 * GSPAN_SECOND)
+#define SCORING_TIMEOUT_US (1 * GSPAN_SECOND)
 #define REWIND_AFTER_US (1 * GSPAN_SECOND)
 #define PROBE_PERIOD_US (250 * GSPAN_MS)
 #define PROBE_TIMEOUT_US (2 * GSPAN_SECOND)
@@ -345,7 +346,8 @@
   sample->exchange = exchange->id;
   sample->state = GSPAN_SAMPLE_SCORING;
   send_json (outbox, exchange->id, choice.upstream->address, "/score",
-             json_pack ("{s:s}", "text", sample->text), SCORING_TIMEOUT_US);
+             json_pack ("{s:s}", "text", sample->text),
+             SCORING_TIMEOUT_US << MIN (sample->failures, SCORING_DOUBLINGS));
   return true;
 }
 
--- a/test/rollout_failures_test.cc
+++ b/test/rollout_failures_test.cc
@@ -333,6 +333,22 @@
   EXPECT_TRUE (world.run_batches (3));
 }
 
+/* Scores under way on connections that go silent are asked for again long before a step is due. */
+TEST_F (RolloutFailure, ScoresThatGoSilentCostSecondsOnly)
+{
+  guint64 most = 0;
+
+  world.scorer_delay = 3600 * GSPAN_SECOND;
+  world.run (400 * GSPAN_MS);
+  world.scorer_delay = 20 * GSPAN_MS;
+  for (size_t i = 0; i < 3; i++)
+    {
+      EXPECT_TRUE (world.run_batches (1, 20 * GSPAN_SECOND));
+      most = std::max (most, world.last_idle);
+    }
+  EXPECT_LE (most, 4 * GSPAN_SECOND);
+}
+
 TEST_F (RolloutFailure, EngineCrashesInMidSampleAndFailedSwaps)
 {
   for (size_t i = 0; i < 12; i++)
