--- a/test/desk_test.cc
+++ b/test/desk_test.cc
@@ -398,3 +398,35 @@
         open.push_back (choice.upstream);
       }
 }
+
+/* What the list of VMs calls leaving gets nothing new, be it a first attempt or a retry. */
+TEST_F (Desk, LeavingUpstreamGetsNothingNew)
+{
+  auto list = [] (const char *first, const char *second) {
+    return std::string (
+               R"({"vms":[{"name":"o1","service":"orders","zone":"z","address":"127.0.0.2:100","state":")")
+           + first
+           + R"("},{"name":"o2","service":"orders","zone":"z","address":"127.0.0.2:101","state":")"
+           + second + R"("}]})";
+  };
+  auto apply = [this] (const std::string &text) {
+    GBytes *body = g_bytes_new (text.data (), text.size ());
+
+    gspan_vms_apply (&bench.board, body);
+    g_bytes_unref (body);
+  };
+
+  apply (list ("leaving", "live"));
+  for (guint64 id = 1; id <= 20; id++)
+    {
+      bench.request (id, "/call/orders/x", "{}");
+      ASSERT_NE (exchange (), nullptr);
+      EXPECT_NE (std::string (exchange ()->u.http.url).find (":101/"), std::string::npos);
+      bench.answer (exchange ()->ref, GSPAN_HTTP_NOT_SENT, 0, "");
+      EXPECT_EQ (outcome (), "not-run") << "the retry too has nowhere else to go";
+      bench.tick (60 * GSPAN_SECOND);
+    }
+  apply (list ("leaving", "leaving"));
+  bench.request (30, "/call/orders/x", "{}");
+  EXPECT_EQ (outcome (), "not-run");
+}
