control, rollout: status objects are named by kind and name

Cause: a pool and an attachment of one name wrote the same object status/NAME over each other, and a new owner could read the other's as its hint. They now carry the name of their lease: pool.NAME, attachment.NAME. Control.StatusIsNamedByKindAndName seen failing first (13 passed, 1 failed), then 14 passed; rollout's tests pass as before.

--- a/control/control.c
+++ b/control/control.c
@@ -282,7 +282,7 @@
   struct GspanPoolCounts counts = gspan_pool_work_count (work);
 
   gspan_statuses_set (
-      &board->statuses, work->name,
+      &board->statuses, work->lease->name,
       json_pack ("{s:s, s:s, s:I, s:I, s:I, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:o}", "kind",
                  "pool", "owner", board->self.name, "fence", (json_int_t)work->lease->fence,
                  "observed_version", (json_int_t)record->version, "target",
@@ -339,7 +339,7 @@
   if (!giving_up)
     cancel_orders (board, work->name, outbox);
   g_hash_table_remove_all (work->replicas);
-  gspan_statuses_drop (&board->statuses, work->name);
+  gspan_statuses_drop (&board->statuses, work->lease->name);
   work->lease->busy = giving_up && open_orders (board->control, work->name) > 0;
 }
 
--- a/rollout/rollout.c
+++ b/rollout/rollout.c
@@ -152,7 +152,7 @@
     answer_pull (g_array_index (feed->pulls, struct GspanFeedPull, i).call, GSPAN_STATUS_NOT_OWNER,
                  feed->lease->fence, 0, "this process does not own the attachment", NULL, outbox);
   g_array_set_size (feed->pulls, 0);
-  gspan_statuses_drop (&board->statuses, feed->name);
+  gspan_statuses_drop (&board->statuses, feed->lease->name);
 }
 
 /*
@@ -570,7 +570,7 @@
   gspan_feed_expect (feed, &expected);
   cursor = gspan_cursor_format (&expected, feed->name);
   gspan_statuses_set (
-      &board->statuses, feed->name,
+      &board->statuses, feed->lease->name,
       json_pack ("{s:s, s:s, s:I, s:I, s:I, s:I, s:i, s:i, s:i, s:s, s:b}", "kind", "attachment",
                  "owner", board->self.name, "fence", (json_int_t)feed->lease->fence,
                  "observed_version", (json_int_t)record->version, "batch",
@@ -595,7 +595,7 @@
   feed->hint = GSPAN_FEED_HINT_READING;
   feed->hint_ref = gspan_board_next_id (board);
   ref.id = feed->hint_ref;
-  path = g_strdup_printf ("status/%s", feed->name);
+  path = g_strdup_printf ("status/%s", feed->lease->name);
   gspan_outbox_object (outbox, ref, GSPAN_OBJECT_GET, path, 0, NULL);
   g_free (path);
   return false;
--- a/scripts/measure_weights.py
+++ b/scripts/measure_weights.py
@@ -56,7 +56,7 @@
 
 
 def status(fleet):
-    return json.loads(get(fleet.platform, f"/v1/objects/status/{SERVICE}"))
+    return json.loads(get(fleet.platform, f"/v1/objects/status/pool.{SERVICE}"))
 
 
 def replicas_at(fleet, version):
--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -334,6 +334,16 @@
   EXPECT_EQ (good, 7U);
 }
 
+/* A pool and an attachment of one name report in objects of their own. */
+TEST (Control, StatusIsNamedByKindAndName)
+{
+  Rollout rollout (1, 1, 3, true, 2);
+
+  rollout.run (10 * GSPAN_SECOND);
+  EXPECT_EQ (rollout.boards.platform.objects.count ("status/pool.p"), 1U);
+  EXPECT_EQ (rollout.boards.platform.objects.count ("status/p"), 0U);
+}
+
 /* Engines that remember a higher fence than the lease's, made anew by hand, make it rise above. */
 TEST (Control, HolderRisesAboveAFenceThatEnginesRemember)
 {
