check: unit test binaries run side by side

Cause: the stage under sanitizers took over 5 minutes, one binary after the other. They share nothing; the scripted runs stay one at a time. A name given to scripts/check now matches the test's own name, no longer the folder of the checkout.

--- a/scripts/check.py
+++ b/scripts/check.py
@@ -1,5 +1,6 @@
 """Runs the unit tests and the scripted runs, and counts them; known red ones are passed over and shown."""
 
+import concurrent.futures
 import glob
 import json
 import os
@@ -59,11 +60,13 @@
 def main():
     only = sys.argv[1] if len(sys.argv) > 1 else ""
     results = []
-    for binary in sorted(glob.glob(os.path.join(BUILD, "*-test"))):
-        if only in binary:
-            results += run_unit(binary)
+    binaries = [path for path in sorted(glob.glob(os.path.join(BUILD, "*-test")))
+                if only in os.path.basename(path)]
+    with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
+        for unit in pool.map(run_unit, binaries):
+            results += unit
     for folder in sorted(glob.glob(os.path.join(ROOT, "test", "cases", "*"))):
-        if only in folder:
+        if only in "cases/" + os.path.basename(folder):
             results.append(run_case(folder))
     red = known_red()
     failed = [(name, text) for name, text in results if text is not None and name not in red]
