--- a/http/server.c
+++ b/http/server.c
@@ -2,12 +2,12 @@
 
 #include "http/server.h"
 
-#include <arpa/inet.h>
 #include <microhttpd.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
+#include "common/address.h"
 #include "common/clock.h"
 
 enum
@@ -468,24 +468,6 @@
   ev_timer_start (loop, &server->timer);
 }
 
-static bool
-parse_address (const char *address, struct sockaddr_in *out)
-{
-  const char *colon = strrchr (address, ':');
-  char *ip;
-  bool ok;
-
-  if (colon == NULL)
-    return false;
-  ip = g_strndup (address, (gsize)(colon - address));
-  memset (out, 0, sizeof *out);
-  out->sin_family = AF_INET;
-  out->sin_port = htons ((uint16_t)g_ascii_strtoull (colon + 1, NULL, 10));
-  ok = inet_pton (AF_INET, ip, &out->sin_addr) == 1;
-  g_free (ip);
-  return ok;
-}
-
 static void
 start_watchers (struct GspanHttpServer *server)
 {
@@ -513,7 +495,7 @@
   struct GspanHttpServer *server;
   struct sockaddr_in where;
 
-  if (!parse_address (address, &where))
+  if (!gspan_address_parse (address, &where))
     {
       gspan_error_set (error, GSPAN_ERROR_INPUT, "%s: not an IP:PORT address", address);
       return NULL;
--- a/rpc/transport.c
+++ b/rpc/transport.c
@@ -335,23 +335,6 @@
     refuse_peer (transport, fd, &peer);
 }
 
-static bool
-parse_address (const char *address, struct sockaddr_in *out)
-{
-  char **parts = g_strsplit (address, ":", 2);
-  bool ok = false;
-
-  memset (out, 0, sizeof *out);
-  out->sin_family = AF_INET;
-  if (parts[0] != NULL && parts[1] != NULL)
-    {
-      out->sin_port = htons ((uint16_t)g_ascii_strtoull (parts[1], NULL, 10));
-      ok = inet_pton (AF_INET, parts[0], &out->sin_addr) == 1;
-    }
-  g_strfreev (parts);
-  return ok;
-}
-
 static struct Connection *
 connect_to (struct GspanRpcTransport *transport, const char *address)
 {
@@ -361,7 +344,7 @@
 
   if (connection != NULL)
     return connection;
-  if (!parse_address (address, &where))
+  if (!gspan_address_parse (address, &where))
     return connection_new (transport, -1, address);
   fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   connection = connection_new (transport, fd, address);
@@ -469,7 +452,7 @@
   guint16 port = 0;
   int fd;
 
-  if (!parse_address (address, &where))
+  if (!gspan_address_parse (address, &where))
     {
       gspan_error_set (error, GSPAN_ERROR_INPUT, "%s: not an IP:PORT address", address);
       return NULL;
--- a/shell/udp.c
+++ b/shell/udp.c
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "common/address.h"
+
 enum
 {
   DATAGRAM_MAX = 2048,
@@ -21,24 +23,6 @@
   ev_io io;
 };
 
-static bool
-parse_address (const char *text, struct sockaddr_in *address)
-{
-  const char *colon = strrchr (text, ':');
-  char *ip = colon != NULL ? g_strndup (text, (gsize)(colon - text)) : NULL;
-  guint64 port;
-  bool ok;
-
-  memset (address, 0, sizeof *address);
-  address->sin_family = AF_INET;
-  ok = ip != NULL && inet_pton (AF_INET, ip, &address->sin_addr) == 1
-       && gspan_str_to_u64 (gspan_str_from (colon + 1), &port) && port <= G_MAXUINT16;
-  if (ok)
-    address->sin_port = htons ((guint16)port);
-  g_free (ip);
-  return ok;
-}
-
 static void
 on_readable (struct ev_loop *loop, ev_io *io, int events)
 {
@@ -65,7 +49,7 @@
 {
   struct sockaddr_in local;
 
-  if (!parse_address (address, &local))
+  if (!gspan_address_parse (address, &local))
     return gspan_error_set (error, GSPAN_ERROR_INPUT, "%s is no IP:PORT", address);
   udp->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (udp->fd < 0 || bind (udp->fd, (const struct sockaddr *)&local, sizeof local) < 0)
@@ -123,6 +107,6 @@
   gsize len;
   const void *data = g_bytes_get_data (datagram->payload, &len);
 
-  if (parse_address (datagram->address, &peer))
+  if (gspan_address_parse (datagram->address, &peer))
     (void)sendto (udp->fd, data, len, 0, (const struct sockaddr *)&peer, sizeof peer);
 }
--- a/standin/wire.c
+++ b/standin/wire.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
@@ -7,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "common/address.h"
 #include "standin/standin.h"
 
 /*
@@ -192,31 +192,14 @@
   (*epoch)++;
 }
 
-static bool
-parse_address (const char *text, struct sockaddr_in *address)
-{
-  char **parts = g_strsplit (text, ":", 2);
-  bool ok = false;
-
-  memset (address, 0, sizeof *address);
-  address->sin_family = AF_INET;
-  if (g_strv_length (parts) == 2)
-    {
-      address->sin_port = htons ((uint16_t)g_ascii_strtoull (parts[1], NULL, 10));
-      ok = inet_pton (AF_INET, parts[0], &address->sin_addr) == 1;
-    }
-  g_strfreev (parts);
-  return ok;
-}
-
 /* PAIR is "LISTEN=TARGET". */
 static bool
 open_wire (struct Wire *wire, struct GspanStandin *standin, const char *pair, guint64 *epoch)
 {
   char **parts = g_strsplit (pair, "=", 2);
   struct sockaddr_in where;
-  bool ok = g_strv_length (parts) == 2 && parse_address (parts[0], &where)
-            && parse_address (parts[1], &wire->target);
+  bool ok = g_strv_length (parts) == 2 && gspan_address_parse (parts[0], &where)
+            && gspan_address_parse (parts[1], &wire->target);
 
   wire->standin = standin;
   wire->epoch = epoch;
