--- a/cmd/gspan-load.c
+++ b/cmd/gspan-load.c
@@ -258,6 +258,34 @@
   return 0;
 }
 
+static void
+free_settings (struct Load *load)
+{
+  g_free (load->entries);
+  g_free (load->completions);
+  g_free (load->orders);
+  g_free (load->book);
+  g_free (load->name);
+  g_free (load->filler);
+}
+
+static int
+run_with_settings (struct Load *load)
+{
+  if (load->version)
+    {
+      printf ("gspan-load %s\n", GSPAN_VERSION);
+      return 0;
+    }
+  if (load->entries == NULL || load->completions == NULL || load->rate < 1 || load->prefixes < 1)
+    {
+      fprintf (stderr, "gspan-load: --entries and --completions are required, --rate and "
+                       "--prefixes are 1 or more\n");
+      return 2;
+    }
+  return run (load);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -280,6 +308,7 @@
   };
   GOptionContext *options = g_option_context_new ("- desk callers with open-loop arrivals");
   GError *problem = NULL;
+  int code;
 
   signal (SIGPIPE, SIG_IGN);
   load.seconds = 10;
@@ -297,16 +326,7 @@
       return 2;
     }
   g_option_context_free (options);
-  if (load.version)
-    {
-      printf ("gspan-load %s\n", GSPAN_VERSION);
-      return 0;
-    }
-  if (load.entries == NULL || load.completions == NULL || load.rate < 1 || load.prefixes < 1)
-    {
-      fprintf (stderr, "gspan-load: --entries and --completions are required, --rate and "
-                       "--prefixes are 1 or more\n");
-      return 2;
-    }
-  return run (&load);
+  code = run_with_settings (&load);
+  free_settings (&load);
+  return code;
 }
