jobs, catalog: cut watches are followed by a list; empty answers need the store's word

Cause, by libcurl's trace: after the store forgot its history, a watch that was cut and asked again from the old revision waits without 410 until the next change, so the configuration of 1.1 s was known at 6.8 s (CONFIG). Results of a run whose item another node had listed were listed again (TWICE). Empty answers to readers came from an old look, or after one page of a list (LOST).

--- a/board/message.h
+++ b/board/message.h
@@ -191,6 +191,7 @@
   guint64 not_after;  /* not begun after this time of the board's clock; 0 is no limit */
   guint64 silence_us; /* longest pause between answer bytes; 0 is no limit */
   bool fresh;         /* never on a used connection: the request may not run twice */
+  bool once;          /* may take a used connection, but is never sent a second time */
   bool stream;        /* HEAD and DATA events as they come */
   bool plain_framing; /* whole by HTTP's own rules: no end mark is asked of a stream */
   bool probe_silence; /* keep-alive probes every second find a connection that went silent */
--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -354,6 +354,12 @@
     case GSPAN_STORE_CONFLICT:
     case GSPAN_STORE_UNAVAILABLE:
     case GSPAN_STORE_UNKNOWN:
+      if (follower->watching)
+        {
+          /* A watch may be cut at any time, with changes missed; the list shows them all. */
+          follower->watching = false;
+          break;
+        }
       set_store_state (node, true, reply->result, outbox);
       back_off (node, follower);
       break;
--- a/http/client.c
+++ b/http/client.c
@@ -14,6 +14,7 @@
   KEEPALIVE_IDLE_S = 2,
   PROBE_IDLE_S = 1, /* as above, for exchanges that ask for probes of silence */
   PROBE_COUNT = 2,
+  TIMER_SLACK_MS = 1, /* libcurl's clock and the loop's may differ by their rounding */
   KEEPALIVE_INTERVAL_S = 1,
   UNACKNOWLEDGED_MAX_MS = 4000, /* sent bytes without an acknowledgement end the connection */
   SENDS_MAX = 2,                /* of a request that may run twice: libcurl repeats it once */
@@ -35,7 +36,7 @@
   GString *answer;
   struct GspanFraming framing;
   bool stream;
-  bool fresh;
+  bool once; /* never sent a second time */
   bool plain_framing;
   bool probe_silence;
   char *echo; /* header line that the answer's head must hold; NULL checks nothing */
@@ -212,7 +213,7 @@
   (void)local_ip;
   (void)peer_port;
   (void)local_port;
-  if (exchange->sends >= (exchange->fresh ? 1 : SENDS_MAX))
+  if (exchange->sends >= (exchange->once ? 1 : SENDS_MAX))
     return CURL_PREREQFUNC_ABORT;
   exchange->sends++;
   return CURL_PREREQFUNC_OK;
@@ -403,7 +404,12 @@
   ev_timer_stop (client->loop, &client->timer);
   if (timeout_ms < 0)
     return 0;
-  ev_timer_set (&client->timer, (double)timeout_ms / 1000.0, 0);
+  /*
+   * libev counts from the time at which the loop last woke up, so a timer that starts after long
+   * work would fire early; libcurl then finds nothing to do and doesn't ask for it again.
+   */
+  ev_now_update (client->loop);
+  ev_timer_set (&client->timer, (double)(timeout_ms + TIMER_SLACK_MS) / 1000.0, 0);
   ev_timer_start (client->loop, &client->timer);
   return 0;
 }
@@ -502,7 +508,7 @@
   exchange->client = client;
   exchange->ref = ref;
   exchange->stream = http->stream;
-  exchange->fresh = http->fresh;
+  exchange->once = http->fresh || http->once;
   exchange->plain_framing = http->plain_framing;
   exchange->probe_silence = http->probe_silence;
   exchange->echo = g_strdup (http->echo);
--- a/jobs/job.c
+++ b/jobs/job.c
@@ -188,6 +188,23 @@
   item->state = GSPAN_ITEM_LISTED;
 }
 
+void
+gspan_job_drop_ready (struct GspanJob *job)
+{
+  for (guint i = 0; i < job->ready->len; i++)
+    {
+      const struct GspanJobResult *result = g_ptr_array_index (job->ready, i);
+      struct GspanItem *item = g_hash_table_lookup (job->index, result->item);
+
+      if (item == NULL || item->state != GSPAN_ITEM_FINISHED)
+        continue;
+      item->state = GSPAN_ITEM_WAITING;
+      item->last_event = 0;
+      g_queue_push_head (&job->waiting, item);
+    }
+  g_ptr_array_set_size (job->ready, 0);
+}
+
 char *
 gspan_job_part_name (guint number)
 {
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -39,8 +39,8 @@
 {
   guint64 request;
   guint64 after;
-  guint64 until;
-  bool waits;       /* else the next look at the store answers it */
+  guint64 arrived;
+  guint64 until; /* "nothing yet" is said then, if the store has said so since it arrived */
 };
 
 /* A caller that waits for an item's body. */
@@ -74,6 +74,7 @@
   guint segments;    /* read so far */
   bool read_all;     /* up to REVISION_READ */
   guint64 revision_read;
+  guint64 looked_at; /* the store's word on what is listed came last; 0 is never */
   char *page_after;  /* last name of the page before */
   guint64 fetch_call;
   guint64 fetch_after; /* a failed look is repeated then */
@@ -116,6 +117,9 @@
 /* Takes RESULT, whose ownership it gets, at the next position. */
 void gspan_job_list (struct GspanJob *job, struct GspanJobResult *result);
 
+/* Drops results that aren't listed; their items wait for another run. */
+void gspan_job_drop_ready (struct GspanJob *job);
+
 /* Names of parts and segments: parts come first in order. Released with g_free (). */
 char *gspan_job_part_name (guint number);
 char *gspan_job_segment_name (guint number);
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -152,7 +152,7 @@
       struct GspanJob *job = item->data;
 
       gspan_owner_tick (node, job, outbox);
-      gspan_serve_readers (node, job, false, outbox);
+      gspan_serve_readers (node, job, outbox);
       gspan_listing_advance (node, job, outbox);
       if (!job->mine && job->readers->len == 0 && job->item_readers->len == 0
           && (job->loaded || job->listed->len > 0) && node->now - job->used_at > KEPT_UNUSED_US)
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -80,10 +80,13 @@
                        const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
 void gspan_serve_gone (struct GspanNode *node, guint64 request);
 
-/* Answers the readers of JOB that can be answered; FRESH after a whole look at the store. */
-void gspan_serve_readers (struct GspanNode *node, struct GspanJob *job, bool fresh,
+/* Answers the readers of JOB that can be answered. */
+void gspan_serve_readers (struct GspanNode *node, struct GspanJob *job,
                           struct GspanOutbox *outbox);
 
+/* True where a reader of JOB can't be told "nothing yet" without another look at the store. */
+bool gspan_serve_wants_look (const struct GspanNode *node, const struct GspanJob *job);
+
 /* listing.c: parts and segments. */
 
 /* Starts the look at the store that JOB needs now, if any, or lists what is ready. */
--- a/jobs/listing.c
+++ b/jobs/listing.c
@@ -192,7 +192,8 @@
         gspan_job_list (job, g_ptr_array_steal_index (job->ready, 0));
       job->segments++;
       job->append_failing_since = 0;
-      gspan_serve_readers (node, job, true, outbox);
+      job->looked_at = node->now;
+      gspan_serve_readers (node, job, outbox);
     }
   else
     {
@@ -217,7 +218,8 @@
     {
       g_clear_pointer (&job->page_after, g_free);
       job->fetch_after = node->now + RETRY_US;
-      job->read_all = reply->result != GSPAN_STORE_GAP && job->read_all;
+      if (sent->op == GSPAN_STORE_WATCH)
+        job->read_all = false;
       return;
     }
   for (guint i = 0; i < reply->objects->len; i++)
@@ -235,7 +237,9 @@
     job->page_after = g_strdup (last->name);
   else if (sent->op == GSPAN_STORE_LIST)
     job->read_all = true;
-  gspan_serve_readers (node, job, job->read_all, outbox);
+  if (job->read_all && job->page_after == NULL)
+    job->looked_at = node->now;
+  gspan_serve_readers (node, job, outbox);
   gspan_listing_advance (node, job, outbox);
 }
 
@@ -246,7 +250,8 @@
     append (node, job, outbox);
   if (job->fetch_call != 0 || node->now < job->fetch_after || node->catalog.store_fails)
     return;
-  if (wants_content (job) || (!job->read_all && (job->mine || job->readers->len > 0)))
+  if (wants_content (job) || (!job->read_all && (job->mine || job->readers->len > 0))
+      || gspan_serve_wants_look (node, job))
     start_list (node, job, outbox);
   else if (!job->mine && job->readers->len > 0)
     start_watch (node, job, outbox);
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -51,7 +51,8 @@
   gspan_runner_stop (node, job, outbox);
   /* What another owner lists from now on has to be read before it is told. */
   job->read_all = false;
-  g_ptr_array_set_size (job->ready, 0);
+  job->append_call = 0;
+  gspan_job_drop_ready (job);
 }
 
 static void
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -82,14 +82,17 @@
   gspan_outbox_log (outbox, "runner", GSPAN_PRIORITY_INFO, &line);
 }
 
-/* Ends the run and puts its item back to the front of the queue. */
+/* Ends the run and puts its item, unless another node has listed it, to the front of the queue. */
 static void
 requeue (struct GspanNode *node, struct GspanRun *run)
 {
   struct GspanItem *item = run->item;
 
-  item->state = GSPAN_ITEM_WAITING;
-  g_queue_push_head (&run->job->waiting, item);
+  if (item->state == GSPAN_ITEM_RUNNING)
+    {
+      item->state = GSPAN_ITEM_WAITING;
+      g_queue_push_head (&run->job->waiting, item);
+    }
   g_hash_table_remove (node->runner.runs, &run->id);
 }
 
@@ -97,6 +100,8 @@
 finish_item (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item, bool completed,
              struct GspanOutbox *outbox)
 {
+  if (item->state == GSPAN_ITEM_LISTED)
+    return;
   if (item->result == NULL || !completed)
     {
       if (item->result != NULL)
--- a/jobs/serve.c
+++ b/jobs/serve.c
@@ -5,7 +5,7 @@
 #include "jobs/jobs.h"
 #include "node/node.h"
 
-#define LOOK_MAX_US (2 * GSPAN_SECOND) /* a look at the store that takes longer is given up */
+#define LOOK_MAX_US (GSPAN_SECOND) /* a look at the store that takes longer is given up */
 #define RETRY_WAIT_US (300 * GSPAN_MS)
 
 enum
@@ -51,18 +51,22 @@
   return job->listed->len > reader->after || job->listed->len >= job->total;
 }
 
-/* Answers READER where that can be done now. FRESH: JOB was just read from the store. */
+/* "Nothing yet" is true only by the store's word: another node may run the job by now. */
 static bool
-try_reader (struct GspanNode *node, struct GspanJob *job, const struct GspanJobReader *reader,
-            bool fresh, struct GspanOutbox *outbox)
+may_say_nothing (const struct GspanNode *node, const struct GspanJob *job,
+                 const struct GspanJobReader *reader)
 {
-  bool over = node->now >= reader->until;
+  return node->now >= reader->until && job->read_all && job->looked_at > reader->arrived;
+}
 
-  if (has_news (job, reader))
-    answer_results (job, reader->request, reader->after, outbox);
-  else if (job->read_all && ((fresh && !reader->waits) || (over && !node->catalog.store_fails)))
+/* Answers READER where that can be done now. */
+static bool
+try_reader (struct GspanNode *node, struct GspanJob *job, const struct GspanJobReader *reader,
+            struct GspanOutbox *outbox)
+{
+  if (has_news (job, reader) || may_say_nothing (node, job, reader))
     answer_results (job, reader->request, reader->after, outbox);
-  else if (over || (node->catalog.store_fails && !job->mine))
+  else if (node->now >= reader->until + LOOK_MAX_US || node->catalog.store_fails)
     gspan_gateway_refuse (node, reader->request, "the platform's store is away", RETRY_WAIT_US,
                           outbox);
   else
@@ -70,6 +74,19 @@
   return true;
 }
 
+bool
+gspan_serve_wants_look (const struct GspanNode *node, const struct GspanJob *job)
+{
+  for (guint i = 0; i < job->readers->len; i++)
+    {
+      const struct GspanJobReader *reader = g_ptr_array_index (job->readers, i);
+
+      if (node->now >= reader->until && job->looked_at <= reader->arrived)
+        return true;
+    }
+  return false;
+}
+
 static void
 answer_body (const struct GspanItem *item, guint64 request, struct GspanOutbox *outbox)
 {
@@ -106,12 +123,11 @@
 }
 
 void
-gspan_serve_readers (struct GspanNode *node, struct GspanJob *job, bool fresh,
-                     struct GspanOutbox *outbox)
+gspan_serve_readers (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
   for (guint i = 0; i < job->readers->len; i++)
     {
-      if (try_reader (node, job, g_ptr_array_index (job->readers, i), fresh, outbox))
+      if (try_reader (node, job, g_ptr_array_index (job->readers, i), outbox))
         g_ptr_array_remove_index (job->readers, i--);
     }
   for (guint i = 0; i < job->item_readers->len; i++)
@@ -129,10 +145,10 @@
 
   reader->request = request;
   reader->after = target->after;
-  reader->waits = target->wait_us > 0;
-  reader->until = node->now + (reader->waits ? target->wait_us : LOOK_MAX_US);
+  reader->arrived = node->now;
+  reader->until = node->now + target->wait_us;
   g_ptr_array_add (job->readers, reader);
-  gspan_serve_readers (node, job, job->mine, outbox);
+  gspan_serve_readers (node, job, outbox);
   gspan_listing_advance (node, job, outbox);
 }
 
@@ -146,7 +162,7 @@
   reader->item = g_strdup (target->item);
   reader->until = node->now + LOOK_MAX_US;
   g_ptr_array_add (job->item_readers, reader);
-  gspan_serve_readers (node, job, false, outbox);
+  gspan_serve_readers (node, job, outbox);
   gspan_listing_advance (node, job, outbox);
 }
 
--- a/node/shell.c
+++ b/node/shell.c
@@ -185,6 +185,29 @@
   log_line (shell, GSPAN_PRIORITY_WARNING, &line);
 }
 
+static void
+log_store_call (struct GspanNodeShell *shell, const struct GspanStoreCall *call,
+                const struct GspanStoreReply *reply, const struct GspanEventHttp *answer)
+{
+  static const char *const ops[]
+      = { "get", "list", "watch", "create", "replace", "set-status", "remove" };
+  struct GspanLine line;
+
+  if (shell->log.level < GSPAN_PRIORITY_DEBUG)
+    return;
+  gspan_line_init (&line, "store-call");
+  gspan_line_cstr (&line, "op", ops[call->op]);
+  gspan_line_cstr (&line, "kind", call->kind);
+  gspan_line_cstr (&line, "name", call->name != NULL ? call->name : "");
+  gspan_line_u64 (&line, "from", call->revision);
+  gspan_line_cstr (&line, "result", gspan_store_result_name (reply->result));
+  gspan_line_int (&line, "status", answer->status);
+  gspan_line_u64 (&line, "objects", reply->objects->len);
+  gspan_line_u64 (&line, "revision", reply->revision);
+  gspan_line_u64 (&line, "elapsed_us", answer->elapsed_us);
+  log_line (shell, GSPAN_PRIORITY_DEBUG, &line);
+}
+
 static void
 finish_store (struct GspanNodeShell *shell, struct GspanStoreCall *call,
               const struct GspanEvent *answer)
@@ -197,6 +220,7 @@
   gspan_objects_decode (call, &answer->u.http, &reply, &error);
   if (error.code != GSPAN_ERROR_NONE)
     log_unreadable (shell, call, &error);
+  log_store_call (shell, call, &reply, &answer->u.http);
   if (reply.result == GSPAN_STORE_UNAVAILABLE || reply.result == GSPAN_STORE_UNKNOWN)
     gspan_metrics_add (&shell->node->metrics, GSPAN_METRIC_PLATFORM_FAILURES, 1);
   event.kind = GSPAN_EVENT_STORE_DONE;
