--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -24,7 +24,6 @@
   bool draining;
   bool removed; /* no longer registered */
   guint64 born; /* Unix milliseconds of its start; 0 is not known */
-  guint64 orders_accepted;
   GPtrArray *models; /* struct GspanReplicaModel */
 
   /* What this process knows by itself. */
@@ -32,6 +31,8 @@
   guint failures;         /* in a row */
   guint64 avoid_until;    /* after failures */
   guint64 remove_at;      /* its removal, seen beside an outage of the store, counts then; 0 none */
+  bool orders_known;      /* ORDERS_ACCEPTED is */
+  guint64 orders_accepted; /* since its start */
   bool misdirected;       /* somebody else answers at its address */
   guint64 loading_until;  /* takes new weights and refuses requests for about so long */
   guint64 event_us;       /* smoothed time between two events of one of its streams; 0 none seen */
--- a/jobs/accept.c
+++ b/jobs/accept.c
@@ -204,7 +204,6 @@
       submission->job = NULL;
       g_hash_table_insert (node->jobs.items, job->id, job);
       job->read_all = true;
-      job->revision_read = head->revision;
     }
   if (head != NULL)
     gspan_jobs_apply (node, head, outbox);
--- a/jobs/job.c
+++ b/jobs/job.c
@@ -130,6 +130,19 @@
                     "received_ms", (json_int_t)job->received_ms);
 }
 
+/* Longest first: a long item that starts late makes the whole step late. */
+static gint
+by_length (gconstpointer a, gconstpointer b, gpointer user)
+{
+  const struct GspanItem *x = a;
+  const struct GspanItem *y = b;
+
+  (void)user;
+  if (x->source->length_hint != y->source->length_hint)
+    return x->source->length_hint > y->source->length_hint ? -1 : 1;
+  return x < y ? -1 : x > y;
+}
+
 bool
 gspan_job_load (struct GspanJob *job, struct GspanStr body, struct GspanError *error)
 {
@@ -154,6 +167,7 @@
       item->state = GSPAN_ITEM_LISTED;
       g_queue_remove (&job->waiting, item);
     }
+  g_queue_sort (&job->waiting, by_length, NULL);
   job->loaded = true;
   return true;
 }
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -72,12 +72,11 @@
 
   GPtrArray *listed; /* struct GspanJobResult, by position */
   guint segments;    /* read so far */
-  bool read_all;     /* up to REVISION_READ */
-  guint64 revision_read;
+  bool read_all;     /* all that was listed at LOOKED_AT */
   guint64 looked_at; /* the store's word on what is listed came last; 0 is never */
   char *page_after;  /* last name of the page before */
   guint64 fetch_call;
-  guint64 fetch_after; /* a failed look is repeated then */
+  guint64 fetch_after; /* the next look is not before */
 
   bool mine;         /* this node runs it */
   GQueue waiting;    /* struct GspanItem */
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -126,7 +126,7 @@
       break;
     case GSPAN_JOB_FETCH:
       if (job != NULL && job->fetch_call == call->id)
-        gspan_listing_fetched (node, job, event->u.store.call, reply, outbox);
+        gspan_listing_fetched (node, job, reply, outbox);
       break;
     case GSPAN_JOB_APPEND:
       if (job != NULL && job->append_call == call->id)
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -93,8 +93,7 @@
 void gspan_listing_advance (struct GspanNode *node, struct GspanJob *job,
                             struct GspanOutbox *outbox);
 void gspan_listing_fetched (struct GspanNode *node, struct GspanJob *job,
-                            const struct GspanStoreCall *sent, const struct GspanStoreReply *reply,
-                            struct GspanOutbox *outbox);
+                            const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
 void gspan_listing_appended (struct GspanNode *node, struct GspanJob *job,
                              const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
 
--- a/jobs/listing.c
+++ b/jobs/listing.c
@@ -5,12 +5,16 @@
 #include "node/node.h"
 
 #define APPEND_PAUSE_US (250 * GSPAN_MS) /* gathers the results of so long in one segment */
+/*
+ * Readers of a job that another node runs look at the store so often while they wait. Lists only: a
+ * watch from a revision whose history is gone may wait in silence.
+ */
+#define LOOK_AGAIN_US (300 * GSPAN_MS)
 #define RETRY_US (200 * GSPAN_MS)        /* after a failed call */
 
 enum
 {
-  SEGMENT_SHARE_PERCENT = 50, /* of an object's largest size; JSON escapes some bytes */
-  WATCH_WAIT_MS = 1000        /* as long as callers wait at once */
+  SEGMENT_SHARE_PERCENT = 50 /* of an object's largest size; JSON escapes some bytes */
 };
 
 static void
@@ -115,18 +119,6 @@
   g_free (after);
 }
 
-static void
-start_watch (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
-{
-  struct GspanJobCall *item;
-  struct GspanStoreCall *call = gspan_jobs_call (node, GSPAN_JOB_FETCH, job->id, GSPAN_STORE_WATCH,
-                                                 job->kind, NULL, outbox, &item);
-
-  call->revision = job->revision_read;
-  call->wait_ms = WATCH_WAIT_MS;
-  job->fetch_call = item->id;
-}
-
 /* Text of a segment with results that are ready, as many as fit; their number is kept in JOB. */
 static json_t *
 segment_of (const struct GspanNode *node, struct GspanJob *job)
@@ -208,8 +200,7 @@
 
 void
 gspan_listing_fetched (struct GspanNode *node, struct GspanJob *job,
-                       const struct GspanStoreCall *sent, const struct GspanStoreReply *reply,
-                       struct GspanOutbox *outbox)
+                       const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
 {
   const struct GspanStoreObject *last = NULL;
 
@@ -218,8 +209,6 @@
     {
       g_clear_pointer (&job->page_after, g_free);
       job->fetch_after = node->now + RETRY_US;
-      if (sent->op == GSPAN_STORE_WATCH)
-        job->read_all = false;
       return;
     }
   for (guint i = 0; i < reply->objects->len; i++)
@@ -228,31 +217,36 @@
       add_object (job, last);
     }
   load_if_whole (job, outbox);
-  if (sent->op == GSPAN_STORE_LIST && job->page_after == NULL)
-    job->revision_read = reply->revision;
-  else if (sent->op == GSPAN_STORE_WATCH)
-    job->revision_read = MAX (job->revision_read, reply->revision);
   g_clear_pointer (&job->page_after, g_free);
   if (reply->more && last != NULL)
     job->page_after = g_strdup (last->name);
-  else if (sent->op == GSPAN_STORE_LIST)
-    job->read_all = true;
-  if (job->read_all && job->page_after == NULL)
-    job->looked_at = node->now;
+  else
+    {
+      job->read_all = true;
+      job->looked_at = node->now;
+      job->fetch_after = node->now + LOOK_AGAIN_US;
+    }
   gspan_serve_readers (node, job, outbox);
   gspan_listing_advance (node, job, outbox);
 }
 
+static bool
+wants_results (const struct GspanNode *node, const struct GspanJob *job)
+{
+  if (job->mine)
+    return !job->read_all || gspan_serve_wants_look (node, job);
+  return job->readers->len > 0;
+}
+
 void
 gspan_listing_advance (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
   if (may_append (node, job))
     append (node, job, outbox);
-  if (job->fetch_call != 0 || node->now < job->fetch_after || node->catalog.store_fails)
+  if (job->fetch_call != 0 || node->catalog.store_fails)
+    return;
+  if (!wants_content (job) && !wants_results (node, job))
     return;
-  if (wants_content (job) || (!job->read_all && (job->mine || job->readers->len > 0))
-      || gspan_serve_wants_look (node, job))
+  if (node->now >= job->fetch_after || job->page_after != NULL)
     start_list (node, job, outbox);
-  else if (!job->mine && job->readers->len > 0)
-    start_watch (node, job, outbox);
 }
--- a/weights/order_lease.c
+++ b/weights/order_lease.c
@@ -7,11 +7,20 @@
 
 #define LEASE_KIND "leases"
 #define LEASE_NAME "orders"
-#define POLL_US (GSPAN_SECOND)      /* of nodes that don't hold it */
+#define POLL_US (GSPAN_SECOND) /* of nodes that don't hold it */
+#define POLL_SILENT_US (200 * GSPAN_MS) /* as above, once a renewal is overdue */
 #define RETRY_US (200 * GSPAN_MS)
-#define RENEWALS_PER_LEASE 3
-#define HELD_NUMERATOR 2 /* of 3: the holder stops well before another may begin */
-#define HELD_DENOMINATOR 3
+
+/*
+ * Parts of the shortest time between the orders of two holders: renewals come at every sixth, the
+ * holder stops after a third without one, and another may take over after half.
+ */
+enum
+{
+  RENEW_DIVISOR = 6,
+  HELD_DIVISOR = 3,
+  TAKE_OVER_DIVISOR = 2
+};
 
 void
 gspan_order_lease_init (struct GspanOrderLease *lease)
@@ -118,20 +127,33 @@
   struct GspanOrderLease *lease = &node->weights.lease;
   bool new_holder = !lease->held;
   bool after_another = lease->holder != NULL && strcmp (lease->holder, node->self.name) != 0;
+  guint64 last_order = lease->seen_at + node->limits.lease_us / HELD_DIVISOR;
 
   see (node, object, outbox);
   if (strcmp (lease->holder, node->self.name) != 0)
     return;
   lease->held = true;
   lease->held_until
-      = lease->call_sent + node->limits.lease_us * HELD_NUMERATOR / HELD_DENOMINATOR;
+      = lease->call_sent + node->limits.lease_us / HELD_DIVISOR;
   if (!new_holder)
     return;
-  lease->orders_from = after_another ? node->now + node->limits.lease_us : node->now;
+  lease->orders_from = after_another ? last_order + node->limits.lease_us : node->now;
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_LEASES_TAKEN, 1);
   log_lease (node, "lease-taken", outbox);
 }
 
+static guint64
+next_call (struct GspanNode *node)
+{
+  const struct GspanOrderLease *lease = &node->weights.lease;
+  guint64 unchanged = node->now - lease->seen_at;
+  guint64 pause = unchanged > node->limits.lease_us / HELD_DIVISOR ? POLL_SILENT_US : POLL_US;
+
+  if (lease->held)
+    return lease->call_sent + node->limits.lease_us / RENEW_DIVISOR;
+  return node->now + pause / 2 + (guint64)g_rand_int_range (node->random, 0, (gint32)pause);
+}
+
 static void
 on_done (struct GspanNode *node, const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
 {
@@ -149,11 +171,7 @@
         written (node, object, outbox);
       else if (object != NULL)
         see (node, object, outbox);
-      lease->next_at
-          = lease->held
-                ? lease->call_sent + node->limits.lease_us / RENEWALS_PER_LEASE
-                : node->now + POLL_US / 2
-                      + (guint64)g_rand_int_range (node->random, 0, (gint32)POLL_US);
+      lease->next_at = next_call (node);
       break;
     case GSPAN_STORE_CONFLICT:
       if (object != NULL)
@@ -182,7 +200,7 @@
   if (lease->revision == 0 || node->draining)
     return false;
   return lease->holder[0] == '\0' || strcmp (lease->holder, node->self.name) == 0
-         || node->now - lease->seen_at >= node->limits.lease_us;
+         || node->now - lease->seen_at >= node->limits.lease_us / TAKE_OVER_DIVISOR;
 }
 
 static void
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -204,7 +204,10 @@
       load->started = node->now;
       load->next_at = node->now + ASK_AGAIN_US;
       g_hash_table_insert (weights->loads, replica->id, load);
-      send_order (node, load, outbox);
+      if (replica->orders_known)
+        send_order (node, load, outbox);
+      else
+        ask (node, load, outbox);
     }
 }
 
@@ -261,6 +264,7 @@
       return;
     }
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_ORDERS_FAILED, 1);
+  load->replica->orders_known = false;
   if (whole && answer->status == 421)
     load->replica->misdirected = true;
   else if (whole && answer->status == 409)
@@ -288,6 +292,7 @@
   if (report.weights > 0)
     gspan_replica_set_weights (load->replica, load->model, report.weights);
   load->replica->orders_accepted = report.orders_accepted;
+  load->replica->orders_known = true;
   if (report.busy || report.weights >= load->weights)
     return;
   load->ordered = false;
