--- a/catalog/pick.c
+++ b/catalog/pick.c
@@ -15,7 +15,7 @@
   guint64 weights;
 
   if (strcmp (replica->service, query->service) != 0
-      || !gspan_replica_usable (replica, query->now))
+      || !gspan_replica_usable (replica, query->last_resort ? G_MAXUINT64 : query->now))
     return false;
   if (query->open_max > 0 && replica->open >= query->open_max)
     return false;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -200,12 +200,17 @@
 pick (struct GspanNode *node, const struct GspanCall *call)
 {
   struct GspanPickQuery query = { 0 };
+  struct GspanReplica *replica;
 
   query.service = call->service;
   query.now = node->now;
   query.zone = node->self.zone;
   query.tried = call->tried;
   query.draw = g_rand_int (node->random);
+  replica = gspan_pick_replica (node->catalog.replicas, &query);
+  if (replica != NULL)
+    return replica;
+  query.last_resort = true;
   return gspan_pick_replica (node->catalog.replicas, &query);
 }
 
--- /dev/null
+++ b/test/jobs_test.cc
@@ -0,0 +1,509 @@
+#include "test/node_world.h"
+
+#include <set>
+
+class Jobs : public NodeTest
+{
+protected:
+  /* Answers every run of all nodes until nothing runs for a while. */
+  void
+  serve_all (unsigned events = 3)
+  {
+    for (int quiet = 0; quiet < 80; quiet++)
+      {
+        world.run (20 * GSPAN_MS);
+        for (auto &rig : world.rigs)
+          for (auto &run : runs (*rig))
+            {
+              finish_run (*rig, run, events);
+              quiet = 0;
+            }
+      }
+  }
+
+  /* All results of JOB as RIG tells them. */
+  std::vector<std::string>
+  read_all (Rig &rig, const std::string &job, guint64 id = 900)
+  {
+    read (rig, id, job, 0);
+    world.run (3 * GSPAN_SECOND);
+    const Answer *answer = answer_to (rig, id);
+    if (answer == nullptr || answer->status != 200)
+      return {};
+    return result_ids (*answer);
+  }
+};
+
+TEST_F (Jobs, AcceptedOnlyOnceTheStoreHasTheHead)
+{
+  Rig &rig = start ();
+
+  submit (rig, 1, "j1", 4);
+  EXPECT_EQ (answer_to (rig, 1), nullptr);
+  world.run (5 * GSPAN_MS);
+  EXPECT_EQ (answer_to (rig, 1), nullptr);
+  world.run (100 * GSPAN_MS);
+  ASSERT_NE (answer_to (rig, 1), nullptr);
+  EXPECT_EQ (answer_to (rig, 1)->status, 202);
+  EXPECT_EQ (world.objects["jobs"].size (), 1U);
+}
+
+TEST_F (Jobs, RefusedOnlyWhereItNeverRuns)
+{
+  Rig &rig = start ();
+
+  world.fault = StoreFault::Busy;
+  submit (rig, 1, "j1", 4);
+  world.run (200 * GSPAN_MS);
+  ASSERT_NE (answer_to (rig, 1), nullptr);
+  EXPECT_EQ (answer_to (rig, 1)->status, 503);
+  EXPECT_TRUE (answer_to (rig, 1)->has ("Retry-After"));
+  world.fault = StoreFault::None;
+  world.run (10 * GSPAN_SECOND);
+  EXPECT_TRUE (runs (rig).empty ());
+}
+
+TEST_F (Jobs, AcceptanceWithoutAnAnswerPromisesNothing)
+{
+  Rig &rig = start ();
+
+  submit (rig, 1, "j1", 4);
+  world.run (10 * GSPAN_MS); /* the content is in the store, the head is on its way */
+  world.fault = StoreFault::Late;
+  world.run (200 * GSPAN_MS);
+  ASSERT_NE (answer_to (rig, 1), nullptr);
+  EXPECT_EQ (answer_to (rig, 1)->status, 502);
+}
+
+TEST_F (Jobs, AcceptanceWhoseAnswerIsLostIsFoundInTheStore)
+{
+  Rig &rig = start ();
+
+  submit (rig, 1, "j1", 4);
+  world.run (10 * GSPAN_MS);
+  world.fault = StoreFault::LostAfter;
+  world.run (20 * GSPAN_MS);
+  world.fault = StoreFault::None;
+  world.run (200 * GSPAN_MS);
+  ASSERT_NE (answer_to (rig, 1), nullptr);
+  EXPECT_EQ (answer_to (rig, 1)->status, 202);
+}
+
+TEST_F (Jobs, SubmittedAgainAnywhereIsAcceptedOnce)
+{
+  Rig &rig = start (2);
+
+  submit (rig, 1, "j1", 4);
+  submit (rig, 2, "j1", 4);
+  submit (*world.rigs[1], 3, "j1", 4);
+  world.run (300 * GSPAN_MS);
+  EXPECT_EQ (answer_to (rig, 1)->status, 202);
+  EXPECT_EQ (answer_to (rig, 2)->status, 202);
+  EXPECT_EQ (answer_to (*world.rigs[1], 3)->status, 202);
+  serve_all ();
+  EXPECT_EQ (read_all (rig, "j1").size (), 4U);
+}
+
+TEST_F (Jobs, UnreadableJobIsRefusedWithItsPlace)
+{
+  Rig &rig = start ();
+
+  rig.request (1, "POST", "/batch/j1", { "Host: a.example", "X-Attempt-Id: j1" }, "{\"items\":[");
+  EXPECT_EQ (answer_to (rig, 1)->status, 400);
+  EXPECT_NE (answer_to (rig, 1)->body.find ("line 1"), std::string::npos);
+  rig.request (2, "POST", "/batch/j1", { "Host: a.example", "X-Attempt-Id: j1" },
+               "{\"items\":[{\"id\":\"a\",\"path\":\"/batch/x\"},{\"id\":3}]}");
+  EXPECT_NE (answer_to (rig, 2)->body.find ("items[1]"), std::string::npos);
+  rig.request (3, "POST", "/batch/j1", { "Host: a.example", "X-Attempt-Id: ../x" }, job_body (1, 0));
+  EXPECT_EQ (answer_to (rig, 3)->status, 400);
+}
+
+TEST_F (Jobs, ResultIsTheTextOfAllEventsWithItsVersions)
+{
+  Rig &rig = start ();
+
+  submit (rig, 1, "j1", 1);
+  world.run (200 * GSPAN_MS);
+  ASSERT_EQ (runs (rig).size (), 1U);
+  Exchange run = runs (rig)[0];
+  EXPECT_EQ (run.body, "hi");
+  EXPECT_EQ (run.header ("X-Attempt-Id"), "i0");
+  rig.http_head (run, 200, stream_head (1));
+  rig.http_data (run, 200, stream_head (1), sse (1) + "x-weight-versions: 2\nid: 2\ndata: d2\n\n");
+  rig.http_done (run, GSPAN_HTTP_WHOLE, 200, stream_head (1), "");
+  world.run (300 * GSPAN_MS);
+  read (rig, 2, "j1", 0);
+  world.run (100 * GSPAN_MS);
+  ASSERT_NE (answer_to (rig, 2), nullptr);
+  EXPECT_EQ (answer_to (rig, 2)->body,
+             "{\"total\":1,\"next\":1,\"results\":[{\"id\":\"i0\",\"state\":\"completed\","
+             "\"output\":\"d1\\nd2\",\"versions\":[1,2]}]}");
+}
+
+TEST_F (Jobs, BrokenRunGoesOnElsewhereFromItsLastEvent)
+{
+  Rig &rig = start ();
+
+  submit (rig, 1, "j1", 1);
+  world.run (200 * GSPAN_MS);
+  Exchange first = runs (rig)[0];
+  rig.http_head (first, 200, stream_head (1));
+  rig.http_data (first, 200, stream_head (1), sse (1) + sse (2) + "id: 3\ndata: d");
+  rig.http_done (first, GSPAN_HTTP_LOST, 200, stream_head (1), "");
+  world.run (100 * GSPAN_MS);
+  ASSERT_EQ (runs (rig).size (), 1U);
+  Exchange second = runs (rig)[0];
+  EXPECT_NE (second.url, first.url);
+  EXPECT_EQ (second.header ("Last-Event-Id"), "2");
+  finish_run (rig, second, 3);
+  EXPECT_EQ (read_all (rig, "j1"), std::vector<std::string>{ "i0" });
+  EXPECT_NE (answer_to (rig, 900)->body.find ("d1\\nd2\\nd3"), std::string::npos);
+}
+
+TEST_F (Jobs, EventOutOfOrderIsNeverTaken)
+{
+  Rig &rig = start ();
+
+  submit (rig, 1, "j1", 1);
+  world.run (200 * GSPAN_MS);
+  Exchange first = runs (rig)[0];
+  rig.http_head (first, 200, stream_head (1));
+  rig.http_data (first, 200, stream_head (1), sse (1) + sse (3));
+  world.run (100 * GSPAN_MS);
+  ASSERT_EQ (runs (rig).size (), 1U);
+  EXPECT_EQ (runs (rig)[0].header ("Last-Event-Id"), "1");
+}
+
+TEST_F (Jobs, StreamThatEndsInTheMiddleOfAnEventIsNotWhole)
+{
+  Rig &rig = start ();
+
+  submit (rig, 1, "j1", 1);
+  world.run (200 * GSPAN_MS);
+  Exchange first = runs (rig)[0];
+  rig.http_head (first, 200, stream_head (1));
+  rig.http_data (first, 200, stream_head (1), sse (1) + "id: 2\ndata:");
+  rig.http_done (first, GSPAN_HTTP_WHOLE, 200, stream_head (1), "");
+  world.run (100 * GSPAN_MS);
+  ASSERT_EQ (runs (rig).size (), 1U);
+  EXPECT_EQ (runs (rig)[0].header ("Last-Event-Id"), "1");
+}
+
+TEST_F (Jobs, NothingIsGeneratedBelowTheOldestAllowedVersion)
+{
+  Rig &rig = start (1, 1);
+
+  submit (rig, 1, "j1", 2, 2);
+  world.run (GSPAN_SECOND);
+  EXPECT_TRUE (runs (rig).empty ());
+  world.put ("servers", "m2", replica_spec ("llm", 4, 2).c_str ());
+  world.run (2 * GSPAN_SECOND);
+  ASSERT_EQ (runs (rig).size (), 2U);
+  for (auto &run : runs (rig))
+    EXPECT_NE (run.url.find ("10.0.0.4:"), std::string::npos);
+  /* a replica that lags behind its entry after all: what it generates doesn't count */
+  Exchange run = runs (rig)[0];
+  rig.http_head (run, 200, stream_head (1));
+  rig.http_data (run, 200, stream_head (1), sse (1));
+  world.run (GSPAN_SECOND);
+  for (auto &again : runs (rig))
+    EXPECT_EQ (again.header ("Last-Event-Id"), "");
+}
+
+TEST_F (Jobs, ItemIsGivenUpOnlyForTheReasonsThatARouteAllows)
+{
+  Rig &rig = start ();
+
+  submit (rig, 1, "j1", 2);
+  world.run (200 * GSPAN_MS);
+  Exchange never = runs (rig)[0];
+  rig.http_done (never, GSPAN_HTTP_WHOLE, 422, signed_head, "");
+  for (int i = 0; i < 3; i++)
+    {
+      ASSERT_EQ (runs (rig).size (), 1U);
+      rig.http_done (runs (rig)[0], GSPAN_HTTP_WHOLE, 500, signed_head, "");
+      world.run (100 * GSPAN_MS);
+    }
+  EXPECT_TRUE (runs (rig).empty ());
+  read (rig, 2, "j1", 0);
+  world.run (GSPAN_SECOND);
+  const std::string &body = answer_to (rig, 2)->body;
+  EXPECT_NE (body.find ("abandoned"), std::string::npos);
+  EXPECT_EQ (body.find ("completed"), std::string::npos);
+}
+
+TEST_F (Jobs, ItemWaitingTooLongIsGivenUp)
+{
+  Rig &rig = start ();
+
+  world.remove ("servers", "m1");
+  world.remove ("servers", "m2");
+  world.run (2 * GSPAN_SECOND);
+  submit (rig, 1, "j1", 1);
+  world.run (39 * GSPAN_SECOND);
+  EXPECT_EQ (rig.node.metrics.values[GSPAN_METRIC_ITEMS_ABANDONED], 0U);
+  world.run (3 * GSPAN_SECOND);
+  EXPECT_EQ (rig.node.metrics.values[GSPAN_METRIC_ITEMS_ABANDONED], 1U);
+}
+
+TEST_F (Jobs, PositionsAreTheSameAtEachNodeAndNeverChange)
+{
+  Rig &rig = start (3);
+
+  submit (rig, 1, "j1", 12);
+  serve_all ();
+  auto at_owner = read_all (rig, "j1", 900);
+  auto elsewhere = read_all (*world.rigs[1], "j1", 901);
+  EXPECT_EQ (at_owner.size (), 12U);
+  EXPECT_EQ (at_owner, elsewhere);
+  EXPECT_EQ (std::set<std::string> (at_owner.begin (), at_owner.end ()).size (), 12U);
+}
+
+TEST_F (Jobs, ReaderOfOnePageIsNotToldThatThereIsNothingMore)
+{
+  Rig &rig = start (2);
+  Rig &other = *world.rigs[1];
+
+  submit (rig, 1, "j1", 8);
+  world.run (200 * GSPAN_MS);
+  /* one segment each: three results with some time between */
+  for (int i = 0; i < 3; i++)
+    {
+      finish_run (rig, runs (rig)[0], 2);
+      world.run (400 * GSPAN_MS);
+    }
+  EXPECT_EQ (read_all (other, "j1", 900).size (), 3U);
+  for (int i = 0; i < 4; i++)
+    {
+      finish_run (rig, runs (rig)[0], 2);
+      world.run (400 * GSPAN_MS);
+    }
+  world.page = 2;
+  read (other, 901, "j1", 6);
+  world.run (2 * GSPAN_SECOND);
+  ASSERT_NE (answer_to (other, 901), nullptr);
+  EXPECT_EQ (result_ids (*answer_to (other, 901)).size (), 1U);
+}
+
+TEST_F (Jobs, NothingYetNeedsTheStoresWordSinceTheReaderCame)
+{
+  Rig &rig = start (2);
+  Rig &other = *world.rigs[1];
+
+  submit (rig, 1, "j1", 8);
+  world.run (500 * GSPAN_MS);
+  read (other, 900, "j1", 0);
+  world.run (GSPAN_SECOND);
+  EXPECT_EQ (answer_to (other, 900)->status, 200);
+  other.cut = true;
+  world.run (10 * GSPAN_MS);
+  read (other, 901, "j1", 0, 1000);
+  world.run (2500 * GSPAN_MS);
+  ASSERT_NE (answer_to (other, 901), nullptr);
+  EXPECT_EQ (answer_to (other, 901)->status, 503);
+}
+
+TEST_F (Jobs, UnknownJobIs404OnlyByTheStoresWord)
+{
+  Rig &rig = start ();
+
+  read (rig, 1, "nothing", 0);
+  EXPECT_EQ (answer_to (rig, 1), nullptr);
+  world.run (100 * GSPAN_MS);
+  EXPECT_EQ (answer_to (rig, 1)->status, 404);
+  world.fault = StoreFault::Away;
+  read (rig, 2, "nothing", 0);
+  world.run (2 * GSPAN_SECOND);
+  EXPECT_EQ (answer_to (rig, 2)->status, 503);
+}
+
+TEST_F (Jobs, EndedJobStopsItsRunsAtEachNode)
+{
+  Rig &rig = start (2);
+
+  submit (rig, 1, "j1", 4);
+  world.run (200 * GSPAN_MS);
+  EXPECT_EQ (runs (rig).size (), 4U);
+  world.rigs[1]->request (2, "DELETE", "/api/lots/j1", { "Host: a.example" }, "");
+  world.run (500 * GSPAN_MS);
+  EXPECT_EQ (answer_to (*world.rigs[1], 2)->status, 200);
+  EXPECT_TRUE (runs (rig).empty ());
+  world.rigs[1]->request (3, "DELETE", "/api/lots/j1", { "Host: a.example" }, "");
+  world.run (100 * GSPAN_MS);
+  EXPECT_EQ (answer_to (*world.rigs[1], 3)->status, 200);
+}
+
+TEST_F (Jobs, BodyOfAnItemIsToldByEachNode)
+{
+  start (2);
+  Rig &other = *world.rigs[1];
+
+  submit (*world.rigs[0], 1, "j1", 4);
+  world.run (200 * GSPAN_MS);
+  other.request (2, "GET", "/api/items/j1?id=i3", { "Host: a.example" }, "");
+  world.run (200 * GSPAN_MS);
+  ASSERT_NE (answer_to (other, 2), nullptr);
+  EXPECT_EQ (answer_to (other, 2)->status, 200);
+  EXPECT_EQ (answer_to (other, 2)->body, "hi");
+}
+
+TEST_F (Jobs, ResultsSurviveTheOwnerAndNobodyListsAnItemTwice)
+{
+  Rig &rig = start (3);
+
+  for (size_t i = 0; i < 3; i++)
+    world.rigs[i]->node.self.udp = i == 0 ? "127.0.0.1:1" : i == 1 ? "127.0.0.1:2" : "127.0.0.1:3";
+  submit (rig, 1, "j1", 8);
+  world.run (200 * GSPAN_MS);
+  auto held = runs (rig);
+  finish_run (rig, held[0], 2);
+  world.run (500 * GSPAN_MS);
+  rig.paused = true;
+  for (int i = 0; i < 300; i++)
+    {
+      world.run (20 * GSPAN_MS);
+      for (size_t r = 1; r < 3; r++)
+        for (auto &run : runs (*world.rigs[r]))
+          finish_run (*world.rigs[r], run, 2);
+    }
+  /* the owner of before wakes up, and a run that it had started ends */
+  rig.paused = false;
+  for (size_t i = 1; i < held.size (); i++)
+    finish_run (rig, held[i], 2);
+  world.run (3 * GSPAN_SECOND);
+  auto ids = read_all (*world.rigs[1], "j1", 900);
+  EXPECT_EQ (ids.size (), 8U);
+  EXPECT_EQ (std::set<std::string> (ids.begin (), ids.end ()).size (), 8U);
+  EXPECT_EQ (read_all (rig, "j1", 901), ids);
+}
+
+TEST_F (Jobs, OwnerThatStopsHandsItsJobBack)
+{
+  Rig &rig = start (2);
+
+  submit (rig, 1, "j1", 4);
+  world.run (200 * GSPAN_MS);
+  finish_run (rig, runs (rig)[0], 2);
+  rig.drain ();
+  world.run (1500 * GSPAN_MS);
+  EXPECT_TRUE (runs (rig).empty ());
+  EXPECT_EQ (runs (*world.rigs[1]).size (), 3U);
+  EXPECT_FALSE (gspan_jobs_busy (&rig.node.jobs));
+}
+
+TEST_F (Jobs, RestartedOwnerGoesOnWithItsJob)
+{
+  start (1);
+  submit (*world.rigs[0], 1, "j1", 4);
+  world.run (200 * GSPAN_MS);
+  finish_run (*world.rigs[0], runs (*world.rigs[0])[0], 2);
+  world.run (500 * GSPAN_MS);
+  world.restart (0);
+  serve_all ();
+  EXPECT_EQ (read_all (*world.rigs[0], "j1").size (), 4U);
+}
+
+RC_GTEST_PROP (JobsProperty, ListStaysRightUnderFaultsOfTheStore,
+               (const std::vector<std::pair<uint8_t, uint8_t>> &steps))
+{
+  World world;
+  std::map<size_t, std::string> told; /* position to item */
+  std::set<std::string> seen;
+  guint64 id = 100;
+
+  world.put ("config", "main", config_spec (3).c_str ());
+  world.put ("servers", "m1", replica_spec ("llm", 3, 1).c_str ());
+  world.put ("servers", "m2", replica_spec ("llm", 4, 1).c_str ());
+  for (unsigned i = 0; i < 3; i++)
+    world.add ("vm-" + std::to_string (i + 1));
+  world.run (2 * GSPAN_SECOND);
+  world.rigs[0]->request (1, "POST", "/batch/j1", { "Host: a.example", "X-Attempt-Id: j1" },
+                          job_body (12, 0));
+  world.run (300 * GSPAN_MS);
+  auto serve = [&] {
+    for (auto &rig : world.rigs)
+      {
+        if (rig->paused)
+          continue;
+        std::vector<Exchange> copy = rig->exchanges;
+        size_t count = 0;
+        for (auto &run : copy)
+          {
+            if (run.url.find ("/batch/") == std::string::npos || count++ > 1)
+              continue;
+            std::string from = run.header ("Last-Event-Id");
+            unsigned first = from.empty () ? 1 : (unsigned)std::stoul (from) + 1;
+            rig->http_head (run, 200, stream_head (1));
+            for (unsigned event = first; event <= 3; event++)
+              rig->http_data (run, 200, stream_head (1), sse (event));
+            rig->http_done (run, GSPAN_HTTP_WHOLE, 200, stream_head (1), "");
+          }
+      }
+  };
+  auto check = [&] (Rig &rig) {
+    guint64 mine = id++;
+    rig.request (mine, "GET", "/api/lots/j1?after=0", { "Host: a.example" }, "");
+    world.run (1200 * GSPAN_MS);
+    for (const auto &answer : rig.answers)
+      {
+        if (answer.request != mine || answer.status != 200)
+          continue;
+        json_t *root = json_loads (answer.body.c_str (), 0, nullptr);
+        json_t *item;
+        size_t index;
+        json_array_foreach (json_object_get (root, "results"), index, item)
+          {
+            std::string name = json_string_value (json_object_get (item, "id"));
+            if (told.count (index) != 0)
+              RC_ASSERT (told[index] == name);
+            else
+              RC_ASSERT (seen.insert (name).second);
+            told[index] = name;
+          }
+        json_decref (root);
+      }
+  };
+  size_t done = 0;
+  for (const auto &step : steps)
+    {
+      if (done++ > 12)
+        break;
+      size_t which = step.second % 3;
+      Rig &rig = *world.rigs[which];
+      switch (step.first % 8)
+        {
+        case 0:
+          world.fault = (StoreFault)(step.second % 6);
+          break;
+        case 1:
+          rig.paused = !rig.paused;
+          break;
+        case 2:
+          rig.cut = !rig.cut;
+          break;
+        case 3:
+          world.restart (which);
+          break;
+        case 4:
+          world.compact ("jobs");
+          break;
+        default:
+          serve ();
+          break;
+        }
+      world.run ((1 + step.second % 4) * 300 * GSPAN_MS);
+      serve ();
+      if (!world.rigs[which]->paused)
+        check (*world.rigs[which]);
+    }
+  world.fault = StoreFault::None;
+  for (auto &rig : world.rigs)
+    rig->paused = rig->cut = false;
+  for (int i = 0; i < 60 && seen.size () < 12; i++)
+    {
+      world.run (500 * GSPAN_MS);
+      serve ();
+      check (*world.rigs[(size_t)i % 3]);
+    }
+  RC_ASSERT (seen.size () == 12U);
+}
--- /dev/null
+++ b/test/node_world.h
@@ -0,0 +1,846 @@
+#pragma once
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include <algorithm>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "common/clock.h"
+#include "node/node.h"
+}
+
+/*
+ * Nodes, the platform's store and replicas in one process under virtual time. The store keeps its
+ * promises and has its faults: away, busy, losing answers before or after the change, late changes,
+ * watches that are cut, history that is gone.
+ */
+
+enum class StoreFault
+{
+  None,
+  Away,       /* nothing is done, the call isn't answered */
+  Busy,       /* refused: nothing is done */
+  LostAfter,  /* writes are done, the answer is lost */
+  LostBefore, /* writes are not done, the answer is lost */
+  Late        /* as LostBefore, and done a second later if the condition still holds */
+};
+
+struct StoredObject
+{
+  guint64 revision;
+  json_t *spec;
+  json_t *status;
+};
+
+struct World;
+
+/* One action of kind HTTP that a replica has not answered yet. */
+struct Exchange
+{
+  GspanRef ref;
+  std::string method;
+  std::string url;
+  std::string body;
+  std::vector<std::string> headers;
+  guint64 sent;
+
+  std::string
+  header (const std::string &name) const
+  {
+    for (const auto &line : headers)
+      if (g_ascii_strncasecmp (line.c_str (), (name + ":").c_str (), name.size () + 1) == 0)
+        return line.substr (name.size () + 2);
+    return "";
+  }
+};
+
+struct Answer
+{
+  guint64 request;
+  int status;
+  std::string body;
+  std::vector<std::string> headers;
+
+  bool
+  has (const std::string &name) const
+  {
+    for (const auto &line : headers)
+      if (g_str_has_prefix (line.c_str (), (name + ":").c_str ()))
+        return true;
+    return false;
+  }
+};
+
+class Rig
+{
+public:
+  GspanNode node{};
+  World &world;
+  std::string name;
+  bool paused = false;
+  bool cut = false; /* from the store */
+  std::vector<Exchange> exchanges;
+  std::vector<Answer> answers;
+  std::vector<std::string> log;
+  std::vector<GspanRef> cancelled;
+  std::string streamed;
+
+  Rig (World &of, const std::string &called, guint32 seed);
+  ~Rig () { gspan_node_finish (&node); }
+  Rig (const Rig &) = delete;
+  Rig &operator= (const Rig &) = delete;
+
+  void handle (const GspanEvent &event);
+  void tick ();
+  void request (guint64 id, const char *method, const std::string &path,
+                const std::vector<std::string> &headers, const std::string &body);
+  void drain ();
+  void datagram (const std::string &text);
+  void http_head (const Exchange &exchange, int status, const std::vector<std::string> &headers);
+  void http_data (const Exchange &exchange, int status, const std::vector<std::string> &headers,
+                  const std::string &data);
+  void http_done (const Exchange &exchange, GspanHttpResult result, int status,
+                  const std::vector<std::string> &headers, const std::string &body);
+  bool logged (const std::string &text) const;
+
+private:
+  std::string name_;
+  std::string udp_;
+  void act (GspanOutbox *out);
+};
+
+struct PendingStore
+{
+  Rig *rig;
+  GspanRef ref;
+  GspanStoreCall call;
+  guint64 done_at;
+  bool watch;
+};
+
+struct World
+{
+  guint64 now = 1000 * GSPAN_SECOND;
+  gint64 wall_ms = 1700000000000;
+  guint64 revision = 8;
+  StoreFault fault = StoreFault::None;
+  guint64 latency = 4 * GSPAN_MS;
+  size_t page = 500;
+  std::map<std::string, std::map<std::string, StoredObject>> objects;
+  std::map<std::string, guint64> gone_before; /* kind to the revision before which history is gone */
+  std::vector<std::pair<guint64, std::pair<std::string, std::string>>> history;
+  std::vector<PendingStore> pending;
+  std::vector<std::pair<guint64, std::function<void ()>>> later;
+  std::map<std::string, unsigned> calls; /* "op kind" to number */
+  std::vector<std::unique_ptr<Rig>> rigs;
+  std::vector<std::string> orders; /* "time node replica weights" */
+
+  ~World ()
+  {
+    for (auto &item : pending)
+      gspan_store_call_finish (&item.call);
+    rigs.clear ();
+    for (auto &kind : objects)
+      for (auto &object : kind.second)
+        {
+          json_decref (object.second.spec);
+          json_decref (object.second.status);
+        }
+  }
+
+  Rig &
+  add (const std::string &name)
+  {
+    rigs.push_back (std::make_unique<Rig> (*this, name, (guint32)rigs.size () + 1));
+    return *rigs.back ();
+  }
+
+  void
+  restart (size_t index)
+  {
+    std::string name = rigs[index]->name;
+    forget (rigs[index].get ());
+    rigs[index] = std::make_unique<Rig> (*this, name, (guint32)(now % 100000));
+  }
+
+  void
+  forget (Rig *rig)
+  {
+    for (auto item = pending.begin (); item != pending.end ();)
+      {
+        if (item->rig != rig)
+          {
+            ++item;
+            continue;
+          }
+        gspan_store_call_finish (&item->call);
+        item = pending.erase (item);
+      }
+  }
+
+  /* Writes as the operator, a replica or a trainer does. */
+  void
+  put (const std::string &kind, const std::string &name, const char *spec)
+  {
+    json_t *value = json_loads (spec, 0, nullptr);
+
+    EXPECT_NE (value, nullptr) << spec;
+    StoredObject &object = objects[kind][name];
+    json_decref (object.spec);
+    object.spec = value;
+    object.revision = ++revision;
+    history.push_back ({ revision, { kind, name } });
+    wake (kind);
+  }
+
+  void
+  remove (const std::string &kind, const std::string &name)
+  {
+    auto found = objects[kind].find (name);
+
+    if (found == objects[kind].end ())
+      return;
+    json_decref (found->second.spec);
+    json_decref (found->second.status);
+    objects[kind].erase (found);
+    history.push_back ({ ++revision, { kind, name } });
+    wake (kind);
+  }
+
+  /* Cuts all watches of KIND and forgets its history. */
+  void
+  compact (const std::string &kind)
+  {
+    gone_before[kind] = revision;
+    for (auto &item : pending)
+      if (item.watch && kind == item.call.kind)
+        {
+          item.done_at = now;
+          item.watch = false;
+          cut_watches.push_back (item.ref.id);
+        }
+  }
+
+  std::vector<guint64> cut_watches;
+
+  void
+  wake (const std::string &kind)
+  {
+    for (auto &item : pending)
+      if (item.watch && kind == item.call.kind)
+        item.done_at = std::min (item.done_at, now + latency);
+  }
+
+  void
+  send (Rig *rig, GspanRef ref, GspanStoreCall *call)
+  {
+    static const char *const ops[]
+        = { "get", "list", "watch", "create", "replace", "set-status", "remove" };
+    PendingStore item{};
+
+    calls[std::string (ops[call->op]) + " " + call->kind]++;
+    item.rig = rig;
+    item.ref = ref;
+    item.call = *call;
+    *call = {};
+    item.watch = item.call.op == GSPAN_STORE_WATCH && !has_events (item.call);
+    item.done_at = now + latency;
+    if (item.watch)
+      item.done_at = now + item.call.wait_ms * GSPAN_MS;
+    if (!reaches (*rig))
+      item.done_at = now + 1500 * GSPAN_MS;
+    pending.push_back (item);
+  }
+
+  bool
+  reaches (const Rig &rig) const
+  {
+    return fault != StoreFault::Away && !rig.cut;
+  }
+
+  bool
+  has_events (const GspanStoreCall &call) const
+  {
+    for (const auto &change : history)
+      if (change.first > call.revision && change.second.first == call.kind)
+        return true;
+    return false;
+  }
+
+  void
+  run (guint64 us)
+  {
+    guint64 end = now + us;
+
+    while (now < end)
+      {
+        now += 10 * GSPAN_MS;
+        wall_ms += 10;
+        for (size_t i = 0; i < later.size ();)
+          {
+            if (later[i].first > now)
+              {
+                i++;
+                continue;
+              }
+            auto action = later[i].second;
+            later.erase (later.begin () + (long)i);
+            action ();
+          }
+        answer_calls ();
+        for (size_t i = 0; i < rigs.size (); i++)
+          if (!rigs[i]->paused)
+            rigs[i]->tick ();
+      }
+  }
+
+  void
+  answer_calls ()
+  {
+    for (size_t i = 0; i < pending.size ();)
+      {
+        if (pending[i].done_at > now || pending[i].rig->paused)
+          {
+            i++;
+            continue;
+          }
+        PendingStore item = pending[i];
+        pending.erase (pending.begin () + (long)i);
+        answer (item);
+        gspan_store_call_finish (&item.call);
+      }
+  }
+
+  void
+  answer (PendingStore &item)
+  {
+    GspanStoreReply reply;
+    GspanEvent event{};
+    bool writes = gspan_store_writes (item.call.op);
+    auto was_cut = std::find (cut_watches.begin (), cut_watches.end (), item.ref.id);
+
+    gspan_store_reply_init (&reply);
+    if (!reaches (*item.rig) || was_cut != cut_watches.end ())
+      reply.result = writes ? GSPAN_STORE_UNKNOWN : GSPAN_STORE_UNAVAILABLE;
+    else if (fault == StoreFault::Busy)
+      reply.result = GSPAN_STORE_UNAVAILABLE;
+    else if (writes && fault == StoreFault::LostBefore)
+      reply.result = GSPAN_STORE_UNKNOWN;
+    else if (writes && fault == StoreFault::Late)
+      {
+        reply.result = GSPAN_STORE_UNKNOWN;
+        do_late (item.call);
+      }
+    else
+      perform (item.call, &reply);
+    if (writes && fault == StoreFault::LostAfter)
+      {
+        gspan_store_reply_finish (&reply);
+        gspan_store_reply_init (&reply);
+        reply.result = GSPAN_STORE_UNKNOWN;
+      }
+    event.kind = GSPAN_EVENT_STORE_DONE;
+    event.ref = item.ref;
+    event.u.store.call = &item.call;
+    event.u.store.reply = &reply;
+    item.rig->handle (event);
+    gspan_store_reply_finish (&reply);
+  }
+
+  void
+  do_late (const GspanStoreCall &call)
+  {
+    auto copy = std::make_shared<GspanStoreCall> (call);
+
+    copy->kind = g_strdup (call.kind);
+    copy->name = g_strdup (call.name);
+    copy->value = json_incref (call.value);
+    later.push_back ({ now + GSPAN_SECOND, [this, copy] {
+                        GspanStoreReply reply;
+                        gspan_store_reply_init (&reply);
+                        perform (*copy, &reply);
+                        gspan_store_reply_finish (&reply);
+                        gspan_store_call_finish (copy.get ());
+                      } });
+  }
+
+  void
+  fill (GspanStoreReply *reply, const std::string &name, const StoredObject *object)
+  {
+    GspanStoreObject *item = gspan_store_reply_add (reply);
+
+    item->name = g_strdup (name.c_str ());
+    item->removed = object == nullptr;
+    if (object == nullptr)
+      return;
+    item->revision = object->revision;
+    item->spec = json_deep_copy (object->spec);
+    item->status = object->status != nullptr ? json_deep_copy (object->status) : nullptr;
+  }
+
+  void
+  perform (const GspanStoreCall &call, GspanStoreReply *reply)
+  {
+    auto &kind = objects[call.kind];
+    auto found = call.name != nullptr ? kind.find (call.name) : kind.end ();
+
+    reply->result = GSPAN_STORE_OK;
+    switch (call.op)
+      {
+      case GSPAN_STORE_GET:
+        if (found == kind.end ())
+          reply->result = GSPAN_STORE_MISSING;
+        else
+          fill (reply, found->first, &found->second);
+        break;
+      case GSPAN_STORE_LIST:
+        reply->revision = revision;
+        for (auto &object : kind)
+          {
+            if (call.name != nullptr && object.first <= call.name)
+              continue;
+            if (reply->objects->len >= page)
+              {
+                reply->more = true;
+                break;
+              }
+            fill (reply, object.first, &object.second);
+          }
+        break;
+      case GSPAN_STORE_WATCH:
+        watch (call, reply);
+        break;
+      case GSPAN_STORE_CREATE:
+        if (found != kind.end ())
+          {
+            reply->result = GSPAN_STORE_CONFLICT;
+            fill (reply, found->first, &found->second);
+            break;
+          }
+        write (call, kind[call.name], true, reply);
+        break;
+      case GSPAN_STORE_REPLACE:
+      case GSPAN_STORE_SET_STATUS:
+        if (found == kind.end ())
+          reply->result = GSPAN_STORE_MISSING;
+        else if (call.revision != 0 && call.revision != found->second.revision)
+          {
+            reply->result = GSPAN_STORE_CONFLICT;
+            fill (reply, found->first, &found->second);
+          }
+        else
+          write (call, found->second, call.op == GSPAN_STORE_REPLACE, reply);
+        break;
+      case GSPAN_STORE_REMOVE:
+        if (found == kind.end ())
+          reply->result = GSPAN_STORE_MISSING;
+        else
+          remove (call.kind, call.name);
+        break;
+      }
+  }
+
+  void
+  write (const GspanStoreCall &call, StoredObject &object, bool spec, GspanStoreReply *reply)
+  {
+    json_t *&field = spec ? object.spec : object.status;
+
+    json_decref (field);
+    field = json_deep_copy (call.value);
+    object.revision = ++revision;
+    history.push_back ({ revision, { call.kind, call.name } });
+    fill (reply, call.name, &object);
+    wake (call.kind);
+  }
+
+  void
+  watch (const GspanStoreCall &call, GspanStoreReply *reply)
+  {
+    auto gone = gone_before.find (call.kind);
+
+    reply->revision = revision;
+    if (!has_events (call))
+      return;
+    if (gone != gone_before.end () && call.revision < gone->second)
+      {
+        /* as the platform does: the gap shows with the next change only */
+        if (history.back ().first > gone->second)
+          reply->result = GSPAN_STORE_GAP;
+        return;
+      }
+    for (const auto &change : history)
+      {
+        if (change.first <= call.revision || change.second.first != call.kind)
+          continue;
+        auto found = objects[call.kind].find (change.second.second);
+        fill (reply, change.second.second,
+              found != objects[call.kind].end () ? &found->second : nullptr);
+      }
+  }
+};
+
+inline Rig::Rig (World &of, const std::string &called, guint32 seed)
+    : world (of), name (called), name_ (called), udp_ ("127.0.0.1:1")
+{
+  GspanNodeConfig config{};
+
+  config.self = { name_.c_str (), "bratislava", udp_.c_str (), true, false };
+  config.limits = { 3 * GSPAN_SECOND, 120 * GSPAN_SECOND, 1 << 20 };
+  config.seed = seed;
+  gspan_node_init (&node, &config);
+}
+
+inline void
+Rig::handle (const GspanEvent &event)
+{
+  GspanOutbox out;
+
+  gspan_outbox_init (&out);
+  gspan_node_handle (&node, &event, world.now, world.wall_ms, &out);
+  act (&out);
+  gspan_outbox_finish (&out);
+}
+
+inline void
+Rig::act (GspanOutbox *out)
+{
+  for (guint i = 0; i < out->actions->len; i++)
+    {
+      auto *action = static_cast<GspanAction *> (g_ptr_array_index (out->actions, i));
+      Exchange exchange;
+      Answer answer;
+
+      switch (action->kind)
+        {
+        case GSPAN_ACTION_STORE:
+          world.send (this, action->ref, &action->u.store);
+          break;
+        case GSPAN_ACTION_LOG:
+          log.push_back (action->u.log.text);
+          break;
+        case GSPAN_ACTION_HTTP:
+          exchange.ref = action->ref;
+          exchange.method = action->u.http.method;
+          exchange.url = action->u.http.url;
+          exchange.sent = world.now;
+          if (action->u.http.body != nullptr)
+            {
+              GspanStr body = gspan_str_from_bytes (action->u.http.body);
+              exchange.body.assign (body.data, body.len);
+            }
+          for (guint h = 0; h < action->u.http.headers.items->len; h++)
+            exchange.headers.push_back (
+                static_cast<const char *> (g_ptr_array_index (action->u.http.headers.items, h)));
+          exchanges.push_back (exchange);
+          break;
+        case GSPAN_ACTION_HTTP_CANCEL:
+          cancelled.push_back (action->ref);
+          for (size_t e = 0; e < exchanges.size (); e++)
+            if (exchanges[e].ref.id == action->ref.id)
+              exchanges.erase (exchanges.begin () + (long)e--);
+          break;
+        case GSPAN_ACTION_REPLY:
+        case GSPAN_ACTION_REPLY_BEGIN:
+        case GSPAN_ACTION_REPLY_END:
+        case GSPAN_ACTION_REPLY_CUT:
+          answer.request = action->u.reply.request;
+          answer.status = action->kind == GSPAN_ACTION_REPLY_CUT   ? -1
+                          : action->kind == GSPAN_ACTION_REPLY_END ? 0
+                                                                   : action->u.reply.status;
+          if (action->u.reply.body != nullptr)
+            {
+              GspanStr body = gspan_str_from_bytes (action->u.reply.body);
+              answer.body.assign (body.data, body.len);
+            }
+          for (guint h = 0; h < action->u.reply.headers.items->len; h++)
+            answer.headers.push_back (
+                static_cast<const char *> (g_ptr_array_index (action->u.reply.headers.items, h)));
+          answers.push_back (answer);
+          break;
+        case GSPAN_ACTION_REPLY_DATA:
+          {
+            GspanStr body = gspan_str_from_bytes (action->u.reply.body);
+            streamed.append (body.data, body.len);
+          }
+          break;
+        case GSPAN_ACTION_DATAGRAM:
+          {
+            GspanStr body = gspan_str_from_bytes (action->u.datagram.payload);
+            std::string text (body.data, body.len);
+            std::string to = action->u.datagram.address;
+            World *in = &world;
+
+            world.later.push_back ({ world.now + GSPAN_MS, [in, to, text] {
+                                      for (auto &rig : in->rigs)
+                                        if (!rig->paused
+                                            && to == rig->node.self.udp)
+                                          rig->datagram (text);
+                                    } });
+          }
+          break;
+        default:
+          break;
+        }
+    }
+}
+
+inline void
+Rig::tick ()
+{
+  GspanEvent event{};
+
+  event.kind = GSPAN_EVENT_TICK;
+  handle (event);
+}
+
+inline void
+Rig::drain ()
+{
+  GspanEvent event{};
+
+  event.kind = GSPAN_EVENT_DRAIN;
+  handle (event);
+}
+
+inline void
+Rig::datagram (const std::string &text)
+{
+  GspanEvent event{};
+
+  event.kind = GSPAN_EVENT_DATAGRAM;
+  event.u.datagram.payload = { text.data (), text.size () };
+  handle (event);
+}
+
+inline void
+Rig::request (guint64 id, const char *method, const std::string &path,
+              const std::vector<std::string> &headers, const std::string &body)
+{
+  GspanHeaders list;
+  GspanEvent event{};
+
+  gspan_headers_init (&list);
+  for (const auto &line : headers)
+    g_ptr_array_add (list.items, g_strdup (line.c_str ()));
+  event.kind = GSPAN_EVENT_REQUEST;
+  event.u.request.request = id;
+  event.u.request.method = gspan_str_from (method);
+  event.u.request.path = { path.data (), path.size () };
+  event.u.request.headers = &list;
+  event.u.request.body = g_bytes_new (body.data (), body.size ());
+  handle (event);
+  g_bytes_unref (event.u.request.body);
+  gspan_headers_finish (&list);
+}
+
+inline void
+send_http (Rig &rig, GspanEventKind kind, const Exchange &exchange, GspanHttpResult result,
+           int status, const std::vector<std::string> &headers, const std::string &body)
+{
+  GspanHeaders list;
+  GspanEvent event{};
+
+  gspan_headers_init (&list);
+  for (const auto &line : headers)
+    g_ptr_array_add (list.items, g_strdup (line.c_str ()));
+  event.kind = kind;
+  event.ref = exchange.ref;
+  event.u.http.result = result;
+  event.u.http.status = status;
+  event.u.http.headers = &list;
+  event.u.http.body = g_bytes_new (body.data (), body.size ());
+  rig.handle (event);
+  g_bytes_unref (event.u.http.body);
+  gspan_headers_finish (&list);
+}
+
+inline void
+Rig::http_head (const Exchange &exchange, int status, const std::vector<std::string> &headers)
+{
+  send_http (*this, GSPAN_EVENT_HTTP_HEAD, exchange, GSPAN_HTTP_WHOLE, status, headers, "");
+}
+
+inline void
+Rig::http_data (const Exchange &exchange, int status, const std::vector<std::string> &headers,
+                const std::string &data)
+{
+  send_http (*this, GSPAN_EVENT_HTTP_DATA, exchange, GSPAN_HTTP_WHOLE, status, headers, data);
+}
+
+inline void
+Rig::http_done (const Exchange &exchange, GspanHttpResult result, int status,
+                const std::vector<std::string> &headers, const std::string &body)
+{
+  for (size_t i = 0; i < exchanges.size (); i++)
+    if (exchanges[i].ref.id == exchange.ref.id)
+      {
+        exchanges.erase (exchanges.begin () + (long)i);
+        break;
+      }
+  send_http (*this, GSPAN_EVENT_HTTP_DONE, exchange, result, status, headers, body);
+}
+
+inline bool
+Rig::logged (const std::string &text) const
+{
+  return std::any_of (log.begin (), log.end (), [&] (const std::string &line) {
+    return line.find (text) != std::string::npos;
+  });
+}
+
+/* What the platform's objects look like. */
+
+inline std::string
+replica_spec (const std::string &service, unsigned number, unsigned weights,
+              const char *state = "ready")
+{
+  return "{\"service\":\"" + service + "\",\"address\":\"10.0.0." + std::to_string (number)
+         + ":80\",\"zone\":\"bratislava\",\"version\":\"v1\",\"slots\":4,\"state\":\"" + state
+         + "\",\"coldLeftMs\":0,\"models\":[{\"name\":\"m0\",\"version\":" + std::to_string (weights)
+         + ",\"adapters\":[]}],\"seqNo\":4,\"born\":1}";
+}
+
+inline std::string
+config_spec (unsigned version, const char *desk_type = "idempotent")
+{
+  return "{\"version\":" + std::to_string (version)
+         + ",\"routes\":[{\"name\":\"desk\",\"host\":\"a.example\",\"pathPrefix\":\"/desk/\",\"type\":\""
+         + desk_type
+         + "\",\"timeoutMs\":800,\"targetLatencyMs\":150,\"priority\":2,\"service\":\"desk\","
+           "\"maxAttempts\":2,\"resumable\":true},{\"name\":\"batch\",\"host\":\"a.example\","
+           "\"pathPrefix\":\"/batch/\",\"type\":\"rollout\",\"timeoutMs\":10000,"
+           "\"targetLatencyMs\":400,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":3,"
+           "\"maxQueueS\":40.0,\"resultDueMs\":7500,\"singleVersion\":false}],\"services\":[{\"name\":"
+           "\"llm\",\"engine\":{\"slots\":4,\"kvCapacity\":1000,\"models\":[{\"name\":\"m0\"}]}},"
+           "{\"name\":\"desk\"}],\"limits\":{\"maxBodyBytes\":1000000,\"idleTimeoutMs\":15000}}";
+}
+
+inline std::string
+job_body (unsigned items, unsigned weights_min)
+{
+  std::string text = "{\"step\":1,\"model\":\"m0\",\"minVersion\":" + std::to_string (weights_min)
+                     + ",\"desiredCount\":1,\"items\":[";
+
+  for (unsigned i = 0; i < items; i++)
+    text += std::string (i > 0 ? "," : "") + "{\"id\":\"i" + std::to_string (i)
+            + "\",\"path\":\"/batch/x\",\"headers\":{\"X-Model\":\"m0\"},\"body\":\"aGk=\","
+              "\"tokenCount\":10,\"group\":\"g"
+            + std::to_string (i / 2) + "\"}";
+  return text + "]}";
+}
+
+static const std::vector<std::string> signed_head = { "X-Server-Stamp: s" };
+
+inline std::vector<std::string>
+stream_head (unsigned weights)
+{
+  return { "X-Server-Stamp: s", "Content-Type: text/event-stream",
+           "X-Weight-Versions: " + std::to_string (weights) };
+}
+
+inline std::string
+sse (unsigned id)
+{
+  return "id: " + std::to_string (id) + "\ndata: d" + std::to_string (id) + "\n\n";
+}
+
+/* A world with a configuration, replicas of both services and nodes that know them. */
+class NodeTest : public testing::Test
+{
+protected:
+  World world;
+
+  Rig &
+  start (unsigned nodes = 1, unsigned weights = 1)
+  {
+    world.put ("config", "main", config_spec (3).c_str ());
+    world.put ("servers", "d1", replica_spec ("desk", 1, 0).c_str ());
+    world.put ("servers", "d2", replica_spec ("desk", 2, 0).c_str ());
+    world.put ("servers", "m1", replica_spec ("llm", 3, weights).c_str ());
+    world.put ("servers", "m2", replica_spec ("llm", 4, weights).c_str ());
+    for (unsigned i = 0; i < nodes; i++)
+      world.add ("vm-" + std::to_string (i + 1));
+    world.run (2 * GSPAN_SECOND);
+    return *world.rigs[0];
+  }
+
+  void
+  desk (Rig &rig, guint64 id, const std::string &attempt)
+  {
+    rig.request (id, "POST", "/desk/x%2Fy?q=1",
+                 { "Host: a.example", "X-Attempt-Id: " + attempt, "X-Deadline-Ms: 800" }, "hello");
+  }
+
+  void
+  submit (Rig &rig, guint64 id, const std::string &job, unsigned items, unsigned weights_min = 0)
+  {
+    rig.request (id, "POST", "/batch/" + job, { "Host: a.example", "X-Attempt-Id: " + job },
+                 job_body (items, weights_min));
+  }
+
+  void
+  read (Rig &rig, guint64 id, const std::string &job, unsigned after, unsigned wait_ms = 0)
+  {
+    rig.request (id, "GET", "/api/lots/" + job + "?after=" + std::to_string (after),
+                 { "Host: a.example", "X-Wait-Ms: " + std::to_string (wait_ms) }, "");
+  }
+
+  static const Answer *
+  answer_to (const Rig &rig, guint64 id)
+  {
+    for (const auto &answer : rig.answers)
+      if (answer.request == id)
+        return &answer;
+    return nullptr;
+  }
+
+  static std::vector<Exchange>
+  runs (const Rig &rig)
+  {
+    std::vector<Exchange> found;
+
+    for (const auto &exchange : rig.exchanges)
+      if (exchange.url.find ("/batch/") != std::string::npos)
+        found.push_back (exchange);
+    return found;
+  }
+
+  /* Lets a replica generate EVENTS events of a run and end it. */
+  static void
+  finish_run (Rig &rig, const Exchange &run, unsigned events, unsigned weights = 1)
+  {
+    std::string from = run.header ("Last-Event-Id");
+    unsigned first = from.empty () ? 1 : (unsigned)std::stoul (from) + 1;
+
+    rig.http_head (run, 200, stream_head (weights));
+    for (unsigned id = first; id <= events; id++)
+      rig.http_data (run, 200, stream_head (weights), sse (id));
+    rig.http_done (run, GSPAN_HTTP_WHOLE, 200, stream_head (weights), "");
+  }
+
+  /* Ids of a job's results as REQUEST was told them, with duplicates. */
+  static std::vector<std::string>
+  result_ids (const Answer &answer)
+  {
+    json_t *root = json_loads (answer.body.c_str (), 0, nullptr);
+    std::vector<std::string> ids;
+    json_t *item;
+    size_t index;
+
+    json_array_foreach (json_object_get (root, "results"), index, item)
+      ids.emplace_back (json_string_value (json_object_get (item, "id")));
+    json_decref (root);
+    return ids;
+  }
+};
