jobs: the owner tells two deputies instead of all nodes watching every job

Change: the owner's word goes to two deputies by datagram, it reads its head each second, everybody lists the jobs every 25 s; whoever ends a job tells its owner. All models share the loads that the whole pool bears.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -11,10 +11,16 @@
   BACKOFF_DOUBLINGS = 3
 };
 
+/*
+ * Jobs are listed now and then only: whoever runs a job tells those that would take it over
+ * (jobs/owner.c). The list finds jobs that lost all of these at once.
+ */
+#define JOBS_PAUSE_US (25 * GSPAN_SECOND)
+
 #define BACKOFF_FIRST_US (100 * GSPAN_MS)
 
 /* Gathers changes of several replicas in one answer; shorter where they decide what runs where. */
-#define REPLICAS_PAUSE_US (GSPAN_SECOND)
+#define REPLICAS_PAUSE_US (1200 * GSPAN_MS)
 #define REPLICAS_PAUSE_RUNNING_US (300 * GSPAN_MS)
 
 /*
@@ -288,7 +294,10 @@
     }
   apply_missing (node, which, outbox);
   follower->synced = true;
-  follower->watching = true;
+  follower->watching = which != GSPAN_FOLLOW_JOBS;
+  if (which == GSPAN_FOLLOW_JOBS)
+    follower->next_at = node->now + JOBS_PAUSE_US / 2
+                        + (guint64)g_rand_int_range (node->random, 0, (gint32)JOBS_PAUSE_US);
 }
 
 static bool
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -95,6 +95,9 @@
   guint64 head_call; /* a change of the head under way */
   guint64 heard_at;  /* its owner said that it runs it */
   guint64 asked_at;
+  guint64 told_at;   /* owner: the deputies heard that it runs here */
+  guint64 checked_at; /* owner: the head was read */
+  bool known;        /* its head has been read */
 };
 
 struct GspanJob *gspan_job_new (const char *id);
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -99,6 +99,7 @@
       return;
     }
   job->revision = object->revision;
+  job->known = true;
   gspan_owner_update (node, job, outbox);
 }
 
@@ -136,6 +137,9 @@
       if (job != NULL && job->head_call == call->id)
         gspan_owner_done (node, job, reply, outbox);
       break;
+    case GSPAN_JOB_CHECK:
+      gspan_owner_checked (node, call->job, reply, outbox);
+      break;
     case GSPAN_JOB_FORGET:
       break;
     }
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -18,6 +18,7 @@
   GSPAN_JOB_FETCH,     /* parts and segments */
   GSPAN_JOB_APPEND,    /* a new segment */
   GSPAN_JOB_TAKE,      /* a new owner, or none */
+  GSPAN_JOB_CHECK,     /* the head, by the owner or a deputy */
   GSPAN_JOB_END,
   GSPAN_JOB_FORGET     /* removal of an old job's objects */
 };
@@ -104,5 +105,13 @@
 void gspan_owner_tick (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox);
 void gspan_owner_done (struct GspanNode *node, struct GspanJob *job,
                        const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
+
+/* Takes in a head that was read again; JOB_ID may be known here no more. */
+void gspan_owner_checked (struct GspanNode *node, const char *job_id,
+                          const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
+
+/* Tells JOB's owner to read the head: this node has just ended the job. */
+void gspan_owner_tell_end (struct GspanNode *node, const struct GspanJob *job,
+                           struct GspanOutbox *outbox);
 void gspan_owner_datagram (struct GspanNode *node, struct GspanStr payload,
                            struct GspanOutbox *outbox);
--- a/jobs/listing.c
+++ b/jobs/listing.c
@@ -4,12 +4,12 @@
 #include "jobs/jobs.h"
 #include "node/node.h"
 
-#define APPEND_PAUSE_US (250 * GSPAN_MS) /* gathers the results of so long in one segment */
+#define APPEND_PAUSE_US (400 * GSPAN_MS) /* gathers the results of so long in one segment */
 /*
  * Readers of a job that another node runs look at the store so often while they wait. Lists only: a
  * watch from a revision whose history is gone may wait in silence.
  */
-#define LOOK_AGAIN_US (300 * GSPAN_MS)
+#define LOOK_AGAIN_US (400 * GSPAN_MS)
 #define RETRY_US (200 * GSPAN_MS)        /* after a failed call */
 
 enum
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -5,13 +5,22 @@
 #include "node/node.h"
 
 /*
- * Each job is run by the node that its head names. The others ask that node by datagram whether it
- * still runs the job; where it doesn't answer, the first in rank names itself by a conditional
- * write. Two nodes may run a job for a moment; its list stays right all the same (jobs/job.h).
+ * Each job is run by the node that its head names. That node tells two deputies by datagram that it
+ * does; other nodes that know of the job ask it now and then. Where it falls silent, the first in
+ * rank names itself by a conditional write. Two nodes may run a job for a moment; its list stays
+ * right all the same (jobs/job.h). The owner reads the head now and then: an end is asked for at any
+ * node, and another owner may have taken over.
  */
 
-#define ASK_US (400 * GSPAN_MS)      /* between two questions of the first in rank */
-#define SILENCE_US (1600 * GSPAN_MS) /* four questions without an answer */
+enum
+{
+  DEPUTIES = 2
+};
+
+#define TELL_US (400 * GSPAN_MS)     /* between two words to the deputies */
+#define CHECK_US (GSPAN_SECOND)      /* between two looks at the head; an end counts in seconds */
+#define ASK_US (2 * GSPAN_SECOND)    /* between two questions of the first in rank */
+#define SILENCE_US (1600 * GSPAN_MS) /* four words that didn't come */
 #define HANDED_BACK_US (100 * GSPAN_MS)
 #define RANK_US (700 * GSPAN_MS) /* the next in rank waits for so much longer */
 #define STUCK_US (GSPAN_SECOND)  /* an owner that can't list results for so long says so */
@@ -87,14 +96,73 @@
 }
 
 static void
-ask_owner (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
+send_word (struct GspanNode *node, const char *to, const char *kind, const char *job_id,
+           struct GspanOutbox *outbox)
+{
+  json_t *word
+      = json_pack ("{s:s, s:s, s:s}", "kind", kind, "job", job_id, "from", node->self.name);
+
+  gspan_peers_send (node, to, word, outbox);
+  json_decref (word);
+}
+
+static void
+check_head (struct GspanNode *node, const char *id, struct GspanOutbox *outbox)
+{
+  gspan_jobs_call (node, GSPAN_JOB_CHECK, id, GSPAN_STORE_GET, GSPAN_JOBS_KIND, id, outbox, NULL);
+}
+
+void
+gspan_owner_checked (struct GspanNode *node, const char *job_id,
+                     const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
+{
+  const struct GspanStoreObject *head = gspan_store_reply_first (reply);
+  struct GspanStoreObject gone = { 0 };
+
+  if (reply->result == GSPAN_STORE_OK && head != NULL)
+    gspan_jobs_apply (node, head, outbox);
+  if (reply->result != GSPAN_STORE_MISSING)
+    return;
+  gone.name = (char *)job_id;
+  gone.removed = true;
+  gspan_jobs_apply (node, &gone, outbox);
+}
+
+static void
+tell_deputies (struct GspanNode *node, const struct GspanJob *job, const char *kind,
+               struct GspanOutbox *outbox)
 {
-  json_t *question
-      = json_pack ("{s:s, s:s, s:s}", "kind", "ask", "job", job->id, "from", node->self.name);
+  const char *names[DEPUTIES];
+  guint count = gspan_peers_deputies (node, job->id, node->self.name, names, DEPUTIES);
+  json_t *word = json_pack ("{s:s, s:s, s:s}", "kind", kind, "job", job->id, "from",
+                            node->self.name);
 
-  job->asked_at = node->now;
-  gspan_peers_send (node, job->owner, question, outbox);
-  json_decref (question);
+  for (guint i = 0; i < count; i++)
+    gspan_peers_send (node, names[i], word, outbox);
+  json_decref (word);
+}
+
+/* True where the owner can do what it is there for. */
+static bool
+is_able (const struct GspanNode *node, const struct GspanJob *job)
+{
+  return job->append_failing_since == 0 || node->now - job->append_failing_since <= STUCK_US;
+}
+
+/* Of a job that this node runs. */
+static void
+keep_job (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
+{
+  if (node->now - job->told_at >= TELL_US && is_able (node, job))
+    {
+      job->told_at = node->now;
+      tell_deputies (node, job, "runs", outbox);
+    }
+  if (node->now - job->checked_at >= CHECK_US && !node->catalog.store_fails)
+    {
+      job->checked_at = node->now;
+      check_head (node, job->id, outbox);
+    }
 }
 
 /* Of a job that another node runs, or none. */
@@ -103,7 +171,9 @@
 {
   guint rank = gspan_peers_rank (node, job->id, job->owner);
   bool handed_back = job->owner[0] == '\0';
-  guint64 patience = (handed_back ? HANDED_BACK_US : SILENCE_US) + rank * RANK_US;
+  bool deputy = rank < DEPUTIES;
+  guint64 patience = (handed_back ? HANDED_BACK_US : SILENCE_US) + rank * RANK_US
+                     + (deputy ? 0 : 2 * ASK_US * (1 + rank));
 
   if (job->head_call != 0 || node->catalog.store_fails)
     return;
@@ -113,7 +183,10 @@
       name_owner (node, job, node->self.name, outbox);
     }
   else if (!handed_back && node->now - job->asked_at >= ASK_US * (1 + rank))
-    ask_owner (node, job, outbox);
+    {
+      job->asked_at = node->now;
+      send_word (node, job->owner, "ask", job->id, outbox);
+    }
 }
 
 static void
@@ -126,6 +199,7 @@
     return;
   log_owner (job, "job-handed-back", outbox);
   name_owner (node, job, "", outbox);
+  tell_deputies (node, job, "left", outbox);
   job->append_after = node->now + RETRY_US;
 }
 
@@ -136,6 +210,8 @@
     return;
   if (job->mine && node->draining)
     hand_back (node, job, outbox);
+  else if (job->mine)
+    keep_job (node, job, outbox);
   else if (!job->mine && !node->draining)
     watch_owner (node, job, outbox);
 }
@@ -145,14 +221,46 @@
                  struct GspanOutbox *outbox)
 {
   const struct GspanJob *job = gspan_jobs_find (&node->jobs, job_id);
-  json_t *answer;
 
-  if (job == NULL || !job->mine
-      || (job->append_failing_since != 0 && node->now - job->append_failing_since > STUCK_US))
+  if (job != NULL && job->known && is_over (job))
+    send_word (node, from, "over", job_id, outbox);
+  else if (job != NULL && job->mine && is_able (node, job))
+    send_word (node, from, "runs", job_id, outbox);
+}
+
+void
+gspan_owner_tell_end (struct GspanNode *node, const struct GspanJob *job,
+                      struct GspanOutbox *outbox)
+{
+  if (strcmp (job->owner, node->self.name) != 0)
+    send_word (node, job->owner, "over", job->id, outbox);
+}
+
+/* A deputy hears of a job for the first time: it has to know the head to take it over. */
+static void
+learn_of_job (struct GspanNode *node, const char *id, struct GspanOutbox *outbox)
+{
+  if (!gspan_job_id_ok (id) || node->catalog.store_fails)
+    return;
+  check_head (node, id, outbox);
+}
+
+static void
+take_word (struct GspanNode *node, const char *kind, const char *id, const char *from,
+           struct GspanOutbox *outbox)
+{
+  struct GspanJob *job = gspan_jobs_find (&node->jobs, id);
+
+  if (strcmp (kind, "ask") == 0)
+    answer_question (node, id, from, outbox);
+  else if (job == NULL && strcmp (kind, "runs") == 0)
+    learn_of_job (node, id, outbox);
+  else if (job == NULL)
     return;
-  answer = json_pack ("{s:s, s:s}", "kind", "runs", "job", job_id);
-  gspan_peers_send (node, from, answer, outbox);
-  json_decref (answer);
+  else if (strcmp (kind, "runs") == 0)
+    job->heard_at = node->now;
+  else if (strcmp (kind, "over") == 0 || strcmp (kind, "left") == 0)
+    check_head (node, id, outbox);
 }
 
 void
@@ -162,11 +270,8 @@
   const char *kind = json_string_value (json_object_get (root, "kind"));
   const char *id = json_string_value (json_object_get (root, "job"));
   const char *from = json_string_value (json_object_get (root, "from"));
-  struct GspanJob *job = id != NULL ? gspan_jobs_find (&node->jobs, id) : NULL;
 
-  if (kind != NULL && id != NULL && from != NULL && strcmp (kind, "ask") == 0)
-    answer_question (node, id, from, outbox);
-  else if (kind != NULL && job != NULL && strcmp (kind, "runs") == 0)
-    job->heard_at = node->now;
+  if (kind != NULL && id != NULL && from != NULL)
+    take_word (node, kind, id, from, outbox);
   json_decref (root);
 }
--- a/jobs/serve.c
+++ b/jobs/serve.c
@@ -229,6 +229,7 @@
        const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
 {
   const struct GspanStoreObject *head = gspan_store_reply_first (reply);
+  const struct GspanJob *job;
   struct GspanLine line;
 
   gspan_line_init (&line, "job-end-asked");
@@ -240,6 +241,9 @@
       gspan_gateway_answer (call->request, 200, "ended", outbox);
       if (head != NULL)
         gspan_jobs_apply (node, head, outbox);
+      job = gspan_jobs_find (&node->jobs, call->job);
+      if (job != NULL)
+        gspan_owner_tell_end (node, job, outbox);
     }
   else if (reply->result == GSPAN_STORE_MISSING)
     gspan_gateway_answer (call->request, 404, "no such job", outbox);
--- a/node/peers.c
+++ b/node/peers.c
@@ -161,6 +161,34 @@
   return rank;
 }
 
+guint
+gspan_peers_deputies (const struct GspanNode *node, const char *job, const char *owner,
+                      const char **names, guint count)
+{
+  guint found = 0;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, node->peers.items);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      guint at = found;
+
+      if (strcmp (key, owner) == 0)
+        continue;
+      while (at > 0 && weight_of (job, names[at - 1]) < weight_of (job, key))
+        {
+          if (at < count)
+            names[at] = names[at - 1];
+          at--;
+        }
+      if (at < count)
+        names[at] = key;
+      found = MIN (found + 1, count);
+    }
+  return found;
+}
+
 bool
 gspan_peers_send (struct GspanNode *node, const char *name, json_t *message,
                   struct GspanOutbox *outbox)
--- a/node/peers.h
+++ b/node/peers.h
@@ -44,6 +44,10 @@
  */
 guint gspan_peers_rank (const struct GspanNode *node, const char *job, const char *owner);
 
+/* Names of the first COUNT in that order, which are borrowed; fewer where there are fewer. */
+guint gspan_peers_deputies (const struct GspanNode *node, const char *job, const char *owner,
+                            const char **names, guint count);
+
 /* Sends TEXT to the node NAME; false where it isn't known. */
 bool gspan_peers_send (struct GspanNode *node, const char *name, json_t *message,
                        struct GspanOutbox *outbox);
--- a/test/jobs_test.cc
+++ b/test/jobs_test.cc
@@ -333,6 +333,31 @@
   EXPECT_EQ (answer_to (*world.rigs[1], 3)->status, 200);
 }
 
+TEST_F (Jobs, EndedJobStopsInTimeWithoutAWordFromTheNodeThatEndedIt)
+{
+  Rig &rig = start (2);
+
+  submit (rig, 1, "j1", 4);
+  world.run (200 * GSPAN_MS);
+  world.lose_datagrams = true;
+  world.rigs[1]->request (2, "DELETE", "/api/lots/j1", { "Host: a.example" }, "");
+  world.run (2500 * GSPAN_MS); /* well under the three seconds that a cancel may take */
+  EXPECT_TRUE (runs (rig).empty ());
+}
+
+TEST_F (Jobs, JobThatOnlyItsLostOwnerKnewIsFoundByTheList)
+{
+  start (2);
+  world.lose_datagrams = true;
+  submit (*world.rigs[0], 1, "j1", 4);
+  world.run (300 * GSPAN_MS);
+  world.rigs[0]->paused = true;
+  world.run (60 * GSPAN_SECOND);
+  EXPECT_EQ (world.rigs[1]->node.metrics.values[GSPAN_METRIC_ITEMS_ABANDONED]
+                 + runs (*world.rigs[1]).size (),
+             4U);
+}
+
 TEST_F (Jobs, BodyOfAnItemIsToldByEachNode)
 {
   start (2);
@@ -377,6 +402,27 @@
   EXPECT_EQ (read_all (rig, "j1", 901), ids);
 }
 
+TEST_F (Jobs, RunOfAnItemThatAnotherNodeListedIsNotListedAgain)
+{
+  Rig &rig = start ();
+
+  submit (rig, 1, "j1", 2);
+  world.run (200 * GSPAN_MS);
+  auto held = runs (rig);
+  ASSERT_EQ (held.size (), 2U);
+  std::string other = held[0].header ("X-Attempt-Id");
+  world.put ("job-j1", "result-000000",
+             ("{\"results\":[{\"item\":\"" + other
+              + "\",\"completed\":true,\"text\":\"t\",\"versions\":[1]}]}")
+                 .c_str ());
+  finish_run (rig, held[1], 2);
+  world.run (500 * GSPAN_MS);
+  finish_run (rig, held[0], 2);
+  world.run (GSPAN_SECOND);
+  EXPECT_EQ (read_all (rig, "j1").size (), 2U);
+  EXPECT_EQ (world.objects["job-j1"].size (), 3U); /* one part, two segments */
+}
+
 TEST_F (Jobs, OwnerThatStopsHandsItsJobBack)
 {
   Rig &rig = start (2);
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -137,6 +137,7 @@
   StoreFault fault = StoreFault::None;
   guint64 latency = 4 * GSPAN_MS;
   size_t page = 500;
+  bool lose_datagrams = false;
   std::map<std::string, std::map<std::string, StoredObject>> objects;
   std::map<std::string, guint64> gone_before; /* kind to the revision before which history is gone */
   std::vector<std::pair<guint64, std::pair<std::string, std::string>>> history;
@@ -581,6 +582,8 @@
             std::string to = action->u.datagram.address;
             World *in = &world;
 
+            if (world.lose_datagrams)
+              break;
             world.later.push_back ({ world.now + GSPAN_MS, [in, to, text] {
                                       for (auto &rig : in->rigs)
                                         if (!rig->paused
--- a/test/weights_test.cc
+++ b/test/weights_test.cc
@@ -172,6 +172,25 @@
   check_orders ();
 }
 
+TEST_F (Weights, NewHolderWaitsUntilTheLastOrderOfTheOneBeforeIsFarEnough)
+{
+  start (3);
+  world.remove ("servers", "m2");
+  run (4 * GSPAN_SECOND);
+  Rig *first = holder ();
+  ASSERT_NE (first, nullptr);
+  name_weights (3);
+  for (int i = 0; i < 100 && sent.empty (); i++)
+    run (20 * GSPAN_MS);
+  ASSERT_EQ (sent.size (), 1U);
+  first->paused = true;
+  name_weights (6);
+  run (8 * GSPAN_SECOND);
+  EXPECT_EQ (engines["10.0.0.3:80"].weights, 6U);
+  EXPECT_LE (sent.back ().at, sent.front ().at + 5 * GSPAN_SECOND);
+  check_orders ();
+}
+
 TEST_F (Weights, HolderCutFromTheStoreStopsOrdering)
 {
   start (3);
--- a/weights/plan.c
+++ b/weights/plan.c
@@ -54,7 +54,7 @@
 }
 
 guint
-gspan_plan_count (GHashTable *replicas, const char *model)
+gspan_plan_count (GHashTable *replicas)
 {
   guint count = 0;
   GHashTableIter iter;
@@ -62,6 +62,6 @@
 
   g_hash_table_iter_init (&iter, replicas);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    count += gspan_replica_weights (value, model) > 0;
+    count += ((const struct GspanReplica *)value)->models->len > 0;
   return count;
 }
--- a/weights/plan.h
+++ b/weights/plan.h
@@ -25,5 +25,5 @@
 /* The next of REPLICAS (id to struct GspanReplica) to load; NULL where none is to load now. */
 struct GspanReplica *gspan_plan_next (GHashTable *replicas, const struct GspanPlanQuery *query);
 
-/* Number of REPLICAS that serve MODEL. */
-guint gspan_plan_count (GHashTable *replicas, const char *model);
+/* Number of REPLICAS that serve any model. */
+guint gspan_plan_count (GHashTable *replicas);
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -184,34 +184,69 @@
 }
 
 static void
-start_loads (struct GspanNode *node, const struct GspanNamedWeights *named,
-             struct GspanOutbox *outbox)
+start_load (struct GspanNode *node, const struct GspanNamedWeights *named,
+            struct GspanReplica *replica, struct GspanOutbox *outbox)
 {
-  GHashTable *replicas = node->catalog.replicas;
-  guint most = gspan_plan_loads_at_once (gspan_plan_count (replicas, named->model));
-  struct GspanWeights *weights = &node->weights;
-  struct GspanPlanQuery query
-      = { named->model, named->weights, named->named_at, node->now, weights->loads };
+  struct GspanLoad *load = g_new0 (struct GspanLoad, 1);
 
-  while (g_hash_table_size (weights->loads) < most)
+  load->replica = gspan_replica_ref (replica);
+  load->model = g_strdup (named->model);
+  load->weights = named->weights;
+  load->started = node->now;
+  load->next_at = node->now + ASK_AGAIN_US;
+  g_hash_table_insert (node->weights.loads, replica->id, load);
+  if (replica->orders_known)
+    send_order (node, load, outbox);
+  else
+    ask (node, load, outbox);
+}
+
+/* Of all models the load that is furthest behind, and of equals the one that waits for longest. */
+static const struct GspanNamedWeights *
+pick_load (const struct GspanNode *node, struct GspanReplica **replica)
+{
+  const struct GspanNamedWeights *best = NULL;
+  guint64 best_behind = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->weights.named);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct GspanNamedWeights *named = value;
+      struct GspanPlanQuery query
+          = { named->model, named->weights, named->named_at, node->now, node->weights.loads };
+      struct GspanReplica *next = gspan_plan_next (node->catalog.replicas, &query);
+      guint64 behind;
+
+      if (next == NULL)
+        continue;
+      behind = named->weights - gspan_replica_weights (next, named->model);
+      if (best != NULL
+          && (behind < best_behind
+              || (behind == best_behind && named->named_at >= best->named_at)))
+        continue;
+      best = named;
+      best_behind = behind;
+      *replica = next;
+    }
+  return best;
+}
+
+/* All models share what the platform's store of weights bears. */
+static void
+start_loads (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  guint most = gspan_plan_loads_at_once (gspan_plan_count (node->catalog.replicas));
+
+  while (g_hash_table_size (node->weights.loads) < most)
     {
-      struct GspanReplica *replica
-          = gspan_plan_next (replicas, &query);
-      struct GspanLoad *load;
+      struct GspanReplica *replica = NULL;
+      const struct GspanNamedWeights *named = pick_load (node, &replica);
 
-      if (replica == NULL)
+      if (named == NULL)
         return;
-      load = g_new0 (struct GspanLoad, 1);
-      load->replica = gspan_replica_ref (replica);
-      load->model = g_strdup (named->model);
-      load->weights = named->weights;
-      load->started = node->now;
-      load->next_at = node->now + ASK_AGAIN_US;
-      g_hash_table_insert (weights->loads, replica->id, load);
-      if (replica->orders_known)
-        send_order (node, load, outbox);
-      else
-        ask (node, load, outbox);
+      start_load (node, named, replica, outbox);
     }
 }
 
@@ -329,18 +364,11 @@
 gspan_weights_handle (struct GspanNode *node, const struct GspanEvent *event,
                       struct GspanOutbox *outbox)
 {
-  struct GspanWeights *weights = &node->weights;
-  GHashTableIter iter;
-  gpointer value;
-
   gspan_order_lease_handle (node, event, outbox);
-  gspan_catalog_want (&node->catalog, GSPAN_FOLLOW_WEIGHTS, weights->lease.held);
+  gspan_catalog_want (&node->catalog, GSPAN_FOLLOW_WEIGHTS, node->weights.lease.held);
   if (event->kind == GSPAN_EVENT_HTTP_DONE)
     on_answer (node, event, outbox);
   check_loads (node, outbox);
-  if (!gspan_order_lease_allows (&weights->lease, node->now))
-    return;
-  g_hash_table_iter_init (&iter, weights->named);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    start_loads (node, value, outbox);
+  if (gspan_order_lease_allows (&node->weights.lease, node->now))
+    start_loads (node, outbox);
 }
