weights: each model has its own part of the replicas

Cause: on the grown site each replica serves four models, so each named version asked for 44 loads while the platform's store of weights bears ten a second and four versions are named every four seconds; steps waited for replicas of their version.

Change: replicas are dealt out among the models by rendezvous, in parts of equal size; new weights go to a model's own part. With one model nothing changes.

--- a/test/weights_test.cc
+++ b/test/weights_test.cc
@@ -278,9 +278,13 @@
       g_str_hash, g_str_equal, nullptr,
       [] (gpointer item) { gspan_replica_unref (static_cast<GspanReplica *> (item)); });
   GHashTable *loads = g_hash_table_new (g_str_hash, g_str_equal);
+  GspanPlanHomes homes{};
+
+  Plan () { gspan_plan_homes_init (&homes); }
 
   ~Plan () override
   {
+    gspan_plan_homes_finish (&homes);
     g_hash_table_unref (loads);
     g_hash_table_unref (replicas);
   }
@@ -298,8 +302,12 @@
   std::string
   next (guint64 weights, guint64 since_ms)
   {
+    g_autoptr (GPtrArray) models = g_ptr_array_new ();
     GspanPlanQuery query = { "m0", weights, 1000 * GSPAN_SECOND,
-                             1000 * GSPAN_SECOND + since_ms * GSPAN_MS, loads };
+                             1000 * GSPAN_SECOND + since_ms * GSPAN_MS, loads, &homes };
+
+    g_ptr_array_add (models, const_cast<char *> ("m0"));
+    gspan_plan_homes_update (&homes, replicas, models);
     GspanReplica *replica = gspan_plan_next (replicas, &query);
 
     return replica != nullptr ? replica->id : "";
@@ -340,3 +348,42 @@
   EXPECT_EQ (gspan_plan_loads_at_once (9), 2U);
   EXPECT_EQ (gspan_plan_loads_at_once (44), 9U);
 }
+
+/* Load: four trainers, each naming a version of its own model every few seconds. */
+TEST_F (Plan, ModelsShareTheReplicasAlike)
+{
+  g_autoptr (GPtrArray) models = g_ptr_array_new ();
+  std::map<std::string, unsigned> parts;
+
+  for (const char *model : { "m0", "m1", "m2", "m3" })
+    g_ptr_array_add (models, const_cast<char *> (model));
+  for (int i = 0; i < 44; i++)
+    {
+      GspanReplica *replica = add (("r" + std::to_string (i)).c_str (), 1);
+      for (const char *model : { "m1", "m2", "m3" })
+        gspan_replica_set_weights (replica, model, 1);
+    }
+  gspan_plan_homes_update (&homes, replicas, models);
+  for (int i = 0; i < 44; i++)
+    parts[static_cast<const char *> (
+        g_hash_table_lookup (homes.model_of, ("r" + std::to_string (i)).c_str ()))]++;
+  for (auto &part : parts)
+    EXPECT_EQ (part.second, 11U) << part.first;
+}
+
+TEST_F (Plan, ReplicaOfAnotherModelsPartIsNotLoaded)
+{
+  g_autoptr (GPtrArray) models = g_ptr_array_new ();
+  GspanPlanQuery query
+      = { "m0", 9, 0, 1000 * GSPAN_SECOND, loads, &homes };
+
+  for (const char *model : { "m0", "m1" })
+    g_ptr_array_add (models, const_cast<char *> (model));
+  gspan_replica_set_weights (add ("a", 1), "m1", 1);
+  gspan_replica_set_weights (add ("b", 1), "m1", 1);
+  gspan_plan_homes_update (&homes, replicas, models);
+  GspanReplica *first = gspan_plan_next (replicas, &query);
+  ASSERT_NE (first, nullptr);
+  g_hash_table_add (loads, first->id);
+  EXPECT_EQ (gspan_plan_next (replicas, &query), nullptr);
+}
--- a/weights/plan.h
+++ b/weights/plan.h
@@ -10,6 +10,24 @@
  * furthest behind go first.
  */
 
+/*
+ * Where several models share the replicas, each model's new weights go to its own part of them, as
+ * large as the others': the platform's store of weights bears that many loads for each version that
+ * a trainer names, and no more. Answers four trainers that each name a version every four seconds.
+ */
+struct GspanPlanHomes
+{
+  GHashTable *model_of; /* replica id to the model whose part it is in; owns both */
+  guint64 signature;    /* of the replicas and models that it was made for */
+};
+
+void gspan_plan_homes_init (struct GspanPlanHomes *homes);
+void gspan_plan_homes_finish (struct GspanPlanHomes *homes);
+
+/* Deals REPLICAS out among MODELS (names) anew where either has changed. */
+void gspan_plan_homes_update (struct GspanPlanHomes *homes, GHashTable *replicas,
+                              const GPtrArray *models);
+
 struct GspanPlanQuery
 {
   const char *model;
@@ -17,6 +35,7 @@
   guint64 named_at;
   guint64 now;
   GHashTable *loads; /* ids of replicas that load already */
+  const struct GspanPlanHomes *homes;
 };
 
 /* How many of COUNT replicas may load at once. */
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -5,7 +5,6 @@
 #include "common/clock.h"
 #include "node/node.h"
 #include "platform/wire.h"
-#include "weights/plan.h"
 
 #define CALL_TIMEOUT_US (GSPAN_SECOND)
 #define LOAD_EXPECTED_US (1500 * GSPAN_MS) /* then the replica is asked how far it is */
@@ -57,6 +56,7 @@
   gspan_order_lease_init (&weights->lease);
   weights->named = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, named_free);
   weights->loads = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, load_free);
+  gspan_plan_homes_init (&weights->homes);
 }
 
 void
@@ -64,6 +64,7 @@
 {
   g_hash_table_unref (weights->named);
   g_hash_table_unref (weights->loads);
+  gspan_plan_homes_finish (&weights->homes);
   gspan_order_lease_finish (&weights->lease);
 }
 
@@ -215,7 +216,8 @@
     {
       const struct GspanNamedWeights *named = value;
       struct GspanPlanQuery query
-          = { named->model, named->weights, named->named_at, node->now, node->weights.loads };
+          = { named->model, named->weights, named->named_at, node->now, node->weights.loads,
+              &node->weights.homes };
       struct GspanReplica *next = gspan_plan_next (node->catalog.replicas, &query);
       guint64 behind;
 
@@ -233,12 +235,34 @@
   return best;
 }
 
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+static void
+deal_out_replicas (struct GspanNode *node)
+{
+  GPtrArray *models = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, node->weights.named);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    g_ptr_array_add (models, key);
+  g_ptr_array_sort (models, compare_names);
+  gspan_plan_homes_update (&node->weights.homes, node->catalog.replicas, models);
+  g_ptr_array_unref (models);
+}
+
 /* All models share what the platform's store of weights bears. */
 static void
 start_loads (struct GspanNode *node, struct GspanOutbox *outbox)
 {
   guint most = gspan_plan_loads_at_once (gspan_plan_count (node->catalog.replicas));
 
+  deal_out_replicas (node);
   while (g_hash_table_size (node->weights.loads) < most)
     {
       struct GspanReplica *replica = NULL;
--- a/weights/weights.h
+++ b/weights/weights.h
@@ -3,6 +3,7 @@
 #include "board/message.h"
 #include "catalog/replica.h"
 #include "weights/order_lease.h"
+#include "weights/plan.h"
 
 struct GspanNode;
 
@@ -17,6 +18,7 @@
   struct GspanOrderLease lease;
   GHashTable *named; /* model to struct GspanNamedWeights */
   GHashTable *loads; /* replica id to struct GspanLoad */
+  struct GspanPlanHomes homes;
 };
 
 void gspan_weights_init (struct GspanWeights *weights);
