--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -20,8 +20,8 @@
 #define BACKOFF_FIRST_US (100 * GSPAN_MS)
 
 /*
- * Changes of several replicas are gathered in one answer: over a part of the time in which a leaving
- * one has to be left alone, and for less where they decide what runs where.
+ * Changes of several replicas are gathered in one answer: over a part of the time in which a
+ * leaving one has to be left alone, and for less where they decide what runs where.
  */
 #define REPLICAS_PAUSE_PERCENT 60
 #define REPLICAS_PAUSE_RUNNING_US (300 * GSPAN_MS)
@@ -164,8 +164,8 @@
                 struct GspanOutbox *outbox)
 {
   struct GspanCatalog *catalog = &node->catalog;
-  bool beside_outage = catalog->store_failed_at != 0
-                       && node->now - catalog->store_failed_at < LAPSE_WINDOW_US;
+  bool beside_outage
+      = catalog->store_failed_at != 0 && node->now - catalog->store_failed_at < LAPSE_WINDOW_US;
 
   log_replica (replica, beside_outage ? "upstream-lapsed" : "upstream-gone", revision, outbox);
   if (beside_outage)
@@ -322,10 +322,10 @@
     apply (node, which, g_ptr_array_index (reply->objects, i), outbox);
   follower->revision = MAX (follower->revision, reply->revision);
   if (which == GSPAN_FOLLOW_REPLICAS)
-    follower->next_at = node->now
-                        + (places_work (node)
-                               ? REPLICAS_PAUSE_RUNNING_US
-                               : node->limits.drain_notice_us * REPLICAS_PAUSE_PERCENT / 100);
+    follower->next_at
+        = node->now
+          + (places_work (node) ? REPLICAS_PAUSE_RUNNING_US
+                                : node->limits.drain_notice_us * REPLICAS_PAUSE_PERCENT / 100);
   if (which == GSPAN_FOLLOW_NODES)
     follower->next_at = node->now + NODES_PAUSE_US;
 }
@@ -414,8 +414,7 @@
   struct GspanStoreCall *call;
 
   follower->call = ref.id;
-  call = gspan_outbox_store (outbox, ref,
-                             follower->watching ? GSPAN_STORE_WATCH : GSPAN_STORE_LIST,
+  call = gspan_outbox_store (outbox, ref, follower->watching ? GSPAN_STORE_WATCH : GSPAN_STORE_LIST,
                              follower->kind, follower->watching ? NULL : follower->after);
   call->revision = follower->revision;
   call->wait_ms = slow ? SLOW_WATCH_WAIT_MS : WATCH_WAIT_MS;
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -27,12 +27,12 @@
 {
   const char *kind;
   bool wanted;
-  bool synced;      /* has read a whole list since the start */
-  bool watching;    /* the next call is a watch, else a list */
-  guint64 call;     /* under way; 0 is none */
-  guint64 next_at;  /* the next call isn't made before */
-  guint64 revision; /* WATCHING: from where */
-  char *after;      /* list: last name of the page before */
+  bool synced;        /* has read a whole list since the start */
+  bool watching;      /* the next call is a watch, else a list */
+  guint64 call;       /* under way; 0 is none */
+  guint64 next_at;    /* the next call isn't made before */
+  guint64 revision;   /* WATCHING: from where */
+  char *after;        /* list: last name of the page before */
   GHashTable *listed; /* names met by the list under way */
   GHashTable *names;  /* names known */
 };
@@ -41,8 +41,8 @@
 {
   struct GspanFollower followers[GSPAN_FOLLOW_COUNT];
   struct GspanConfig config;
-  GHashTable *replicas; /* id to struct GspanReplica */
-  bool store_fails;     /* the last follower's call failed */
+  GHashTable *replicas;    /* id to struct GspanReplica */
+  bool store_fails;        /* the last follower's call failed */
   guint64 store_failed_at; /* last failure; 0 is none */
   guint failures;          /* in a row */
 };
--- a/catalog/config.h
+++ b/catalog/config.h
@@ -41,9 +41,9 @@
 struct GspanConfigService
 {
   char *name;
-  guint slots;          /* requests that a replica runs at once; 0 is not known */
-  guint64 tokens_max;   /* of a replica's memory; 0 is not known */
-  GPtrArray *models;    /* names; empty for a plain service */
+  guint slots;        /* requests that a replica runs at once; 0 is not known */
+  guint64 tokens_max; /* of a replica's memory; 0 is not known */
+  GPtrArray *models;  /* names; empty for a plain service */
 };
 
 struct GspanConfig
--- a/catalog/pick.h
+++ b/catalog/pick.h
@@ -14,15 +14,15 @@
 {
   const char *service;
   guint64 now;
-  const char *zone;           /* goes first among equals */
-  const GPtrArray *tried;     /* ids that are passed over; NULL is none */
-  const char *model;          /* NULL for plain services */
-  guint64 weights_min;        /* of MODEL */
-  guint64 weights_max;        /* of MODEL; 0 is no limit */
-  const char *preferred;      /* id of the replica that has the prompt; NULL is none */
-  guint open_max;             /* of our own requests at one replica; 0 is no limit */
-  guint32 draw;               /* by lot */
-  bool last_resort;           /* replicas that are avoided since they failed will do, too */
+  const char *zone;       /* goes first among equals */
+  const GPtrArray *tried; /* ids that are passed over; NULL is none */
+  const char *model;      /* NULL for plain services */
+  guint64 weights_min;    /* of MODEL */
+  guint64 weights_max;    /* of MODEL; 0 is no limit */
+  const char *preferred;  /* id of the replica that has the prompt; NULL is none */
+  guint open_max;         /* of our own requests at one replica; 0 is no limit */
+  guint32 draw;           /* by lot */
+  bool last_resort;       /* replicas that are avoided since they failed will do, too */
 };
 
 /* The best of REPLICAS (id to struct GspanReplica); NULL where none may get the request now. */
--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -5,7 +5,8 @@
 
 #include "common/str.h"
 
-/* One start of an upstream of a service, as it registered itself, and what this process saw of it. */
+/* One start of an upstream of a service, as it registered itself, and what this process saw of it.
+ */
 
 struct GspanReplicaModel
 {
@@ -22,20 +23,20 @@
   char *zone;
   guint slots;
   bool draining;
-  bool removed; /* no longer registered */
-  guint64 born; /* Unix milliseconds of its start; 0 is not known */
+  bool removed;      /* no longer registered */
+  guint64 born;      /* Unix milliseconds of its start; 0 is not known */
   GPtrArray *models; /* struct GspanReplicaModel */
 
   /* What this process knows by itself. */
-  guint open;             /* requests of ours that it has now */
-  guint failures;         /* in a row */
-  guint64 avoid_until;    /* after failures */
-  guint64 remove_at;      /* its removal, seen beside an outage of the store, counts then; 0 none */
-  bool orders_known;      /* ORDERS_ACCEPTED is */
+  guint open;          /* requests of ours that it has now */
+  guint failures;      /* in a row */
+  guint64 avoid_until; /* after failures */
+  guint64 remove_at;   /* its removal, seen beside an outage of the store, counts then; 0 none */
+  bool orders_known;   /* ORDERS_ACCEPTED is */
   guint64 orders_accepted; /* since its start */
-  bool misdirected;       /* somebody else answers at its address */
-  guint64 loading_until;  /* takes new weights and refuses requests for about so long */
-  guint64 event_us;       /* smoothed time between two events of one of its streams; 0 none seen */
+  bool misdirected;        /* somebody else answers at its address */
+  guint64 loading_until;   /* takes new weights and refuses requests for about so long */
+  guint64 event_us;        /* smoothed time between two events of one of its streams; 0 none seen */
 };
 
 struct GspanReplica *gspan_replica_new (const char *id);
--- a/cmd/gspan-node.c
+++ b/cmd/gspan-node.c
@@ -76,9 +76,9 @@
   config.self.udp = settings->peers;
   config.self.takes_requests = settings->callers[0] != '\0';
   config.self.keeps_disk = settings->keeps_disk != 0;
-  config.limits.lease_us = (guint64)settings->lease_ms * GSPAN_MS;
-  config.limits.job_kept_us = (guint64)settings->job_kept_s * GSPAN_SECOND;
-  config.limits.drain_notice_us = (guint64)settings->drain_notice_ms * GSPAN_MS;
+  config.limits.lease_us = (guint64)(settings->lease_ms * (double)GSPAN_MS);
+  config.limits.job_kept_us = (guint64)(settings->job_kept_s * (double)GSPAN_SECOND);
+  config.limits.drain_notice_us = (guint64)(settings->drain_notice_ms * (double)GSPAN_MS);
   config.limits.value_max = (guint64)settings->value_max;
   config.seed = settings->seed != 0 ? (guint32)settings->seed : g_random_int ();
   gspan_node_init (&node, &config);
@@ -95,11 +95,18 @@
   return GSPAN_EXIT_OK;
 }
 
+static const char settings_head[]
+    = "# Settings of gspan-node\n\n"
+      "One TOML file a process. `gspan-node --config FILE --check` prints every finding with its "
+      "line "
+      "and\n"
+      "column and exits. This page is the output of `gspan-node --help-settings`.\n\n";
+
 /* Takes over TABLE. */
 static int
-print_reference (char *table)
+print_reference (const char *head, char *table)
 {
-  printf ("%s", table);
+  printf ("%s%s", head, table);
   g_free (table);
   return GSPAN_EXIT_OK;
 }
@@ -133,9 +140,10 @@
       return GSPAN_EXIT_OK;
     }
   if (arguments.help_settings)
-    return print_reference (gspan_options_describe (gspan_fleet_options, gspan_fleet_option_count));
+    return print_reference (settings_head,
+                            gspan_options_describe (gspan_fleet_options, gspan_fleet_option_count));
   if (arguments.help_metrics)
-    return print_reference (gspan_metrics_describe ());
+    return print_reference ("", gspan_metrics_describe ());
   if (arguments.config == NULL)
     {
       fprintf (stderr, "gspan-node: --config FILE is required\n");
--- a/common/events.h
+++ b/common/events.h
@@ -6,7 +6,7 @@
 
 struct GspanStreamEvent
 {
-  struct GspanStr raw;  /* the event as it came, with the blank line that ends it */
+  struct GspanStr raw; /* the event as it came, with the blank line that ends it */
   bool has_id;
   guint64 id;
   struct GspanStr data; /* of all its data lines, separated by line feeds */
@@ -16,9 +16,9 @@
 
 struct GspanEvents
 {
-  GString *pending;  /* bytes of the event under way */
+  GString *pending; /* bytes of the event under way */
   GString *data;
-  const char *mark;  /* name of a line with a number that is to be found; static, may be NULL */
+  const char *mark; /* name of a line with a number that is to be found; static, may be NULL */
 };
 
 typedef void (*GspanEventsCallback) (void *user, const struct GspanStreamEvent *event);
--- a/common/log_ring.c
+++ b/common/log_ring.c
@@ -16,8 +16,7 @@
 };
 
 void
-gspan_log_ring_init (struct GspanLogRing *ring, int fd, enum GspanPriority level,
-                     guint lines_per_s)
+gspan_log_ring_init (struct GspanLogRing *ring, int fd, enum GspanPriority level, guint lines_per_s)
 {
   *ring = (struct GspanLogRing){ 0 };
   ring->fd = fd;
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -68,8 +68,7 @@
         [GSPAN_HISTOGRAM_PULL]
         = { "gspan_pull_seconds",
             "from a trainer's pull to its batch; pulls without one don't count" },
-        [GSPAN_HISTOGRAM_RUN]
-        = { "gspan_run_seconds", "of a run of an item that ended whole" } };
+        [GSPAN_HISTOGRAM_RUN] = { "gspan_run_seconds", "of a run of an item that ended whole" } };
 
 #define US_PER_S 1e6
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -245,7 +245,8 @@
   http->stream = call->stream;
   http->plain_framing = true;
   http->probe_silence = true;
-  http->echo = call->caller_id[0] != '\0' ? gspan_wire_echo (gspan_str_from (call->caller_id)) : NULL;
+  http->echo
+      = call->caller_id[0] != '\0' ? gspan_wire_echo (gspan_str_from (call->caller_id)) : NULL;
   gspan_wire_write_attempt (&call->headers, replica->id, http->timeout_us,
                             call->state.answer_begun ? call->last_event : 0, &http->headers);
   gspan_line_init (&line, "call-attempt");
@@ -260,8 +261,7 @@
 static bool
 is_poison (const struct GspanNode *node, const struct GspanCall *call)
 {
-  return gspan_poison_crashes (&node->poison, call->fingerprint, node->now)
-         >= GSPAN_POISON_CRASHES;
+  return gspan_poison_crashes (&node->poison, call->fingerprint, node->now) >= GSPAN_POISON_CRASHES;
 }
 
 /* Starts another attempt. False where there is no replica for it. */
@@ -307,8 +307,8 @@
     g_ptr_array_add (call->headers.items,
                      g_strdup (g_ptr_array_index (request->headers->items, i)));
   call->body = g_bytes_ref (request->body);
-  call->fingerprint = gspan_poison_fingerprint (call->service, call->path,
-                                                gspan_str_from_bytes (request->body));
+  call->fingerprint
+      = gspan_poison_fingerprint (call->service, call->path, gspan_str_from_bytes (request->body));
   call->started = node->now;
   call->state.repeat = route->repeat;
   call->state.target_us = route->target_us;
@@ -460,7 +460,8 @@
       if (whole && !good && !not_run && wire.signed_by_replica && !call->state.answer_begun)
         pass_answer (node, call, answer, body, outbox);
       else
-        give_up (node, call, not_run ? "every replica is busy" : "the answer was lost", 502, outbox);
+        give_up (node, call, not_run ? "every replica is busy" : "the answer was lost", 502,
+                 outbox);
     }
   g_bytes_unref (body);
 }
--- a/gateway/hedge.c
+++ b/gateway/hedge.c
@@ -25,7 +25,6 @@
     {
     case GSPAN_REPEAT_ALLOWED:
     case GSPAN_REPEAT_BATCH:
-      return true;
     case GSPAN_REPEAT_RESUMED:
       return true;
     case GSPAN_REPEAT_FORBIDDEN:
--- a/gateway/hedge.h
+++ b/gateway/hedge.h
@@ -16,13 +16,13 @@
 {
   enum GspanRepeat repeat;
   guint64 now;
-  guint64 last_sent;   /* the newest attempt's time */
-  guint64 target_us;   /* the route's; 0 is none */
+  guint64 last_sent; /* the newest attempt's time */
+  guint64 target_us; /* the route's; 0 is none */
   guint64 deadline;
-  guint attempts;      /* so far */
+  guint attempts; /* so far */
   guint attempts_max;
-  guint open;          /* attempts without an answer */
-  bool answer_begun;   /* of a stream */
+  guint open;        /* attempts without an answer */
+  bool answer_begun; /* of a stream */
 };
 
 /* True where a second attempt should start beside the open one. */
--- a/http/server.c
+++ b/http/server.c
@@ -510,11 +510,11 @@
   server->connections = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, server,
-      MHD_OPTION_SOCK_ADDR, &where, MHD_OPTION_URI_LOG_CALLBACK, on_target, server, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
-      MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)CONNECTION_MEMORY, MHD_OPTION_CONNECTION_LIMIT, limits->connections,
-      MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_timeout_s, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-      MHD_OPTION_END);
+      MHD_OPTION_SOCK_ADDR, &where, MHD_OPTION_URI_LOG_CALLBACK, on_target, server,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, server, MHD_OPTION_NOTIFY_CONNECTION,
+      on_connection, server, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+      MHD_OPTION_CONNECTION_LIMIT, limits->connections, MHD_OPTION_CONNECTION_TIMEOUT,
+      limits->idle_timeout_s, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
   if (server->daemon == NULL)
     {
       gspan_error_set (error, GSPAN_ERROR_SYSTEM, "%s: can't listen", address);
--- a/jobs/accept.c
+++ b/jobs/accept.c
@@ -111,8 +111,8 @@
 find_head (struct GspanNode *node, const struct GspanSubmission *submission,
            struct GspanOutbox *outbox)
 {
-  gspan_jobs_call (node, GSPAN_JOB_FIND_HEAD, submission->job->id, GSPAN_STORE_GET,
-                   GSPAN_JOBS_KIND, submission->job->id, outbox, NULL);
+  gspan_jobs_call (node, GSPAN_JOB_FIND_HEAD, submission->job->id, GSPAN_STORE_GET, GSPAN_JOBS_KIND,
+                   submission->job->id, outbox, NULL);
 }
 
 /* The job that BODY describes; NULL with the caller answered where it can't be taken. */
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -16,7 +16,7 @@
 
 enum GspanItemState
 {
-  GSPAN_ITEM_WAITING,  /* in the job's queue */
+  GSPAN_ITEM_WAITING, /* in the job's queue */
   GSPAN_ITEM_RUNNING,
   GSPAN_ITEM_FINISHED, /* its result waits for its place in the list */
   GSPAN_ITEM_LISTED
@@ -29,9 +29,9 @@
   enum GspanItemState state;
   struct GspanJobResult *result; /* what has been generated so far; NULL before the first event */
   guint64 last_event;
-  guint failures;      /* answers of 500 */
-  guint losses;        /* runs in a row that broke without an event */
-  guint64 not_before;  /* the next run starts then at the earliest */
+  guint failures;     /* answers of 500 */
+  guint losses;       /* runs in a row that broke without an event */
+  guint64 not_before; /* the next run starts then at the earliest */
 };
 
 /* A caller that waits for results. */
@@ -54,17 +54,17 @@
 struct GspanJob
 {
   char *id;
-  char *kind;  /* of its parts and segments */
+  char *kind; /* of its parts and segments */
   char *host;
-  char *path;  /* that it was submitted to */
-  char *owner; /* node that runs it; empty where it was handed back */
+  char *path;       /* that it was submitted to */
+  char *owner;      /* node that runs it; empty where it was handed back */
   guint64 revision; /* of its head */
   guint parts;
-  guint total; /* items */
+  guint total;        /* items */
   gint64 received_ms; /* Unix time of its acceptance */
   bool ended;
 
-  bool loaded; /* its content is known */
+  bool loaded;           /* its content is known */
   GPtrArray *part_texts; /* GBytes, while it is read */
   struct GspanJobDocument document;
   struct GspanItem *items;
@@ -78,10 +78,10 @@
   guint64 fetch_call;
   guint64 fetch_after; /* the next look is not before */
 
-  bool mine;         /* this node runs it */
-  GQueue waiting;    /* struct GspanItem */
+  bool mine;           /* this node runs it */
+  GQueue waiting;      /* struct GspanItem */
   GHashTable *prompts; /* group to id of the replica that has its prompt */
-  GPtrArray *ready;  /* struct GspanJobResult that wait to be listed */
+  GPtrArray *ready;    /* struct GspanJobResult that wait to be listed */
   guint64 append_call;
   guint append_count;
   guint64 append_after;
@@ -95,10 +95,10 @@
   guint64 head_call; /* a change of the head under way */
   guint64 heard_at;  /* its owner said that it runs it */
   guint64 asked_at;
-  guint64 told_at;   /* owner: the deputies heard that it runs here */
+  guint64 told_at;    /* owner: the deputies heard that it runs here */
   guint64 checked_at; /* owner: the head was read */
-  bool known;        /* its head has been read */
-  bool let_be;       /* its owner says that it is over: nobody has to take it over */
+  bool known;         /* its head has been read */
+  bool let_be;        /* its owner says that it is over: nobody has to take it over */
 };
 
 struct GspanJob *gspan_job_new (const char *id);
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -23,12 +23,14 @@
   *jobs = (struct GspanJobs){ 0 };
   jobs->items = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, gspan_job_free);
   jobs->accepting = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, gspan_submission_free);
+  gspan_expiry_init (&jobs->expiry);
   jobs->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, call_free);
 }
 
 void
 gspan_jobs_finish (struct GspanJobs *jobs)
 {
+  gspan_expiry_finish (&jobs->expiry);
   g_hash_table_unref (jobs->calls);
   g_hash_table_unref (jobs->accepting);
   g_hash_table_unref (jobs->items);
@@ -141,6 +143,8 @@
       gspan_owner_checked (node, call->job, reply, outbox);
       break;
     case GSPAN_JOB_FORGET:
+      if (node->jobs.expiry.call == call->id)
+        gspan_expiry_done (node, reply, outbox);
       break;
     }
   call_free (call);
@@ -163,6 +167,7 @@
         gspan_job_unload (job);
     }
   g_list_free (jobs);
+  gspan_expiry_tick (node, outbox);
 }
 
 void
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -2,6 +2,7 @@
 
 #include "board/message.h"
 #include "catalog/config.h"
+#include "jobs/expire.h"
 #include "jobs/job.h"
 #include "platform/wire.h"
 
@@ -20,7 +21,7 @@
   GSPAN_JOB_TAKE,      /* a new owner, or none */
   GSPAN_JOB_CHECK,     /* the head, by the owner or a deputy */
   GSPAN_JOB_END,
-  GSPAN_JOB_FORGET     /* removal of an old job's objects */
+  GSPAN_JOB_FORGET /* removal of an old job's objects */
 };
 
 /* A call to the store under way. */
@@ -29,16 +30,16 @@
   guint64 id;
   enum GspanJobOp op;
   char *job;
-  guint64 request; /* LOOK_UP and END: the caller's */
+  guint64 request;               /* LOOK_UP and END: the caller's */
   struct GspanWireTarget target; /* LOOK_UP: what was asked */
 };
 
 struct GspanJobs
 {
-  GHashTable *items;      /* id to struct GspanJob */
-  GHashTable *accepting;  /* id to struct GspanSubmission */
-  GHashTable *calls;      /* id to struct GspanJobCall */
-  guint64 expire_at;      /* next look for old jobs */
+  GHashTable *items;     /* id to struct GspanJob */
+  GHashTable *accepting; /* id to struct GspanSubmission */
+  GHashTable *calls;     /* id to struct GspanJobCall */
+  struct GspanExpiry expiry;
 };
 
 void gspan_jobs_init (struct GspanJobs *jobs);
@@ -82,8 +83,7 @@
 void gspan_serve_gone (struct GspanNode *node, guint64 request);
 
 /* Answers the readers of JOB that can be answered. */
-void gspan_serve_readers (struct GspanNode *node, struct GspanJob *job,
-                          struct GspanOutbox *outbox);
+void gspan_serve_readers (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox);
 
 /* True where a reader of JOB can't be told "nothing yet" without another look at the store. */
 bool gspan_serve_wants_look (const struct GspanNode *node, const struct GspanJob *job);
--- a/jobs/listing.c
+++ b/jobs/listing.c
@@ -10,7 +10,7 @@
  * watch from a revision whose history is gone may wait in silence.
  */
 #define LOOK_AGAIN_US (400 * GSPAN_MS)
-#define RETRY_US (200 * GSPAN_MS)        /* after a failed call */
+#define RETRY_US (200 * GSPAN_MS) /* after a failed call */
 
 enum
 {
@@ -73,12 +73,12 @@
       return;
     }
   json_array_foreach (json_object_get (object->spec, "results"), index, value)
-    {
-      struct GspanJobResult *result = gspan_job_result_decode (value);
+  {
+    struct GspanJobResult *result = gspan_job_result_decode (value);
 
-      if (result != NULL)
-        gspan_job_list (job, result);
-    }
+    if (result != NULL)
+      gspan_job_list (job, result);
+  }
   job->segments++;
 }
 
@@ -155,8 +155,8 @@
 {
   char *name = gspan_job_segment_name (job->segments);
   struct GspanJobCall *item;
-  struct GspanStoreCall *call = gspan_jobs_call (node, GSPAN_JOB_APPEND, job->id,
-                                                 GSPAN_STORE_CREATE, job->kind, name, outbox, &item);
+  struct GspanStoreCall *call = gspan_jobs_call (
+      node, GSPAN_JOB_APPEND, job->id, GSPAN_STORE_CREATE, job->kind, name, outbox, &item);
 
   call->value = segment_of (node, job);
   job->append_call = item->id;
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -8,8 +8,8 @@
  * Each job is run by the node that its head names. That node tells two deputies by datagram that it
  * does; other nodes that know of the job ask it now and then. Where it falls silent, the first in
  * rank names itself by a conditional write. Two nodes may run a job for a moment; its list stays
- * right all the same (jobs/job.h). The owner reads the head now and then: an end is asked for at any
- * node, and another owner may have taken over.
+ * right all the same (jobs/job.h). The owner reads the head now and then: an end is asked for at
+ * any node, and another owner may have taken over.
  */
 
 enum
@@ -46,8 +46,8 @@
 {
   const char *names[DEPUTIES];
   guint count = gspan_peers_deputies (node, job->id, node->self.name, names, DEPUTIES);
-  json_t *word = json_pack ("{s:s, s:s, s:s}", "kind", kind, "job", job->id, "from",
-                            node->self.name);
+  json_t *word
+      = json_pack ("{s:s, s:s, s:s}", "kind", kind, "job", job->id, "from", node->self.name);
 
   for (guint i = 0; i < count; i++)
     gspan_peers_send (node, names[i], word, outbox);
@@ -94,8 +94,8 @@
 }
 
 void
-gspan_owner_done (struct GspanNode *node, struct GspanJob *job,
-                  const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
+gspan_owner_done (struct GspanNode *node, struct GspanJob *job, const struct GspanStoreReply *reply,
+                  struct GspanOutbox *outbox)
 {
   const struct GspanStoreObject *head = gspan_store_reply_first (reply);
 
--- a/jobs/result.c
+++ b/jobs/result.c
@@ -46,8 +46,8 @@
   json_t *versions = json_array ();
 
   for (guint i = 0; i < result->versions->len; i++)
-    json_array_append_new (
-        versions, json_integer ((json_int_t)g_array_index (result->versions, guint64, i)));
+    json_array_append_new (versions,
+                           json_integer ((json_int_t)g_array_index (result->versions, guint64, i)));
   return json_pack ("{s:s, s:b, s:s%, s:o}", "item", result->item, "completed",
                     (int)result->completed, "text", result->text->str, result->text->len,
                     "versions", versions);
@@ -68,6 +68,6 @@
   result->completed = json_is_true (json_object_get (value, "completed"));
   g_string_append_len (result->text, json_string_value (text), (gssize)json_string_length (text));
   json_array_foreach (json_object_get (value, "versions"), index, version)
-    gspan_job_result_add_version (result, (guint64)json_integer_value (version));
+      gspan_job_result_add_version (result, (guint64)json_integer_value (version));
   return result;
 }
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -8,11 +8,11 @@
 #include "node/node.h"
 #include "platform/wire.h"
 
-#define RUN_MAX_US (60 * GSPAN_SECOND)       /* of one run; its silence ends it far sooner */
+#define RUN_MAX_US (60 * GSPAN_SECOND)        /* of one run; its silence ends it far sooner */
 #define FIRST_EVENT_MAX_US (3 * GSPAN_SECOND) /* a full queue or a load of weights takes less */
-#define SILENCE_MAX_US (2 * GSPAN_SECOND)    /* as above, between two events */
-#define BUSY_PAUSE_US (100 * GSPAN_MS)       /* a replica that refused is left alone for so long */
-#define CRASH_PAUSE_US (GSPAN_SECOND)        /* an item whose runs break without an event waits */
+#define SILENCE_MAX_US (2 * GSPAN_SECOND)     /* as above, between two events */
+#define BUSY_PAUSE_US (100 * GSPAN_MS)        /* a replica that refused is left alone for so long */
+#define CRASH_PAUSE_US (GSPAN_SECOND)         /* an item whose runs break without an event waits */
 #define RESCHEDULE_US (50 * GSPAN_MS)
 
 enum
@@ -33,7 +33,7 @@
   struct GspanReplica *replica;
   struct GspanEvents events;
   guint64 started;
-  guint64 heard; /* last event, or the start */
+  guint64 heard;   /* last event, or the start */
   guint64 weights; /* that generate now; 0 is not known */
   guint got;       /* events of this run */
   bool streams;    /* its answer is one of success */
@@ -82,20 +82,6 @@
   gspan_outbox_log (outbox, "runner", GSPAN_PRIORITY_INFO, &line);
 }
 
-/* Ends the run and puts its item, unless another node has listed it, to the front of the queue. */
-static void
-requeue (struct GspanNode *node, struct GspanRun *run)
-{
-  struct GspanItem *item = run->item;
-
-  if (item->state == GSPAN_ITEM_RUNNING)
-    {
-      item->state = GSPAN_ITEM_WAITING;
-      g_queue_push_head (&run->job->waiting, item);
-    }
-  g_hash_table_remove (node->runner.runs, &run->id);
-}
-
 static void
 finish_item (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item, bool completed,
              struct GspanOutbox *outbox)
@@ -135,6 +121,23 @@
   return route != NULL && route->single_version;
 }
 
+/* Ends the run and puts its item, unless another node has listed it, to the front of the queue. */
+static void
+requeue (struct GspanNode *node, struct GspanRun *run)
+{
+  struct GspanItem *item = run->item;
+
+  if (item->state == GSPAN_ITEM_RUNNING)
+    {
+      /* another replica may have other weights, under which the result couldn't go on */
+      if (keeps_single_version (node, run->job))
+        drop_progress (item);
+      item->state = GSPAN_ITEM_WAITING;
+      g_queue_push_head (&run->job->waiting, item);
+    }
+  g_hash_table_remove (node->runner.runs, &run->id);
+}
+
 /* Whether the weights of the next event may stand in the item's result. */
 static bool
 weights_fit (const struct GspanRun *run)
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -12,7 +12,7 @@
 
 struct GspanRunner
 {
-  GHashTable *runs; /* id to struct GspanRun */
+  GHashTable *runs;       /* id to struct GspanRun */
   guint64 schedule_after; /* no replica had room; looked again then */
 };
 
--- a/jobs/serve.c
+++ b/jobs/serve.c
@@ -225,8 +225,8 @@
 }
 
 static void
-ended (struct GspanNode *node, const struct GspanJobCall *call,
-       const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
+ended (struct GspanNode *node, const struct GspanJobCall *call, const struct GspanStoreReply *reply,
+       struct GspanOutbox *outbox)
 {
   const struct GspanStoreObject *head = gspan_store_reply_first (reply);
   const struct GspanJob *job;
--- a/node/node.h
+++ b/node/node.h
@@ -15,9 +15,9 @@
 {
   const char *name;
   const char *zone;
-  const char *udp;      /* "IP:PORT" where other nodes reach it */
-  bool takes_requests;  /* callers reach it; else it only helps the others */
-  bool keeps_disk;      /* its VM may be asked to be emptied */
+  const char *udp;     /* "IP:PORT" where other nodes reach it */
+  bool takes_requests; /* callers reach it; else it only helps the others */
+  bool keeps_disk;     /* its VM may be asked to be emptied */
 };
 
 /* Bounds from the settings, in microseconds but for the last. */
@@ -35,8 +35,8 @@
  */
 struct GspanNode
 {
-  guint64 now;     /* microseconds of the steady clock */
-  gint64 wall_ms;  /* Unix milliseconds; may step */
+  guint64 now;    /* microseconds of the steady clock */
+  gint64 wall_ms; /* Unix milliseconds; may step */
   GRand *random;
   guint32 incarnation; /* drawn at start, tells restarts of one name apart */
   struct GspanNodeSelf self;
--- a/node/peers.c
+++ b/node/peers.c
@@ -101,9 +101,8 @@
 report_retirement (struct GspanNode *node, struct GspanOutbox *outbox)
 {
   struct GspanRef ref = { GSPAN_OWNER_CATALOG, gspan_node_next_id (node) };
-  struct GspanStoreCall *call
-      = gspan_outbox_store (outbox, ref, GSPAN_STORE_SET_STATUS, gspan_wire_kind_retirements,
-                            node->peers.retired);
+  struct GspanStoreCall *call = gspan_outbox_store (
+      outbox, ref, GSPAN_STORE_SET_STATUS, gspan_wire_kind_retirements, node->peers.retired);
 
   call->value = gspan_wire_retirement_status (true);
   node->peers.retire_call = ref.id;
--- a/node/peers.h
+++ b/node/peers.h
@@ -20,12 +20,12 @@
 
 struct GspanPeers
 {
-  GHashTable *items;    /* name to struct GspanPeer */
-  bool registered;      /* this node stands in the store */
-  guint64 call;         /* writes that; 0 is none */
+  GHashTable *items; /* name to struct GspanPeer */
+  bool registered;   /* this node stands in the store */
+  guint64 call;      /* writes that; 0 is none */
   guint64 retry_at;
-  char *retired;        /* request to empty this VM that waits for its status; NULL is none */
-  guint64 retire_call;  /* writes it; 0 is none */
+  char *retired;       /* request to empty this VM that waits for its status; NULL is none */
+  guint64 retire_call; /* writes it; 0 is none */
 };
 
 void gspan_peers_init (struct GspanPeers *peers);
--- a/node/shell.c
+++ b/node/shell.c
@@ -349,7 +349,7 @@
 static void
 check_drain (struct GspanNodeShell *shell)
 {
-  guint64 limit = (guint64)shell->settings->grace_ms * GSPAN_MS;
+  guint64 limit = (guint64)(shell->settings->grace_s * (double)GSPAN_SECOND);
   guint64 passed = gspan_clock_now () - shell->drain_started;
   guint64 least = shell->callers != NULL ? DRAIN_LEAST_US : 0;
 
@@ -451,8 +451,8 @@
               struct GspanHttpServer **server, struct GspanError *error)
 {
   struct GspanHttpHandler handler = { request, ignore_gone, shell };
-  struct GspanHttpLimits limits = { SERVICE_BODY_MAX, SERVICE_CONNECTIONS, CALLER_IDLE_TIMEOUT_S,
-                                    0, CALLER_STREAM_MAX };
+  struct GspanHttpLimits limits
+      = { SERVICE_BODY_MAX, SERVICE_CONNECTIONS, CALLER_IDLE_TIMEOUT_S, 0, CALLER_STREAM_MAX };
 
   if (address[0] == '\0')
     return true;
--- a/records/file.c
+++ b/records/file.c
@@ -25,6 +25,7 @@
       return json_integer (value->number);
     case GSPAN_TOML_BOOLEAN:
       return json_boolean (value->number != 0);
+    case GSPAN_TOML_FLOAT:
     case GSPAN_TOML_OTHER:
     case GSPAN_TOML_EMPTY:
       return NULL;
--- a/settings/fleet.h
+++ b/settings/fleet.h
@@ -16,12 +16,12 @@
   char *log_level;
   gint64 keeps_disk;
   gint64 value_max;
-  gint64 lease_ms;
-  gint64 job_kept_s;
+  double lease_ms;
+  double job_kept_s;
   gint64 body_max;
   gint64 connections;
-  gint64 grace_ms;
-  gint64 drain_notice_ms;
+  double grace_s;
+  double drain_notice_ms;
   gint64 log_lines;
   gint64 seed;
 };
--- a/settings/options.c
+++ b/settings/options.c
@@ -113,11 +113,31 @@
     *number = value->number;
 }
 
+static void
+set_fraction (const struct GspanOption *option, const struct GspanTomlValue *value,
+              const char *file, void *target, struct GspanFindings *findings)
+{
+  double *number = field (option, target);
+
+  if (value->type != GSPAN_TOML_INTEGER && value->type != GSPAN_TOML_FLOAT)
+    gspan_findings_add (findings, file, value->line, value->column, option->key,
+                        "wrong type, is %s, allowed is a number", value->type_name);
+  else if (!(value->real >= (double)option->min && value->real <= (double)option->max))
+    gspan_findings_add (
+        findings, file, value->line, value->column, option->key,
+        "%g is out of range, allowed is %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT " %s",
+        value->real, option->min, option->max, option->unit != NULL ? option->unit : "");
+  else
+    *number = value->real;
+}
+
 static void
 set_fallback (const struct GspanOption *option, void *target)
 {
   if (is_text (option))
     *(char **)field (option, target) = g_strdup (option->fallback);
+  else if (option->fallback != NULL && option->type == GSPAN_OPTION_FRACTION)
+    *(double *)field (option, target) = g_ascii_strtod (option->fallback, NULL);
   else if (option->fallback != NULL)
     *(gint64 *)field (option, target) = g_ascii_strtoll (option->fallback, NULL, 10);
 }
@@ -224,6 +244,8 @@
 {
   if (is_text (option))
     set_text (option, value, file, target, findings);
+  else if (option->type == GSPAN_OPTION_FRACTION)
+    set_fraction (option, value, file, target, findings);
   else
     set_number (option, value, file, target, findings);
 }
@@ -294,6 +316,7 @@
       g_string_append (text, option->choices);
       break;
     case GSPAN_OPTION_INTEGER:
+    case GSPAN_OPTION_FRACTION:
       g_string_append_printf (text, "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT "%s%s", option->min,
                               option->max, option->unit != NULL ? " " : "",
                               option->unit != NULL ? option->unit : "");
--- a/settings/options.h
+++ b/settings/options.h
@@ -11,7 +11,8 @@
   GSPAN_OPTION_NETWORKS, /* char *, "IP/BITS" separated by blanks */
   GSPAN_OPTION_CHOICE,   /* char *, one of CHOICES */
   GSPAN_OPTION_INTEGER,  /* gint64, between MIN and MAX */
-  GSPAN_OPTION_BOOLEAN   /* gint64, 0 or 1 */
+  GSPAN_OPTION_BOOLEAN,  /* gint64, 0 or 1 */
+  GSPAN_OPTION_FRACTION  /* double, between MIN and MAX, written with a point or without */
 };
 
 /* One setting. A module declares its settings as a table of these. */
--- a/settings/toml.cc
+++ b/settings/toml.cc
@@ -81,6 +81,12 @@
     {
       value->type = GSPAN_TOML_INTEGER;
       value->number = number->get ();
+      value->real = (double)number->get ();
+    }
+  else if (const auto *real = node.as_floating_point ())
+    {
+      value->type = GSPAN_TOML_FLOAT;
+      value->real = real->get ();
     }
   else if (const auto *flag = node.as_boolean ())
     {
--- a/settings/toml.h
+++ b/settings/toml.h
@@ -9,7 +9,8 @@
   GSPAN_TOML_STRING,
   GSPAN_TOML_INTEGER,
   GSPAN_TOML_BOOLEAN,
-  GSPAN_TOML_OTHER, /* a float, date, time or array */
+  GSPAN_TOML_FLOAT,
+  GSPAN_TOML_OTHER, /* a date, time or array */
   GSPAN_TOML_EMPTY  /* a table without keys */
 };
 
@@ -20,6 +21,7 @@
   const char *type_name; /* "a string", for findings; static */
   char *text;            /* STRING */
   gint64 number;         /* INTEGER, and BOOLEAN as 0 or 1 */
+  double real;           /* FLOAT, and INTEGER too */
   guint line;
   guint column;
 };
--- a/store/store.h
+++ b/store/store.h
@@ -6,8 +6,8 @@
 
 /*
  * The platform's metadata store as the product sees it: objects by kind and name, each with the
- * revision of its last change. Calls leave as actions, results come back as events; the codec of the
- * wire is platform/objects.h.
+ * revision of its last change. Calls leave as actions, results come back as events; the codec of
+ * the wire is platform/objects.h.
  */
 
 enum GspanStoreOp
--- a/test/jobs_test.cc
+++ b/test/jobs_test.cc
@@ -114,7 +114,8 @@
   rig.request (2, "POST", "/batch/j1", { "Host: a.example", "X-Attempt-Id: j1" },
                "{\"items\":[{\"id\":\"a\",\"path\":\"/batch/x\"},{\"id\":3}]}");
   EXPECT_NE (answer_to (rig, 2)->body.find ("items[1]"), std::string::npos);
-  rig.request (3, "POST", "/batch/j1", { "Host: a.example", "X-Attempt-Id: ../x" }, job_body (1, 0));
+  rig.request (3, "POST", "/batch/j1", { "Host: a.example", "X-Attempt-Id: ../x" },
+               job_body (1, 0));
   EXPECT_EQ (answer_to (rig, 3)->status, 400);
 }
 
@@ -210,6 +211,27 @@
     EXPECT_EQ (again.header ("Last-Event-Id"), "");
 }
 
+TEST_F (Jobs, RouteOfASingleVersionNeverMixesTwo)
+{
+  Rig &rig = start ();
+  std::string spec = config_spec (4);
+
+  spec.replace (spec.find ("\"singleVersion\":false"), 21, "\"singleVersion\":true");
+  world.put ("config", "main", spec.c_str ());
+  world.run (GSPAN_SECOND);
+  submit (rig, 1, "j1", 1);
+  world.run (200 * GSPAN_MS);
+  Exchange first = runs (rig)[0];
+  rig.http_head (first, 200, stream_head (1));
+  rig.http_data (first, 200, stream_head (1), sse (1) + "x-weight-versions: 2\n" + sse (2));
+  world.run (GSPAN_SECOND);
+  ASSERT_EQ (runs (rig).size (), 1U);
+  EXPECT_EQ (runs (rig)[0].header ("Last-Event-Id"), "");
+  finish_run (rig, runs (rig)[0], 2, 2);
+  read_all (rig, "j1");
+  EXPECT_NE (answer_to (rig, 900)->body.find ("\"versions\":[2]"), std::string::npos);
+}
+
 TEST_F (Jobs, ItemIsGivenUpOnlyForTheReasonsThatARouteAllows)
 {
   Rig &rig = start ();
@@ -437,6 +459,24 @@
   EXPECT_FALSE (gspan_jobs_busy (&rig.node.jobs));
 }
 
+TEST_F (Jobs, EndedJobLeavesTheStoreOnceNobodyMayAskForIt)
+{
+  Rig &rig = start ();
+
+  submit (rig, 1, "j1", 3);
+  submit (rig, 2, "j2", 3);
+  serve_all ();
+  rig.request (3, "DELETE", "/api/lots/j1", { "Host: a.example" }, "");
+  world.run (100 * GSPAN_SECOND);
+  EXPECT_EQ (read_all (rig, "j1", 900).size (), 3U);
+  world.page = 1;
+  world.run (120 * GSPAN_SECOND);
+  EXPECT_EQ (world.objects["jobs"].count ("j1"), 0U);
+  EXPECT_TRUE (world.objects["job-j1"].empty ());
+  EXPECT_EQ (world.objects["jobs"].count ("j2"), 1U);
+  EXPECT_EQ (read_all (rig, "j2", 901).size (), 3U);
+}
+
 TEST_F (Jobs, RestartedOwnerGoesOnWithItsJob)
 {
   start (1);
@@ -498,14 +538,14 @@
         json_t *item;
         size_t index;
         json_array_foreach (json_object_get (root, "results"), index, item)
-          {
-            std::string name = json_string_value (json_object_get (item, "id"));
-            if (told.count (index) != 0)
-              RC_ASSERT (told[index] == name);
-            else
-              RC_ASSERT (seen.insert (name).second);
-            told[index] = name;
-          }
+        {
+          std::string name = json_string_value (json_object_get (item, "id"));
+          if (told.count (index) != 0)
+            RC_ASSERT (told[index] == name);
+          else
+            RC_ASSERT (seen.insert (name).second);
+          told[index] = name;
+        }
         json_decref (root);
       }
   };
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -97,7 +97,10 @@
   std::string streamed;
 
   Rig (World &of, const std::string &called, guint32 seed);
-  ~Rig () { gspan_node_finish (&node); }
+  ~Rig ()
+  {
+    gspan_node_finish (&node);
+  }
   Rig (const Rig &) = delete;
   Rig &operator= (const Rig &) = delete;
 
@@ -139,7 +142,8 @@
   size_t page = 500;
   bool lose_datagrams = false;
   std::map<std::string, std::map<std::string, StoredObject>> objects;
-  std::map<std::string, guint64> gone_before; /* kind to the revision before which history is gone */
+  std::map<std::string, guint64>
+      gone_before; /* kind to the revision before which history is gone */
   std::vector<std::pair<guint64, std::pair<std::string, std::string>>> history;
   std::vector<PendingStore> pending;
   std::vector<std::pair<guint64, std::function<void ()>>> later;
@@ -586,8 +590,7 @@
               break;
             world.later.push_back ({ world.now + GSPAN_MS, [in, to, text] {
                                       for (auto &rig : in->rigs)
-                                        if (!rig->paused
-                                            && to == rig->node.self.udp)
+                                        if (!rig->paused && to == rig->node.self.udp)
                                           rig->datagram (text);
                                     } });
           }
@@ -710,21 +713,23 @@
 {
   return "{\"service\":\"" + service + "\",\"address\":\"10.0.0." + std::to_string (number)
          + ":80\",\"zone\":\"bratislava\",\"version\":\"v1\",\"slots\":4,\"state\":\"" + state
-         + "\",\"coldLeftMs\":0,\"models\":[{\"name\":\"m0\",\"version\":" + std::to_string (weights)
-         + ",\"adapters\":[]}],\"seqNo\":4,\"born\":1}";
+         + "\",\"coldLeftMs\":0,\"models\":[{\"name\":\"m0\",\"version\":"
+         + std::to_string (weights) + ",\"adapters\":[]}],\"seqNo\":4,\"born\":1}";
 }
 
 inline std::string
 config_spec (unsigned version, const char *desk_type = "idempotent")
 {
   return "{\"version\":" + std::to_string (version)
-         + ",\"routes\":[{\"name\":\"desk\",\"host\":\"a.example\",\"pathPrefix\":\"/desk/\",\"type\":\""
+         + ",\"routes\":[{\"name\":\"desk\",\"host\":\"a.example\",\"pathPrefix\":\"/desk/"
+           "\",\"type\":\""
          + desk_type
          + "\",\"timeoutMs\":800,\"targetLatencyMs\":150,\"priority\":2,\"service\":\"desk\","
            "\"maxAttempts\":2,\"resumable\":true},{\"name\":\"batch\",\"host\":\"a.example\","
            "\"pathPrefix\":\"/batch/\",\"type\":\"rollout\",\"timeoutMs\":10000,"
            "\"targetLatencyMs\":400,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":3,"
-           "\"maxQueueS\":40.0,\"resultDueMs\":7500,\"singleVersion\":false}],\"services\":[{\"name\":"
+           "\"maxQueueS\":40.0,\"resultDueMs\":7500,\"singleVersion\":false}],\"services\":[{"
+           "\"name\":"
            "\"llm\",\"engine\":{\"slots\":4,\"kvCapacity\":1000,\"models\":[{\"name\":\"m0\"}]}},"
            "{\"name\":\"desk\"}],\"limits\":{\"maxBodyBytes\":1000000,\"idleTimeoutMs\":15000}}";
 }
@@ -842,7 +847,7 @@
     size_t index;
 
     json_array_foreach (json_object_get (root, "results"), index, item)
-      ids.emplace_back (json_string_value (json_object_get (item, "id")));
+        ids.emplace_back (json_string_value (json_object_get (item, "id")));
     json_decref (root);
     return ids;
   }
--- a/test/place_test.cc
+++ b/test/place_test.cc
@@ -17,9 +17,10 @@
 class Place : public testing::Test
 {
 protected:
-  GHashTable *replicas = g_hash_table_new_full (
-      g_str_hash, g_str_equal, nullptr,
-      [] (gpointer item) { gspan_replica_unref (static_cast<GspanReplica *> (item)); });
+  GHashTable *replicas
+      = g_hash_table_new_full (g_str_hash, g_str_equal, nullptr, [] (gpointer item) {
+          gspan_replica_unref (static_cast<GspanReplica *> (item));
+        });
   guint64 now = 1000 * GSPAN_SECOND;
   GspanPickQuery query{};
 
@@ -30,7 +31,10 @@
     query.zone = "z1";
   }
 
-  ~Place () override { g_hash_table_unref (replicas); }
+  ~Place () override
+  {
+    g_hash_table_unref (replicas);
+  }
 
   GspanReplica *
   add (const char *id, guint open, const char *zone = "z1")
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -28,7 +28,11 @@
   GspanStoreReply reply{};
   GspanError error{};
 
-  void SetUp () override { gspan_headers_init (&http.headers); }
+  void
+  SetUp () override
+  {
+    gspan_headers_init (&http.headers);
+  }
 
   void
   TearDown () override
@@ -123,9 +127,10 @@
   EXPECT_EQ (reply.objects->len, 1U);
   EXPECT_TRUE (reply.more);
   EXPECT_EQ (reply.revision, 12U);
-  decode (GSPAN_STORE_WATCH, GSPAN_HTTP_WHOLE, 200,
-          "{\"events\":[{\"deleted\":true,\"object\":{\"metadata\":{\"name\":\"a\",\"revision\":4}}}"
-          "],\"currentRev\":13}");
+  decode (
+      GSPAN_STORE_WATCH, GSPAN_HTTP_WHOLE, 200,
+      "{\"events\":[{\"deleted\":true,\"object\":{\"metadata\":{\"name\":\"a\",\"revision\":4}}}"
+      "],\"currentRev\":13}");
   ASSERT_EQ (reply.objects->len, 1U);
   EXPECT_TRUE (gspan_store_reply_first (&reply)->removed);
 }
@@ -142,8 +147,16 @@
 protected:
   GspanHeaders headers{};
 
-  void SetUp () override { gspan_headers_init (&headers); }
-  void TearDown () override { gspan_headers_finish (&headers); }
+  void
+  SetUp () override
+  {
+    gspan_headers_init (&headers);
+  }
+  void
+  TearDown () override
+  {
+    gspan_headers_finish (&headers);
+  }
 
   void
   add (const char *line)
@@ -232,7 +245,8 @@
   json_t *spec = json_loads (
       "{\"version\":3,\"routes\":[{\"name\":\"a\",\"host\":\"h\",\"pathPrefix\":\"/x/\",\"type\":"
       "\"idempotent\",\"service\":\"s\"},{\"name\":\"b\",\"host\":\"h\",\"pathPrefix\":\"/x/y/\","
-      "\"type\":\"non_idempotent\",\"trafficSplit\":[{\"service\":\"s\",\"weight\":90},{\"service\":"
+      "\"type\":\"non_idempotent\",\"trafficSplit\":[{\"service\":\"s\",\"weight\":90},{"
+      "\"service\":"
       "\"t\",\"weight\":10}]}]}",
       0, nullptr);
 
@@ -279,7 +293,8 @@
   std::string text
       = "{\"version\":3,\"routes\":[{\"name\":\"a\",\"host\":\"h\",\"pathPrefix\":\"/x/\",\"type\":"
         "\"idempotent\",\"service\":\"s\"}],\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":"
-        "\"ready\",\"slots\":4,\"models\":[{\"name\":\"m\",\"version\":1}],\"items\":[{\"id\":\"i\","
+        "\"ready\",\"slots\":4,\"models\":[{\"name\":\"m\",\"version\":1}],\"items\":[{\"id\":"
+        "\"i\","
         "\"path\":\"/p\",\"headers\":{\"a\":\"b\"},\"body\":\"aGk=\",\"group\":\"g\"}],\"model\":"
         "\"m\",\"limits\":{\"maxBodyBytes\":3}}";
   GspanReplica *replica = gspan_replica_new ("i");
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -10,6 +10,7 @@
 
 extern "C"
 {
+#include "settings/fleet.h"
 #include "settings/node.h"
 }
 
@@ -34,6 +35,50 @@
   return result;
 }
 
+static std::string
+load_fleet (const std::string &more, GspanFleetSettings *settings)
+{
+  std::string path = testing::TempDir () + "fleet.toml";
+  GspanFindings findings{};
+
+  std::ofstream (path) << "[node]\nname=\"a\"\nzone=\"c\"\n[listen]\npeers=\"127.0.0.1:1\"\n"
+                          "[platform]\naddress=\"127.0.0.1:3\"\n"
+                       << more;
+  gspan_findings_init (&findings);
+  gspan_options_load (gspan_fleet_options, gspan_fleet_option_count, path.c_str (), settings,
+                      &findings);
+  char *formatted = gspan_findings_format (&findings);
+  std::string result = formatted;
+  g_free (formatted);
+  gspan_findings_finish (&findings);
+  return result;
+}
+
+TEST (FleetSettings, BoundsMayBeFractions)
+{
+  GspanFleetSettings settings{};
+
+  EXPECT_EQ (load_fleet ("[limits]\ngrace_s=7.5\n[lease]\nduration_ms=3000\n", &settings), "");
+  EXPECT_DOUBLE_EQ (settings.grace_s, 7.5);
+  EXPECT_DOUBLE_EQ (settings.lease_ms, 3000.0);
+  EXPECT_DOUBLE_EQ (settings.job_kept_s, 120.0);
+  gspan_options_finish (gspan_fleet_options, gspan_fleet_option_count, &settings);
+}
+
+TEST (FleetSettings, WrongFractionsAreFoundWithTheirPlace)
+{
+  GspanFleetSettings settings{};
+  std::string text = load_fleet ("[limits]\ngrace_s=0.5\n[lease]\nduration_ms=\"x\"\n", &settings);
+
+  EXPECT_NE (text.find (":9:9: limits.grace_s: 0.5 is out of range, allowed is 1 to 3600 s"),
+             std::string::npos)
+      << text;
+  EXPECT_NE (text.find ("lease.duration_ms: wrong type, is a string, allowed is a number"),
+             std::string::npos)
+      << text;
+  gspan_options_finish (gspan_fleet_options, gspan_fleet_option_count, &settings);
+}
+
 static const char good[]
     = "[node]\nname=\"a\"\nfirm=\"b\"\nzone=\"c\"\n[listen]\nhttp=\"127.0.0.1:1\"\n"
       "rpc=\"127.0.0.1:2\"\n[platform]\naddress=\"127.0.0.1:3\"\n";
--- a/test/weights_test.cc
+++ b/test/weights_test.cc
@@ -46,7 +46,8 @@
     if (exchange.url.find ("/api/report") != std::string::npos)
       {
         rig.http_done (exchange, GSPAN_HTTP_WHOLE, 200, {},
-                       "{\"models\":[{\"name\":\"m0\",\"version\":" + std::to_string (engine.weights)
+                       "{\"models\":[{\"name\":\"m0\",\"version\":"
+                           + std::to_string (engine.weights)
                            + "}],\"busy\":" + (engine.busy_until > world.now ? "true" : "false")
                            + ",\"seqNo\":" + std::to_string (engine.accepted) + "}");
         return;
@@ -274,13 +275,17 @@
 class Plan : public testing::Test
 {
 protected:
-  GHashTable *replicas = g_hash_table_new_full (
-      g_str_hash, g_str_equal, nullptr,
-      [] (gpointer item) { gspan_replica_unref (static_cast<GspanReplica *> (item)); });
+  GHashTable *replicas
+      = g_hash_table_new_full (g_str_hash, g_str_equal, nullptr, [] (gpointer item) {
+          gspan_replica_unref (static_cast<GspanReplica *> (item));
+        });
   GHashTable *loads = g_hash_table_new (g_str_hash, g_str_equal);
   GspanPlanHomes homes{};
 
-  Plan () { gspan_plan_homes_init (&homes); }
+  Plan ()
+  {
+    gspan_plan_homes_init (&homes);
+  }
 
   ~Plan () override
   {
@@ -303,8 +308,9 @@
   next (guint64 weights, guint64 since_ms)
   {
     g_autoptr (GPtrArray) models = g_ptr_array_new ();
-    GspanPlanQuery query = { "m0", weights, 1000 * GSPAN_SECOND,
-                             1000 * GSPAN_SECOND + since_ms * GSPAN_MS, loads, &homes };
+    GspanPlanQuery query
+        = { "m0",  weights, 1000 * GSPAN_SECOND, 1000 * GSPAN_SECOND + since_ms * GSPAN_MS,
+            loads, &homes };
 
     g_ptr_array_add (models, const_cast<char *> ("m0"));
     gspan_plan_homes_update (&homes, replicas, models);
@@ -374,8 +380,7 @@
 TEST_F (Plan, ReplicaOfAnotherModelsPartIsNotLoaded)
 {
   g_autoptr (GPtrArray) models = g_ptr_array_new ();
-  GspanPlanQuery query
-      = { "m0", 9, 0, 1000 * GSPAN_SECOND, loads, &homes };
+  GspanPlanQuery query = { "m0", 9, 0, 1000 * GSPAN_SECOND, loads, &homes };
 
   for (const char *model : { "m0", "m1" })
     g_ptr_array_add (models, const_cast<char *> (model));
--- a/weights/order_lease.c
+++ b/weights/order_lease.c
@@ -7,8 +7,8 @@
 
 #define LEASE_KIND "leases"
 #define LEASE_NAME "orders"
-#define POLL_US (GSPAN_SECOND) /* of nodes that don't hold it */
-#define POLL_SILENT_US (200 * GSPAN_MS) /* as above, once a renewal is overdue */
+#define POLL_US (GSPAN_SECOND)           /* of nodes that don't hold it */
+#define POLL_SILENT_US (200 * GSPAN_MS)  /* as above, once a renewal is overdue */
 #define POLL_SPARE_US (5 * GSPAN_SECOND) /* of those that would be the last to take it */
 #define RANK_US (100 * GSPAN_MS)         /* the next in rank waits for so much longer */
 #define RETRY_US (200 * GSPAN_MS)
@@ -82,9 +82,9 @@
 
   lease->renewals++;
   call->revision = op == GSPAN_STORE_REPLACE ? lease->revision : 0;
-  call->value = json_pack ("{s:s, s:I, s:I, s:I}", "holder", holder, "fence", (json_int_t)fence,
-                           "renewal", (json_int_t)lease->renewals, "start",
-                           (json_int_t)node->incarnation);
+  call->value
+      = json_pack ("{s:s, s:I, s:I, s:I}", "holder", holder, "fence", (json_int_t)fence, "renewal",
+                   (json_int_t)lease->renewals, "start", (json_int_t)node->incarnation);
   lease->call = ref.id;
   lease->call_renews = true;
   lease->call_sent = node->now;
@@ -118,26 +118,25 @@
   lease->fence = fence;
   g_free (lease->holder);
   lease->holder = g_strdup (holder != NULL ? holder : "");
-  if (strcmp (lease->holder, node->self.name) != 0 || start != node->incarnation)
+  if (g_strcmp0 (lease->holder, node->self.name) != 0 || start != node->incarnation)
     lose (node, outbox);
 }
 
 /* Our write is in the store. */
 static void
-written (struct GspanNode *node, const struct GspanStoreObject *object,
-         struct GspanOutbox *outbox)
+written (struct GspanNode *node, const struct GspanStoreObject *object, struct GspanOutbox *outbox)
 {
   struct GspanOrderLease *lease = &node->weights.lease;
   bool new_holder = !lease->held;
   bool after_another = lease->holder != NULL && strcmp (lease->holder, node->self.name) != 0;
-  guint64 last_order = lease->seen_at + node->limits.lease_us / HELD_DIVISOR;
+  bool given_back = lease->holder != NULL && lease->holder[0] == '\0';
+  guint64 last_order = lease->seen_at + (given_back ? 0 : node->limits.lease_us / HELD_DIVISOR);
 
   see (node, object, outbox);
-  if (strcmp (lease->holder, node->self.name) != 0)
+  if (g_strcmp0 (lease->holder, node->self.name) != 0)
     return;
   lease->held = true;
-  lease->held_until
-      = lease->call_sent + node->limits.lease_us / HELD_DIVISOR;
+  lease->held_until = lease->call_sent + node->limits.lease_us / HELD_DIVISOR;
   if (!new_holder)
     return;
   lease->orders_from = after_another ? last_order + node->limits.lease_us : node->now;
@@ -228,10 +227,9 @@
 
   if (lease->must_read)
     start_read (node, outbox);
-  else if (lease->held && node->draining)
-    start_write (node, GSPAN_STORE_REPLACE, "", lease->fence, outbox);
   else if (lease->held)
-    start_write (node, GSPAN_STORE_REPLACE, node->self.name, lease->fence, outbox);
+    start_write (node, GSPAN_STORE_REPLACE, node->draining ? "" : node->self.name, lease->fence,
+                 outbox);
   else if (may_take_over (node))
     start_write (node, GSPAN_STORE_REPLACE, node->self.name, lease->fence + 1, outbox);
   else if (!node->draining)
@@ -248,10 +246,10 @@
     on_done (node, event->u.store.reply, outbox);
   if (event->kind == GSPAN_EVENT_DRAIN)
     lease->next_at = 0;
-  if (lease->held && node->now >= lease->held_until && node->now - lease->call_sent > node->limits.lease_us)
+  if (lease->held && node->now >= lease->held_until
+      && node->now - lease->call_sent > node->limits.lease_us)
     lose (node, outbox);
-  if (lease->call != 0 || node->now < lease->next_at
-      || (node->catalog.store_fails && !lease->held))
+  if (lease->call != 0 || node->now < lease->next_at || (node->catalog.store_fails && !lease->held))
     return;
   act (node, outbox);
 }
--- a/weights/order_lease.h
+++ b/weights/order_lease.h
@@ -13,15 +13,15 @@
 
 struct GspanOrderLease
 {
-  guint64 call;        /* under way; 0 is none */
-  bool call_renews;    /* it is a write of our own */
+  guint64 call;     /* under way; 0 is none */
+  bool call_renews; /* it is a write of our own */
   guint64 call_sent;
   guint64 next_at;
-  guint64 revision;    /* seen last */
-  guint64 seen_at;     /* when REVISION was seen first */
-  char *holder;        /* as seen; empty where it was given back */
-  guint64 fence;       /* as seen; rises with each holder */
-  guint64 renewals;    /* makes each renewal a change */
+  guint64 revision; /* seen last */
+  guint64 seen_at;  /* when REVISION was seen first */
+  char *holder;     /* as seen; empty where it was given back */
+  guint64 fence;    /* as seen; rises with each holder */
+  guint64 renewals; /* makes each renewal a change */
   bool held;
   guint64 held_until;  /* while HELD */
   guint64 orders_from; /* no order of the holder before can be under way then */
--- a/weights/plan.h
+++ b/weights/plan.h
@@ -31,7 +31,7 @@
 struct GspanPlanQuery
 {
   const char *model;
-  guint64 weights;   /* named version */
+  guint64 weights; /* named version */
   guint64 named_at;
   guint64 now;
   GHashTable *loads; /* ids of replicas that load already */
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -24,11 +24,11 @@
   struct GspanReplica *replica;
   char *model;
   guint64 weights;
-  guint64 call;      /* order or question under way; 0 is none */
-  bool asking;       /* it is a question */
-  bool ordered;      /* an order may have reached the replica */
+  guint64 call; /* order or question under way; 0 is none */
+  bool asking;  /* it is a question */
+  bool ordered; /* an order may have reached the replica */
   guint64 started;
-  guint64 next_at;   /* next question or order */
+  guint64 next_at; /* next question or order */
 };
 
 static void
@@ -159,8 +159,7 @@
 send_order (struct GspanNode *node, struct GspanLoad *load, struct GspanOutbox *outbox)
 {
   struct GspanWireOrder order = { 0 };
-  struct GspanActionHttp *http
-      = start_exchange (node, load, "POST", gspan_wire_order_path, outbox);
+  struct GspanActionHttp *http = start_exchange (node, load, "POST", gspan_wire_order_path, outbox);
 
   order.model = load->model;
   order.weights = load->weights;
@@ -215,9 +214,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct GspanNamedWeights *named = value;
-      struct GspanPlanQuery query
-          = { named->model, named->weights, named->named_at, node->now, node->weights.loads,
-              &node->weights.homes };
+      struct GspanPlanQuery query = { named->model, named->weights,      named->named_at,
+                                      node->now,    node->weights.loads, &node->weights.homes };
       struct GspanReplica *next = gspan_plan_next (node->catalog.replicas, &query);
       guint64 behind;
 
@@ -225,8 +223,7 @@
         continue;
       behind = named->weights - gspan_replica_weights (next, named->model);
       if (best != NULL
-          && (behind < best_behind
-              || (behind == best_behind && named->named_at >= best->named_at)))
+          && (behind < best_behind || (behind == best_behind && named->named_at >= best->named_at)))
         continue;
       best = named;
       best_behind = behind;
