weights: a holder without orders says so, and is followed without a wait

Change: renewals say whether orders may follow and how long ago the last one went; a holder that said 'none' sends none before the store has its word to the contrary.

--- a/test/weights_test.cc
+++ b/test/weights_test.cc
@@ -192,6 +192,22 @@
   check_orders ();
 }
 
+TEST_F (Weights, HolderWithoutOrdersIsFollowedWithoutAWait)
+{
+  start (3);
+  run (12 * GSPAN_SECOND);
+  Rig *first = holder ();
+  ASSERT_NE (first, nullptr);
+  first->paused = true;
+  guint64 since = world.now;
+  name_weights (2);
+  run (8 * GSPAN_SECOND);
+  ASSERT_FALSE (sent.empty ());
+  /* a lease's half, the ranks' waits and the hold-off: well under what late orders would need */
+  EXPECT_LE (sent.front ().at, since + 4 * GSPAN_SECOND);
+  check_orders ();
+}
+
 TEST_F (Weights, HolderCutFromTheStoreStopsOrdering)
 {
   start (3);
--- a/weights/order_lease.c
+++ b/weights/order_lease.c
@@ -38,11 +38,25 @@
 }
 
 bool
-gspan_order_lease_allows (const struct GspanOrderLease *lease, guint64 now)
+gspan_order_lease_settled (const struct GspanOrderLease *lease, guint64 now)
 {
   return lease->held && now < lease->held_until && now >= lease->orders_from;
 }
 
+bool
+gspan_order_lease_allows (const struct GspanOrderLease *lease, guint64 now)
+{
+  return lease->declared && gspan_order_lease_settled (lease, now);
+}
+
+void
+gspan_order_lease_want (struct GspanOrderLease *lease, bool wanted, guint64 now)
+{
+  lease->wanted = wanted;
+  if (wanted && lease->held && !lease->declared)
+    lease->next_at = now;
+}
+
 static void
 log_lease (const struct GspanNode *node, const char *event, struct GspanOutbox *outbox)
 {
@@ -72,6 +86,20 @@
   lease->call_sent = node->now;
 }
 
+/* No order was sent to a replica after this, by this node or by the holder before. */
+static guint64
+last_order_of (const struct GspanNode *node)
+{
+  const struct GspanOrderLease *lease = &node->weights.lease;
+
+  if (lease->held)
+    return lease->last_order;
+  if (lease->revision == 0)
+    return 0;
+  return lease->seen_idle ? lease->idle_from
+                          : lease->seen_at + node->limits.lease_us / HELD_DIVISOR;
+}
+
 static void
 start_write (struct GspanNode *node, enum GspanStoreOp op, const char *holder, guint64 fence,
              struct GspanOutbox *outbox)
@@ -79,12 +107,17 @@
   struct GspanOrderLease *lease = &node->weights.lease;
   struct GspanRef ref = { GSPAN_OWNER_WEIGHTS, gspan_node_next_id (node) };
   struct GspanStoreCall *call = gspan_outbox_store (outbox, ref, op, LEASE_KIND, LEASE_NAME);
+  guint64 last = MIN (node->now, last_order_of (node));
 
   lease->renewals++;
+  lease->write_declares = lease->held && lease->wanted && holder[0] != '\0';
+  /* From the moment at which the word to the contrary leaves, no order may follow. */
+  lease->declared = lease->declared && lease->write_declares;
   call->revision = op == GSPAN_STORE_REPLACE ? lease->revision : 0;
-  call->value
-      = json_pack ("{s:s, s:I, s:I, s:I}", "holder", holder, "fence", (json_int_t)fence, "renewal",
-                   (json_int_t)lease->renewals, "start", (json_int_t)node->incarnation);
+  call->value = json_pack ("{s:s, s:I, s:I, s:I, s:b, s:I}", "holder", holder, "fence",
+                           (json_int_t)fence, "renewal", (json_int_t)lease->renewals, "start",
+                           (json_int_t)node->incarnation, "orders", (int)lease->write_declares,
+                           "quiet_us", (json_int_t)(node->now - last));
   lease->call = ref.id;
   lease->call_renews = true;
   lease->call_sent = node->now;
@@ -98,6 +131,7 @@
   if (!lease->held)
     return;
   lease->held = false;
+  lease->declared = false;
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_LEASES_LOST, 1);
   log_lease (node, "lease-lost", outbox);
 }
@@ -110,9 +144,13 @@
   const char *holder = json_string_value (json_object_get (object->spec, "holder"));
   guint64 fence = (guint64)json_integer_value (json_object_get (object->spec, "fence"));
   guint64 start = (guint64)json_integer_value (json_object_get (object->spec, "start"));
+  bool idle = json_is_false (json_object_get (object->spec, "orders"));
+  guint64 quiet = (guint64)json_integer_value (json_object_get (object->spec, "quiet_us"));
 
   if (object->revision <= lease->revision)
     return;
+  lease->seen_idle = idle;
+  lease->idle_from = node->now - MIN (quiet, node->limits.lease_us);
   lease->revision = object->revision;
   lease->seen_at = node->now;
   lease->fence = fence;
@@ -129,16 +167,17 @@
   struct GspanOrderLease *lease = &node->weights.lease;
   bool new_holder = !lease->held;
   bool after_another = lease->holder != NULL && strcmp (lease->holder, node->self.name) != 0;
-  bool given_back = lease->holder != NULL && lease->holder[0] == '\0';
-  guint64 last_order = lease->seen_at + (given_back ? 0 : node->limits.lease_us / HELD_DIVISOR);
+  guint64 last_order = last_order_of (node);
 
   see (node, object, outbox);
   if (g_strcmp0 (lease->holder, node->self.name) != 0)
     return;
   lease->held = true;
+  lease->declared = lease->write_declares;
   lease->held_until = lease->call_sent + node->limits.lease_us / HELD_DIVISOR;
   if (!new_holder)
     return;
+  lease->last_order = last_order;
   lease->orders_from = after_another ? last_order + node->limits.lease_us : node->now;
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_LEASES_TAKEN, 1);
   log_lease (node, "lease-taken", outbox);
@@ -225,14 +264,12 @@
 {
   struct GspanOrderLease *lease = &node->weights.lease;
 
-  if (lease->must_read)
-    start_read (node, outbox);
-  else if (lease->held)
+  if (lease->held && !lease->must_read)
     start_write (node, GSPAN_STORE_REPLACE, node->draining ? "" : node->self.name, lease->fence,
                  outbox);
-  else if (may_take_over (node))
+  else if (!lease->must_read && may_take_over (node))
     start_write (node, GSPAN_STORE_REPLACE, node->self.name, lease->fence + 1, outbox);
-  else if (!node->draining)
+  else if (lease->must_read || !node->draining)
     start_read (node, outbox);
 }
 
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -172,6 +172,7 @@
   http->not_after = node->weights.lease.held_until;
   load->asking = false;
   load->ordered = true;
+  node->weights.lease.last_order = node->now;
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_ORDERS, 1);
   log_load (node, load, "order-sent", 0, outbox);
 }
@@ -259,7 +260,6 @@
 {
   guint most = gspan_plan_loads_at_once (gspan_plan_count (node->catalog.replicas));
 
-  deal_out_replicas (node);
   while (g_hash_table_size (node->weights.loads) < most)
     {
       struct GspanReplica *replica = NULL;
@@ -381,15 +381,30 @@
     }
 }
 
+/* A load that is under way or due needs the lease's word that orders may follow. */
+static bool
+has_orders (struct GspanNode *node)
+{
+  struct GspanReplica *replica = NULL;
+
+  return g_hash_table_size (node->weights.loads) > 0 || pick_load (node, &replica) != NULL;
+}
+
 void
 gspan_weights_handle (struct GspanNode *node, const struct GspanEvent *event,
                       struct GspanOutbox *outbox)
 {
+  struct GspanOrderLease *lease = &node->weights.lease;
+
   gspan_order_lease_handle (node, event, outbox);
-  gspan_catalog_want (&node->catalog, GSPAN_FOLLOW_WEIGHTS, node->weights.lease.held);
+  gspan_catalog_want (&node->catalog, GSPAN_FOLLOW_WEIGHTS, lease->held);
   if (event->kind == GSPAN_EVENT_HTTP_DONE)
     on_answer (node, event, outbox);
   check_loads (node, outbox);
-  if (gspan_order_lease_allows (&node->weights.lease, node->now))
+  if (!gspan_order_lease_settled (lease, node->now))
+    return;
+  deal_out_replicas (node);
+  gspan_order_lease_want (lease, has_orders (node), node->now);
+  if (gspan_order_lease_allows (lease, node->now))
     start_loads (node, outbox);
 }
