test: orders are judged by when they left the node

Cause: the test noted an order of a frozen node when its answer was played, after the thaw, not when it was sent (the platform's rules leave out orders that arrive right after a thaw). Now it notes the sending and sorts by it.

--- a/test/weights_test.cc
+++ b/test/weights_test.cc
@@ -52,7 +52,8 @@
                            + ",\"seqNo\":" + std::to_string (engine.accepted) + "}");
         return;
       }
-    sent.push_back ({ world.now, rig.name, address, number (exchange.body, "fenceToken"),
+    /* when it left the node: one that froze right after may bring it in as it thaws */
+    sent.push_back ({ exchange.sent, rig.name, address, number (exchange.body, "fenceToken"),
                       number (exchange.body, "version") });
     if (number (exchange.body, "expect") != engine.accepted || engine.busy_until > world.now)
       {
@@ -274,6 +275,8 @@
       run ((1 + step.second % 5) * 400 * GSPAN_MS);
     }
   std::map<std::string, Sent> last;
+  std::stable_sort (sent.begin (), sent.end (),
+                    [] (const Sent &a, const Sent &b) { return a.at < b.at; });
   for (const auto &order : sent)
     {
       auto before = last.find (order.to);
