catalog, jobs: entries that lapse together are kept; an owner is replaced only once the store answers

A silent stream was given up after two seconds.

Change: a removal of half of the replicas at once counts as a lapse, any failed call counts as a failure of the store, a deputy looks at the head before it takes over, silence is given up after a second.

Tests: EntriesThatLapseTogetherAreKeptEvenWhereNoCallFailed (failed first); OwnerKeepsItsJobAndItsResultsOverAnOutageOfTheStore (passed before, too).

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -8,7 +8,8 @@
 {
   WATCH_WAIT_MS = 10000,      /* bounds how long a connection that died unseen is waited for */
   SLOW_WATCH_WAIT_MS = 30000, /* of kinds that hardly change; the longest that the store takes */
-  BACKOFF_DOUBLINGS = 3
+  BACKOFF_DOUBLINGS = 3,
+  MANY_LEAST = 3 /* replicas whose removal at once is taken for a lapse */
 };
 
 /*
@@ -164,8 +165,9 @@
                 struct GspanOutbox *outbox)
 {
   struct GspanCatalog *catalog = &node->catalog;
-  bool beside_outage
+  bool failed_lately
       = catalog->store_failed_at != 0 && node->now - catalog->store_failed_at < LAPSE_WINDOW_US;
+  bool beside_outage = catalog->many_removed || failed_lately;
 
   log_replica (replica, beside_outage ? "upstream-lapsed" : "upstream-gone", revision, outbox);
   if (beside_outage)
@@ -312,14 +314,34 @@
   return node->weights.lease.held || g_hash_table_size (node->runner.runs) > 0;
 }
 
+/*
+ * True where so many replicas vanish at once that it is their entries that lapsed: a watch that
+ * only waits doesn't notice that the store was away meanwhile.
+ */
+static bool
+removes_many (const struct GspanNode *node, const struct GspanStoreReply *reply)
+{
+  guint removed = 0;
+
+  for (guint i = 0; i < reply->objects->len; i++)
+    {
+      const struct GspanStoreObject *object = g_ptr_array_index (reply->objects, i);
+
+      removed += object->removed && g_hash_table_contains (node->catalog.replicas, object->name);
+    }
+  return removed >= MANY_LEAST && removed * 2 >= g_hash_table_size (node->catalog.replicas);
+}
+
 static void
 take_events (struct GspanNode *node, enum GspanFollowed which, const struct GspanStoreReply *reply,
              struct GspanOutbox *outbox)
 {
   struct GspanFollower *follower = &node->catalog.followers[which];
 
+  node->catalog.many_removed = which == GSPAN_FOLLOW_REPLICAS && removes_many (node, reply);
   for (guint i = 0; i < reply->objects->len; i++)
     apply (node, which, g_ptr_array_index (reply->objects, i), outbox);
+  node->catalog.many_removed = false;
   follower->revision = MAX (follower->revision, reply->revision);
   if (which == GSPAN_FOLLOW_REPLICAS)
     follower->next_at
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -43,7 +43,8 @@
   struct GspanConfig config;
   GHashTable *replicas;    /* id to struct GspanReplica */
   bool store_fails;        /* the last follower's call failed */
-  guint64 store_failed_at; /* last failure; 0 is none */
+  guint64 store_failed_at; /* last failure of any call of this node; 0 is none */
+  bool many_removed;       /* the answer being taken in removes half of the replicas or more */
   guint failures;          /* in a row */
 };
 
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -95,10 +95,12 @@
   guint64 head_call; /* a change of the head under way */
   guint64 heard_at;  /* its owner said that it runs it */
   guint64 asked_at;
-  guint64 told_at;    /* owner: the deputies heard that it runs here */
-  guint64 checked_at; /* owner: the head was read */
-  bool known;         /* its head has been read */
-  bool let_be;        /* its owner says that it is over: nobody has to take it over */
+  guint64 told_at;       /* owner: the deputies heard that it runs here */
+  guint64 checked_at;    /* owner: the head was read */
+  guint64 looked_up_at;  /* deputy: the store answered a look at the head */
+  guint64 look_up_after; /* deputy: the next look is not before */
+  bool known;            /* its head has been read */
+  bool let_be;           /* its owner says that it is over: nobody has to take it over */
 };
 
 struct GspanJob *gspan_job_new (const char *id);
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -135,8 +135,13 @@
   const struct GspanStoreObject *head = gspan_store_reply_first (reply);
   struct GspanStoreObject gone = { 0 };
 
+  struct GspanJob *job;
+
   if (reply->result == GSPAN_STORE_OK && head != NULL)
     gspan_jobs_apply (node, head, outbox);
+  job = gspan_jobs_find (&node->jobs, job_id);
+  if (reply->result == GSPAN_STORE_OK && job != NULL)
+    job->looked_up_at = node->now;
   if (reply->result != GSPAN_STORE_MISSING)
     return;
   gone.name = (char *)job_id;
@@ -167,11 +172,33 @@
     }
 }
 
+/*
+ * The owner has been silent for long enough. It is replaced only once the store has answered here:
+ * in an outage an owner that can't list results falls silent too, and goes on right after it with
+ * all that it has generated meanwhile, which a new owner would generate again.
+ */
+static void
+replace_owner (struct GspanNode *node, struct GspanJob *job, guint64 silent_since,
+               struct GspanOutbox *outbox)
+{
+  if (job->looked_up_at > silent_since)
+    {
+      log_owner (job, "job-owner-silent", outbox);
+      name_owner (node, job, node->self.name, outbox);
+    }
+  else if (node->now >= job->look_up_after)
+    {
+      job->look_up_after = node->now + RETRY_US;
+      check_head (node, job->id, outbox);
+    }
+}
+
 /* Of a job that another node runs, or none. */
 static void
 watch_owner (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
   guint rank = gspan_peers_rank (node, job->id, job->owner);
+  guint64 silent_since = MAX (job->heard_at, node->catalog.store_failed_at);
   bool handed_back = job->owner[0] == '\0';
   bool deputy = rank < DEPUTIES;
   guint64 patience = (handed_back ? HANDED_BACK_US : SILENCE_US) + rank * RANK_US
@@ -179,11 +206,8 @@
 
   if (job->head_call != 0 || node->catalog.store_fails)
     return;
-  if (node->now - job->heard_at >= patience)
-    {
-      log_owner (job, "job-owner-silent", outbox);
-      name_owner (node, job, node->self.name, outbox);
-    }
+  if (node->now - silent_since >= patience)
+    replace_owner (node, job, silent_since, outbox);
   else if (!handed_back && node->now - job->asked_at >= ASK_US * (1 + rank))
     {
       job->asked_at = node->now;
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -10,9 +10,9 @@
 
 #define RUN_MAX_US (60 * GSPAN_SECOND)        /* of one run; its silence ends it far sooner */
 #define FIRST_EVENT_MAX_US (3 * GSPAN_SECOND) /* a full queue or a load of weights takes less */
-#define SILENCE_MAX_US (2 * GSPAN_SECOND)     /* as above, between two events */
-#define BUSY_PAUSE_US (100 * GSPAN_MS)        /* a replica that refused is left alone for so long */
-#define CRASH_PAUSE_US (GSPAN_SECOND)         /* an item whose runs break without an event waits */
+#define SILENCE_MAX_US (GSPAN_SECOND)  /* several times what a slow replica takes for an event */
+#define BUSY_PAUSE_US (100 * GSPAN_MS) /* a replica that refused is left alone for so long */
+#define CRASH_PAUSE_US (GSPAN_SECOND)  /* an item whose runs break without an event waits */
 #define RESCHEDULE_US (50 * GSPAN_MS)
 
 enum
--- a/node/node.c
+++ b/node/node.c
@@ -98,12 +98,26 @@
   gspan_weights_handle (node, event, outbox);
 }
 
+/* Any call tells whether the store is there, not only those that follow it. */
+static void
+note_store_failure (struct GspanNode *node, const struct GspanEvent *event)
+{
+  enum GspanStoreResult result;
+
+  if (event->kind != GSPAN_EVENT_STORE_DONE)
+    return;
+  result = event->u.store.reply->result;
+  if (result == GSPAN_STORE_UNAVAILABLE || result == GSPAN_STORE_UNKNOWN)
+    node->catalog.store_failed_at = node->now;
+}
+
 void
 gspan_node_handle (struct GspanNode *node, const struct GspanEvent *event, guint64 now,
                    gint64 wall_ms, struct GspanOutbox *outbox)
 {
   node->now = MAX (node->now, now);
   node->wall_ms = wall_ms;
+  note_store_failure (node, event);
   switch (event->kind)
     {
     case GSPAN_EVENT_DRAIN:
--- a/test/jobs_test.cc
+++ b/test/jobs_test.cc
@@ -424,6 +424,27 @@
   EXPECT_EQ (read_all (rig, "j1", 901), ids);
 }
 
+TEST_F (Jobs, OwnerKeepsItsJobAndItsResultsOverAnOutageOfTheStore)
+{
+  Rig &rig = start (3);
+
+  for (size_t i = 0; i < 3; i++)
+    world.rigs[i]->node.self.udp = i == 0 ? "127.0.0.1:1" : i == 1 ? "127.0.0.1:2" : "127.0.0.1:3";
+  world.run (3 * GSPAN_SECOND);
+  submit (rig, 1, "j1", 8);
+  world.run (1500 * GSPAN_MS);
+  world.fault = StoreFault::Busy;
+  for (auto &run : runs (rig))
+    finish_run (rig, run, 2);
+  world.run (4 * GSPAN_SECOND);
+  world.fault = StoreFault::None;
+  world.run (6 * GSPAN_SECOND);
+  EXPECT_TRUE (rig.node.jobs.items != nullptr && gspan_jobs_find (&rig.node.jobs, "j1")->mine);
+  EXPECT_EQ (read_all (rig, "j1").size (), 8U);
+  for (size_t i = 1; i < 3; i++)
+    EXPECT_EQ (world.rigs[i]->node.metrics.values[GSPAN_METRIC_RUNS], 0U);
+}
+
 TEST_F (Jobs, RunOfAnItemThatAnotherNodeListedIsNotListedAgain)
 {
   Rig &rig = start ();
--- a/test/node_test.cc
+++ b/test/node_test.cc
@@ -80,6 +80,25 @@
   EXPECT_FALSE (g_hash_table_contains (rig.node.catalog.replicas, "d1"));
 }
 
+TEST_F (NodeTest, EntriesThatLapseTogetherAreKeptEvenWhereNoCallFailed)
+{
+  Rig &rig = start ();
+
+  /* the watch only waits and hears of all removals at once */
+  for (const char *name : { "d1", "d2", "m1", "m2" })
+    {
+      world.objects["servers"].erase (name);
+      world.history.push_back ({ ++world.revision, { "servers", name } });
+    }
+  world.wake ("servers");
+  world.run (1500 * GSPAN_MS);
+  EXPECT_EQ (g_hash_table_size (rig.node.catalog.replicas), 4U);
+  desk (rig, 1, "a1");
+  EXPECT_EQ (rig.exchanges.size (), 1U);
+  world.run (4 * GSPAN_SECOND);
+  EXPECT_EQ (g_hash_table_size (rig.node.catalog.replicas), 0U);
+}
+
 TEST_F (NodeTest, EntryThatComesBackAfterAnOutageIsNeverDropped)
 {
   Rig &rig = start ();
