--- a/cmd/daemon.c
+++ b/cmd/daemon.c
@@ -21,7 +21,7 @@
       "address.\n"
       "Every daemon serves all of them; what it does not do stays at 0. Counters start at 0 with "
       "the\n"
-      "process. [OPERATORS.md](OPERATORS.md) names the alarms. This page is the output of\n"
+      "process. [OPERATIONS.md](OPERATIONS.md) names the alarms. This page is the output of\n"
       "`gspan-entry --help-metrics`.\n\n";
 
 struct Arguments
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -133,7 +133,7 @@
       break;
     case GSPAN_JOB_APPEND:
       if (job != NULL && job->append_call == call->id)
-        gspan_listing_appended (node, job, reply, outbox);
+        gspan_listing_appended (node, job, event->u.store.call, reply, outbox);
       break;
     case GSPAN_JOB_TAKE:
       if (job != NULL && job->head_call == call->id)
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -96,7 +96,8 @@
 void gspan_listing_fetched (struct GspanNode *node, struct GspanJob *job,
                             const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
 void gspan_listing_appended (struct GspanNode *node, struct GspanJob *job,
-                             const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
+                             const struct GspanStoreCall *sent, const struct GspanStoreReply *reply,
+                             struct GspanOutbox *outbox);
 
 /* owner.c: who runs a job. */
 
--- a/jobs/listing.c
+++ b/jobs/listing.c
@@ -59,8 +59,9 @@
   g_string_free (body, TRUE);
 }
 
+/* Takes the results of segment NUMBER, unless they are known already. */
 static void
-add_segment (struct GspanJob *job, const struct GspanStoreObject *object, guint number)
+add_segment (struct GspanJob *job, json_t *segment, guint number)
 {
   json_t *value;
   size_t index;
@@ -72,7 +73,7 @@
       job->read_all = false;
       return;
     }
-  json_array_foreach (json_object_get (object->spec, "results"), index, value)
+  json_array_foreach (json_object_get (segment, "results"), index, value)
   {
     struct GspanJobResult *result = gspan_job_result_decode (value);
 
@@ -92,7 +93,7 @@
   if (gspan_job_parse_part (object->name, &number))
     add_part (job, object, number);
   else if (gspan_job_parse_segment (object->name, &number))
-    add_segment (job, object, number);
+    add_segment (job, object->spec, number);
 }
 
 static bool
@@ -165,9 +166,11 @@
 
 void
 gspan_listing_appended (struct GspanNode *node, struct GspanJob *job,
-                        const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
+                        const struct GspanStoreCall *sent, const struct GspanStoreReply *reply,
+                        struct GspanOutbox *outbox)
 {
   struct GspanLine line;
+  guint number = 0;
 
   job->append_call = 0;
   job->append_after = node->now + APPEND_PAUSE_US;
@@ -180,9 +183,9 @@
   gspan_outbox_log (outbox, "jobs", GSPAN_PRIORITY_INFO, &line);
   if (reply->result == GSPAN_STORE_OK)
     {
-      for (guint i = 0; i < job->append_count && job->ready->len > 0; i++)
-        gspan_job_list (job, g_ptr_array_steal_index (job->ready, 0));
-      job->segments++;
+      /* By what was sent: a look at the store may have brought the segment in meanwhile. */
+      gspan_job_parse_segment (sent->name, &number);
+      add_segment (job, sent->value, number);
       job->append_failing_since = 0;
       job->looked_at = node->now;
       gspan_serve_readers (node, job, outbox);
--- a/test/jobs_test.cc
+++ b/test/jobs_test.cc
@@ -445,6 +445,29 @@
     EXPECT_EQ (world.rigs[i]->node.metrics.values[GSPAN_METRIC_RUNS], 0U);
 }
 
+TEST_F (Jobs, SegmentThatALookBringsInBeforeItsAnswerIsTakenOnce)
+{
+  Rig &rig = start (2);
+
+  submit (rig, 1, "j1", 8);
+  world.run (800 * GSPAN_MS);
+  auto held = runs (rig);
+  world.create_reply_delay = 300 * GSPAN_MS;
+  finish_run (rig, held[0], 2); /* its segment is written at once, the answer comes later */
+  world.run (30 * GSPAN_MS);
+  finish_run (rig, held[1], 2);
+  read (rig, 900, "j1", 1); /* "nothing yet" makes the owner look, too */
+  world.run (500 * GSPAN_MS);
+  world.create_reply_delay = 0;
+  for (size_t i = 2; i < held.size (); i++)
+    finish_run (rig, held[i], 2);
+  world.run (2 * GSPAN_SECOND);
+  serve_all ();
+  auto at_owner = read_all (rig, "j1", 901);
+  EXPECT_EQ (at_owner.size (), 8U);
+  EXPECT_EQ (read_all (*world.rigs[1], "j1", 902), at_owner);
+}
+
 TEST_F (Jobs, RunOfAnItemThatAnotherNodeListedIsNotListedAgain)
 {
   Rig &rig = start ();
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -141,6 +141,7 @@
   guint64 latency = 4 * GSPAN_MS;
   size_t page = 500;
   bool lose_datagrams = false;
+  guint64 create_reply_delay = 0; /* creations are done in time, their answers take longer */
   std::map<std::string, std::map<std::string, StoredObject>> objects;
   std::map<std::string, guint64>
       gone_before; /* kind to the revision before which history is gone */
@@ -357,12 +358,38 @@
       }
     event.kind = GSPAN_EVENT_STORE_DONE;
     event.ref = item.ref;
+    if (item.call.op == GSPAN_STORE_CREATE && create_reply_delay > 0)
+      {
+        deliver_later (item, reply);
+        return;
+      }
     event.u.store.call = &item.call;
     event.u.store.reply = &reply;
     item.rig->handle (event);
     gspan_store_reply_finish (&reply);
   }
 
+  void
+  deliver_later (PendingStore &item, GspanStoreReply reply)
+  {
+    auto call = std::make_shared<GspanStoreCall> (item.call);
+    auto kept = std::make_shared<GspanStoreReply> (reply);
+    Rig *rig = item.rig;
+    GspanRef ref = item.ref;
+
+    item.call = {};
+    later.push_back ({ now + create_reply_delay, [rig, ref, call, kept] {
+                        GspanEvent event{};
+                        event.kind = GSPAN_EVENT_STORE_DONE;
+                        event.ref = ref;
+                        event.u.store.call = call.get ();
+                        event.u.store.reply = kept.get ();
+                        rig->handle (event);
+                        gspan_store_reply_finish (kept.get ());
+                        gspan_store_call_finish (call.get ());
+                      } });
+  }
+
   void
   do_late (const GspanStoreCall &call)
   {
