--- a/test/node_test.cc
+++ b/test/node_test.cc
@@ -71,8 +71,7 @@
 
   world.fault = StoreFault::Away;
   world.run (14 * GSPAN_SECOND);
-  world.objects["servers"].erase ("d1");
-  world.revision++;
+  world.lapse ("servers", "d1");
   world.fault = StoreFault::None;
   world.run (1500 * GSPAN_MS);
   EXPECT_TRUE (g_hash_table_contains (rig.node.catalog.replicas, "d1"));
@@ -87,8 +86,8 @@
   /* the watch only waits and hears of all removals at once */
   for (const char *name : { "d1", "d2", "m1", "m2" })
     {
-      world.objects["servers"].erase (name);
-      world.history.push_back ({ ++world.revision, { "servers", name } });
+      world.lapse ("servers", name);
+      world.history.push_back ({ world.revision, { "servers", name } });
     }
   world.wake ("servers");
   world.run (1500 * GSPAN_MS);
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -210,6 +210,18 @@
     wake (kind);
   }
 
+  /* Takes an object away without a word to those who watch. */
+  void
+  lapse (const std::string &kind, const std::string &name)
+  {
+    StoredObject &object = objects[kind][name];
+
+    json_decref (object.spec);
+    json_decref (object.status);
+    objects[kind].erase (name);
+    revision++;
+  }
+
   void
   remove (const std::string &kind, const std::string &name)
   {
@@ -372,8 +384,11 @@
   void
   deliver_later (PendingStore &item, GspanStoreReply reply)
   {
-    auto call = std::make_shared<GspanStoreCall> (item.call);
-    auto kept = std::make_shared<GspanStoreReply> (reply);
+    auto call = shared_call (item.call);
+    std::shared_ptr<GspanStoreReply> kept (new GspanStoreReply (reply), [] (GspanStoreReply *old) {
+      gspan_store_reply_finish (old);
+      delete old;
+    });
     Rig *rig = item.rig;
     GspanRef ref = item.ref;
 
@@ -385,15 +400,23 @@
                         event.u.store.call = call.get ();
                         event.u.store.reply = kept.get ();
                         rig->handle (event);
-                        gspan_store_reply_finish (kept.get ());
-                        gspan_store_call_finish (call.get ());
                       } });
   }
 
+  /* A call that is released with its last holder, whether it is carried out or not. */
+  static std::shared_ptr<GspanStoreCall>
+  shared_call (const GspanStoreCall &call)
+  {
+    return std::shared_ptr<GspanStoreCall> (new GspanStoreCall (call), [] (GspanStoreCall *old) {
+      gspan_store_call_finish (old);
+      delete old;
+    });
+  }
+
   void
   do_late (const GspanStoreCall &call)
   {
-    auto copy = std::make_shared<GspanStoreCall> (call);
+    auto copy = shared_call (call);
 
     copy->kind = g_strdup (call.kind);
     copy->name = g_strdup (call.name);
@@ -403,7 +426,6 @@
                         gspan_store_reply_init (&reply);
                         perform (*copy, &reply);
                         gspan_store_reply_finish (&reply);
-                        gspan_store_call_finish (copy.get ());
                       } });
   }
 
