jobs, catalog: runs leave replicas that turn slow

Ruled out: loads of weights (181 events took 6.7 s with and without one in the middle), listing. Change: the time between two events is kept for each replica; runs go on at one of the usual pace from their last event. Test seen failing on the code before.

--- a/catalog/pick.c
+++ b/catalog/pick.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "catalog/pace.h"
+
 static bool
 was_tried (const struct GspanPickQuery *query, const char *id)
 {
@@ -19,6 +21,8 @@
     return false;
   if (query->open_max > 0 && replica->open >= query->open_max)
     return false;
+  if (gspan_pace_is_slow (replica, query->typical_us, query->now))
+    return false;
   if (query->model == NULL)
     return true;
   weights = gspan_replica_weights (replica, query->model);
--- a/catalog/pick.h
+++ b/catalog/pick.h
@@ -22,6 +22,7 @@
   const char *preferred;  /* id of the replica that has the prompt; NULL is none */
   guint open_max;         /* of our own requests at one replica; 0 is no limit */
   guint32 draw;           /* by lot */
+  guint64 typical_us;     /* between two events; replicas far slower are passed over; 0 is none */
   bool last_resort;       /* replicas that are avoided since they failed will do, too */
 };
 
--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -36,7 +36,9 @@
   guint64 orders_accepted; /* since its start */
   bool misdirected;        /* somebody else answers at its address */
   guint64 loading_until;   /* takes new weights and refuses requests for about so long */
-  guint64 event_us;        /* smoothed time between two events of one of its streams; 0 none seen */
+  guint64 event_us;        /* smoothed time between two events of its streams (catalog/pace.h) */
+  guint64 paced_at;        /* last event that EVENT_US follows from */
+  guint paced_events;      /* that it follows from */
 };
 
 struct GspanReplica *gspan_replica_new (const char *id);
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "catalog/pace.h"
 #include "catalog/pick.h"
 #include "common/clock.h"
 #include "common/events.h"
@@ -14,6 +15,7 @@
 #define BUSY_PAUSE_US (100 * GSPAN_MS) /* a replica that refused is left alone for so long */
 #define CRASH_PAUSE_US (GSPAN_SECOND)  /* an item whose runs break without an event waits */
 #define RESCHEDULE_US (50 * GSPAN_MS)
+#define MOVE_CHECK_US (100 * GSPAN_MS) /* between two looks for runs at slow replicas */
 
 enum
 {
@@ -222,9 +224,15 @@
 on_data (struct GspanNode *node, struct GspanRun *run, const struct GspanEventHttp *answer,
          struct GspanOutbox *outbox)
 {
+  guint64 heard = run->heard;
+  guint got = run->got;
+
   if (!run->streams)
     return;
   gspan_events_feed (&run->events, gspan_str_from_bytes (answer->body), take_event, run);
+  /* The first event also waits for a slot and for the prompt to be read. */
+  if (got > 0 && run->got > got)
+    gspan_pace_note (run->replica, node->now, node->now - heard, run->got - got);
   if (run->broken)
     break_off (node, run, "event out of order, unreadable or of other weights", outbox);
 }
@@ -311,9 +319,10 @@
   return found != NULL && found->slots > 0 ? found->slots : SLOTS_DEFAULT;
 }
 
+/* Where ITEM goes next. TYPICAL_US, unless 0, keeps it from replicas that are far slower. */
 static struct GspanReplica *
 place (struct GspanNode *node, const struct GspanJob *job, const struct GspanItem *item,
-       const char *service)
+       const char *service, guint64 typical_us)
 {
   struct GspanPickQuery query = { 0 };
 
@@ -325,6 +334,7 @@
   query.preferred = g_hash_table_lookup (job->prompts, item->source->group);
   query.open_max = slots_of (node, service);
   query.draw = g_rand_int (node->random);
+  query.typical_us = typical_us;
   return gspan_pick_replica (node->catalog.replicas, &query);
 }
 
@@ -381,12 +391,16 @@
   const struct GspanConfigRoute *route = gspan_config_match (
       &node->catalog.config, gspan_str_from (job->host), gspan_str_from (job->path));
   const char *service;
+  guint64 typical_us;
   guint count = job->waiting.length;
 
   if (route == NULL)
     return true;
   service = gspan_config_pick_service (route, g_rand_int (node->random));
-  for (guint i = 0; i < count && service != NULL; i++)
+  if (service == NULL)
+    return true;
+  typical_us = gspan_pace_typical (node->catalog.replicas, service, node->now);
+  for (guint i = 0; i < count; i++)
     {
       struct GspanItem *item = g_queue_pop_head (&job->waiting);
       struct GspanReplica *replica;
@@ -398,7 +412,9 @@
           g_queue_push_tail (&job->waiting, item);
           continue;
         }
-      replica = place (node, job, item, service);
+      replica = place (node, job, item, service, typical_us);
+      if (replica == NULL)
+        replica = place (node, job, item, service, 0);
       if (replica == NULL)
         {
           g_queue_push_head (&job->waiting, item);
@@ -456,6 +472,52 @@
   g_list_free (runs);
 }
 
+/* Where RUN would go on faster; NULL where it is well where it is. */
+static struct GspanReplica *
+faster_replica (struct GspanNode *node, const struct GspanRun *run, guint64 typical_us)
+{
+  struct GspanReplica *replica;
+
+  if (run->got == 0 || !gspan_pace_is_slow (run->replica, typical_us, node->now)
+      || keeps_single_version (node, run->job))
+    return NULL;
+  replica = place (node, run->job, run->item, run->replica->service, typical_us);
+  return replica != run->replica ? replica : NULL;
+}
+
+/* Moves runs from replicas that have turned slow. */
+static void
+move_slow_runs (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  GList *runs = g_hash_table_get_values (node->runner.runs);
+  const char *service = "";
+  guint64 typical_us = 0;
+
+  node->runner.move_after = node->now + MOVE_CHECK_US;
+  for (GList *item = runs; item != NULL; item = item->next)
+    {
+      struct GspanRun *run = item->data;
+      struct GspanJob *job = run->job;
+      struct GspanItem *moved = run->item;
+      struct GspanReplica *replica;
+
+      if (strcmp (service, run->replica->service) != 0)
+        {
+          service = run->replica->service;
+          typical_us = gspan_pace_typical (node->catalog.replicas, service, node->now);
+        }
+      replica = faster_replica (node, run, typical_us);
+      if (replica == NULL || moved->state != GSPAN_ITEM_RUNNING)
+        continue;
+      log_run (run, "run-moved", "the replica is slow", 0, outbox);
+      cancel (run, outbox);
+      requeue (node, run);
+      g_queue_remove (&job->waiting, moved);
+      start_run (node, job, moved, replica, outbox);
+    }
+  g_list_free (runs);
+}
+
 void
 gspan_runner_stop (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
@@ -482,6 +544,8 @@
   if (event->kind == GSPAN_EVENT_TICK)
     {
       check_silence (node, outbox);
+      if (node->now >= node->runner.move_after)
+        move_slow_runs (node, outbox);
       if (node->now >= node->runner.schedule_after)
         schedule (node, outbox);
       return;
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -14,6 +14,7 @@
 {
   GHashTable *runs;       /* id to struct GspanRun */
   guint64 schedule_after; /* no replica had room; looked again then */
+  guint64 move_after;     /* the next look for runs at slow replicas */
 };
 
 void gspan_runner_init (struct GspanRunner *runner);
--- a/test/jobs_test.cc
+++ b/test/jobs_test.cc
@@ -161,6 +161,43 @@
   EXPECT_NE (answer_to (rig, 900)->body.find ("d1\\nd2\\nd3"), std::string::npos);
 }
 
+/* A step waits for its slowest group, so runs leave a replica that turns slow in their middle. */
+TEST_F (Jobs, RunAtAReplicaThatTurnsSlowGoesOnAtAFasterOne)
+{
+  Rig &rig = start ();
+  std::map<std::string, unsigned> events;
+
+  world.put ("servers", "m3", replica_spec ("llm", 5, 1).c_str ());
+  world.put ("servers", "m4", replica_spec ("llm", 6, 1).c_str ());
+  world.run (GSPAN_SECOND);
+  submit (rig, 1, "j1", 6);
+  world.run (200 * GSPAN_MS);
+  ASSERT_EQ (runs (rig).size (), 6U);
+  std::string slow = runs (rig)[0].url;
+  std::set<std::string> started_slow;
+  for (auto &run : runs (rig))
+    {
+      if (run.url == slow)
+        started_slow.insert (run.header ("X-Attempt-Id"));
+      rig.http_head (run, 200, stream_head (1));
+    }
+  for (int step = 0; step < 60; step++)
+    {
+      world.run (40 * GSPAN_MS);
+      for (auto &run : runs (rig))
+        if (run.url != slow || step % 5 == 0)
+          rig.http_data (run, 200, stream_head (1), sse (++events[run.header ("X-Attempt-Id")]));
+    }
+  EXPECT_TRUE (rig.logged ("event=run-moved"));
+  for (auto &run : runs (rig))
+    {
+      bool moved = started_slow.count (run.header ("X-Attempt-Id")) > 0;
+
+      EXPECT_NE (run.url, slow);
+      EXPECT_EQ (run.header ("Last-Event-Id").empty (), !moved);
+    }
+}
+
 TEST_F (Jobs, EventOutOfOrderIsNeverTaken)
 {
   Rig &rig = start ();
--- a/test/place_test.cc
+++ b/test/place_test.cc
@@ -7,6 +7,7 @@
 
 extern "C"
 {
+#include "catalog/pace.h"
 #include "catalog/pick.h"
 #include "common/clock.h"
 #include "gateway/hedge.h"
@@ -149,6 +150,41 @@
   EXPECT_EQ (pick (), "");
 }
 
+/* Streams of 40 ms an event, but for one replica that takes 140 ms. */
+static void
+pace_all (const std::vector<GspanReplica *> &replicas, guint64 now)
+{
+  for (size_t i = 0; i < replicas.size (); i++)
+    for (int event = 0; event < 20; event++)
+      gspan_pace_note (replicas[i], now, i == 0 ? 140 * GSPAN_MS : 40 * GSPAN_MS, 1);
+}
+
+TEST_F (Place, ReplicaThatTurnedSlowIsPassedOverUntilItIsTriedAgain)
+{
+  GspanReplica *slow = add ("a", 0);
+
+  pace_all ({ slow, add ("b", 2), add ("c", 1), add ("d", 2) }, now);
+  query.typical_us = gspan_pace_typical (replicas, "llm", now);
+  EXPECT_EQ (query.typical_us, 40 * GSPAN_MS);
+  EXPECT_TRUE (gspan_pace_is_slow (slow, query.typical_us, now));
+  EXPECT_EQ (pick (), "c");
+  query.now = now + 4 * GSPAN_SECOND;
+  EXPECT_EQ (pick (), "a");
+}
+
+TEST_F (Place, PaceOfAFullBatchOrOfFewReplicasIsNotSlow)
+{
+  GspanReplica *full = add ("a", 0);
+  GspanReplica *other = add ("b", 0);
+
+  pace_all ({ full, other }, now);
+  EXPECT_EQ (gspan_pace_typical (replicas, "llm", now), 0U);
+  EXPECT_FALSE (gspan_pace_is_slow (full, 0, now));
+  for (int event = 0; event < 40; event++)
+    gspan_pace_note (full, now, 100 * GSPAN_MS, 2);
+  EXPECT_FALSE (gspan_pace_is_slow (full, 40 * GSPAN_MS, now));
+}
+
 TEST_F (Place, FailuresInARowAreAvoidedForLongerUpToABound)
 {
   GspanReplica *replica = add ("a", 0);
