catalog: a call lost in an outage is no new outage when it ends

Cause: a list sent while the store was silent timed out 0.02 s after the store had come back. Ruled out: the store (it answered the same node's appends). Change: a failure counts only where its call was sent after the last answer of the store; any answer, not only a follower's, says that it is there; the asking follower gives an older watch up. Test seen failing on the code before.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -370,6 +370,24 @@
   gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_WARNING, &line);
 }
 
+void
+gspan_catalog_store_answered (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  node->catalog.store_ok_at = node->now;
+  node->catalog.failures = 0;
+  set_store_state (node, false, GSPAN_STORE_OK, outbox);
+}
+
+/* The follower that asks whether the store is back doesn't wait in an older watch. */
+static void
+start_probing (struct GspanCatalog *catalog)
+{
+  struct GspanFollower *follower = &catalog->followers[GSPAN_FOLLOW_CONFIG];
+
+  follower->call = 0;
+  follower->watching = false;
+}
+
 static void
 back_off (struct GspanNode *node, struct GspanFollower *follower)
 {
@@ -391,8 +409,6 @@
   switch (reply->result)
     {
     case GSPAN_STORE_OK:
-      node->catalog.failures = 0;
-      set_store_state (node, false, reply->result, outbox);
       if (follower->watching)
         take_events (node, which, reply, outbox);
       else
@@ -411,8 +427,13 @@
           follower->watching = false;
           break;
         }
-      set_store_state (node, true, reply->result, outbox);
       back_off (node, follower);
+      /* A call that was lost in an outage may end long after the store has come back. */
+      if (follower->called_at <= node->catalog.store_ok_at)
+        break;
+      if (!node->catalog.store_fails && which != GSPAN_FOLLOW_CONFIG)
+        start_probing (&node->catalog);
+      set_store_state (node, true, reply->result, outbox);
       break;
     }
 }
@@ -436,6 +457,7 @@
   struct GspanStoreCall *call;
 
   follower->call = ref.id;
+  follower->called_at = node->now;
   call = gspan_outbox_store (outbox, ref, follower->watching ? GSPAN_STORE_WATCH : GSPAN_STORE_LIST,
                              follower->kind, follower->watching ? NULL : follower->after);
   call->revision = follower->revision;
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -30,6 +30,7 @@
   bool synced;        /* has read a whole list since the start */
   bool watching;      /* the next call is a watch, else a list */
   guint64 call;       /* under way; 0 is none */
+  guint64 called_at;  /* CALL was sent */
   guint64 next_at;    /* the next call isn't made before */
   guint64 revision;   /* WATCHING: from where */
   char *after;        /* list: last name of the page before */
@@ -42,7 +43,8 @@
   struct GspanFollower followers[GSPAN_FOLLOW_COUNT];
   struct GspanConfig config;
   GHashTable *replicas;    /* id to struct GspanReplica */
-  bool store_fails;        /* the last follower's call failed */
+  bool store_fails;        /* a follower's call failed, and no call has been answered since */
+  guint64 store_ok_at;     /* the store last answered any call of this node; 0 is never */
   guint64 store_failed_at; /* last failure of any call of this node; 0 is none */
   bool many_removed;       /* the answer being taken in removes half of the replicas or more */
   guint failures;          /* in a row */
@@ -53,6 +55,9 @@
 void gspan_catalog_handle (struct GspanNode *node, const struct GspanEvent *event,
                            struct GspanOutbox *outbox);
 
+/* Notes that the store has answered a call of any kind: it is there. */
+void gspan_catalog_store_answered (struct GspanNode *node, struct GspanOutbox *outbox);
+
 /* Starts or stops following WHICH. */
 void gspan_catalog_want (struct GspanCatalog *catalog, enum GspanFollowed which, bool wanted);
 
--- a/node/node.c
+++ b/node/node.c
@@ -100,7 +100,8 @@
 
 /* Any call tells whether the store is there, not only those that follow it. */
 static void
-note_store_failure (struct GspanNode *node, const struct GspanEvent *event)
+note_store_result (struct GspanNode *node, const struct GspanEvent *event,
+                   struct GspanOutbox *outbox)
 {
   enum GspanStoreResult result;
 
@@ -109,6 +110,8 @@
   result = event->u.store.reply->result;
   if (result == GSPAN_STORE_UNAVAILABLE || result == GSPAN_STORE_UNKNOWN)
     node->catalog.store_failed_at = node->now;
+  else
+    gspan_catalog_store_answered (node, outbox);
 }
 
 void
@@ -117,7 +120,7 @@
 {
   node->now = MAX (node->now, now);
   node->wall_ms = wall_ms;
-  note_store_failure (node, event);
+  note_store_result (node, event, outbox);
   switch (event->kind)
     {
     case GSPAN_EVENT_DRAIN:
--- a/test/node_test.cc
+++ b/test/node_test.cc
@@ -127,6 +127,24 @@
 
 /* Desk requests. */
 
+/* A call that was lost in the outage times out after the store has come back. */
+TEST_F (NodeTest, LateFailureOfACallOfAnOutageIsNoNewOutage)
+{
+  Rig &rig = start ();
+
+  world.fault = StoreFault::Away;
+  world.compact ("servers"); /* the watch ends, its list is lost */
+  world.run (800 * GSPAN_MS);
+  world.fault = StoreFault::None;
+  world.put ("config", "main", config_spec (4).c_str ());
+  world.run (2 * GSPAN_SECOND);
+  EXPECT_FALSE (rig.node.catalog.store_fails);
+  submit (rig, 1, "j1", 2);
+  world.run (200 * GSPAN_MS);
+  ASSERT_NE (answer_to (rig, 1), nullptr);
+  EXPECT_EQ (answer_to (rig, 1)->status, 202);
+}
+
 TEST_F (NodeTest, RequestGoesOnUnchangedAndItsAnswerComesBackWhole)
 {
   Rig &rig = start ();
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -130,6 +130,7 @@
   GspanStoreCall call;
   guint64 done_at;
   bool watch;
+  bool lost; /* sent while the store was away: never answered, also after its return */
 };
 
 struct World
@@ -276,7 +277,8 @@
     item.done_at = now + latency;
     if (item.watch)
       item.done_at = now + item.call.wait_ms * GSPAN_MS;
-    if (!reaches (*rig))
+    item.lost = !reaches (*rig);
+    if (item.lost)
       item.done_at = now + 1500 * GSPAN_MS;
     pending.push_back (item);
   }
@@ -349,7 +351,7 @@
     auto was_cut = std::find (cut_watches.begin (), cut_watches.end (), item.ref.id);
 
     gspan_store_reply_init (&reply);
-    if (!reaches (*item.rig) || was_cut != cut_watches.end ())
+    if (item.lost || !reaches (*item.rig) || was_cut != cut_watches.end ())
       reply.result = writes ? GSPAN_STORE_UNKNOWN : GSPAN_STORE_UNAVAILABLE;
     else if (fault == StoreFault::Busy)
       reply.result = GSPAN_STORE_UNAVAILABLE;
