jobs: unfinished runs are kept in the store; segments for the groups that are waited for

Results were listed every 400 ms whether or not the trainer could go on with them, and it reads again only half a second after each answer. Change: what long runs have generated is written to one object of the job every two seconds at most, and before a job is handed over; a new owner goes on from there. Segments are written at once for the groups that the trainer waits for, else once a second.

--- a/jobs/job.c
+++ b/jobs/job.c
@@ -31,6 +31,7 @@
   job->owner = g_strdup ("");
   job->part_texts = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   gspan_job_document_init (&job->document);
+  gspan_groups_init (&job->groups);
   job->index = g_hash_table_new (g_str_hash, g_str_equal);
   job->listed = g_ptr_array_new_with_free_func (gspan_job_result_free);
   job->ready = g_ptr_array_new_with_free_func (gspan_job_result_free);
@@ -70,6 +71,7 @@
   job->loaded = false;
   job->append_call = 0;
   job->fetch_call = 0;
+  job->keep_call = 0;
 }
 
 void
@@ -78,6 +80,7 @@
   struct GspanJob *job = data;
 
   items_free (job);
+  gspan_groups_finish (&job->groups);
   gspan_job_document_finish (&job->document);
   g_free (job->id);
   g_free (job->kind);
@@ -85,6 +88,7 @@
   g_free (job->path);
   g_free (job->owner);
   g_free (job->page_after);
+  json_decref (job->checkpoint);
   g_ptr_array_unref (job->part_texts);
   g_hash_table_unref (job->index);
   g_hash_table_unref (job->prompts);
@@ -130,6 +134,24 @@
                     "received_ms", (json_int_t)job->received_ms);
 }
 
+static bool
+is_done (enum GspanItemState state)
+{
+  return state == GSPAN_ITEM_FINISHED || state == GSPAN_ITEM_LISTED;
+}
+
+void
+gspan_job_set_state (struct GspanJob *job, struct GspanItem *item, enum GspanItemState state)
+{
+  guint index = (guint)(item - job->items);
+
+  if (is_done (state) && !is_done (item->state))
+    gspan_groups_done (&job->groups, index);
+  else if (!is_done (state) && is_done (item->state))
+    gspan_groups_undone (&job->groups, index);
+  item->state = state;
+}
+
 /* Longest first: a long item that starts late makes the whole step late. */
 static gint
 by_length (gconstpointer a, gconstpointer b, gpointer user)
@@ -149,6 +171,7 @@
   if (!gspan_wire_read_job (body, &job->document, error))
     return false;
   job->items = g_new0 (struct GspanItem, MAX (1, job->document.items->len));
+  gspan_groups_load (&job->groups, &job->document);
   for (guint i = 0; i < job->document.items->len; i++)
     {
       struct GspanItem *item = &job->items[i];
@@ -164,7 +187,7 @@
 
       if (item == NULL)
         continue;
-      item->state = GSPAN_ITEM_LISTED;
+      gspan_job_set_state (job, item, GSPAN_ITEM_LISTED);
       g_queue_remove (&job->waiting, item);
     }
   g_queue_sort (&job->waiting, by_length, NULL);
@@ -199,7 +222,7 @@
     g_queue_remove (&job->waiting, item);
   if (item->state == GSPAN_ITEM_FINISHED)
     drop_ready (job, result->item);
-  item->state = GSPAN_ITEM_LISTED;
+  gspan_job_set_state (job, item, GSPAN_ITEM_LISTED);
 }
 
 void
@@ -212,8 +235,9 @@
 
       if (item == NULL || item->state != GSPAN_ITEM_FINISHED)
         continue;
-      item->state = GSPAN_ITEM_WAITING;
+      gspan_job_set_state (job, item, GSPAN_ITEM_WAITING);
       item->last_event = 0;
+      item->kept_event = 0;
       g_queue_push_head (&job->waiting, item);
     }
   g_ptr_array_set_size (job->ready, 0);
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -3,6 +3,7 @@
 #include "board/message.h"
 #include "common/error.h"
 #include "jobs/document.h"
+#include "jobs/groups.h"
 #include "jobs/result.h"
 
 /*
@@ -29,6 +30,7 @@
   enum GspanItemState state;
   struct GspanJobResult *result; /* what has been generated so far; NULL before the first event */
   guint64 last_event;
+  guint64 kept_event; /* last one when the job's checkpoint was last written */
   guint failures;     /* answers of 500 */
   guint losses;       /* runs in a row that broke without an event */
   guint64 not_before; /* the next run starts then at the earliest */
@@ -69,6 +71,7 @@
   struct GspanJobDocument document;
   struct GspanItem *items;
   GHashTable *index; /* item id to its struct GspanItem */
+  struct GspanGroups groups;
 
   GPtrArray *listed; /* struct GspanJobResult, by position */
   guint segments;    /* read so far */
@@ -84,8 +87,15 @@
   GPtrArray *ready;    /* struct GspanJobResult that wait to be listed */
   guint64 append_call;
   guint append_count;
+  bool append_left;    /* more results were ready than fit into that segment */
+  guint groups_listed; /* complete groups when the last segment was written */
+  guint64 appended_at; /* that was then */
   guint64 append_after;
   guint64 append_failing_since; /* 0 while it works */
+  bool kept;                    /* the store has a checkpoint (jobs/checkpoint.h) */
+  json_t *checkpoint;           /* as it was read, until the content is loaded; may be NULL */
+  guint64 keep_call;
+  guint64 keep_after; /* the next checkpoint is not before */
   bool handing_over;
 
   GPtrArray *readers;      /* struct GspanJobReader */
@@ -119,6 +129,9 @@
 /* Takes over BODY as the content; false with ERROR set where it can't be read. */
 bool gspan_job_load (struct GspanJob *job, struct GspanStr body, struct GspanError *error);
 
+/* Puts ITEM into STATE and counts the groups that are complete by it. */
+void gspan_job_set_state (struct GspanJob *job, struct GspanItem *item, enum GspanItemState state);
+
 /* Takes RESULT, whose ownership it gets, at the next position. */
 void gspan_job_list (struct GspanJob *job, struct GspanJobResult *result);
 
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "jobs/checkpoint.h"
 #include "node/node.h"
 
 #define KEPT_UNUSED_US (5 * GSPAN_SECOND) /* what can be read again isn't kept for longer */
@@ -135,6 +136,10 @@
       if (job != NULL && job->append_call == call->id)
         gspan_listing_appended (node, job, event->u.store.call, reply, outbox);
       break;
+    case GSPAN_JOB_KEEP:
+      if (job != NULL && job->keep_call == call->id)
+        gspan_checkpoint_written (node, job, reply, outbox);
+      break;
     case GSPAN_JOB_TAKE:
       if (job != NULL && job->head_call == call->id)
         gspan_owner_done (node, job, reply, outbox);
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -18,6 +18,7 @@
   GSPAN_JOB_LOOK_UP,   /* a caller asks for a job that isn't known here */
   GSPAN_JOB_FETCH,     /* parts and segments */
   GSPAN_JOB_APPEND,    /* a new segment */
+  GSPAN_JOB_KEEP,      /* a checkpoint of runs */
   GSPAN_JOB_TAKE,      /* a new owner, or none */
   GSPAN_JOB_CHECK,     /* the head, by the owner or a deputy */
   GSPAN_JOB_END,
--- a/jobs/listing.c
+++ b/jobs/listing.c
@@ -1,10 +1,11 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "jobs/checkpoint.h"
+#include "jobs/commit.h"
 #include "jobs/jobs.h"
 #include "node/node.h"
 
-#define APPEND_PAUSE_US (400 * GSPAN_MS) /* gathers the results of so long in one segment */
 /*
  * Readers of a job that another node runs look at the store so often while they wait. Lists only: a
  * watch from a revision whose history is gone may wait in silence.
@@ -55,6 +56,8 @@
       gspan_line_cstr (&line, "error", error.message);
       gspan_outbox_log (outbox, "jobs", GSPAN_PRIORITY_ERROR, &line);
     }
+  else
+    gspan_checkpoint_restore (job);
   g_ptr_array_set_size (job->part_texts, 0);
   g_string_free (body, TRUE);
 }
@@ -90,7 +93,9 @@
 
   if (object->removed)
     return;
-  if (gspan_job_parse_part (object->name, &number))
+  if (strcmp (object->name, gspan_checkpoint_name) == 0)
+    gspan_checkpoint_read (job, object->spec);
+  else if (gspan_job_parse_part (object->name, &number))
     add_part (job, object, number);
   else if (gspan_job_parse_segment (object->name, &number))
     add_segment (job, object->spec, number);
@@ -140,15 +145,38 @@
   return json_pack ("{s:o}", "results", results);
 }
 
+/* When results of JOB are due; 0 where its route doesn't say. */
+static guint64
+due_at (const struct GspanNode *node, const struct GspanJob *job)
+{
+  const struct GspanConfigRoute *route = gspan_config_match (
+      &node->catalog.config, gspan_str_from (job->host), gspan_str_from (job->path));
+  gint64 age_ms = node->wall_ms - job->received_ms;
+
+  if (route == NULL || route->results_due_us == 0 || age_ms < 0)
+    return 0;
+  return node->now + route->results_due_us
+         - MIN (route->results_due_us, (guint64)age_ms * GSPAN_MS);
+}
+
 static bool
 may_append (const struct GspanNode *node, const struct GspanJob *job)
 {
-  bool last = job->listed->len + job->ready->len >= job->total;
+  struct GspanCommitState state = { 0 };
+  guint done = job->listed->len + job->ready->len;
 
   if (!job->mine || job->ended || !job->read_all || job->append_call != 0 || job->ready->len == 0
-      || node->catalog.store_fails)
+      || node->catalog.store_fails || node->now < job->append_after)
     return false;
-  return node->now >= job->append_after || (last && job->append_failing_since == 0);
+  state.now = node->now;
+  state.last_at = job->appended_at;
+  state.due_at = due_at (node, job);
+  state.ready = job->ready->len;
+  state.left = job->total - MIN (job->total, done);
+  state.groups_wanted = (guint)job->document.groups_wanted;
+  state.groups_complete = job->groups.complete;
+  state.groups_listed = job->groups_listed;
+  return gspan_commit_due (&state);
 }
 
 static void
@@ -161,6 +189,8 @@
 
   call->value = segment_of (node, job);
   job->append_call = item->id;
+  job->append_left = job->append_count < job->ready->len;
+  job->groups_listed = job->groups.complete;
   g_free (name);
 }
 
@@ -173,7 +203,7 @@
   guint number = 0;
 
   job->append_call = 0;
-  job->append_after = node->now + APPEND_PAUSE_US;
+  job->appended_at = job->append_left ? 0 : node->now;
   gspan_line_init (&line, "results-listed");
   gspan_line_cstr (&line, "job", job->id);
   gspan_line_u64 (&line, "segment", job->segments);
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "jobs/checkpoint.h"
 #include "jobs/jobs.h"
 #include "node/node.h"
 
@@ -165,6 +166,7 @@
       job->told_at = node->now;
       tell_deputies (node, job, "runs", outbox);
     }
+  gspan_checkpoint_advance (node, job, false, outbox);
   if (node->now - job->checked_at >= CHECK_US && !node->catalog.store_fails)
     {
       job->checked_at = node->now;
@@ -220,8 +222,9 @@
 {
   job->handing_over = true;
   gspan_runner_stop (node, job, outbox);
-  if (job->ready->len > 0 || job->append_call != 0 || job->head_call != 0
-      || node->catalog.store_fails || node->now < job->append_after)
+  gspan_checkpoint_advance (node, job, true, outbox);
+  if (gspan_checkpoint_pending (node, job) || job->ready->len > 0 || job->append_call != 0
+      || job->head_call != 0 || node->catalog.store_fails || node->now < job->append_after)
     return;
   log_owner (job, "job-handed-back", outbox);
   name_owner (node, job, "", outbox);
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -97,7 +97,7 @@
       item->result = gspan_job_result_new (item->source->id);
     }
   item->result->completed = completed;
-  item->state = GSPAN_ITEM_FINISHED;
+  gspan_job_set_state (job, item, GSPAN_ITEM_FINISHED);
   g_ptr_array_add (job->ready, item->result);
   item->result = NULL;
   gspan_metrics_add (&node->metrics,
@@ -112,6 +112,7 @@
     gspan_job_result_free (item->result);
   item->result = NULL;
   item->last_event = 0;
+  item->kept_event = 0;
 }
 
 static bool
@@ -134,7 +135,7 @@
       /* another replica may have other weights, under which the result couldn't go on */
       if (keeps_single_version (node, run->job))
         drop_progress (item);
-      item->state = GSPAN_ITEM_WAITING;
+      gspan_job_set_state (run->job, item, GSPAN_ITEM_WAITING);
       g_queue_push_head (&run->job->waiting, item);
     }
   g_hash_table_remove (node->runner.runs, &run->id);
@@ -355,7 +356,7 @@
   run->heard = node->now;
   gspan_events_init (&run->events, gspan_wire_event_weights);
   replica->open++;
-  item->state = GSPAN_ITEM_RUNNING;
+  gspan_job_set_state (job, item, GSPAN_ITEM_RUNNING);
   g_hash_table_insert (node->runner.runs, &run->id, run);
   if (item->source->group[0] != '\0')
     g_hash_table_replace (job->prompts, g_strdup (item->source->group), g_strdup (replica->id));
