weights: dark replicas take no load's place, ends of loads are asked for

The two places for loads were held by a dark replica for 2.9 s; loads of 0.9 s were seen to end after 1.0 to 1.4 s, by the replicas' entries; and no load began for a second after the naming. So the next step had 32 of 144 slots, and all its runs stayed on a slow replica, since there was no other. Both tests failed before.

--- a/test/weights_test.cc
+++ b/test/weights_test.cc
@@ -25,7 +25,9 @@
     unsigned weights;
   };
   std::vector<Sent> sent;
-  bool silent = false; /* orders are carried out, but not answered */
+  bool silent = false;   /* orders are carried out, but not answered */
+  std::string dark;      /* address of a replica that answers nothing */
+  guint64 entry_lag = 0; /* of an engine's entry behind its engine */
 
   static unsigned
   number (const std::string &body, const char *key)
@@ -43,6 +45,12 @@
     std::string address = exchange.url.substr (7, exchange.url.find ('/', 7) - 7);
     Engine &engine = engines[address];
 
+    if (address == dark)
+      {
+        if (world.now >= exchange.sent + 500 * GSPAN_MS)
+          rig.http_done (exchange, GSPAN_HTTP_TIMEOUT, 0, {}, "");
+        return;
+      }
     if (exchange.url.find ("/api/report") != std::string::npos)
       {
         rig.http_done (exchange, GSPAN_HTTP_WHOLE, 200, {},
@@ -63,8 +71,9 @@
     engine.accepted++;
     engine.busy_until = world.now + 900 * GSPAN_MS;
     unsigned weights = number (exchange.body, "version");
-    world.later.push_back ({ engine.busy_until, [this, address, weights] {
-                              engines[address].weights = weights;
+    world.later.push_back (
+        { engine.busy_until, [this, address, weights] { engines[address].weights = weights; } });
+    world.later.push_back ({ engine.busy_until + entry_lag, [this, address, weights] {
                               unsigned host = (unsigned)std::stoul (address.substr (7));
                               world.put ("servers", "m" + std::to_string (host - 2),
                                          replica_spec ("llm", host, weights).c_str ());
@@ -144,6 +153,32 @@
   check_orders ();
 }
 
+/* A step may wait for the last replica, so a dark one holds nobody up. */
+TEST_F (Weights, ReplicaThatGivesNoAnswerDoesNotKeepOthersFromLoading)
+{
+  start (1);
+  run (8 * GSPAN_SECOND);
+  for (unsigned weights = 2; weights <= 5; weights++)
+    {
+      dark = weights % 2 == 0 ? "10.0.0.3:80" : "10.0.0.4:80";
+      std::string lit = weights % 2 == 0 ? "10.0.0.4:80" : "10.0.0.3:80";
+      name_weights (weights);
+      run (3 * GSPAN_SECOND);
+      EXPECT_EQ (engines[lit].weights, weights);
+    }
+}
+
+TEST_F (Weights, EndOfALoadIsLearnedFromTheReplicaBeforeItsEntrySaysSo)
+{
+  entry_lag = 5 * GSPAN_SECOND;
+  start (1);
+  run (8 * GSPAN_SECOND);
+  name_weights (2);
+  run (2600 * GSPAN_MS); /* two loads of 0.9 s, one after the other */
+  EXPECT_EQ (engines["10.0.0.3:80"].weights, 2U);
+  EXPECT_EQ (engines["10.0.0.4:80"].weights, 2U);
+}
+
 TEST_F (Weights, OrderWithoutAnAnswerIsNotCarriedOutTwice)
 {
   start (1);
--- a/weights/plan.c
+++ b/weights/plan.c
@@ -5,7 +5,8 @@
 
 #include "common/clock.h"
 
-#define HOLD_OFF_US (800 * GSPAN_MS) /* a step is submitted and its items are placed by then */
+#define HOLD_OFF_US                                                                                \
+  (300 * GSPAN_MS) /* a step that waited for the version has been placed by then */
 
 enum
 {
@@ -120,7 +121,7 @@
 {
   guint64 has = gspan_replica_weights (replica, query->model);
 
-  if (has == 0 || has >= query->weights || replica->draining || replica->misdirected
+  if (has == 0 || has >= query->weights || !gspan_replica_usable (replica, query->now)
       || g_hash_table_contains (query->loads, replica->id)
       || g_strcmp0 (g_hash_table_lookup (query->homes->model_of, replica->id), query->model) != 0)
     return false;
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -6,9 +6,12 @@
 #include "node/node.h"
 #include "platform/wire.h"
 
-#define CALL_TIMEOUT_US (GSPAN_SECOND)
-#define LOAD_EXPECTED_US (1500 * GSPAN_MS) /* then the replica is asked how far it is */
-#define ASK_AGAIN_US (500 * GSPAN_MS)
+#define CALL_TIMEOUT_US (500 * GSPAN_MS)  /* a replica that is well answers in a few ms */
+#define LOAD_EXPECTED_US (850 * GSPAN_MS) /* then the replica is asked how far it is */
+#define LOAD_REFUSES_US                                                                            \
+  (1500 * GSPAN_MS) /* its requests go elsewhere for so long, or until it is done */
+#define ASK_AGAIN_US (100 * GSPAN_MS)   /* the next load waits for the end of this one */
+#define ASK_SILENT_US (500 * GSPAN_MS)  /* of a replica that gave no answer */
 #define LOAD_MAX_US (10 * GSPAN_SECOND) /* then another replica may load in its place */
 
 struct GspanNamedWeights
@@ -27,6 +30,7 @@
   guint64 call; /* order or question under way; 0 is none */
   bool asking;  /* it is a question */
   bool ordered; /* an order may have reached the replica */
+  bool silent;  /* the last exchange got no answer; another replica loads in its place */
   guint64 started;
   guint64 next_at; /* next question or order */
 };
@@ -254,13 +258,27 @@
   g_ptr_array_unref (models);
 }
 
+/* Loads that draw on the platform's store of weights. */
+static guint
+count_loads (const struct GspanWeights *weights)
+{
+  guint count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, weights->loads);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += !((const struct GspanLoad *)value)->silent;
+  return count;
+}
+
 /* All models share what the platform's store of weights bears. */
 static void
 start_loads (struct GspanNode *node, struct GspanOutbox *outbox)
 {
   guint most = gspan_plan_loads_at_once (gspan_plan_count (node->catalog.replicas));
 
-  while (g_hash_table_size (node->weights.loads) < most)
+  while (count_loads (&node->weights) < most)
     {
       struct GspanReplica *replica = NULL;
       const struct GspanNamedWeights *named = pick_load (node, &replica);
@@ -275,6 +293,7 @@
 is_over (const struct GspanNode *node, const struct GspanLoad *load)
 {
   return load->replica->removed || load->replica->misdirected || load->replica->draining
+         || (load->silent && !load->ordered)
          || gspan_replica_weights (load->replica, load->model) >= load->weights
          || node->now - load->started > LOAD_MAX_US;
 }
@@ -303,6 +322,18 @@
     }
 }
 
+/* A replica that gives no answer may be gone: others load in its place meanwhile. */
+static void
+note_silence (struct GspanNode *node, struct GspanLoad *load, const struct GspanEventHttp *answer)
+{
+  bool silent = answer->result != GSPAN_HTTP_WHOLE;
+
+  if (silent)
+    gspan_replica_failed (load->replica, node->now);
+  load->silent = silent;
+  load->next_at = node->now + (silent ? ASK_SILENT_US : ASK_AGAIN_US);
+}
+
 static void
 on_order_answer (struct GspanNode *node, struct GspanLoad *load,
                  const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
@@ -310,11 +341,11 @@
   bool whole = answer->result == GSPAN_HTTP_WHOLE;
 
   log_load (node, load, "order-answered", whole ? answer->status : 0, outbox);
-  load->next_at = node->now + ASK_AGAIN_US;
+  note_silence (node, load, answer);
   if (whole && answer->status == 202)
     {
       load->replica->orders_accepted++;
-      load->replica->loading_until = node->now + LOAD_EXPECTED_US;
+      load->replica->loading_until = node->now + LOAD_REFUSES_US;
       load->next_at = node->now + LOAD_EXPECTED_US;
       return;
     }
@@ -338,7 +369,7 @@
   struct GspanWireReport report;
   struct GspanError error = { 0 };
 
-  load->next_at = node->now + ASK_AGAIN_US;
+  note_silence (node, load, answer);
   if (answer->result != GSPAN_HTTP_WHOLE || answer->status != 200)
     {
       log_load (node, load, "report-missing", answer->status, outbox);
