jobs: owners tell readers' nodes of new segments; fewer looks at the store

Change: the reader's node asks the owner by datagram, hears of each segment at once, and looks at the store only for these; an owner that isn't heard is done without. Heads are looked up among old data first, 404 still needs the newest; an end told by the node that wrote it is taken at its word; the owner reads its head every 1.5 s.

--- a/jobs/checkpoint.c
+++ b/jobs/checkpoint.c
@@ -12,7 +12,7 @@
 
 enum
 {
-  EVENTS_LEAST = 30,      /* of a run, beyond what is kept of it; fewer are soon made again */
+  EVENTS_LEAST = 45,      /* of a run, beyond what is kept of it; fewer are soon made again */
   EVENTS_LEAST_LAST = 5,  /* as above, where the job is handed over */
   SIZE_SHARE_PERCENT = 40 /* of an object's largest size; JSON escapes some bytes */
 };
--- a/jobs/commit.h
+++ b/jobs/commit.h
@@ -20,6 +20,7 @@
   guint groups_wanted;   /* that the trainer waits for; 0 is all */
   guint groups_complete; /* listed and ready items together */
   guint groups_listed;   /* that were complete at the last segment */
+  bool handing_over;     /* this node stops running the job */
 };
 
 bool gspan_commit_due (const struct GspanCommitState *state);
--- a/jobs/job.c
+++ b/jobs/job.c
@@ -36,6 +36,7 @@
   job->listed = g_ptr_array_new_with_free_func (gspan_job_result_free);
   job->ready = g_ptr_array_new_with_free_func (gspan_job_result_free);
   job->prompts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  job->askers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   job->readers = g_ptr_array_new_with_free_func (g_free);
   job->item_readers = g_ptr_array_new_with_free_func (item_reader_free);
   g_queue_init (&job->waiting);
@@ -94,6 +95,7 @@
   g_hash_table_unref (job->prompts);
   g_ptr_array_unref (job->listed);
   g_ptr_array_unref (job->ready);
+  g_hash_table_unref (job->askers);
   g_ptr_array_unref (job->readers);
   g_ptr_array_unref (job->item_readers);
   g_free (job);
@@ -225,6 +227,13 @@
   gspan_job_set_state (job, item, GSPAN_ITEM_LISTED);
 }
 
+void
+gspan_job_looked (struct GspanJob *job, guint64 now, gint64 wall_ms)
+{
+  job->looked_at = now;
+  job->looked_wall_ms = wall_ms;
+}
+
 void
 gspan_job_drop_ready (struct GspanJob *job)
 {
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -73,11 +73,12 @@
   GHashTable *index; /* item id to its struct GspanItem */
   struct GspanGroups groups;
 
-  GPtrArray *listed; /* struct GspanJobResult, by position */
-  guint segments;    /* read so far */
-  bool read_all;     /* all that was listed at LOOKED_AT */
-  guint64 looked_at; /* the store's word on what is listed came last; 0 is never */
-  char *page_after;  /* last name of the page before */
+  GPtrArray *listed;     /* struct GspanJobResult, by position */
+  guint segments;        /* read so far */
+  bool read_all;         /* all that was listed at LOOKED_AT */
+  guint64 looked_at;     /* the store's word on what is listed came last; 0 is never */
+  gint64 looked_wall_ms; /* the same by the wall clock, which goes on while a VM is suspended */
+  char *page_after;      /* last name of the page before */
   guint64 fetch_call;
   guint64 fetch_after; /* the next look is not before */
 
@@ -98,6 +99,11 @@
   guint64 keep_after; /* the next checkpoint is not before */
   bool handing_over;
 
+  GHashTable *askers;    /* owner: name of a node whose callers read it to guint64, until when */
+  guint64 asked_news_at; /* reader's node: its owner was asked what is listed */
+  guint64 heard_news_at; /* and said so */
+  guint news_segments;   /* that its owner has listed */
+
   GPtrArray *readers;      /* struct GspanJobReader */
   GPtrArray *item_readers; /* struct GspanItemReader */
   guint64 used_at;
@@ -135,6 +141,9 @@
 /* Takes RESULT, whose ownership it gets, at the next position. */
 void gspan_job_list (struct GspanJob *job, struct GspanJobResult *result);
 
+/* The store has just said, to the call that was answered at NOW, what of JOB is listed. */
+void gspan_job_looked (struct GspanJob *job, guint64 now, gint64 wall_ms);
+
 /* Drops results that aren't listed; their items wait for another run. */
 void gspan_job_drop_ready (struct GspanJob *job);
 
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -4,6 +4,7 @@
 
 #include "common/clock.h"
 #include "jobs/checkpoint.h"
+#include "jobs/news.h"
 #include "node/node.h"
 
 #define KEPT_UNUSED_US (5 * GSPAN_SECOND) /* what can be read again isn't kept for longer */
@@ -166,6 +167,7 @@
 
       gspan_owner_tick (node, job, outbox);
       gspan_serve_readers (node, job, outbox);
+      gspan_news_ask (node, job, outbox);
       gspan_listing_advance (node, job, outbox);
       if (!job->mine && job->readers->len == 0 && job->item_readers->len == 0
           && (job->loaded || job->listed->len > 0) && node->now - job->used_at > KEPT_UNUSED_US)
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -33,6 +33,7 @@
   char *job;
   guint64 request;               /* LOOK_UP and END: the caller's */
   struct GspanWireTarget target; /* LOOK_UP: what was asked */
+  bool fresh;                    /* LOOK_UP: the store's newest word */
 };
 
 struct GspanJobs
--- a/jobs/listing.c
+++ b/jobs/listing.c
@@ -4,6 +4,7 @@
 #include "jobs/checkpoint.h"
 #include "jobs/commit.h"
 #include "jobs/jobs.h"
+#include "jobs/news.h"
 #include "node/node.h"
 
 /*
@@ -176,6 +177,7 @@
   state.groups_wanted = (guint)job->document.groups_wanted;
   state.groups_complete = job->groups.complete;
   state.groups_listed = job->groups_listed;
+  state.handing_over = job->handing_over;
   return gspan_commit_due (&state);
 }
 
@@ -217,7 +219,8 @@
       gspan_job_parse_segment (sent->name, &number);
       add_segment (job, sent->value, number);
       job->append_failing_since = 0;
-      job->looked_at = node->now;
+      gspan_job_looked (job, node->now, node->wall_ms);
+      gspan_news_tell (node, job, outbox);
       gspan_serve_readers (node, job, outbox);
     }
   else
@@ -256,7 +259,7 @@
   else
     {
       job->read_all = true;
-      job->looked_at = node->now;
+      gspan_job_looked (job, node->now, node->wall_ms);
       job->fetch_after = node->now + LOOK_AGAIN_US;
     }
   gspan_serve_readers (node, job, outbox);
@@ -268,7 +271,9 @@
 {
   if (job->mine)
     return !job->read_all || gspan_serve_wants_look (node, job);
-  return job->readers->len > 0;
+  if (job->readers->len == 0)
+    return false;
+  return gspan_news_wants_look (node, job) || gspan_serve_wants_look (node, job);
 }
 
 void
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 #include "jobs/checkpoint.h"
 #include "jobs/jobs.h"
+#include "jobs/news.h"
 #include "node/node.h"
 
 /*
@@ -19,7 +20,7 @@
 };
 
 #define TELL_US (400 * GSPAN_MS)     /* between two words to the deputies */
-#define CHECK_US (GSPAN_SECOND)      /* between two looks at the head; an end counts in seconds */
+#define CHECK_US (1500 * GSPAN_MS)   /* between two looks at the head; an end counts in seconds */
 #define ASK_US (2 * GSPAN_SECOND)    /* between two questions of the first in rank */
 #define SILENCE_US (1600 * GSPAN_MS) /* four words that didn't come */
 #define HANDED_BACK_US (100 * GSPAN_MS)
@@ -277,7 +278,7 @@
 }
 
 static void
-take_word (struct GspanNode *node, const char *kind, const char *id, const char *from,
+take_word (struct GspanNode *node, const char *kind, const char *id, const char *from, json_t *word,
            struct GspanOutbox *outbox)
 {
   struct GspanJob *job = gspan_jobs_find (&node->jobs, id);
@@ -290,9 +291,17 @@
     return;
   else if (strcmp (kind, "runs") == 0)
     job->heard_at = node->now;
+  else if (strcmp (kind, "reads") == 0 || strcmp (kind, "listed") == 0)
+    gspan_news_take (node, job, kind, from, word, outbox);
   else if (strcmp (kind, "over") == 0)
     job->let_be = true;
-  else if (strcmp (kind, "ended") == 0 || strcmp (kind, "left") == 0)
+  else if (strcmp (kind, "ended") == 0)
+    {
+      /* The store has said so to the node that sent it. */
+      job->ended = true;
+      gspan_owner_update (node, job, outbox);
+    }
+  else if (strcmp (kind, "left") == 0)
     check_head (node, id, outbox);
 }
 
@@ -305,6 +314,6 @@
   const char *from = json_string_value (json_object_get (root, "from"));
 
   if (kind != NULL && id != NULL && from != NULL)
-    take_word (node, kind, id, from, outbox);
+    take_word (node, kind, id, from, root, outbox);
   json_decref (root);
 }
--- a/jobs/serve.c
+++ b/jobs/serve.c
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 #include "gateway/gateway.h"
 #include "jobs/jobs.h"
+#include "jobs/news.h"
 #include "node/node.h"
 
 #define LOOK_MAX_US (GSPAN_SECOND) /* a look at the store that takes longer is given up */
@@ -64,6 +65,8 @@
 try_reader (struct GspanNode *node, struct GspanJob *job, const struct GspanJobReader *reader,
             struct GspanOutbox *outbox)
 {
+  if (gspan_news_reader_waits (node, job, reader))
+    return false;
   if (has_news (job, reader) || may_say_nothing (node, job, reader))
     answer_results (job, reader->request, reader->after, outbox);
   else if (node->now >= reader->until + LOOK_MAX_US || node->catalog.store_fails)
@@ -149,6 +152,7 @@
   reader->until = node->now + target->wait_us;
   g_ptr_array_add (job->readers, reader);
   gspan_serve_readers (node, job, outbox);
+  gspan_news_ask (node, job, outbox);
   gspan_listing_advance (node, job, outbox);
 }
 
@@ -177,14 +181,18 @@
   item->request = request;
 }
 
+/* Who runs the job is asked for where it isn't known here; old data will do unless FRESH. */
 static void
-look_up (struct GspanNode *node, guint64 request, const struct GspanWireTarget *target,
+look_up (struct GspanNode *node, guint64 request, const struct GspanWireTarget *target, bool fresh,
          struct GspanOutbox *outbox)
 {
   struct GspanJobCall *item;
+  struct GspanStoreCall *call
+      = gspan_jobs_call (node, GSPAN_JOB_LOOK_UP, target->job, GSPAN_STORE_GET, GSPAN_JOBS_KIND,
+                         target->job, outbox, &item);
 
-  gspan_jobs_call (node, GSPAN_JOB_LOOK_UP, target->job, GSPAN_STORE_GET, GSPAN_JOBS_KIND,
-                   target->job, outbox, &item);
+  call->may_be_old = !fresh;
+  item->fresh = fresh;
   item->request = request;
   item->target.kind = target->kind;
   item->target.job = g_strdup (target->job);
@@ -219,7 +227,7 @@
   else if (target->kind != GSPAN_WIRE_PATH_END && job != NULL)
     serve_known (node, job, request, target, outbox);
   else if (!node->catalog.store_fails)
-    look_up (node, request, target, outbox);
+    look_up (node, request, target, false, outbox);
   else
     gspan_gateway_refuse (node, request, "the platform's store is away", RETRY_WAIT_US, outbox);
 }
@@ -269,6 +277,8 @@
   job = gspan_jobs_find (&node->jobs, call->job);
   if (job != NULL)
     serve_known (node, job, call->request, &call->target, outbox);
+  else if (!call->fresh && reply->result == GSPAN_STORE_MISSING)
+    look_up (node, call->request, &call->target, true, outbox);
   else if (reply->result == GSPAN_STORE_MISSING)
     gspan_gateway_answer (call->request, 404, "no such job", outbox);
   else
--- a/test/commit_test.cc
+++ b/test/commit_test.cc
@@ -36,13 +36,21 @@
 
 TEST_F (Commit, ResultsThatDoNotLetTheTrainerGoOnAreGatheredForASecond)
 {
-  EXPECT_FALSE (gspan_commit_due (&state));
   state.groups_listed = 12;
   EXPECT_FALSE (gspan_commit_due (&state));
   state.now = state.last_at + GSPAN_SECOND;
   EXPECT_TRUE (gspan_commit_due (&state));
 }
 
+TEST_F (Commit, ResultsThatCompleteNoGroupAreGatheredForLonger)
+{
+  state.now = state.last_at + GSPAN_SECOND;
+  state.due_at = state.now + 5 * GSPAN_SECOND;
+  EXPECT_FALSE (gspan_commit_due (&state));
+  state.now = state.last_at + 2500 * GSPAN_MS;
+  EXPECT_TRUE (gspan_commit_due (&state));
+}
+
 TEST_F (Commit, TheGroupThatTheTrainerWaitsForIsWrittenAtOnce)
 {
   state.groups_complete = 16;
@@ -57,6 +65,12 @@
   EXPECT_TRUE (gspan_commit_due (&state));
 }
 
+TEST_F (Commit, AJobThatIsHandedOverIsNotHeldUpByGathering)
+{
+  state.handing_over = true;
+  EXPECT_TRUE (gspan_commit_due (&state));
+}
+
 TEST_F (Commit, CloseToTheDueTimeResultsAreGatheredForLess)
 {
   state.due_at = state.now + GSPAN_SECOND;
