--- a/jobs/job.h
+++ b/jobs/job.h
@@ -87,6 +87,7 @@
   GHashTable *prompts; /* group to id of the replica that has its prompt */
   GPtrArray *ready;    /* struct GspanJobResult that wait to be listed */
   guint64 append_call;
+  guint64 append_sent; /* APPEND_CALL was sent */
   guint append_count;
   bool append_left;    /* more results were ready than fit into that segment */
   guint groups_listed; /* complete groups when the last segment was written */
@@ -112,6 +113,8 @@
   guint64 heard_at;  /* its owner said that it runs it */
   guint64 asked_at;
   guint64 told_at;       /* owner: the deputies heard that it runs here */
+  bool told_stuck;       /* owner: the deputies heard that it can't list results */
+  bool owner_stuck;      /* deputy: its owner said so */
   guint64 checked_at;    /* owner: the head was read */
   guint64 looked_up_at;  /* deputy: the store answered a look at the head */
   guint64 look_up_after; /* deputy: the next look is not before */
--- a/jobs/listing.c
+++ b/jobs/listing.c
@@ -191,6 +191,7 @@
 
   call->value = segment_of (node, job);
   job->append_call = item->id;
+  job->append_sent = node->now;
   job->append_left = job->append_count < job->ready->len;
   job->groups_listed = job->groups.complete;
   g_free (name);
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -26,6 +26,8 @@
 #define HANDED_BACK_US (100 * GSPAN_MS)
 #define RANK_US (700 * GSPAN_MS) /* the next in rank waits for so much longer */
 #define STUCK_US (GSPAN_SECOND)  /* an owner that can't list results for so long says so */
+#define OUTAGE_US                                                                                  \
+  (2 * GSPAN_SECOND) /* a failure here so long before an owner's is another matter */
 #define RETRY_US (300 * GSPAN_MS)
 
 static void
@@ -42,20 +44,22 @@
   gspan_outbox_log (outbox, "jobs", GSPAN_PRIORITY_NOTICE, &line);
 }
 
+static json_t *
+word_with_head (const struct GspanNode *node, const struct GspanJob *job, const char *kind)
+{
+  return json_pack ("{s:s, s:s, s:s, s:o, s:I}", "kind", kind, "job", job->id, "from",
+                    node->self.name, "head", gspan_job_write_head (job, job->owner), "revision",
+                    (json_int_t)job->revision);
+}
+
 static void
 tell_deputies (struct GspanNode *node, const struct GspanJob *job, const char *kind,
                struct GspanOutbox *outbox)
 {
   const char *names[DEPUTIES];
   guint count = gspan_peers_deputies (node, job->id, node->self.name, names, DEPUTIES);
-  json_t *word
-      = json_pack ("{s:s, s:s, s:s}", "kind", kind, "job", job->id, "from", node->self.name);
+  json_t *word = word_with_head (node, job, kind);
 
-  if (job->mine)
-    {
-      json_object_set_new (word, "head", gspan_job_write_head (job, job->owner));
-      json_object_set_new (word, "revision", json_integer ((json_int_t)job->revision));
-    }
   for (guint i = 0; i < count; i++)
     gspan_peers_send (node, names[i], word, outbox);
   json_decref (word);
@@ -100,16 +104,33 @@
   job->head_call = item->id;
 }
 
+/* The owner of before may not reach the store, but stops its runs when it hears of it. */
+static void
+tell_taken (struct GspanNode *node, const struct GspanJob *job, const char *before,
+            struct GspanOutbox *outbox)
+{
+  json_t *word = word_with_head (node, job, "taken");
+
+  gspan_peers_send (node, before, word, outbox);
+  json_decref (word);
+}
+
 void
 gspan_owner_done (struct GspanNode *node, struct GspanJob *job, const struct GspanStoreReply *reply,
                   struct GspanOutbox *outbox)
 {
   const struct GspanStoreObject *head = gspan_store_reply_first (reply);
 
+  char *before = g_strdup (job->owner);
+
   job->head_call = 0;
   job->heard_at = node->now;
+  job->owner_stuck = false;
   if (head != NULL)
     gspan_jobs_apply (node, head, outbox);
+  if (reply->result == GSPAN_STORE_OK && job->mine && strcmp (before, node->self.name) != 0)
+    tell_taken (node, job, before, outbox);
+  g_free (before);
 }
 
 static bool
@@ -160,16 +181,32 @@
 static bool
 is_able (const struct GspanNode *node, const struct GspanJob *job)
 {
+  if (job->append_call != 0 && node->now - job->append_sent > STUCK_US)
+    return false;
   return job->append_failing_since == 0 || node->now - job->append_failing_since <= STUCK_US;
 }
 
+/* A deputy that reaches the store goes on with a job whose owner doesn't. */
+static void
+tell_stuck (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
+{
+  if (job->told_stuck)
+    return;
+  job->told_stuck = true;
+  log_owner (job, "job-owner-stuck", outbox);
+  tell_deputies (node, job, "stuck", outbox);
+}
+
 /* Of a job that this node runs. */
 static void
 keep_job (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
-  if (node->now - job->told_at >= TELL_US && is_able (node, job))
+  if (!is_able (node, job))
+    tell_stuck (node, job, outbox);
+  else if (node->now - job->told_at >= TELL_US)
     {
       job->told_at = node->now;
+      job->told_stuck = false;
       tell_deputies (node, job, "runs", outbox);
     }
   gspan_checkpoint_advance (node, job, false, outbox);
@@ -213,13 +250,22 @@
   return node->weights.lease.held ? MIN (rank, DEPUTIES) : rank;
 }
 
+/* True where JOB's owner alone doesn't reach the store; in an outage it keeps the job. */
+static bool
+is_cut_off (const struct GspanNode *node, const struct GspanJob *job)
+{
+  return job->owner_stuck
+         && (node->catalog.store_failed_at == 0
+             || node->catalog.store_failed_at + OUTAGE_US < job->heard_at);
+}
+
 /* Of a job that another node runs, or none. */
 static void
 watch_owner (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
   guint rank = rank_for (node, job);
   guint64 silent_since = MAX (job->heard_at, node->catalog.store_failed_at);
-  bool handed_back = job->owner[0] == '\0';
+  bool handed_back = job->owner[0] == '\0' || is_cut_off (node, job);
   bool deputy = rank < DEPUTIES;
   guint64 patience = (handed_back ? HANDED_BACK_US : SILENCE_US) + rank * RANK_US
                      + (deputy ? 0 : 2 * ASK_US * (1 + rank));
@@ -285,9 +331,9 @@
     send_word (node, job->owner, "ended", job->id, outbox);
 }
 
-/* A deputy hears of a job for the first time: it has to know the head to take it over. */
+/* The head as the node that wrote or runs it has told it. */
 static void
-learn_of_job (struct GspanNode *node, const char *id, json_t *word, struct GspanOutbox *outbox)
+take_head (struct GspanNode *node, const char *id, json_t *word, struct GspanOutbox *outbox)
 {
   struct GspanStoreObject head = { 0 };
 
@@ -309,11 +355,16 @@
   if (strcmp (kind, "ask") == 0)
     answer_question (node, id, from, outbox);
   else if (job == NULL && strcmp (kind, "runs") == 0)
-    learn_of_job (node, id, word, outbox);
+    take_head (node, id, word, outbox); /* a deputy has to know it to take the job over */
   else if (job == NULL)
     return;
-  else if (strcmp (kind, "runs") == 0)
-    job->heard_at = node->now;
+  else if (strcmp (kind, "runs") == 0 || strcmp (kind, "stuck") == 0)
+    {
+      job->heard_at = node->now;
+      job->owner_stuck = strcmp (kind, "stuck") == 0;
+    }
+  else if (strcmp (kind, "taken") == 0)
+    take_head (node, id, word, outbox);
   else if (strcmp (kind, "reads") == 0 || strcmp (kind, "listed") == 0)
     gspan_news_take (node, job, kind, from, word, outbox);
   else if (strcmp (kind, "over") == 0)
--- a/test/jobs_test.cc
+++ b/test/jobs_test.cc
@@ -623,6 +623,21 @@
   EXPECT_FALSE (gspan_jobs_busy (&rig.node.jobs));
 }
 
+/* An owner that is cut off from the store alone says so; its results aren't waited for. */
+TEST_F (Jobs, JobOfAnOwnerCutOffFromTheStoreIsTakenOverWithinTwoSeconds)
+{
+  Rig &rig = start (3);
+
+  submit (rig, 1, "j1", 4);
+  world.run (500 * GSPAN_MS);
+  rig.cut = true;
+  finish_run (rig, runs (rig)[0], 2);
+  world.run (1900 * GSPAN_MS);
+  size_t elsewhere = runs (*world.rigs[1]).size () + runs (*world.rigs[2]).size ();
+  EXPECT_EQ (elsewhere, 4U);
+  EXPECT_TRUE (runs (rig).empty ());
+}
+
 /* Lets a replica generate the events from FIRST to LAST of RUN, which goes on. */
 static void
 stream_events (Rig &rig, const Exchange &run, unsigned first, unsigned last)
