catalog, jobs: messages between nodes are called so; a head that can't be read is no use after free

Read as a newcomer: "word", "tell" and "hear" become message, publish and receive. gspan_owner_done () looked at a job that gspan_jobs_apply () may have dropped, where the head that the store returned can't be read; it looks the job up again now. No other change of behaviour.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -203,7 +203,7 @@
 static guint64
 replicas_pause (const struct GspanNode *node)
 {
-  if (gspan_feed_tells (node))
+  if (gspan_feed_publishes (node))
     return REPLICAS_PAUSE_TELLING_US;
   if (places_work (node))
     return REPLICAS_PAUSE_RUNNING_US;
@@ -231,8 +231,8 @@
 }
 
 void
-gspan_catalog_take_fed (struct GspanNode *node, const struct GspanStoreReply *reply,
-                        struct GspanOutbox *outbox)
+gspan_catalog_receive_replicas (struct GspanNode *node, const struct GspanStoreReply *reply,
+                                struct GspanOutbox *outbox)
 {
   struct GspanFollower *follower = &node->catalog.followers[GSPAN_FOLLOW_REPLICAS];
 
@@ -243,7 +243,7 @@
 }
 
 void
-gspan_catalog_hear (struct GspanNode *node, enum GspanFollowed which, guint64 newest)
+gspan_catalog_note_newest (struct GspanNode *node, enum GspanFollowed which, guint64 newest)
 {
   struct GspanFollower *follower = &node->catalog.followers[which];
   bool missing = newest > follower->newest;
@@ -379,7 +379,7 @@
 {
   const struct GspanFollower *follower = &node->catalog.followers[which];
 
-  if (!gspan_feed_heard (node) || !follower->synced)
+  if (!gspan_feed_is_fresh (node) || !follower->synced)
     return false;
   switch (which)
     {
@@ -417,7 +417,7 @@
     return 1;
   if (which == GSPAN_FOLLOW_NODES || which == GSPAN_FOLLOW_RETIREMENTS)
     return SLOW_WATCH_WAIT_MS;
-  if (gspan_feed_tells (node) && which != GSPAN_FOLLOW_WEIGHTS)
+  if (gspan_feed_publishes (node) && which != GSPAN_FOLLOW_WEIGHTS)
     return gspan_feed_watch_ms (node);
   return WATCH_WAIT_MS;
 }
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -66,11 +66,11 @@
 void gspan_catalog_store_answered (struct GspanNode *node, struct GspanOutbox *outbox);
 
 /* Takes in changes of replicas that another node has read; calls under way for them are left. */
-void gspan_catalog_take_fed (struct GspanNode *node, const struct GspanStoreReply *reply,
-                             struct GspanOutbox *outbox);
+void gspan_catalog_receive_replicas (struct GspanNode *node, const struct GspanStoreReply *reply,
+                                     struct GspanOutbox *outbox);
 
 /* Another node has told that the newest object of WHICH has the revision NEWEST. */
-void gspan_catalog_hear (struct GspanNode *node, enum GspanFollowed which, guint64 newest);
+void gspan_catalog_note_newest (struct GspanNode *node, enum GspanFollowed which, guint64 newest);
 
 /* Gives the watches up that wait now, for ones that wait for less. */
 void gspan_catalog_restart_watches (struct GspanCatalog *catalog);
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -82,7 +82,7 @@
 {
   struct GspanFeed *feed = &node->catalog.feed;
 
-  if (!gspan_feed_tells (node))
+  if (!gspan_feed_publishes (node))
     {
       gspan_feed_reset (feed, reply->revision);
       return;
@@ -102,7 +102,7 @@
 }
 
 bool
-gspan_feed_tells (const struct GspanNode *node)
+gspan_feed_publishes (const struct GspanNode *node)
 {
   return node->weights.lease.held && node->now < node->weights.lease.held_until;
 }
@@ -114,12 +114,12 @@
 }
 
 bool
-gspan_feed_heard (const struct GspanNode *node)
+gspan_feed_is_fresh (const struct GspanNode *node)
 {
-  return !gspan_feed_tells (node) && node->now < node->catalog.feed.fresh_until;
+  return !gspan_feed_publishes (node) && node->now < node->catalog.feed.fresh_until;
 }
 
-/* Since the older of the two last answers that the word rests on; a suspended VM counts too. */
+/* Since the older of the two last answers that the message rests on; a suspended VM counts too. */
 static guint64
 age_of (const struct GspanNode *node)
 {
@@ -153,46 +153,46 @@
   const struct GspanCatalog *catalog = &node->catalog;
   const struct GspanFollower *replicas = &catalog->followers[GSPAN_FOLLOW_REPLICAS];
   struct GspanFeed *feed = &node->catalog.feed;
-  guint64 pause = replicas->revision != feed->told_revision ? TELL_CHANGE_US : TELL_US;
+  guint64 pause = replicas->revision != feed->published_revision ? TELL_CHANGE_US : TELL_US;
   guint64 failed_at = catalog->store_failed_at;
-  json_t *word;
+  json_t *message;
 
-  if (!gspan_feed_tells (node))
+  if (!gspan_feed_publishes (node))
     {
-      feed->telling = false;
+      feed->publishing = false;
       return;
     }
-  if (!feed->telling)
+  if (!feed->publishing)
     gspan_catalog_restart_watches (&node->catalog);
-  feed->telling = true;
-  if (!replicas->synced || node->now < feed->told_at + pause)
+  feed->publishing = true;
+  if (!replicas->synced || node->now < feed->published_at + pause)
     return;
   trim (feed, node->now);
-  word = json_pack ("{s:s, s:i, s:I, s:I, s:I, s:I, s:I, s:o, s:O?}", "kind", "feed", "format",
-                    FEED_VERSION, "age_us", (json_int_t)age_of (node), "config",
-                    (json_int_t)catalog->followers[GSPAN_FOLLOW_CONFIG].newest, "nodes",
-                    (json_int_t)catalog->followers[GSPAN_FOLLOW_NODES].newest, "from",
-                    (json_int_t)feed->complete_from, "to", (json_int_t)replicas->revision,
-                    "changes", changes_of (feed), "lease", node->weights.lease.written);
+  message = json_pack ("{s:s, s:i, s:I, s:I, s:I, s:I, s:I, s:o, s:O?}", "kind", "feed", "format",
+                       FEED_VERSION, "age_us", (json_int_t)age_of (node), "config",
+                       (json_int_t)catalog->followers[GSPAN_FOLLOW_CONFIG].newest, "nodes",
+                       (json_int_t)catalog->followers[GSPAN_FOLLOW_NODES].newest, "from",
+                       (json_int_t)feed->complete_from, "to", (json_int_t)replicas->revision,
+                       "changes", changes_of (feed), "lease", node->weights.lease.written);
   if (failed_at != 0)
-    json_object_set_new (word, "failed_us", json_integer ((json_int_t)(node->now - failed_at)));
-  json_object_set_new (word, "lease_revision",
+    json_object_set_new (message, "failed_us", json_integer ((json_int_t)(node->now - failed_at)));
+  json_object_set_new (message, "lease_revision",
                        json_integer ((json_int_t)node->weights.lease.revision));
-  gspan_peers_send_all (node, word, outbox);
-  json_decref (word);
-  feed->told_at = node->now;
-  feed->told_revision = replicas->revision;
+  gspan_peers_send_all (node, message, outbox);
+  json_decref (message);
+  feed->published_at = node->now;
+  feed->published_revision = replicas->revision;
 }
 
 static guint64
-number_of (json_t *word, const char *key)
+number_of (json_t *message, const char *key)
 {
-  return (guint64)json_integer_value (json_object_get (word, key));
+  return (guint64)json_integer_value (json_object_get (message, key));
 }
 
 /* Takes in the changes after what is known here. False where some are missing. */
 static bool
-take_changes (struct GspanNode *node, json_t *word, struct GspanOutbox *outbox)
+take_changes (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
 {
   struct GspanFollower *follower = &node->catalog.followers[GSPAN_FOLLOW_REPLICAS];
   guint64 known = follower->revision;
@@ -200,11 +200,11 @@
   json_t *change;
   size_t index;
 
-  if (!follower->synced || number_of (word, "from") > known)
+  if (!follower->synced || number_of (message, "from") > known)
     return false;
   gspan_store_reply_init (&reply);
-  reply.revision = MAX (known, number_of (word, "to"));
-  json_array_foreach (json_object_get (word, "changes"), index, change)
+  reply.revision = MAX (known, number_of (message, "to"));
+  json_array_foreach (json_object_get (message, "changes"), index, change)
   {
     const char *name = json_string_value (json_object_get (change, "name"));
     json_t *spec = json_object_get (change, "spec");
@@ -218,7 +218,7 @@
     object->removed = !json_is_object (spec);
     object->spec = object->removed ? NULL : json_incref (spec);
   }
-  gspan_catalog_take_fed (node, &reply, outbox);
+  gspan_catalog_receive_replicas (node, &reply, outbox);
   gspan_store_reply_finish (&reply);
   return true;
 }
@@ -233,20 +233,20 @@
 }
 
 void
-gspan_feed_take (struct GspanNode *node, json_t *word, struct GspanOutbox *outbox)
+gspan_feed_receive (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
 {
   struct GspanCatalog *catalog = &node->catalog;
   guint64 recent = node->limits.drain_notice_us * RECENT_PERCENT / 100;
-  guint64 age = number_of (word, "age_us");
+  guint64 age = number_of (message, "age_us");
 
-  if (number_of (word, "format") != FEED_VERSION || age >= recent || gspan_feed_tells (node))
+  if (number_of (message, "format") != FEED_VERSION || age >= recent || gspan_feed_publishes (node))
     return;
-  gspan_order_lease_heard (node, json_object_get (word, "lease"),
-                           number_of (word, "lease_revision"), outbox);
-  gspan_catalog_hear (node, GSPAN_FOLLOW_CONFIG, number_of (word, "config"));
-  gspan_catalog_hear (node, GSPAN_FOLLOW_NODES, number_of (word, "nodes"));
-  if (json_object_get (word, "failed_us") != NULL)
-    note_failure (node, number_of (word, "failed_us"));
-  if (take_changes (node, word, outbox))
+  gspan_order_lease_receive (node, json_object_get (message, "lease"),
+                             number_of (message, "lease_revision"), outbox);
+  gspan_catalog_note_newest (node, GSPAN_FOLLOW_CONFIG, number_of (message, "config"));
+  gspan_catalog_note_newest (node, GSPAN_FOLLOW_NODES, number_of (message, "nodes"));
+  if (json_object_get (message, "failed_us") != NULL)
+    note_failure (node, number_of (message, "failed_us"));
+  if (take_changes (node, message, outbox))
     catalog->feed.fresh_until = node->now + recent - age;
 }
--- a/catalog/feed.h
+++ b/catalog/feed.h
@@ -17,12 +17,12 @@
 
 struct GspanFeed
 {
-  GPtrArray *changes;    /* of replicas, struct GspanFeedChange, oldest first */
-  guint64 complete_from; /* all changes after this revision are in CHANGES */
-  bool telling;          /* this node has told others since it took the lease */
-  guint64 told_at;       /* holder: the last word to the others */
-  guint64 told_revision; /* holder: of the replicas, then */
-  guint64 fresh_until;   /* listener: what was heard is recent enough until then */
+  GPtrArray *changes;         /* of replicas, struct GspanFeedChange, oldest first */
+  guint64 complete_from;      /* all changes after this revision are in CHANGES */
+  bool publishing;            /* this node has told others since it took the lease */
+  guint64 published_at;       /* holder: the last message to the others */
+  guint64 published_revision; /* holder: of the replicas, then */
+  guint64 fresh_until;        /* listener: what was heard is recent enough until then */
 };
 
 void gspan_feed_init (struct GspanFeed *feed);
@@ -37,14 +37,14 @@
 /* Tells the other nodes where this one holds the lease. */
 void gspan_feed_tick (struct GspanNode *node, struct GspanOutbox *outbox);
 
-/* Takes in the word of a holder. */
-void gspan_feed_take (struct GspanNode *node, json_t *word, struct GspanOutbox *outbox);
+/* Takes in MESSAGE, which a holder has sent. */
+void gspan_feed_receive (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox);
 
 /* True where this node doesn't have to follow the store itself. */
-bool gspan_feed_heard (const struct GspanNode *node);
+bool gspan_feed_is_fresh (const struct GspanNode *node);
 
 /* True where this node tells the others, which need it to look often. */
-bool gspan_feed_tells (const struct GspanNode *node);
+bool gspan_feed_publishes (const struct GspanNode *node);
 
 /* How long a watch of the node that tells may wait, in milliseconds. */
 guint gspan_feed_watch_ms (const struct GspanNode *node);
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -117,5 +117,5 @@
 void gspan_owner_tell_end (struct GspanNode *node, const struct GspanJob *job,
                            struct GspanOutbox *outbox);
 
-/* Takes in a word of another node about a job. */
-void gspan_owner_datagram (struct GspanNode *node, json_t *word, struct GspanOutbox *outbox);
+/* Takes in MESSAGE, which another node has sent about a job. */
+void gspan_owner_datagram (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox);
--- a/jobs/listing.c
+++ b/jobs/listing.c
@@ -221,7 +221,7 @@
       add_segment (job, sent->value, number);
       job->append_failing_since = 0;
       gspan_job_looked (job, node->now, node->wall_ms);
-      gspan_news_tell (node, job, outbox);
+      gspan_news_publish (node, job, outbox);
       gspan_serve_readers (node, job, outbox);
     }
   else
--- a/jobs/news.c
+++ b/jobs/news.c
@@ -7,7 +7,7 @@
 #include "node/node.h"
 
 #define ASK_US (300 * GSPAN_MS)         /* between two questions to the owner */
-#define ANSWER_MAX_US (150 * GSPAN_MS)  /* the owner's first word to a new reader */
+#define ANSWER_MAX_US (150 * GSPAN_MS)  /* the owner's first message to a new reader */
 #define SILENCE_US (700 * GSPAN_MS)     /* two answers that didn't come */
 #define ASKER_KEPT_US (1500 * GSPAN_MS) /* a reader waits for a second, and asks again */
 
@@ -35,16 +35,16 @@
 send_listed (struct GspanNode *node, const struct GspanJob *job, const char *to,
              struct GspanOutbox *outbox)
 {
-  json_t *word = json_pack ("{s:s, s:s, s:s, s:I, s:I}", "kind", "listed", "job", job->id, "from",
-                            node->self.name, "segments", (json_int_t)job->segments, "age_us",
-                            (json_int_t)age_of (node, job));
+  json_t *message = json_pack ("{s:s, s:s, s:s, s:I, s:I}", "kind", "listed", "job", job->id,
+                               "from", node->self.name, "segments", (json_int_t)job->segments,
+                               "age_us", (json_int_t)age_of (node, job));
 
-  gspan_peers_send (node, to, word, outbox);
-  json_decref (word);
+  gspan_peers_send (node, to, message, outbox);
+  json_decref (message);
 }
 
 void
-gspan_news_tell (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
+gspan_news_publish (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
   GHashTableIter iter;
   gpointer name;
@@ -63,15 +63,15 @@
 void
 gspan_news_ask (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
-  json_t *word;
+  json_t *message;
 
   if (job->mine || job->readers->len == 0 || job->owner[0] == '\0'
       || node->now < job->asked_news_at + ASK_US)
     return;
   job->asked_news_at = node->now;
-  word = json_pack ("{s:s, s:s, s:s}", "kind", "reads", "job", job->id, "from", node->self.name);
-  gspan_peers_send (node, job->owner, word, outbox);
-  json_decref (word);
+  message = json_pack ("{s:s, s:s, s:s}", "kind", "reads", "job", job->id, "from", node->self.name);
+  gspan_peers_send (node, job->owner, message, outbox);
+  json_decref (message);
 }
 
 bool
@@ -94,10 +94,11 @@
 }
 
 static void
-take_listed (struct GspanNode *node, struct GspanJob *job, json_t *word, struct GspanOutbox *outbox)
+take_listed (struct GspanNode *node, struct GspanJob *job, json_t *message,
+             struct GspanOutbox *outbox)
 {
-  guint segments = (guint)json_integer_value (json_object_get (word, "segments"));
-  guint64 age = (guint64)json_integer_value (json_object_get (word, "age_us"));
+  guint segments = (guint)json_integer_value (json_object_get (message, "segments"));
+  guint64 age = (guint64)json_integer_value (json_object_get (message, "age_us"));
 
   job->heard_news_at = node->now;
   job->news_segments = MAX (job->news_segments, segments);
@@ -110,11 +111,11 @@
 }
 
 void
-gspan_news_take (struct GspanNode *node, struct GspanJob *job, const char *kind, const char *from,
-                 json_t *word, struct GspanOutbox *outbox)
+gspan_news_receive (struct GspanNode *node, struct GspanJob *job, const char *kind,
+                    const char *from, json_t *message, struct GspanOutbox *outbox)
 {
   if (strcmp (kind, "listed") == 0 && !job->mine)
-    take_listed (node, job, word, outbox);
+    take_listed (node, job, message, outbox);
   else if (strcmp (kind, "reads") == 0 && job->mine && job->read_all)
     {
       note_asker (job, from, node->now);
--- a/jobs/news.h
+++ b/jobs/news.h
@@ -25,8 +25,8 @@
                               const struct GspanJobReader *reader);
 
 /* Tells the nodes that have asked of late that JOB, which is run here, has a new segment. */
-void gspan_news_tell (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox);
+void gspan_news_publish (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox);
 
-/* Takes in WORD, of kind "reads" or "listed", from the node FROM. */
-void gspan_news_take (struct GspanNode *node, struct GspanJob *job, const char *kind,
-                      const char *from, json_t *word, struct GspanOutbox *outbox);
+/* Takes in MESSAGE, of kind "reads" or "listed", from the node FROM. */
+void gspan_news_receive (struct GspanNode *node, struct GspanJob *job, const char *kind,
+                         const char *from, json_t *message, struct GspanOutbox *outbox);
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -45,7 +45,7 @@
 }
 
 static json_t *
-word_with_head (const struct GspanNode *node, const struct GspanJob *job, const char *kind)
+message_with_head (const struct GspanNode *node, const struct GspanJob *job, const char *kind)
 {
   return json_pack ("{s:s, s:s, s:s, s:o, s:I}", "kind", kind, "job", job->id, "from",
                     node->self.name, "head", gspan_job_write_head (job, job->owner), "revision",
@@ -58,11 +58,11 @@
 {
   const char *names[DEPUTIES];
   guint count = gspan_peers_deputies (node, job->id, node->self.name, names, DEPUTIES);
-  json_t *word = word_with_head (node, job, kind);
+  json_t *message = message_with_head (node, job, kind);
 
   for (guint i = 0; i < count; i++)
-    gspan_peers_send (node, names[i], word, outbox);
-  json_decref (word);
+    gspan_peers_send (node, names[i], message, outbox);
+  json_decref (message);
 }
 
 void
@@ -109,10 +109,10 @@
 tell_taken (struct GspanNode *node, const struct GspanJob *job, const char *before,
             struct GspanOutbox *outbox)
 {
-  json_t *word = word_with_head (node, job, "taken");
+  json_t *message = message_with_head (node, job, "taken");
 
-  gspan_peers_send (node, before, word, outbox);
-  json_decref (word);
+  gspan_peers_send (node, before, message, outbox);
+  json_decref (message);
 }
 
 void
@@ -120,15 +120,18 @@
                   struct GspanOutbox *outbox)
 {
   const struct GspanStoreObject *head = gspan_store_reply_first (reply);
-
   char *before = g_strdup (job->owner);
 
   job->head_call = 0;
   job->heard_at = node->now;
   job->owner_stuck = false;
   if (head != NULL)
-    gspan_jobs_apply (node, head, outbox);
-  if (reply->result == GSPAN_STORE_OK && job->mine && strcmp (before, node->self.name) != 0)
+    {
+      gspan_jobs_apply (node, head, outbox);
+      job = gspan_jobs_find (&node->jobs, head->name); /* dropped where its head can't be read */
+    }
+  if (reply->result == GSPAN_STORE_OK && job != NULL && job->mine
+      && strcmp (before, node->self.name) != 0)
     tell_taken (node, job, before, outbox);
   g_free (before);
 }
@@ -140,14 +143,14 @@
 }
 
 static void
-send_word (struct GspanNode *node, const char *to, const char *kind, const char *job_id,
-           struct GspanOutbox *outbox)
+send_message (struct GspanNode *node, const char *to, const char *kind, const char *job_id,
+              struct GspanOutbox *outbox)
 {
-  json_t *word
+  json_t *message
       = json_pack ("{s:s, s:s, s:s}", "kind", kind, "job", job_id, "from", node->self.name);
 
-  gspan_peers_send (node, to, word, outbox);
-  json_decref (word);
+  gspan_peers_send (node, to, message, outbox);
+  json_decref (message);
 }
 
 static void
@@ -162,7 +165,6 @@
 {
   const struct GspanStoreObject *head = gspan_store_reply_first (reply);
   struct GspanStoreObject gone = { 0 };
-
   struct GspanJob *job;
 
   if (reply->result == GSPAN_STORE_OK && head != NULL)
@@ -277,7 +279,7 @@
   else if (!handed_back && node->now - job->asked_at >= ASK_US * (1 + rank))
     {
       job->asked_at = node->now;
-      send_word (node, job->owner, "ask", job->id, outbox);
+      send_message (node, job->owner, "ask", job->id, outbox);
     }
 }
 
@@ -318,9 +320,9 @@
   const struct GspanJob *job = gspan_jobs_find (&node->jobs, job_id);
 
   if (job != NULL && job->known && is_over (job))
-    send_word (node, from, "over", job_id, outbox);
+    send_message (node, from, "over", job_id, outbox);
   else if (job != NULL && job->mine && is_able (node, job))
-    send_word (node, from, "runs", job_id, outbox);
+    send_message (node, from, "runs", job_id, outbox);
 }
 
 void
@@ -328,34 +330,34 @@
                       struct GspanOutbox *outbox)
 {
   if (strcmp (job->owner, node->self.name) != 0)
-    send_word (node, job->owner, "ended", job->id, outbox);
+    send_message (node, job->owner, "ended", job->id, outbox);
 }
 
 /* The head as the node that wrote or runs it has told it. */
 static void
-take_head (struct GspanNode *node, const char *id, json_t *word, struct GspanOutbox *outbox)
+take_head (struct GspanNode *node, const char *id, json_t *message, struct GspanOutbox *outbox)
 {
   struct GspanStoreObject head = { 0 };
 
   if (!gspan_job_id_ok (id))
     return;
   head.name = (char *)id;
-  head.spec = json_object_get (word, "head");
-  head.revision = (guint64)json_integer_value (json_object_get (word, "revision"));
+  head.spec = json_object_get (message, "head");
+  head.revision = (guint64)json_integer_value (json_object_get (message, "revision"));
   if (json_is_object (head.spec) && head.revision > 0)
     gspan_jobs_apply (node, &head, outbox);
 }
 
 static void
-take_word (struct GspanNode *node, const char *kind, const char *id, const char *from, json_t *word,
-           struct GspanOutbox *outbox)
+take_message (struct GspanNode *node, const char *kind, const char *id, const char *from,
+              json_t *message, struct GspanOutbox *outbox)
 {
   struct GspanJob *job = gspan_jobs_find (&node->jobs, id);
 
   if (strcmp (kind, "ask") == 0)
     answer_question (node, id, from, outbox);
   else if (strcmp (kind, "taken") == 0 || (job == NULL && strcmp (kind, "runs") == 0))
-    take_head (node, id, word, outbox); /* a new deputy has to know it to take the job over */
+    take_head (node, id, message, outbox); /* a new deputy has to know it to take the job over */
   else if (job == NULL)
     return;
   else if (strcmp (kind, "runs") == 0 || strcmp (kind, "stuck") == 0)
@@ -364,7 +366,7 @@
       job->owner_stuck = strcmp (kind, "stuck") == 0;
     }
   else if (strcmp (kind, "reads") == 0 || strcmp (kind, "listed") == 0)
-    gspan_news_take (node, job, kind, from, word, outbox);
+    gspan_news_receive (node, job, kind, from, message, outbox);
   else if (strcmp (kind, "over") == 0)
     job->let_be = true;
   else if (strcmp (kind, "ended") == 0)
@@ -378,12 +380,12 @@
 }
 
 void
-gspan_owner_datagram (struct GspanNode *node, json_t *word, struct GspanOutbox *outbox)
+gspan_owner_datagram (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
 {
-  const char *kind = json_string_value (json_object_get (word, "kind"));
-  const char *id = json_string_value (json_object_get (word, "job"));
-  const char *from = json_string_value (json_object_get (word, "from"));
+  const char *kind = json_string_value (json_object_get (message, "kind"));
+  const char *id = json_string_value (json_object_get (message, "job"));
+  const char *from = json_string_value (json_object_get (message, "from"));
 
   if (kind != NULL && id != NULL && from != NULL)
-    take_word (node, kind, id, from, word, outbox);
+    take_message (node, kind, id, from, message, outbox);
 }
--- a/node/node.c
+++ b/node/node.c
@@ -98,17 +98,17 @@
   gspan_weights_handle (node, event, outbox);
 }
 
-/* A word of another node: what the store holds, or about a job. */
+/* A message of another node: what the store holds, or about a job. */
 static void
 take_datagram (struct GspanNode *node, struct GspanStr payload, struct GspanOutbox *outbox)
 {
-  json_t *word = json_loadb (payload.data, payload.len, 0, NULL);
+  json_t *message = json_loadb (payload.data, payload.len, 0, NULL);
 
-  if (g_strcmp0 (json_string_value (json_object_get (word, "kind")), "feed") == 0)
-    gspan_feed_take (node, word, outbox);
+  if (g_strcmp0 (json_string_value (json_object_get (message, "kind")), "feed") == 0)
+    gspan_feed_receive (node, message, outbox);
   else
-    gspan_owner_datagram (node, word, outbox);
-  json_decref (word);
+    gspan_owner_datagram (node, message, outbox);
+  json_decref (message);
 }
 
 /* Any call tells whether the store is there, not only those that follow it. */
--- a/test/feed_test.cc
+++ b/test/feed_test.cc
@@ -46,8 +46,9 @@
 {
   unsigned few = quiet_calls (4);
 
+  for (auto &rig : world.rigs)
+    world.forget (rig.get ());
   world.rigs.clear ();
-  world.pending.clear ();
   EXPECT_LE (quiet_calls (16), few + 4);
 }
 
@@ -141,11 +142,11 @@
   Rig &listener = first_holds ? other : rig;
 
   world.run (25 * GSPAN_SECOND);
-  ASSERT_TRUE (gspan_feed_heard (&listener.node));
+  ASSERT_TRUE (gspan_feed_is_fresh (&listener.node));
   for (auto &follower : teller.node.catalog.followers)
     follower.answered_wall_ms -= 5000;
-  teller.node.catalog.feed.told_at = 0;
+  teller.node.catalog.feed.published_at = 0;
   listener.node.catalog.feed.fresh_until = 0;
   world.run (20 * GSPAN_MS);
-  EXPECT_FALSE (gspan_feed_heard (&listener.node));
+  EXPECT_FALSE (gspan_feed_is_fresh (&listener.node));
 }
--- a/weights/order_lease.c
+++ b/weights/order_lease.c
@@ -166,8 +166,8 @@
 }
 
 void
-gspan_order_lease_heard (struct GspanNode *node, json_t *spec, guint64 revision,
-                         struct GspanOutbox *outbox)
+gspan_order_lease_receive (struct GspanNode *node, json_t *spec, guint64 revision,
+                           struct GspanOutbox *outbox)
 {
   struct GspanOrderLease *lease = &node->weights.lease;
   struct GspanStoreObject object = { 0 };
--- a/weights/order_lease.h
+++ b/weights/order_lease.h
@@ -44,8 +44,8 @@
                                struct GspanOutbox *outbox);
 
 /* Takes in the lease as its holder told it: SPEC at REVISION. */
-void gspan_order_lease_heard (struct GspanNode *node, json_t *spec, guint64 revision,
-                              struct GspanOutbox *outbox);
+void gspan_order_lease_receive (struct GspanNode *node, json_t *spec, guint64 revision,
+                                struct GspanOutbox *outbox);
 
 /* True where this node may send orders at NOW. */
 bool gspan_order_lease_allows (const struct GspanOrderLease *lease, guint64 now);
