test: soak of gspan-node as real processes before stand-ins of the platform

Store, replicas and clients speak the published protocol on loopback: replicas that leave say so in their answers, and to the store at once, late or never; requests that end each replica that begins to run them, with a reset or silently; store answers that are refused, lost, slow or silent, for all nodes or some; nodes killed, stopped and frozen. The checks use what callers and replicas saw only.

--- /dev/null
+++ b/test/soak/book.py
@@ -0,0 +1,111 @@
+"""What clients and replicas saw, and whether the promises of the users' pages held."""
+
+from collections import defaultdict
+
+DRAIN_S = 2.0
+STABLE_S = 3.0
+RETRIES_ALLOWED = 3  # of a request that has ended three replicas, once its end can be known
+ENDS_ALLOWED = 3
+LATE_ANSWER_S = 0.5  # beyond the deadline
+
+
+class Book:
+    def __init__(self, now):
+        self.now = now
+        self.sent = {}  # attempt id to (node, time at which the client sent it)
+        self.runs = defaultdict(list)  # attempt id to (replica, time)
+        self.contents = defaultdict(list)  # killing path to (node, replica, time sent by client, time of arrival)
+        self.ends = defaultdict(list)  # killing path to times at which a replica ended
+        self.left = {}  # (node, replica) to the time at which an answer that says so had been passed on
+        self.arrivals = []  # (attempt id, replica, time)
+        self.answers = defaultdict(int)  # status to number
+        self.disturbed = defaultdict(list)  # node to (from, until)
+        self.store_disturbed = []  # (from, until)
+        self.broken = []
+
+    # What is seen.
+
+    def client_sends(self, attempt, node):
+        self.sent[attempt] = (node, self.now())
+
+    def reached(self, replica, request):
+        attempt = request.headers.get("x-attempt-id", "")
+        self.runs[attempt].append((replica.name, self.now()))
+        self.arrivals.append((attempt, replica.name, self.now()))
+        if "/killer/" in request.path:
+            self.contents[request.path].append((self.node_of(attempt), replica.name, self.now()))
+
+    def ended(self, _, request):
+        self.ends[request.path].append(self.now())
+
+    def client_has(self, attempt, node, answer, path, deadline_s):
+        status, headers, body = answer if answer is not None else (0, {}, b"")
+        self.answers[status] += 1
+        late = self.now() - self.sent[attempt][1] - deadline_s
+        if late > LATE_ANSWER_S and not self.is_disturbed(node, self.now()):
+            self.broken.append(f"LATE {attempt} at {node}: {late:.1f} s after its deadline, status {status}")
+        if headers.get("server-leaving"):
+            self.left.setdefault((node, headers["x-server-stamp"]), self.now())
+        if status == 200 and (body != path.encode() or not headers.get("x-server-stamp")):
+            self.broken.append(f"MIXED {attempt} at {node}: the answer isn't the replica's")
+        if status in (429, 503) and headers.get("x-server-stamp") is None:
+            if attempt in self.runs:
+                self.broken.append(f"REFUSED {attempt} at {node}: answered {status} and had run")
+            if "retry-after" not in headers:
+                self.broken.append(f"REFUSED {attempt} at {node}: no Retry-After")
+
+    def disturb(self, node, for_s):
+        self.disturbed[node].append((self.now(), self.now() + for_s))
+
+    # What is asked of it.
+
+    def node_of(self, attempt):
+        return self.sent.get(attempt, ("", 0))[0]
+
+    def is_disturbed(self, node, at, span_s=STABLE_S):
+        return any(start <= at and at <= end + span_s for start, end in self.disturbed[node])
+
+    def is_store_disturbed(self, at):
+        return any(start <= at and at <= end + STABLE_S for start, end in self.store_disturbed)
+
+    def check_leaving_by_answer(self):
+        """In touch or not: only a restart or a freeze of the node since then excuses it."""
+        for attempt, replica, at in self.arrivals:
+            node, sent = self.sent.get(attempt, ("", 0))
+            seen = self.left.get((node, replica))
+            if seen is None or sent <= seen + DRAIN_S:
+                continue
+            if any(end >= seen and start <= at and not kind for start, end, kind in self.stops(node)):
+                continue
+            self.broken.append(f"DRAIN {attempt}: {node} sent it to {replica} {at - seen:.1f} s after it had passed "
+                               "on an answer of that replica which says that it leaves")
+
+    def stops(self, node):
+        return [(start, end, False) for start, end in self.restarts.get(node, [])]
+
+    restarts = {}
+
+    def check_leaving_by_store(self, acknowledged):
+        for attempt, replica, at in self.arrivals:
+            since = acknowledged.get(replica)
+            node = self.node_of(attempt)
+            if since is None or at <= since + DRAIN_S or self.is_store_disturbed(at) or self.is_disturbed(node, at):
+                continue
+            if self.is_store_disturbed(since) or (node == "" and self.any_disturbed(at)):
+                continue
+            self.broken.append(f"DRAIN {attempt}: {node or 'an item'} reached {replica} {at - since:.1f} s after "
+                               "the store had acknowledged that it leaves")
+
+    def any_disturbed(self, at):
+        return any(self.is_disturbed(node, at) for node in list(self.disturbed))
+
+    def check_crashing_requests(self):
+        for path, sends in self.contents.items():
+            if len(self.ends[path]) < ENDS_ALLOWED:
+                continue
+            known = sorted(self.ends[path])[ENDS_ALLOWED - 1] + STABLE_S
+            late = [(node, at) for node, _, at in sends if at > known and not self.is_disturbed(node, at)
+                    and not self.is_store_disturbed(at)]
+            if len(late) > RETRIES_ALLOWED:
+                self.broken.append(f"BUDGET {path}: sent {len(late)} times by {len({n for n, _ in late})} nodes later "
+                                   f"than {STABLE_S} s after it had ended three replicas; {len(self.ends[path])} ended")
--- /dev/null
+++ b/test/soak/replica.py
@@ -0,0 +1,119 @@
+"""Replicas of a service as the platform's pages have them: they register, leave, end, and may be ended by a request."""
+
+import asyncio
+import json
+
+from wire import Broken, Reply, Server, format_head
+
+HEARTBEAT_S = 1.2
+KILLER = "/killer/"  # a request whose path holds this ends each replica that begins to run it
+EVENTS = 6  # of a batch item
+
+
+class Replica:
+    """One start of a replica. BOOK notes what reaches it."""
+
+    def __init__(self, world, service, name, silent_end):
+        self.world = world
+        self.service = service
+        self.name = name
+        self.silent_end = silent_end  # its connections stay open when it ends
+        self.leaving = False
+        self.alive = True
+        self.lose_answers = False
+        self.born = world.wall_ms()
+        self.spec = None
+        self.server = Server(self.serve)
+
+    async def start(self, state="ready"):
+        await self.server.start()
+        await self.register(state)
+
+    async def register(self, state):
+        spec = {"service": self.service, "address": f"127.0.0.1:{self.server.port}", "zone": "a", "version": "v1",
+                "slots": 8, "state": state, "coldLeftMs": 0, "seqNo": 1, "born": self.born,
+                "models": [{"name": "m0", "version": 1, "adapters": []}]}
+        self.spec = spec
+        await self.world.store.put("servers", self.name, spec)
+
+    async def leave(self, report_after_s, how, stays_s):
+        """Says so in its answers at once; REPORT_AFTER_S later its entry drains, is removed or stays as it is."""
+        self.leaving = True
+        await asyncio.sleep(report_after_s)
+        if not self.alive or how == "silent":
+            return
+        if how == "draining":
+            await self.register("draining")
+        else:
+            await self.world.store.remove("servers", self.name)
+        self.world.leaves_acknowledged[self.name] = self.world.now()
+        await asyncio.sleep(stays_s)
+        if self.alive:
+            self.alive = False
+            self.server.stop()
+            await self.world.store.remove("servers", self.name)
+
+    async def end(self):
+        """Ends without a word; its entry lapses after three heartbeats."""
+        if not self.alive:
+            return
+        self.alive = False
+        if not self.silent_end:
+            self.server.stop()
+        self.world.later(3 * HEARTBEAT_S, self.lapse)
+        self.world.replace_later(self)
+
+    async def lapse(self):
+        self.server.stop()
+        if self.world.store.objects["servers"].get(self.name, {}).get("spec") == self.spec:
+            await self.world.store.remove("servers", self.name)
+
+    async def serve(self, request, write):
+        if not self.alive:
+            await asyncio.sleep(3600)
+        if request.path == "/api/report":
+            return self.report()
+        if request.path == "/api/order":
+            return Reply(200)
+        if request.headers.get("x-expect-instance", self.name) != self.name:
+            return Reply(421, b"", {"X-Not-Executed": "1"})
+        self.world.book.reached(self, request)
+        if KILLER in request.path:
+            self.world.book.ended(self, request)
+            await self.end()
+            if self.silent_end:
+                await asyncio.sleep(3600)
+            raise Broken
+        if request.path.startswith("/batch/"):
+            return await self.stream(request, write)
+        await asyncio.sleep(0.01)
+        if not self.alive:
+            await asyncio.sleep(3600)
+        if self.lose_answers and self.world.random.random() < 0.3:
+            raise Broken
+        return Reply(200, request.path.encode(), self.answer_headers(request))
+
+    def answer_headers(self, request):
+        headers = {"X-Server-Stamp": self.name, "X-Attempt-Id": request.headers.get("x-attempt-id", "")}
+        if self.leaving:
+            headers["Server-Leaving"] = "1"
+            headers["Connection"] = "close"
+        return headers
+
+    async def stream(self, request, write):
+        headers = {**self.answer_headers(request), "Content-Type": "text/event-stream",
+                   "X-Weight-Versions": 1, "Transfer-Encoding": "chunked", "Connection": "close"}
+        write(format_head("HTTP/1.1 200 OK", headers))
+        for event in range(int(request.headers.get("last-event-id", 0)) + 1, EVENTS + 1):
+            await asyncio.sleep(0.05)
+            if not self.alive:
+                await asyncio.sleep(3600)
+            text = f"id: {event}\ndata: {request.path}-{event}\n\n"
+            write(f"{len(text):x}\r\n{text}\r\n".encode())
+        write(b"0\r\n\r\n")
+        return None
+
+    def report(self):
+        return Reply(200, json.dumps({"phase": "both", "models": [{"name": "m0", "version": 1, "adapters": []}],
+                                      "busy": False, "seqNo": 0, "queuedReqs": 0, "activeReqs": 0, "kvUsed": 0,
+                                      "kvTotal": 9000, "handles": 0}).encode())
--- /dev/null
+++ b/test/soak/soak.py
@@ -0,0 +1,375 @@
+"""
+Runs gspan-node as separate processes on loopback before stand-ins of the platform's store, of replicas and of clients,
+with faults from outside, and checks what callers and replicas see. Prints the broken promises; exits 1 where there are any.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import book as books
+import wire
+from replica import KILLER, Replica
+from store import Store
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+BUILD = os.environ.get("GSPAN_BUILD", os.path.join(ROOT, "build"))
+SERVICES = {"desk": 4, "calls": 4, "llm": 4}
+START_S = 3.0
+DEADLINE_S = 1.1
+RETRIES = 2
+BACK_AFTER_S = 2.0
+
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {"name": "desk", "host": "a.example", "pathPrefix": "/desk/", "type": "idempotent", "timeoutMs": 1100,
+         "targetLatencyMs": 150, "priority": 2, "service": "desk", "maxAttempts": 2},
+        {"name": "calls", "host": "a.example", "pathPrefix": "/calls/", "type": "non_idempotent", "timeoutMs": 1100,
+         "targetLatencyMs": 150, "priority": 2, "service": "calls", "maxAttempts": 2},
+        {"name": "batch", "host": "a.example", "pathPrefix": "/batch/", "type": "rollout", "timeoutMs": 10000,
+         "targetLatencyMs": 400, "priority": 1, "service": "llm", "maxAttempts": 3, "maxQueueS": 40.0,
+         "resultDueMs": 7500, "singleVersion": False}],
+    "services": [{"name": "desk"}, {"name": "calls"},
+                 {"name": "llm", "engine": {"slots": 8, "kvCapacity": 9000, "models": [{"name": "m0"}]}}],
+    "limits": {"maxBodyBytes": 1000000, "idleTimeoutMs": 15000}}
+
+
+def free_port(kind):
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Node:
+    def __init__(self, world, name, store_port):
+        self.world = world
+        self.name = name
+        self.front = free_port(socket.SOCK_STREAM)
+        self.ready = free_port(socket.SOCK_STREAM)
+        self.file = os.path.join(world.folder, name + ".toml")
+        self.popen = None
+        lines = ["[node]", f'name = "{name}"', 'zone = "a"', "[listen]", f'callers = "127.0.0.1:{self.front}"',
+                 f'ready = "127.0.0.1:{self.ready}"', f'peers = "127.0.0.1:{free_port(socket.SOCK_DGRAM)}"',
+                 "[platform]", f'address = "127.0.0.1:{store_port}"', "[log]", "lines_per_s = 0", "[limits]",
+                 f"drain_notice_ms = {books.DRAIN_S * 1000:.0f}"]
+        with open(self.file, "w", encoding="utf-8") as file:
+            file.write("\n".join(lines) + "\n")
+
+    def start(self):
+        with open(os.path.join(self.world.folder, self.name + ".log"), "ab") as log:
+            self.popen = subprocess.Popen([os.path.join(BUILD, "gspan-node"), "--config", self.file], stdout=log,
+                                          stderr=log, env={**os.environ, "ASAN_OPTIONS": "detect_leaks=0"})
+
+    def signal(self, number):
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def kill(self):
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    async def is_ready(self):
+        answer = await wire.call(self.ready, "GET", "/api/ready", {"Host": "x"}, timeout_s=0.5)
+        return answer is not None and answer[0] == 200
+
+
+class World:
+    def __init__(self, options, folder):
+        self.options = options
+        self.folder = folder
+        self.random = random.Random(options.seed)
+        self.started = time.monotonic()
+        self.store = Store()
+        self.book = books.Book(self.now)
+        self.replicas = []
+        self.nodes = []
+        self.tasks = set()
+        self.leaves_acknowledged = {}
+        self.started_replicas = 0
+        self.attempts = 0
+
+    def now(self):
+        return time.monotonic() - self.started
+
+    def wall_ms(self):
+        return int(time.time() * 1000)
+
+    def go(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def later(self, seconds, function, *arguments):
+        async def wait():
+            await asyncio.sleep(seconds)
+            await function(*arguments)
+        self.go(wait())
+
+    # Replicas.
+
+    async def add_replica(self, service, name=None):
+        self.started_replicas += 1
+        name = name or f"i-{service}-{self.started_replicas}"
+        replica = Replica(self, service, name, silent_end=self.random.random() < self.options.silent)
+        self.replicas.append(replica)
+        await replica.start()
+
+    def replace_later(self, replica):
+        """It is back after some seconds, mostly with a new id."""
+        name = replica.name if self.random.random() < 0.3 else None
+        self.replicas.remove(replica)
+        self.later(BACK_AFTER_S, self.add_replica, replica.service, name)
+
+    def living(self, service):
+        return [r for r in self.replicas if r.service == service and r.alive and not r.leaving]
+
+    # Clients.
+
+    async def ask(self, path, kept=None, node=None):
+        """One request with its retries at other nodes, as the pages have clients do it."""
+        end = self.now() + DEADLINE_S * (1 + RETRIES)
+        tried = []
+        for _ in range(1 + RETRIES):
+            choice = node or self.random.choice([n for n in self.nodes if n not in tried] or self.nodes)
+            tried.append(choice)
+            self.attempts += 1
+            attempt = f"a{self.attempts}"
+            self.book.client_sends(attempt, choice.name)
+            headers = {"Host": "a.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": int(DEADLINE_S * 1000)}
+            answer = await wire.call(choice.front, "POST", path, headers, b"hello", timeout_s=DEADLINE_S + 3, kept=kept)
+            self.book.client_has(attempt, choice.name, answer, path, DEADLINE_S)
+            if answer is not None and answer[0] == 200:
+                return
+            if path.startswith("/calls/") and (answer is None or answer[0] not in (429, 503)):
+                return
+            pause = float(answer[1].get("retry-after", 0.05)) if answer is not None else 0.05
+            if self.now() + pause > end:
+                return
+            await asyncio.sleep(min(pause, DEADLINE_S / 3))
+
+    async def client(self, number):
+        """Keeps a connection to one node open for all that it asks."""
+        kept = []
+        node = self.nodes[number % len(self.nodes)]
+        asked = 0
+        while self.now() < self.options.seconds:
+            asked += 1
+            route = self.random.choice(["desk", "calls"])
+            await self.ask(f"/{route}/{number}-{asked}", kept=kept, node=node)
+            await asyncio.sleep(self.random.uniform(0.02, 0.2))
+
+    async def killer(self, number):
+        """The same content again and again, at any node."""
+        route = ["desk", "calls"][number % 2]
+        await asyncio.sleep(self.random.uniform(3, 6))
+        while self.now() < self.options.seconds:
+            await self.ask(f"/{route}{KILLER}{number}")
+            await asyncio.sleep(self.random.uniform(0.1, 1.5))
+
+    async def trainer(self):
+        """A batch job every few seconds, read to its end."""
+        step = 0
+        while self.now() < self.options.seconds - 8:
+            step += 1
+            job = f"j{self.options.seed}-{step}"
+            items = [{"id": f"{job}-{i}", "path": f"/batch/{job}-{i}", "headers": {"X-Model": "m0"}, "body": "aGk=",
+                      "tokenCount": 10, "group": f"g{i // 4}"} for i in range(16)]
+            body = json.dumps({"step": step, "model": "m0", "minVersion": 0, "desiredCount": 4, "items": items})
+            headers = {"Host": "a.example", "X-Attempt-Id": job}
+            await self.until_accepted(f"/batch/{job}", headers, body.encode())
+            self.go(self.read_job(job, {f"{job}-{i}" for i in range(16)}))
+            await asyncio.sleep(3)
+
+    async def until_accepted(self, path, headers, body):
+        while self.now() < self.options.seconds:
+            answer = await wire.call(self.random.choice(self.nodes).front, "POST", path, headers, body)
+            if answer is not None and answer[0] == 202:
+                return
+            await asyncio.sleep(0.3)
+
+    async def read_job(self, job, wanted):
+        seen = []
+        while len(seen) < len(wanted) and self.now() < self.options.seconds + 20:
+            answer = await wire.call(self.random.choice(self.nodes).front, "GET",
+                                     f"/api/lots/{job}?after={len(seen)}", {"Host": "a.example"})
+            if answer is not None and answer[0] == 200:
+                results = json.loads(answer[2])["results"]
+                seen += [r["id"] for r in results]
+                for result in results:
+                    text = "\n".join(f"/batch/{result['id']}-{n}" for n in range(1, 7))
+                    if result["state"] != "completed" or result["output"] != text:
+                        self.book.broken.append(f"MIXED {result['id']}: {result['state']} {result['output']!r}")
+            await asyncio.sleep(0.4)
+        if sorted(seen) != sorted(wanted):
+            self.book.broken.append(f"LOST {job}: {len(seen)} of {len(wanted)} results, {len(set(seen))} different")
+
+    # Faults.
+
+    async def leave(self):
+        service = self.random.choice(list(SERVICES))
+        if len(self.living(service)) < 3:
+            return
+        replica = self.random.choice(self.living(service))
+        report_after_s = self.random.choice([0, 0, 0.5, 4])
+        how = self.random.choice(["draining", "removed", "silent"])
+        await self.add_replica(service)
+        await replica.leave(report_after_s, how, books.DRAIN_S + self.random.uniform(2, 6))
+
+    async def crash(self):
+        service = self.random.choice(list(SERVICES))
+        if len(self.living(service)) >= 3:
+            await self.random.choice(self.living(service)).end()
+
+    async def lose_answers(self):
+        replica = self.random.choice(self.replicas)
+        replica.lose_answers = True
+        await asyncio.sleep(3)
+        replica.lose_answers = False
+
+    async def store_fault(self, nodes):
+        fault = self.random.choice(["busy", "silent", "reset", "lost", "slow"])
+        for_s = self.random.uniform(1, 6)
+        for node in nodes:
+            self.book.disturb(node.name, for_s)
+            self.store.faults[node.name] = fault
+            if fault in ("silent", "reset"):
+                self.store.break_connections(node.name)
+        await asyncio.sleep(for_s)
+        for node in nodes:
+            self.store.faults.pop(node.name, None)
+            if fault == "silent":
+                self.store.break_connections(node.name)
+
+    async def store_away(self):
+        start = self.now()
+        await self.store_fault(self.nodes)
+        self.book.store_disturbed.append((start, self.now()))
+
+    async def store_turns_some_away(self):
+        start = self.now()
+        await self.store_fault(self.random.sample(self.nodes, max(1, len(self.nodes) // 3)))
+        self.book.store_disturbed.append((start, self.now()))
+
+    async def forget_history(self):
+        self.store.forget_history()
+
+    async def cut_watches(self):
+        """A watch that waits may be cut at any time; that is no outage."""
+        for node in self.nodes:
+            self.store.break_connections(node.name)
+
+    async def kill_node(self, number=signal.SIGKILL):
+        node = self.random.choice(self.nodes)
+        start = self.now()
+        self.book.disturb(node.name, 12)
+        node.signal(signal.SIGCONT)
+        node.signal(number)
+        while node.popen.poll() is None:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.3)
+        node.start()
+        self.book.restarts.setdefault(node.name, []).append((start, self.now()))
+
+    async def stop_node(self):
+        await self.kill_node(signal.SIGTERM)
+
+    async def freeze_node(self):
+        node = self.random.choice(self.nodes)
+        for_s = self.random.uniform(0.5, 4)
+        self.book.disturb(node.name, for_s)
+        start = self.now()
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        node.signal(signal.SIGCONT)
+        self.book.restarts.setdefault(node.name, []).append((start, self.now()))
+
+    async def faults(self):
+        """In series that overlap."""
+        kinds = {"leave": self.leave, "crash": self.crash, "lose": self.lose_answers, "store": self.store_away,
+                 "some": self.store_turns_some_away, "forget": self.forget_history, "watches": self.cut_watches,
+                 "kill": self.kill_node, "term": self.stop_node, "freeze": self.freeze_node}
+        chosen = [kinds[name] for name in self.options.faults.split(",") if name]
+        await asyncio.sleep(START_S)
+        while chosen and self.now() < self.options.seconds - 6:
+            self.go(self.random.choice(chosen)())
+            await asyncio.sleep(self.random.expovariate(1 / self.options.pause))
+
+    # The run.
+
+    async def start(self):
+        await self.store.put("config", "main", CONFIG)
+        for service, count in SERVICES.items():
+            for _ in range(count):
+                await self.add_replica(service)
+        for index in range(self.options.nodes):
+            name = f"vm-{index + 1}"
+            self.nodes.append(Node(self, name, await self.store.open_port(name)))
+            self.nodes[-1].start()
+        for node in self.nodes:
+            while not await node.is_ready():
+                await asyncio.sleep(0.05)
+        self.started = time.monotonic()
+
+    async def run(self):
+        await self.start()
+        work = [self.client(i) for i in range(self.options.clients)]
+        work += [self.killer(i) for i in range(self.options.killers)]
+        await asyncio.gather(self.faults(), self.trainer(), *work)
+        while any("read_job" in repr(task) for task in self.tasks):
+            await asyncio.sleep(0.2)
+        self.book.check_leaving_by_answer()
+        self.book.check_leaving_by_store(self.leaves_acknowledged)
+        self.book.check_crashing_requests()
+
+    def stop(self):
+        for node in self.nodes:
+            if node.popen is not None and node.popen.poll() is None:
+                node.kill()
+
+
+async def play(options, folder):
+    world = World(options, folder)
+    try:
+        await world.run()
+    finally:
+        world.stop()
+    return world.book
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=25)
+    parser.add_argument("--nodes", type=int, default=4)
+    parser.add_argument("--clients", type=int, default=8)
+    parser.add_argument("--killers", type=int, default=2, help="contents that end each replica that runs them")
+    parser.add_argument("--silent", type=float, default=0.5, help="share of replicas that end without a reset")
+    parser.add_argument("--pause", type=float, default=1.5, help="mean time between two faults, in seconds")
+    parser.add_argument("--faults", default="leave,crash,lose,store,some,forget,watches,kill,term,freeze")
+    parser.add_argument("--keep", help="folder for settings and logs")
+    parser.add_argument("--quiet", action="store_true", help="no figures, which differ between two runs of a seed")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = options.keep or scratch
+        os.makedirs(folder, exist_ok=True)
+        book = asyncio.run(play(options, folder))
+    if not options.quiet:
+        print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()})
+    for line in book.broken:
+        print(line)
+    print(f"{len(book.broken)} promises broken")
+    return 1 if book.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/test/soak/store.py
@@ -0,0 +1,131 @@
+"""The platform's metadata store as its protocol page has it, with faults for all nodes or for single ones."""
+
+import asyncio
+import copy
+import json
+
+from wire import Broken, Reply, Server
+
+
+class Store:
+    """Each node has a port of its own, so that faults can hit single nodes."""
+
+    def __init__(self):
+        self.objects = {}  # kind to name to object
+        self.revision = 8
+        self.history = []  # (revision, kind, object, deleted)
+        self.forgotten = 0  # changes up to this revision are no longer known
+        self.changed = asyncio.Condition()
+        self.faults = {}  # node to "busy", "silent", "reset", "lost" or "slow"
+        self.servers = {}  # node to Server
+
+    async def open_port(self, node):
+        async def handler(request, _):
+            return await self.serve(node, request)
+
+        self.servers[node] = Server(handler)
+        await self.servers[node].start()
+        return self.servers[node].port
+
+    def break_connections(self, node):
+        self.servers[node].break_connections()
+
+    def forget_history(self):
+        self.forgotten = self.revision
+        self.history.clear()
+
+    async def note(self, kind, item, deleted=False):
+        self.revision += 1
+        item["metadata"]["revision"] = self.revision
+        self.history.append((self.revision, kind, copy.deepcopy(item), deleted))
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def put(self, kind, name, spec):
+        """Writes as the operator or a replica does; the write is acknowledged when this returns."""
+        item = self.objects.setdefault(kind, {}).setdefault(name, {"metadata": {"name": name}, "status": None})
+        if item.get("spec") != spec:
+            item["spec"] = spec
+            await self.note(kind, item)
+
+    async def remove(self, kind, name):
+        item = self.objects.get(kind, {}).pop(name, None)
+        if item is not None:
+            await self.note(kind, item, deleted=True)
+
+    async def serve(self, node, request):
+        fault = self.faults.get(node)
+        if fault == "busy":
+            return Reply(503)
+        if fault == "reset":
+            raise Broken
+        if fault == "silent":
+            await asyncio.sleep(3600)
+        if fault == "slow":
+            await asyncio.sleep(0.3)
+        reply = await self.act(request)
+        if self.faults.get(node) == "silent":
+            await asyncio.sleep(3600)
+        if request.method != "GET" and fault == "lost":
+            raise Broken
+        return Reply(reply[0], json.dumps(reply[1]).encode(), {"Content-Type": "application/json"})
+
+    async def act(self, request):
+        parts = request.path.split("/")[3:]
+        items = self.objects.setdefault(parts[0], {})
+        if request.method == "GET" and len(parts) == 1:
+            return await (self.watch(parts[0], request.query) if "watch" in request.query
+                          else self.list(items, request.query))
+        if request.method == "POST":
+            return await self.create(parts[0], items, json.loads(request.body))
+        item = items.get(parts[1])
+        if item is None:
+            return 404, {}
+        if request.method == "GET":
+            return 200, item
+        return await self.change(parts, items, item, request)
+
+    async def list(self, items, query):
+        names = sorted(name for name in items if name > query.get("after", ""))
+        return 200, {"items": [items[name] for name in names[:500]], "hasMore": len(names) > 500,
+                     "currentRev": self.revision}
+
+    async def watch(self, kind, query):
+        since = int(query["watch"])
+        end = asyncio.get_running_loop().time() + int(query.get("waitMs", 0)) / 1000
+        while True:
+            if since < self.forgotten:
+                return 410, {}
+            events = [{"object": item, "deleted": deleted} for revision, of, item, deleted in self.history
+                      if of == kind and revision > since]
+            left = end - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                return 200, {"events": events, "currentRev": self.revision}
+            try:
+                async with self.changed:
+                    await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    async def create(self, kind, items, body):
+        name = body["metadata"]["name"]
+        if name in items:
+            return 409, items[name]
+        items[name] = {"metadata": {"name": name}, "spec": body.get("spec"), "status": None}
+        await self.note(kind, items[name])
+        return 201, items[name]
+
+    async def change(self, parts, items, item, request):
+        body = json.loads(request.body) if request.body else {}
+        expected = body.get("metadata", {}).get("revision", int(request.query.get("revision", 0)))
+        if expected and expected != item["metadata"]["revision"]:
+            return 409, item
+        if request.method == "DELETE":
+            del items[parts[1]]
+            await self.note(parts[0], item, deleted=True)
+            return 200, {}
+        field = "status" if len(parts) > 2 else "spec"
+        if item.get(field) != body.get(field):
+            item[field] = body.get(field)
+            await self.note(parts[0], item)
+        return 200, item
