gateway, catalog: lines say what a node held against a request and how old its list was

Now: content (a fingerprint of service, path and body) and crashes on the lines of calls and failed attempts, list_age_us on attempts, and source, age_us, born and open_there on what the list says of a replica. No decision changes.

--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -60,8 +60,8 @@
 }
 
 static void
-log_replica (const struct GspanReplica *replica, const char *event, guint64 revision,
-             struct GspanOutbox *outbox)
+log_replica (const struct GspanNode *node, const struct GspanReplica *replica, const char *event,
+             guint64 revision, struct GspanOutbox *outbox)
 {
   struct GspanLine line;
 
@@ -70,6 +70,10 @@
   gspan_line_cstr (&line, "service", replica->service);
   gspan_line_cstr (&line, "address", replica->address);
   gspan_line_cstr (&line, "state", replica->draining ? "draining" : "ready");
+  gspan_line_cstr (&line, "source", node->catalog.replicas_by_feed ? "feed" : "store");
+  gspan_line_u64 (&line, "age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
+  gspan_line_u64 (&line, "born", replica->born);
+  gspan_line_u64 (&line, "open_there", replica->open);
   gspan_line_u64 (&line, "revision", revision);
   gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_INFO, &line);
 }
@@ -83,7 +87,8 @@
       = catalog->store_failed_at != 0 && node->now - catalog->store_failed_at < LAPSE_WINDOW_US;
   bool beside_outage = catalog->many_removed || failed_lately;
 
-  log_replica (replica, beside_outage ? "upstream-lapsed" : "upstream-gone", revision, outbox);
+  log_replica (node, replica, beside_outage ? "upstream-lapsed" : "upstream-gone", revision,
+               outbox);
   if (beside_outage)
     replica->remove_at = node->now + LAPSE_GRACE_US;
   else
@@ -127,7 +132,7 @@
       gspan_wire_read_replica (object->spec, replica, &error);
       replica->remove_at = 0;
       if (changed)
-        log_replica (replica, "upstream-state", object->revision, outbox);
+        log_replica (node, replica, "upstream-state", object->revision, outbox);
     }
   gspan_replica_unref (seen);
 }
@@ -159,7 +164,7 @@
 
       if (replica->remove_at == 0 || replica->remove_at > node->now)
         continue;
-      log_replica (replica, "upstream-gone", 0, outbox);
+      log_replica (node, replica, "upstream-gone", 0, outbox);
       g_hash_table_iter_remove (&iter);
     }
 }
--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -230,15 +230,23 @@
     follower->next_at = node->now + NODES_PAUSE_US;
 }
 
+guint64
+gspan_catalog_replicas_age (const struct GspanCatalog *catalog, guint64 now)
+{
+  return catalog->replicas_as_of != 0 ? now - catalog->replicas_as_of : G_MAXUINT64;
+}
+
 void
 gspan_catalog_receive_replicas (struct GspanNode *node, const struct GspanStoreReply *reply,
-                                struct GspanOutbox *outbox)
+                                guint64 age_us, struct GspanOutbox *outbox)
 {
   struct GspanFollower *follower = &node->catalog.followers[GSPAN_FOLLOW_REPLICAS];
 
   /* Its answer may be older than what is taken in here. */
   follower->call = 0;
   follower->watching = true;
+  node->catalog.replicas_by_feed = true;
+  node->catalog.replicas_as_of = node->now - MIN (node->now, age_us);
   take_events (node, GSPAN_FOLLOW_REPLICAS, reply, outbox);
 }
 
@@ -341,6 +349,11 @@
     case GSPAN_STORE_OK:
       follower->answered_at = node->now;
       follower->answered_wall_ms = node->wall_ms;
+      if (which == GSPAN_FOLLOW_REPLICAS)
+        {
+          node->catalog.replicas_by_feed = false;
+          node->catalog.replicas_as_of = node->now;
+        }
       if (follower->watching)
         {
           take_events (node, which, reply, outbox);
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -48,7 +48,9 @@
 {
   struct GspanFollower followers[GSPAN_FOLLOW_COUNT];
   struct GspanConfig config;
-  GHashTable *replicas; /* id to struct GspanReplica */
+  GHashTable *replicas;   /* id to struct GspanReplica */
+  guint64 replicas_as_of; /* the store held then what is known of them; 0 is never */
+  bool replicas_by_feed;  /* another node told that last, else the store */
   struct GspanFeed feed;
   bool store_fails;        /* a follower's call failed, and no call has been answered since */
   guint64 store_ok_at;     /* the store last answered any call of this node; 0 is never */
@@ -65,9 +67,12 @@
 /* Notes that the store has answered a call of any kind: it is there. */
 void gspan_catalog_store_answered (struct GspanNode *node, struct GspanOutbox *outbox);
 
-/* Takes in changes of replicas that another node has read; calls under way for them are left. */
+/*
+ * Takes in changes of replicas that another node has read AGE_US ago; calls under way for them are
+ * left.
+ */
 void gspan_catalog_receive_replicas (struct GspanNode *node, const struct GspanStoreReply *reply,
-                                     struct GspanOutbox *outbox);
+                                     guint64 age_us, struct GspanOutbox *outbox);
 
 /* Another node has told that the newest object of WHICH has the revision NEWEST. */
 void gspan_catalog_note_newest (struct GspanNode *node, enum GspanFollowed which, guint64 newest);
@@ -78,5 +83,8 @@
 /* Starts or stops following WHICH. */
 void gspan_catalog_want (struct GspanCatalog *catalog, enum GspanFollowed which, bool wanted);
 
+/* How old is what is known of the replicas, in microseconds; G_MAXUINT64 before the first list. */
+guint64 gspan_catalog_replicas_age (const struct GspanCatalog *catalog, guint64 now);
+
 /* True where a configuration is in force and the replicas are known. */
 bool gspan_catalog_known (const struct GspanCatalog *catalog);
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -192,7 +192,7 @@
 
 /* Takes in the changes after what is known here. False where some are missing. */
 static bool
-take_changes (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
+take_changes (struct GspanNode *node, json_t *message, guint64 age_us, struct GspanOutbox *outbox)
 {
   struct GspanFollower *follower = &node->catalog.followers[GSPAN_FOLLOW_REPLICAS];
   guint64 known = follower->revision;
@@ -218,7 +218,7 @@
     object->removed = !json_is_object (spec);
     object->spec = object->removed ? NULL : json_incref (spec);
   }
-  gspan_catalog_receive_replicas (node, &reply, outbox);
+  gspan_catalog_receive_replicas (node, &reply, age_us, outbox);
   gspan_store_reply_finish (&reply);
   return true;
 }
@@ -247,6 +247,6 @@
   gspan_catalog_note_newest (node, GSPAN_FOLLOW_NODES, number_of (message, "nodes"));
   if (json_object_get (message, "failed_us") != NULL)
     note_failure (node, number_of (message, "failed_us"));
-  if (take_changes (node, message, outbox))
+  if (take_changes (node, message, age, outbox))
     catalog->feed.fresh_until = node->now + recent - age;
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -113,6 +113,19 @@
   gspan_wire_add_retry_after (&action->u.reply.headers, wait_us);
 }
 
+/* What tells one request's tries at several nodes, and what this node holds against it. */
+static void
+log_content (const struct GspanNode *node, const struct GspanCall *call, struct GspanLine *line)
+{
+  char *content = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", call->fingerprint);
+
+  gspan_line_cstr (line, "content", content);
+  gspan_line_u64 (
+      line, "crashes",
+      gspan_poison_requests_crash_count (&node->poison_requests, call->fingerprint, node->now));
+  g_free (content);
+}
+
 static void
 log_call (const struct GspanNode *node, const struct GspanCall *call, const char *event,
           const char *outcome, int status, struct GspanOutbox *outbox)
@@ -126,6 +139,8 @@
   gspan_line_cstr (&line, "outcome", outcome);
   gspan_line_int (&line, "status", status);
   gspan_line_u64 (&line, "attempts", call->state.attempts);
+  gspan_line_u64 (&line, "open", call->open->len);
+  log_content (node, call, &line);
   gspan_line_u64 (&line, "elapsed_us", node->now - call->started);
   gspan_line_u64 (&line, "config", node->catalog.config.number);
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
@@ -257,6 +272,7 @@
   gspan_line_cstr (&line, "upstream", replica->id);
   gspan_line_u64 (&line, "attempt", call->state.attempts);
   gspan_line_u64 (&line, "open_there", replica->open);
+  gspan_line_u64 (&line, "list_age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
   gspan_line_u64 (&line, "left_us", http->timeout_us);
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
 }
@@ -398,15 +414,16 @@
 }
 
 static void
-log_failure (const struct GspanCall *call, const struct GspanAttempt *attempt,
+log_failure (const struct GspanNode *node, const struct GspanAttempt *attempt,
              const struct GspanEventHttp *answer, bool not_run, struct GspanOutbox *outbox)
 {
   static const char *const results[] = { "whole", "not-sent", "lost", "timeout" };
   struct GspanLine line;
 
   gspan_line_init (&line, "call-attempt-failed");
-  gspan_line_cstr (&line, "id", call->caller_id);
+  gspan_line_cstr (&line, "id", attempt->call->caller_id);
   gspan_line_cstr (&line, "upstream", attempt->replica->id);
+  log_content (node, attempt->call, &line);
   gspan_line_cstr (&line, "result", results[answer->result]);
   gspan_line_int (&line, "status", answer->status);
   gspan_line_cstr (&line, "ran", not_run ? "no" : "maybe");
@@ -455,8 +472,8 @@
       g_bytes_unref (body);
       return;
     }
-  log_failure (call, attempt, answer, not_run, outbox);
   blame (node, call, attempt->replica, answer, &wire);
+  log_failure (node, attempt, answer, not_run, outbox);
   call->may_have_run = call->may_have_run || !not_run;
   forget_attempt (node, attempt);
   if ((!gspan_hedge_may_retry (&call->state, not_run) || !try_next (node, call, outbox))
