--- a/test/node_world.h
+++ b/test/node_world.h
@@ -130,7 +130,8 @@
   GspanStoreCall call;
   guint64 done_at;
   bool watch;
-  bool lost; /* sent while the store was away: never answered, also after its return */
+  bool lost;   /* sent while the store was away: never answered, also after its return */
+  bool silent; /* a watch whose connection has gone silent: it ends by its own timeout */
 };
 
 struct World
@@ -257,7 +258,7 @@
   wake (const std::string &kind)
   {
     for (auto &item : pending)
-      if (item.watch && kind == item.call.kind)
+      if (item.watch && !item.silent && kind == item.call.kind)
         item.done_at = std::min (item.done_at, now + latency_us);
   }
 
@@ -351,7 +352,7 @@
     auto was_cut = std::find (cut_watches.begin (), cut_watches.end (), item.ref.id);
 
     gspan_store_reply_init (&reply);
-    if (item.lost || !can_reach_store (*item.rig) || was_cut != cut_watches.end ())
+    if (item.lost || item.silent || !can_reach_store (*item.rig) || was_cut != cut_watches.end ())
       reply.result = writes ? GSPAN_STORE_UNKNOWN : GSPAN_STORE_UNAVAILABLE;
     else if (fault == StoreFault::Busy)
       reply.result = GSPAN_STORE_UNAVAILABLE;
