catalog: a replica that says in an answer that it leaves gets nothing new

Cause: whether a replica leaves was asked of the store's record alone, so a node that was cut off from the store, or whose list was late, went on; an entry that still said ready, or that lapsed and came back, undid it.

Now each answer is asked (platform/wire.c reads Server-Leaving): whole ones, refusals, heads of streams and of items' runs, reports and answers to orders. What was seen holds for that start of the replica (id and birth), in catalog/leaving.c, apart from the struct that follows the entry. gspan_replica_is_leaving () is the one question, which choice, hedge, retry, items, retry times and loads ask. A misdirected answer, which another replica gives, says nothing.

--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -69,7 +69,7 @@
   gspan_line_cstr (&line, "upstream", replica->id);
   gspan_line_cstr (&line, "service", replica->service);
   gspan_line_cstr (&line, "address", replica->address);
-  gspan_line_cstr (&line, "state", replica->draining ? "draining" : "ready");
+  gspan_line_cstr (&line, "state", gspan_replica_is_leaving (replica) ? "draining" : "ready");
   gspan_line_cstr (&line, "source", node->catalog.replicas_by_feed ? "feed" : "store");
   gspan_line_u64 (&line, "age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
   gspan_line_u64 (&line, "born", replica->born);
@@ -130,6 +130,7 @@
       bool changed = replica->address == NULL || replica->draining != seen->draining;
 
       gspan_wire_read_replica (object->spec, replica, &error);
+      replica->leaving = replica->leaving || gspan_leaving_has (&node->catalog.leaving, replica);
       replica->remove_at = 0;
       if (changed)
         log_replica (node, replica, "upstream-state", object->revision, outbox);
--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -62,6 +62,7 @@
                  follows_retirements);
   follower_init (&catalog->followers[GSPAN_FOLLOW_WEIGHTS], gspan_wire_kind_weight_versions, false);
   gspan_config_init (&catalog->config);
+  gspan_leaving_init (&catalog->leaving);
   gspan_feed_init (&catalog->feed);
   catalog->replicas = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, replica_release);
 }
@@ -76,6 +77,7 @@
       g_hash_table_unref (catalog->followers[i].listed);
     }
   gspan_config_finish (&catalog->config);
+  gspan_leaving_finish (&catalog->leaving);
   gspan_feed_finish (&catalog->feed);
   g_hash_table_unref (catalog->replicas);
 }
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -3,6 +3,7 @@
 #include "board/message.h"
 #include "catalog/config.h"
 #include "catalog/feed.h"
+#include "catalog/leaving.h"
 #include "catalog/replica.h"
 
 struct GspanNode;
@@ -51,6 +52,7 @@
   GHashTable *replicas;   /* id to struct GspanReplica */
   guint64 replicas_as_of; /* the store held then what is known of them; 0 is never */
   bool replicas_by_feed;  /* another node told that last, else the store */
+  struct GspanLeaving leaving;
   struct GspanFeed feed;
   bool store_fails;        /* a follower's call failed, and no call has been answered since */
   guint64 store_ok_at;     /* the store last answered any call of this node; 0 is never */
--- /dev/null
+++ b/catalog/leaving.c
@@ -0,0 +1,83 @@
+#include "catalog/leaving.h"
+
+#include "common/clock.h"
+#include "node/node.h"
+#include "platform/wire.h"
+
+#define KEPT_US (3600 * GSPAN_SECOND) /* far longer than a replica takes to leave */
+
+struct Start
+{
+  guint64 born;
+  guint64 noted_at;
+};
+
+void
+gspan_leaving_init (struct GspanLeaving *leaving)
+{
+  leaving->starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+gspan_leaving_finish (struct GspanLeaving *leaving)
+{
+  g_hash_table_unref (leaving->starts);
+}
+
+static gboolean
+is_old (gpointer key, gpointer value, gpointer user)
+{
+  const struct Start *start = value;
+  const guint64 *now = user;
+
+  (void)key;
+  return start->noted_at + KEPT_US < *now;
+}
+
+static void
+log_leaving (const struct GspanNode *node, const struct GspanReplica *replica,
+             struct GspanOutbox *outbox)
+{
+  struct GspanLine line;
+
+  gspan_line_init (&line, "upstream-leaving");
+  gspan_line_cstr (&line, "upstream", replica->id);
+  gspan_line_cstr (&line, "service", replica->service);
+  gspan_line_cstr (&line, "source", "answer");
+  gspan_line_u64 (&line, "born", replica->born);
+  gspan_line_u64 (&line, "open_there", replica->open);
+  gspan_line_u64 (&line, "list_age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
+  gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_INFO, &line);
+}
+
+void
+gspan_leaving_note_answer (struct GspanNode *node, struct GspanReplica *replica,
+                           const struct GspanWireResponse *answer, struct GspanOutbox *outbox)
+{
+  GHashTable *starts = node->catalog.leaving.starts;
+  struct GspanReplica *listed;
+  struct Start *start;
+
+  /* another replica answers at the address of a misdirected request */
+  if (!answer->leaving || answer->misdirected || replica->leaving)
+    return;
+  replica->leaving = true;
+  g_hash_table_foreach_remove (starts, is_old, &node->now);
+  start = g_new0 (struct Start, 1);
+  start->born = replica->born;
+  start->noted_at = node->now;
+  g_hash_table_replace (starts, g_strdup (replica->id), start);
+  /* the entry may have lapsed and come back since the request was sent */
+  listed = g_hash_table_lookup (node->catalog.replicas, replica->id);
+  if (listed != NULL && gspan_leaving_has (&node->catalog.leaving, listed))
+    listed->leaving = true;
+  log_leaving (node, replica, outbox);
+}
+
+bool
+gspan_leaving_has (const struct GspanLeaving *leaving, const struct GspanReplica *replica)
+{
+  const struct Start *start = g_hash_table_lookup (leaving->starts, replica->id);
+
+  return start != NULL && replica->born <= start->born;
+}
--- a/catalog/pick.c
+++ b/catalog/pick.c
@@ -81,8 +81,8 @@
     {
       const struct GspanReplica *replica = value;
 
-      if (strcmp (replica->service, service) != 0 || replica->draining || replica->removed
-          || replica->misdirected)
+      if (strcmp (replica->service, service) != 0 || gspan_replica_is_leaving (replica)
+          || replica->removed || replica->misdirected)
         continue;
       if (soonest == 0 || MAX (now, replica->avoid_until) < soonest)
         soonest = MAX (now, replica->avoid_until);
--- a/catalog/replica.c
+++ b/catalog/replica.c
@@ -87,10 +87,16 @@
   found->weights = MAX (found->weights, weights);
 }
 
+bool
+gspan_replica_is_leaving (const struct GspanReplica *replica)
+{
+  return replica->draining || replica->leaving;
+}
+
 bool
 gspan_replica_usable (const struct GspanReplica *replica, guint64 now)
 {
-  return !replica->draining && !replica->removed && !replica->misdirected
+  return !gspan_replica_is_leaving (replica) && !replica->removed && !replica->misdirected
          && replica->avoid_until <= now;
 }
 
--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -22,12 +22,13 @@
   char *address; /* "IP:PORT" */
   char *zone;
   guint slots;
-  bool draining;
+  bool draining;     /* as its entry says */
   bool removed;      /* no longer registered */
   guint64 born;      /* Unix milliseconds of its start; 0 is not known */
   GPtrArray *models; /* struct GspanReplicaModel */
 
   /* What this process knows by itself. */
+  bool leaving;        /* it has said so in an answer (catalog/leaving.h) */
   guint open;          /* requests of ours that it has now */
   guint failures;      /* in a row */
   guint64 avoid_until; /* after failures */
@@ -51,6 +52,9 @@
 /* Notes that REPLICA has at least version WEIGHTS of MODEL. */
 void gspan_replica_set_weights (struct GspanReplica *replica, const char *model, guint64 weights);
 
+/* True where it is about to leave, as it says itself in its entry or in an answer. */
+bool gspan_replica_is_leaving (const struct GspanReplica *replica);
+
 /* True where it may get new requests at NOW. */
 bool gspan_replica_usable (const struct GspanReplica *replica, guint64 now);
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -456,6 +456,7 @@
   GBytes *body;
 
   gspan_wire_read_response (answer->status, answer->headers, &wire);
+  gspan_leaving_note_answer (node, attempt->replica, &wire, outbox);
   not_run = answer->result == GSPAN_HTTP_NOT_SENT || (whole && wire.not_run && !good);
   call->state.now = node->now;
   if (good && call->state.response_started)
@@ -489,12 +490,15 @@
 }
 
 static void
-on_head (struct GspanCall *call, const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
+on_head (struct GspanNode *node, struct GspanAttempt *attempt, const struct GspanEventHttp *answer,
+         struct GspanOutbox *outbox)
 {
+  struct GspanCall *call = attempt->call;
   struct GspanWireResponse wire;
   struct GspanAction *action;
 
   gspan_wire_read_response (answer->status, answer->headers, &wire);
+  gspan_leaving_note_answer (node, attempt->replica, &wire, outbox);
   if (call->state.response_started || answer->status < 200 || answer->status >= 300
       || !wire.signed_by_replica)
     return;
@@ -597,7 +601,7 @@
   else if (attempt == NULL)
     return;
   else if (event->kind == GSPAN_EVENT_HTTP_HEAD)
-    on_head (attempt->call, &event->u.http, outbox);
+    on_head (node, attempt, &event->u.http, outbox);
   else if (event->kind == GSPAN_EVENT_HTTP_DATA)
     on_data (attempt, &event->u.http, outbox);
   else if (event->kind == GSPAN_EVENT_HTTP_DONE)
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -192,11 +192,13 @@
 }
 
 static void
-on_head (struct GspanRun *run, const struct GspanEventHttp *answer)
+on_head (struct GspanNode *node, struct GspanRun *run, const struct GspanEventHttp *answer,
+         struct GspanOutbox *outbox)
 {
   struct GspanWireResponse wire;
 
   gspan_wire_read_response (answer->status, answer->headers, &wire);
+  gspan_leaving_note_answer (node, run->replica, &wire, outbox);
   run->is_streaming = answer->status == 200 && wire.signed_by_replica;
   run->weight_version = wire.weight_version;
   run->last_active_us = run->node->now;
@@ -300,6 +302,7 @@
   struct GspanWireResponse wire;
 
   gspan_wire_read_response (answer->status, answer->headers, &wire);
+  gspan_leaving_note_answer (node, run->replica, &wire, outbox);
   log_run (run, "run-ended", outcomes[answer->result], answer->status, outbox);
   if (whole && run->is_streaming && run->events.pending->len == 0 && item->last_event_id > 0)
     {
@@ -573,7 +576,7 @@
   if (run == NULL)
     return;
   if (event->kind == GSPAN_EVENT_HTTP_HEAD)
-    on_head (run, &event->u.http);
+    on_head (node, run, &event->u.http, outbox);
   else if (event->kind == GSPAN_EVENT_HTTP_DATA)
     on_data (node, run, &event->u.http, outbox);
   else if (event->kind == GSPAN_EVENT_HTTP_DONE)
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -216,6 +216,17 @@
   EXPECT_TRUE (answer.misdirected);
 }
 
+TEST_F (WireCodec, AnswersSayWhetherTheReplicaLeaves)
+{
+  GspanWireResponse answer;
+
+  gspan_wire_read_response (200, &headers, &answer);
+  EXPECT_FALSE (answer.leaving);
+  add ("server-leaving: 1");
+  gspan_wire_read_response (503, &headers, &answer);
+  EXPECT_TRUE (answer.leaving);
+}
+
 TEST_F (WireCodec, PathsOfJobs)
 {
   GspanWireTarget target;
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -293,8 +293,8 @@
 static bool
 is_over (const struct GspanNode *node, const struct GspanLoad *load)
 {
-  return load->replica->removed || load->replica->misdirected || load->replica->draining
-         || (load->silent && !load->ordered)
+  return load->replica->removed || load->replica->misdirected
+         || gspan_replica_is_leaving (load->replica) || (load->silent && !load->ordered)
          || gspan_replica_weights (load->replica, load->model) >= load->weights
          || node->now - load->started > LOAD_MAX_US;
 }
@@ -394,6 +394,7 @@
 static void
 on_answer (struct GspanNode *node, const struct GspanEvent *event, struct GspanOutbox *outbox)
 {
+  struct GspanWireResponse wire;
   GHashTableIter iter;
   gpointer value;
 
@@ -405,6 +406,8 @@
       if (load->call != event->ref.id)
         continue;
       load->call = 0;
+      gspan_wire_read_response (event->u.http.status, event->u.http.headers, &wire);
+      gspan_leaving_note_answer (node, load->replica, &wire, outbox);
       if (load->asking)
         on_report (node, load, &event->u.http, outbox);
       else
