scripts: no port is given to two processes

scripts/check failed once in cases/fleet: four of 60 calls got a 404 without an outcome. Ports given are now remembered. The soak uses the same function.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -37,16 +37,21 @@
 )
 
 
-def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+PORTS_GIVEN = set()  # (ip, kind, port): the system may name a free port twice before anybody listens there
+
+
+def free_port(ip, kind=socket.SOCK_STREAM):
+    while True:
+        with socket.socket(socket.AF_INET, kind) as probe:
+            probe.bind((ip, 0))
+            given = (ip, kind, probe.getsockname()[1])
+        if given not in PORTS_GIVEN:
+            PORTS_GIVEN.add(given)
+            return given[2]
 
 
 def free_udp_port(ip):
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    return free_port(ip, socket.SOCK_DGRAM)
 
 
 def post(address, path, value):
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -9,7 +9,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -21,6 +20,8 @@
 from store import Store
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, os.path.join(ROOT, "scripts"))
+from fleet import free_port, free_udp_port  # noqa: E402 pylint: disable=wrong-import-position
 BUILD = os.environ.get("GSPAN_BUILD", os.path.join(ROOT, "build"))
 SERVICES = {"desk": 4, "calls": 4, "llm": 4}
 START_S = 3.0
@@ -43,22 +44,16 @@
     "limits": {"maxBodyBytes": 1000000, "idleTimeoutMs": 15000}}
 
 
-def free_port(kind):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Node:
     def __init__(self, world, name, store_port):
         self.world = world
         self.name = name
-        self.front = free_port(socket.SOCK_STREAM)
-        self.ready = free_port(socket.SOCK_STREAM)
+        self.front = free_port("127.0.0.1")
+        self.ready = free_port("127.0.0.1")
         self.file = os.path.join(world.folder, name + ".toml")
         self.popen = None
         lines = ["[node]", f'name = "{name}"', 'zone = "a"', "[listen]", f'callers = "127.0.0.1:{self.front}"',
-                 f'ready = "127.0.0.1:{self.ready}"', f'peers = "127.0.0.1:{free_port(socket.SOCK_DGRAM)}"',
+                 f'ready = "127.0.0.1:{self.ready}"', f'peers = "127.0.0.1:{free_udp_port("127.0.0.1")}"',
                  "[platform]", f'address = "127.0.0.1:{store_port}"', "[log]", "lines_per_s = 0", "[limits]",
                  f"drain_notice_ms = {books.DRAIN_S * 1000:.0f}"]
         with open(self.file, "w", encoding="utf-8") as file:
