catalog: watches of replicas wait for less than the drain notice at each node

Now its watch waits as the holder's does, 40% of the drain notice, and is given up 1.5 s later; a node that is told waits in none, so no call is added then. Evidence: SilentWatchDoesNotHideADrainingReplica (9 of 20 requests reached it) failed before and passes.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -460,7 +460,9 @@
     return 1;
   if (which == GSPAN_FOLLOW_NODES || which == GSPAN_FOLLOW_RETIREMENTS)
     return SLOW_WATCH_WAIT_MS;
-  if (gspan_feed_publishes (node) && which != GSPAN_FOLLOW_WEIGHTS)
+  /* Bounds how long a connection that died unseen hides a leaving replica. */
+  if (which == GSPAN_FOLLOW_REPLICAS
+      || (gspan_feed_publishes (node) && which != GSPAN_FOLLOW_WEIGHTS))
     return gspan_feed_watch_ms (node);
   return WATCH_WAIT_MS;
 }
