--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -30,10 +30,10 @@
 
     def reached(self, replica, request):
         attempt = request.headers.get("x-attempt-id", "")
-        self.runs[attempt].append((replica.name, self.now()))
-        self.arrivals.append((attempt, replica.name, self.now()))
+        self.runs[attempt].append((replica.start_name, self.now()))
+        self.arrivals.append((attempt, replica.start_name, self.now()))
         if "/killer/" in request.path:
-            self.contents[request.path].append((self.node_of(attempt), replica.name, self.now()))
+            self.contents[request.path].append((self.node_of(attempt), replica.start_name, self.now()))
 
     def ended(self, _, request):
         self.ends[request.path].append(self.now())
--- a/test/soak/replica.py
+++ b/test/soak/replica.py
@@ -22,6 +22,7 @@
         self.alive = True
         self.lose_answers = False
         self.born = world.wall_ms()
+        self.start_name = f"{name}#{self.born}"  # a replica may start again under the id that it had
         self.spec = None
         self.server = Server(self.serve)
 
@@ -46,7 +47,7 @@
             await self.register("draining")
         else:
             await self.world.store.remove("servers", self.name)
-        self.world.leaves_acknowledged[self.name] = self.world.now()
+        self.world.leaves_acknowledged[self.start_name] = self.world.now()
         await asyncio.sleep(stays_s)
         if self.alive:
             self.alive = False
@@ -94,7 +95,7 @@
         return Reply(200, request.path.encode(), self.answer_headers(request))
 
     def answer_headers(self, request):
-        headers = {"X-Server-Stamp": self.name, "X-Attempt-Id": request.headers.get("x-attempt-id", "")}
+        headers = {"X-Server-Stamp": self.start_name, "X-Attempt-Id": request.headers.get("x-attempt-id", "")}
         if self.leaving:
             headers["Server-Leaving"] = "1"
             headers["Connection"] = "close"
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -357,6 +357,8 @@
     with tempfile.TemporaryDirectory() as scratch:
         folder = options.keep or scratch
         os.makedirs(folder, exist_ok=True)
+        for name in os.listdir(folder):
+            os.remove(os.path.join(folder, name))
         book = asyncio.run(play(options, folder))
     if not options.quiet:
         print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()})
