gateway: requests that crash replicas are known by evidence, and to the whole fleet

One class of cause in three places: a promise of the fleet was kept by what one process happened to see, and only in one form.

Now evidence names starts of replicas (id and birth) and has three strengths: exposed, suspected (no answer came), crashed. The list decides: a start that goes unplanned makes crashes of all evidence that names it; one that lives on, or answers again, acquits. Two counts refuse a content for some seconds, three crashes for ten minutes, and any answer to it clears it at once, so that requests that stood beside crashes are served again. Each node tells its evidence by datagram, at once and for a second; a verdict also goes to the store, where nodes that start or come back read it, and the holder of the lease of orders removes it when it is over. While the store is away, evidence is kept, since nothing can acquit. Such a request is refused at once, by 503 with the time that is left; a second replica beside the first is never tried. Items wait under a verdict, and are abandoned only as their route allows.

--- a/board/message.h
+++ b/board/message.h
@@ -27,7 +27,8 @@
   GSPAN_OWNER_GATEWAY,
   GSPAN_OWNER_JOBS,
   GSPAN_OWNER_RUNS,
-  GSPAN_OWNER_WEIGHTS
+  GSPAN_OWNER_WEIGHTS,
+  GSPAN_OWNER_CRASHES
 };
 
 /* Names one operation: ID is chosen by OWNER and unique among its open operations. */
--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -74,6 +74,21 @@
   gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_INFO, &line);
 }
 
+/* A replica that ends without having left first may have been ended by a request. */
+static void
+note_end (struct GspanNode *node, const struct GspanReplica *replica, struct GspanOutbox *outbox)
+{
+  if (!gspan_replica_is_leaving (replica))
+    gspan_crash_reports_replica_ended (node, replica, outbox);
+}
+
+static void
+drop_replica (struct GspanNode *node, struct GspanReplica *replica, struct GspanOutbox *outbox)
+{
+  note_end (node, replica, outbox);
+  g_hash_table_remove (node->catalog.replicas, replica->id);
+}
+
 static void
 remove_replica (struct GspanNode *node, struct GspanReplica *replica, guint64 revision,
                 struct GspanOutbox *outbox)
@@ -87,18 +102,22 @@
   if (may_come_back)
     replica->remove_at = until;
   else
-    g_hash_table_remove (catalog->replicas, replica->id);
+    drop_replica (node, replica, outbox);
 }
 
 /* The struct for ID; a new one where the upstream started anew under its old id. */
 static struct GspanReplica *
-replica_of (struct GspanCatalog *catalog, const char *id, const struct GspanReplica *seen)
+replica_of (struct GspanNode *node, const char *id, const struct GspanReplica *seen,
+            struct GspanOutbox *outbox)
 {
+  struct GspanCatalog *catalog = &node->catalog;
   struct GspanReplica *replica = g_hash_table_lookup (catalog->replicas, id);
 
   if (replica != NULL && replica->born == seen->born
       && g_strcmp0 (replica->address, seen->address) == 0)
     return replica;
+  if (replica != NULL && replica->born != seen->born)
+    note_end (node, replica, outbox);
   replica = gspan_replica_new (id);
   g_hash_table_replace (catalog->replicas, replica->id, replica);
   return replica;
@@ -121,7 +140,7 @@
     log_unreadable (gspan_wire_kind_replicas, object, &error, outbox);
   else
     {
-      struct GspanReplica *replica = replica_of (&node->catalog, object->name, seen);
+      struct GspanReplica *replica = replica_of (node, object->name, seen, outbox);
       bool changed = replica->address == NULL || replica->draining != seen->draining;
 
       gspan_wire_read_replica (object->spec, replica, &error);
@@ -161,6 +180,7 @@
       if (replica->remove_at == 0 || replica->remove_at > node->now)
         continue;
       log_replica (node, replica, "upstream-gone", 0, outbox);
+      note_end (node, replica, outbox);
       g_hash_table_iter_remove (&iter);
     }
 }
--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -68,6 +68,7 @@
   follower_init (&catalog->followers[GSPAN_FOLLOW_RETIREMENTS], gspan_wire_kind_retirements,
                  follows_retirements);
   follower_init (&catalog->followers[GSPAN_FOLLOW_WEIGHTS], gspan_wire_kind_weight_versions, false);
+  follower_init (&catalog->followers[GSPAN_FOLLOW_VERDICTS], GSPAN_CRASH_REPORTS_KIND, true);
   gspan_config_init (&catalog->config);
   gspan_leaving_init (&catalog->leaving);
   gspan_feed_init (&catalog->feed);
@@ -140,6 +141,9 @@
     case GSPAN_FOLLOW_WEIGHTS:
       gspan_weights_apply (node, object, outbox);
       break;
+    case GSPAN_FOLLOW_VERDICTS:
+      gspan_crash_reports_apply (node, object, outbox);
+      break;
     case GSPAN_FOLLOW_COUNT:
       break;
     }
@@ -431,6 +435,7 @@
       return true;
     case GSPAN_FOLLOW_CONFIG:
     case GSPAN_FOLLOW_NODES:
+    case GSPAN_FOLLOW_VERDICTS:
       return follower->newest >= follower->fed_newest;
     case GSPAN_FOLLOW_RETIREMENTS:
     case GSPAN_FOLLOW_WEIGHTS:
@@ -458,7 +463,8 @@
 {
   if (node->catalog.store_fails) /* its first answer has to come soon */
     return 1;
-  if (which == GSPAN_FOLLOW_NODES || which == GSPAN_FOLLOW_RETIREMENTS)
+  if (which == GSPAN_FOLLOW_NODES || which == GSPAN_FOLLOW_RETIREMENTS
+      || which == GSPAN_FOLLOW_VERDICTS)
     return SLOW_WATCH_WAIT_MS;
   /* Bounds how long a connection that died unseen hides a leaving replica. */
   if (which == GSPAN_FOLLOW_REPLICAS
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -169,10 +169,11 @@
   if (!replicas->synced || node->now < feed->published_at + pause)
     return;
   trim (feed, node->now);
-  message = json_pack ("{s:s, s:i, s:I, s:I, s:I, s:I, s:I, s:o, s:O?}", "kind", "feed", "format",
-                       FEED_VERSION, "age_us", (json_int_t)age_of (node), "config",
+  message = json_pack ("{s:s, s:i, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:O?}", "kind", "feed",
+                       "format", FEED_VERSION, "age_us", (json_int_t)age_of (node), "config",
                        (json_int_t)catalog->followers[GSPAN_FOLLOW_CONFIG].newest, "nodes",
-                       (json_int_t)catalog->followers[GSPAN_FOLLOW_NODES].newest, "from",
+                       (json_int_t)catalog->followers[GSPAN_FOLLOW_NODES].newest, "verdicts",
+                       (json_int_t)catalog->followers[GSPAN_FOLLOW_VERDICTS].newest, "from",
                        (json_int_t)feed->complete_from, "to", (json_int_t)replicas->revision,
                        "changes", changes_of (feed), "lease", node->weights.lease.written);
   if (failed_at != 0)
@@ -248,6 +249,7 @@
                              number_of (message, "lease_revision"), outbox);
   gspan_catalog_note_newest (node, GSPAN_FOLLOW_CONFIG, number_of (message, "config"));
   gspan_catalog_note_newest (node, GSPAN_FOLLOW_NODES, number_of (message, "nodes"));
+  gspan_catalog_note_newest (node, GSPAN_FOLLOW_VERDICTS, number_of (message, "verdicts"));
   if (json_object_get (message, "failed_us") != NULL)
     note_failure (node, number_of (message, "failed_us"));
   catalog->lapse_until
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -43,6 +43,7 @@
   struct GspanReplica *replica;
   guint64 sent;
   GString *body; /* of a stream's answer that isn't passed on as it comes */
+  guint pieces;  /* of a stream's answer, that came so far */
 };
 
 static void
@@ -153,6 +154,27 @@
   g_hash_table_remove (node->gateway.attempts, &attempt->id);
 }
 
+/* An attempt whose answer is well on the way doesn't speak against its request. */
+static bool
+has_answer (const struct GspanAttempt *attempt)
+{
+  return attempt->pieces > 1;
+}
+
+/* The attempts that are open now are given up without an answer. */
+static void
+note_silence (struct GspanNode *node, const struct GspanCall *call, struct GspanOutbox *outbox)
+{
+  for (guint i = 0; i < call->open->len; i++)
+    {
+      const struct GspanAttempt *attempt = g_ptr_array_index (call->open, i);
+
+      if (!has_answer (attempt))
+        gspan_crash_reports_note_silence (node, call->fingerprint, attempt->replica,
+                                          node->now - attempt->sent, outbox);
+    }
+}
+
 static void
 cancel_attempts (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
@@ -277,18 +299,18 @@
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
 }
 
-static bool
-is_poison (const struct GspanNode *node, const struct GspanCall *call)
+/* Until when what is known of the call's content forbids to send it; 0 where it doesn't. */
+static guint64
+refused_until (const struct GspanNode *node, const struct GspanCall *call)
 {
-  return gspan_poison_requests_crash_count (&node->poison_requests, call->fingerprint, node->now)
-         >= GSPAN_POISON_CRASH_THRESHOLD;
+  return gspan_poison_requests_refused_until (&node->poison_requests, call->fingerprint, node->now);
 }
 
 /* Starts another attempt. False where there is no replica for it. */
 static bool
 try_next (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
-  struct GspanReplica *replica = is_poison (node, call) ? NULL : pick (node, call);
+  struct GspanReplica *replica = refused_until (node, call) != 0 ? NULL : pick (node, call);
 
   if (replica == NULL)
     return false;
@@ -296,6 +318,19 @@
   return true;
 }
 
+/* It can't be served, and has not run: says so at once, and when it may come back. */
+static void
+refuse_poison (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
+{
+  static const char why[] = "its content crashes replicas";
+  guint64 wait_us = refused_until (node, call) - node->now;
+
+  log_call (node, call, "call-not-run", why, 503, outbox);
+  gspan_metrics_add (&node->metrics, GSPAN_METRIC_DESK_POISON, 1);
+  gspan_gateway_refuse (node, call->request, why, wait_us, outbox);
+  forget_call (node, call, outbox);
+}
+
 static guint64
 deadline_of (const struct GspanNode *node, const struct GspanWireRequest *wire,
              const struct GspanConfigRoute *route)
@@ -341,10 +376,10 @@
   gspan_events_init (&call->events, NULL);
   g_hash_table_insert (node->gateway.calls, &call->id, call);
   g_hash_table_insert (node->gateway.by_request, &call->request, call);
-  call->may_have_run = is_poison (node, call);
-  if (!try_next (node, call, outbox))
-    give_up (node, call, call->may_have_run ? "its content crashes replicas" : "no replica is up",
-             502, outbox);
+  if (refused_until (node, call) != 0)
+    refuse_poison (node, call, outbox);
+  else if (!try_next (node, call, outbox))
+    give_up (node, call, "no replica is up", 502, outbox);
 }
 
 static void
@@ -431,17 +466,24 @@
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
 }
 
-/* What the failed attempt says of its replica. */
+/* What the failed attempt says of its replica, and of its request. */
 static void
-blame (struct GspanNode *node, struct GspanCall *call, struct GspanReplica *replica,
-       const struct GspanEventHttp *answer, const struct GspanWireResponse *wire)
+blame (struct GspanNode *node, const struct GspanAttempt *attempt,
+       const struct GspanEventHttp *answer, const struct GspanWireResponse *wire,
+       struct GspanOutbox *outbox)
 {
+  struct GspanReplica *replica = attempt->replica;
+  guint64 content = attempt->call->fingerprint;
+
   replica->misdirected = replica->misdirected || wire->misdirected;
   if (answer->result != GSPAN_HTTP_COMPLETE)
     gspan_replica_failed (replica, node->now);
+  if (has_answer (attempt))
+    return;
   if (answer->result == GSPAN_HTTP_LOST)
-    gspan_poison_requests_record_crash (&node->poison_requests, call->fingerprint, replica->id,
-                                        node->now);
+    gspan_crash_reports_note (node, content, replica, GSPAN_POISON_SUSPECTED, outbox);
+  else if (answer->result == GSPAN_HTTP_TIMEOUT)
+    gspan_crash_reports_note_silence (node, content, replica, node->now - attempt->sent, outbox);
 }
 
 static void
@@ -459,6 +501,8 @@
   gspan_leaving_note_answer (node, attempt->replica, &wire, outbox);
   not_run = answer->result == GSPAN_HTTP_NOT_SENT || (whole && wire.not_run && !good);
   call->state.now = node->now;
+  if (whole && wire.signed_by_replica && !not_run)
+    gspan_crash_reports_note_answer (node, call->fingerprint, attempt->replica, outbox);
   if (good && call->state.response_started)
     {
       end_stream (node, call, outbox);
@@ -473,7 +517,7 @@
       g_bytes_unref (body);
       return;
     }
-  blame (node, call, attempt->replica, answer, &wire);
+  blame (node, attempt, answer, &wire, outbox);
   log_failure (node, attempt, answer, not_run, outbox);
   call->may_have_run = call->may_have_run || !not_run;
   forget_attempt (node, attempt);
@@ -546,6 +590,7 @@
   struct GspanStr bytes = gspan_str_from_bytes (answer->body);
   struct PassOn to = { call, outbox };
 
+  attempt->pieces++;
   if (!call->state.response_started || answer->status < 200 || answer->status >= 300)
     g_string_append_len (attempt->body, bytes.data, (gssize)bytes.len);
   else if (call->state.repeat == GSPAN_REPEAT_RESUMED)
@@ -554,6 +599,14 @@
     pass_bytes (call, bytes, outbox);
 }
 
+/* Such a request goes to one replica at a time. */
+static bool
+is_suspected (const struct GspanNode *node, const struct GspanCall *call)
+{
+  return gspan_poison_requests_crash_count (&node->poison_requests, call->fingerprint, node->now)
+         >= GSPAN_POISON_CRASH_THRESHOLD;
+}
+
 static void
 check_call (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
@@ -561,11 +614,12 @@
   call->state.open_attempts = call->open->len;
   if (node->now >= call->state.deadline_us)
     {
+      note_silence (node, call, outbox);
       /* an attempt that is still open when time is up may have run */
       call->may_have_run = call->may_have_run || call->open->len > 0;
       give_up (node, call, "time is up", 504, outbox);
     }
-  else if (gspan_hedge_due (&call->state))
+  else if (gspan_hedge_due (&call->state) && !is_suspected (node, call))
     try_next (node, call, outbox);
 }
 
@@ -579,6 +633,24 @@
   g_list_free (calls);
 }
 
+void
+gspan_gateway_replica_ended (struct GspanNode *node, const struct GspanReplica *replica,
+                             struct GspanOutbox *outbox)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->gateway.attempts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct GspanAttempt *attempt = value;
+
+      if (attempt->replica == replica && !has_answer (attempt))
+        gspan_crash_reports_note (node, attempt->call->fingerprint, replica, GSPAN_POISON_CRASHED,
+                                  outbox);
+    }
+}
+
 void
 gspan_gateway_handle (struct GspanNode *node, const struct GspanEvent *event,
                       struct GspanOutbox *outbox)
@@ -596,6 +668,7 @@
       if (call == NULL)
         return;
       log_call (node, call, "call-gone", "caller left", 0, outbox);
+      note_silence (node, call, outbox);
       forget_call (node, call, outbox);
     }
   else if (attempt == NULL)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "board/message.h"
 
 struct GspanNode;
+struct GspanReplica;
 
 /*
  * Requests of desk callers, passed on to replicas: one attempt after another, a second one beside
@@ -23,6 +24,10 @@
 /* Takes REQUEST, events of attempts, callers that went away, and ticks. */
 void gspan_gateway_handle (struct GspanNode *node, const struct GspanEvent *event,
                            struct GspanOutbox *outbox);
+
+/* REPLICA has ended unplanned: notes it against the requests that are there without an answer. */
+void gspan_gateway_replica_ended (struct GspanNode *node, const struct GspanReplica *replica,
+                                  struct GspanOutbox *outbox);
 bool gspan_gateway_has_calls (const struct GspanGateway *gateway);
 
 /* Answers REQUEST with STATUS 503 and when to come back: nothing of it has run or will. */
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -14,6 +14,7 @@
 #define EVENT_TIMEOUT_US (GSPAN_SECOND)           /* several event intervals of a slow replica */
 #define BUSY_BACKOFF_US (100 * GSPAN_MS)          /* of a replica that refused a run */
 #define LOST_RUN_BACKOFF_US (GSPAN_SECOND)        /* of an item, times its consecutive losses */
+#define CONDEMNED_RECHECK_US (GSPAN_SECOND)       /* of an item that crashes replicas */
 #define SCHEDULE_INTERVAL_US (50 * GSPAN_MS)
 #define SLOW_CHECK_INTERVAL_US (100 * GSPAN_MS)
 
@@ -85,6 +86,27 @@
   gspan_outbox_log (outbox, "runner", GSPAN_PRIORITY_INFO, &line);
 }
 
+static guint64
+fingerprint_of (const struct GspanItem *item, const char *service)
+{
+  return gspan_poison_requests_fingerprint (service, item->submitted->path,
+                                            gspan_str_from_bytes (item->submitted->body));
+}
+
+/* A run that has got this far doesn't speak against its item. */
+static bool
+has_begun (const struct GspanRun *run)
+{
+  return run->event_count > 1;
+}
+
+static void
+note_answer (struct GspanNode *node, const struct GspanRun *run, struct GspanOutbox *outbox)
+{
+  gspan_crash_reports_note_answer (node, fingerprint_of (run->item, run->replica->service),
+                                   run->replica, outbox);
+}
+
 static void
 finish_item (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item, bool completed,
              struct GspanOutbox *outbox)
@@ -223,6 +245,9 @@
            struct GspanOutbox *outbox)
 {
   log_run (run, "run-broken-off", reason, 0, outbox);
+  if (!has_begun (run) && !run->has_invalid_event)
+    gspan_crash_reports_note_silence (node, fingerprint_of (run->item, run->replica->service),
+                                      run->replica, node->now - run->started_at_us, outbox);
   gspan_replica_failed (run->replica, node->now);
   if (run->has_invalid_event && !weight_version_allowed (run))
     discard_progress (run->item);
@@ -244,6 +269,8 @@
   if (previous_count > 0 && run->event_count > previous_count)
     gspan_pace_note (run->replica, node->now, node->now - previous_active_us,
                      run->event_count - previous_count);
+  if (previous_count <= 1 && has_begun (run))
+    note_answer (node, run, outbox);
   if (run->has_invalid_event)
     abort_run (node, run, "event out of order, not UTF-8 or of a disallowed weight version",
                outbox);
@@ -279,11 +306,15 @@
  * their first event, since the item itself may crash replicas.
  */
 static void
-on_run_lost (struct GspanNode *node, struct GspanRun *run)
+on_run_lost (struct GspanNode *node, struct GspanRun *run, enum GspanHttpResult result,
+             struct GspanOutbox *outbox)
 {
   struct GspanItem *item = run->item;
 
   gspan_replica_failed (run->replica, node->now);
+  if (!has_begun (run) && (result == GSPAN_HTTP_LOST || result == GSPAN_HTTP_TIMEOUT))
+    gspan_crash_reports_note (node, fingerprint_of (item, run->replica->service), run->replica,
+                              GSPAN_POISON_SUSPECTED, outbox);
   if (run->event_count == 0 && ++item->consecutive_losses >= LOSSES_BEFORE_BACKOFF)
     item->retry_at_us
         = node->now + LOST_RUN_BACKOFF_US * MIN (item->consecutive_losses, BACKOFF_FACTOR_MAX);
@@ -306,6 +337,7 @@
   log_run (run, "run-ended", outcomes[answer->result], answer->status, outbox);
   if (whole && run->is_streaming && run->events.pending->len == 0 && item->last_event_id > 0)
     {
+      note_answer (node, run, outbox);
       gspan_replica_worked (run->replica);
       gspan_metrics_observe (&node->metrics, GSPAN_HISTOGRAM_RUN, node->now - run->started_at_us);
       g_hash_table_remove (node->runner.runs, &run->id);
@@ -325,7 +357,7 @@
       requeue (node, run);
     }
   else
-    on_run_lost (node, run);
+    on_run_lost (node, run, answer->result, outbox);
 }
 
 static guint
@@ -406,6 +438,22 @@
   return true;
 }
 
+/* False while a verdict on ITEM, or a wait after its last runs, forbids to run it at SERVICE. */
+static bool
+may_run (const struct GspanNode *node, struct GspanItem *item, const char *service)
+{
+  if (item->retry_at_us > node->now)
+    return false;
+  if (g_hash_table_size (node->poison_requests.items) == 0)
+    return true;
+  if (gspan_poison_requests_condemned_until (&node->poison_requests, fingerprint_of (item, service),
+                                             node->now)
+      == 0)
+    return true;
+  item->retry_at_us = node->now + CONDEMNED_RECHECK_US;
+  return false;
+}
+
 /* Starts waiting items of JOB while replicas have room. Returns false if there is no room left. */
 static bool
 schedule_job (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
@@ -429,7 +477,7 @@
 
       if (abandon_if_late (node, job, item, route, outbox))
         continue;
-      if (item->retry_at_us > node->now)
+      if (!may_run (node, item, service))
         {
           g_queue_push_tail (&job->waiting_items, item);
           continue;
@@ -558,6 +606,24 @@
   g_list_free (runs);
 }
 
+void
+gspan_runner_replica_ended (struct GspanNode *node, const struct GspanReplica *replica,
+                            struct GspanOutbox *outbox)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->runner.runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct GspanRun *run = value;
+
+      if (run->replica == replica && !has_begun (run))
+        gspan_crash_reports_note (node, fingerprint_of (run->item, replica->service), replica,
+                                  GSPAN_POISON_CRASHED, outbox);
+    }
+}
+
 void
 gspan_runner_handle (struct GspanNode *node, const struct GspanEvent *event,
                      struct GspanOutbox *outbox)
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -4,6 +4,7 @@
 #include "jobs/job.h"
 
 struct GspanNode;
+struct GspanReplica;
 
 /*
  * Runs the items of the jobs that this node owns. An item is placed on a replica by load and
@@ -23,5 +24,9 @@
 void gspan_runner_handle (struct GspanNode *node, const struct GspanEvent *event,
                           struct GspanOutbox *outbox);
 
+/* REPLICA has ended unplanned: notes it against the items that are there and have hardly begun. */
+void gspan_runner_replica_ended (struct GspanNode *node, const struct GspanReplica *replica,
+                                 struct GspanOutbox *outbox);
+
 /* Cancels all runs of JOB. What they have generated stays with their items. */
 void gspan_runner_stop (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox);
--- a/node/node.c
+++ b/node/node.c
@@ -1,7 +1,15 @@
 #include "node/node.h"
 
+#include "common/clock.h"
 #include "platform/wire.h"
 
+#define LIST_SLACK_US (GSPAN_SECOND) /* until a lapse is known here, beside the drain notice */
+
+enum
+{
+  LAPSE_HEARTBEATS = 3 /* without one for so long, an upstream's entry lapses */
+};
+
 void
 gspan_node_init (struct GspanNode *node, const struct GspanNodeConfig *config)
 {
@@ -11,6 +19,9 @@
   node->random = g_rand_new_with_seed (config->seed);
   node->incarnation = g_rand_int (node->random);
   gspan_poison_requests_init (&node->poison_requests);
+  node->poison_requests.unconfirmed_us = LAPSE_HEARTBEATS * config->limits.heartbeat_us
+                                         + config->limits.drain_notice_us + LIST_SLACK_US;
+  gspan_crash_reports_init (&node->crash_reports);
   gspan_catalog_init (&node->catalog, config->self.keeps_disk);
   gspan_peers_init (&node->peers);
   gspan_gateway_init (&node->gateway);
@@ -28,6 +39,7 @@
   gspan_gateway_finish (&node->gateway);
   gspan_peers_finish (&node->peers);
   gspan_catalog_finish (&node->catalog);
+  gspan_crash_reports_finish (&node->crash_reports);
   gspan_poison_requests_finish (&node->poison_requests);
   g_rand_free (node->random);
 }
@@ -82,6 +94,9 @@
     case GSPAN_OWNER_WEIGHTS:
       gspan_weights_handle (node, event, outbox);
       break;
+    case GSPAN_OWNER_CRASHES:
+      gspan_crash_reports_handle (node, event, outbox);
+      break;
     default: /* of the other daemons' controllers, which aren't here */
       break;
     }
@@ -92,6 +107,7 @@
 {
   gspan_catalog_handle (node, event, outbox);
   gspan_peers_handle (node, event, outbox);
+  gspan_crash_reports_handle (node, event, outbox);
   gspan_gateway_handle (node, event, outbox);
   gspan_jobs_handle (node, event, outbox);
   gspan_runner_handle (node, event, outbox);
@@ -103,9 +119,12 @@
 take_datagram (struct GspanNode *node, struct GspanStr payload, struct GspanOutbox *outbox)
 {
   json_t *message = json_loadb (payload.data, payload.len, 0, NULL);
+  const char *kind = json_string_value (json_object_get (message, "kind"));
 
-  if (g_strcmp0 (json_string_value (json_object_get (message, "kind")), "feed") == 0)
+  if (g_strcmp0 (kind, "feed") == 0)
     gspan_feed_receive (node, message, outbox);
+  else if (g_strcmp0 (kind, "crashes") == 0)
+    gspan_crash_reports_receive (node, message, outbox);
   else
     gspan_owner_handle_datagram (node, message, outbox);
   json_decref (message);
--- a/node/node.h
+++ b/node/node.h
@@ -4,6 +4,7 @@
 #include "catalog/catalog.h"
 #include "common/metrics.h"
 #include "desk/poison_requests.h"
+#include "gateway/crash_reports.h"
 #include "gateway/gateway.h"
 #include "jobs/jobs.h"
 #include "jobs/runner.h"
@@ -20,13 +21,14 @@
   bool keeps_disk;         /* its VM may be asked to be emptied */
 };
 
-/* Bounds from the settings, in microseconds but for the last. */
+/* Bounds from the settings, in microseconds but for the object's size. */
 struct GspanNodeLimits
 {
   guint64 lease_us;         /* orders of two holders are at least so far apart */
   guint64 job_retention_us; /* a job's results stay readable for so long after its submission */
   guint64 drain_notice_us;  /* a leaving upstream gets nothing new after so long */
   guint64 object_max_bytes; /* bytes of an object in the store */
+  guint64 heartbeat_us;     /* an upstream renews its entry so often; it lapses after three */
 };
 
 /*
@@ -45,6 +47,7 @@
   guint64 next_id;
   struct GspanMetrics metrics;
   struct GspanPoisonRequests poison_requests;
+  struct GspanCrashReports crash_reports;
   struct GspanCatalog catalog;
   struct GspanPeers peers;
   struct GspanGateway gateway;
--- a/settings/fleet.c
+++ b/settings/fleet.c
@@ -37,6 +37,8 @@
         { "limits.drain_notice_ms", GSPAN_OPTION_FRACTION, "ms", 100, 60000, NULL, "2000",
           "an upstream that says that it leaves gets nothing new after so long",
           FIELD (drain_notice_ms) },
+        { "limits.heartbeat_ms", GSPAN_OPTION_FRACTION, "ms", 10, 600000, NULL, "1200",
+          "an upstream renews its entry so often; it lapses after three", FIELD (heartbeat_ms) },
         { "log.level", GSPAN_OPTION_CHOICE, NULL, 0, 0, "error warning notice info debug", "info",
           "least priority that is logged", FIELD (log_level) },
         { "log.lines_per_s", GSPAN_OPTION_INTEGER, "lines", 0, 1000000, NULL, "400",
--- a/settings/fleet.h
+++ b/settings/fleet.h
@@ -22,6 +22,7 @@
   gint64 connections;
   double grace_s;
   double drain_notice_ms;
+  double heartbeat_ms;
   gint64 log_lines;
   gint64 seed;
 };
