--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -21,6 +21,7 @@
         self.answers = defaultdict(int)  # status to number
         self.disturbed = defaultdict(list)  # node to (from, until)
         self.store_disturbed = []  # (from, until)
+        self.stops = defaultdict(list)  # node to (from, until) of its restarts and freezes
         self.broken = []
 
     # What is seen.
@@ -54,8 +55,14 @@
             if "retry-after" not in headers:
                 self.broken.append(f"REFUSED {attempt} at {node}: no Retry-After")
 
-    def disturb(self, node, for_s):
-        self.disturbed[node].append((self.now(), self.now() + for_s))
+    def disturb(self, node):
+        """Begins a disturbance of NODE; returns what ends it."""
+        span = [self.now(), float("inf")]
+        self.disturbed[node].append(span)
+
+        def end():
+            span[1] = self.now()
+        return end
 
     # What is asked of it.
 
@@ -75,16 +82,11 @@
             seen = self.left.get((node, replica))
             if seen is None or sent <= seen + DRAIN_S:
                 continue
-            if any(end >= seen and start <= at and not kind for start, end, kind in self.stops(node)):
+            if any(end >= seen and start <= at for start, end in self.stops[node]):
                 continue
             self.broken.append(f"DRAIN {attempt}: {node} sent it to {replica} {at - seen:.1f} s after it had passed "
                                "on an answer of that replica which says that it leaves")
 
-    def stops(self, node):
-        return [(start, end, False) for start, end in self.restarts.get(node, [])]
-
-    restarts = {}
-
     def check_leaving_by_store(self, acknowledged):
         for attempt, replica, at in self.arrivals:
             since = acknowledged.get(replica)
@@ -104,8 +106,8 @@
             if len(self.ends[path]) < ENDS_ALLOWED:
                 continue
             known = sorted(self.ends[path])[ENDS_ALLOWED - 1] + STABLE_S
-            late = [(node, at) for node, _, at in sends if at > known and not self.is_disturbed(node, at)
-                    and not self.is_store_disturbed(at)]
+            late = [(node, at) for node, _, at in sends if at > known and not self.is_store_disturbed(at)
+                    and not (self.is_disturbed(node, at) if node else self.any_disturbed(at))]
             if len(late) > RETRIES_ALLOWED:
                 self.broken.append(f"BUDGET {path}: sent {len(late)} times by {len({n for n, _ in late})} nodes later "
                                    f"than {STABLE_S} s after it had ended three replicas; {len(self.ends[path])} ended")
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -179,6 +179,8 @@
             job = f"j{self.options.seed}-{step}"
             items = [{"id": f"{job}-{i}", "path": f"/batch/{job}-{i}", "headers": {"X-Model": "m0"}, "body": "aGk=",
                       "tokenCount": 10, "group": f"g{i // 4}"} for i in range(16)]
+            if self.options.killers > 0 and step == 1:
+                items.append({**items[0], "id": f"{job}-k", "path": f"/batch{KILLER}{job}", "group": "k"})
             body = json.dumps({"step": step, "model": "m0", "minVersion": 0, "desiredCount": 4, "items": items})
             headers = {"Host": "a.example", "X-Attempt-Id": job}
             await self.until_accepted(f"/batch/{job}", headers, body.encode())
@@ -234,8 +236,8 @@
     async def store_fault(self, nodes):
         fault = self.random.choice(["busy", "silent", "reset", "lost", "slow"])
         for_s = self.random.uniform(1, 6)
+        ends = [self.book.disturb(node.name) for node in nodes]
         for node in nodes:
-            self.book.disturb(node.name, for_s)
             self.store.faults[node.name] = fault
             if fault in ("silent", "reset"):
                 self.store.break_connections(node.name)
@@ -244,6 +246,8 @@
             self.store.faults.pop(node.name, None)
             if fault == "silent":
                 self.store.break_connections(node.name)
+        for end in ends:
+            end()
 
     async def store_away(self):
         start = self.now()
@@ -266,14 +270,15 @@
     async def kill_node(self, number=signal.SIGKILL):
         node = self.random.choice(self.nodes)
         start = self.now()
-        self.book.disturb(node.name, 12)
+        end = self.book.disturb(node.name)
         node.signal(signal.SIGCONT)
         node.signal(number)
         while node.popen.poll() is None:
             await asyncio.sleep(0.05)
         await asyncio.sleep(0.3)
         node.start()
-        self.book.restarts.setdefault(node.name, []).append((start, self.now()))
+        self.book.stops[node.name].append((start, self.now()))
+        end()
 
     async def stop_node(self):
         await self.kill_node(signal.SIGTERM)
@@ -281,12 +286,13 @@
     async def freeze_node(self):
         node = self.random.choice(self.nodes)
         for_s = self.random.uniform(0.5, 4)
-        self.book.disturb(node.name, for_s)
+        end = self.book.disturb(node.name)
         start = self.now()
         node.signal(signal.SIGSTOP)
         await asyncio.sleep(for_s)
         node.signal(signal.SIGCONT)
-        self.book.restarts.setdefault(node.name, []).append((start, self.now()))
+        self.book.stops[node.name].append((start, self.now()))
+        end()
 
     async def faults(self):
         """In series that overlap."""
