--- a/gateway/crash_reports.c
+++ b/gateway/crash_reports.c
@@ -314,7 +314,9 @@
     }
   if (stands < 0)
     return;
-  log_report (node, fingerprint, upstream, evidence_names[stands], "peer", outbox);
+  /* each node would say again what one of them has seen; only what this leads to here is new */
+  if (gspan_poison_requests_refused_until (poison, fingerprint, node->now) != 0)
+    log_report (node, fingerprint, upstream, evidence_names[stands], "peer", outbox);
   check_verdict (node, fingerprint, false, outbox);
 }
 
