jobs: failed runs of an item are counted across its owners

The checkpoint, which a new owner reads anyway, now carries the count of each unfinished item, also of those without events; a failed run makes one due. Left: an owner that is killed within 2 s of a failed run takes that count with it; routes of a single version keep no checkpoint. Evidence: FailedRunsOfAnItemAreCountedAcrossOwners failed before (a new owner needed three more) and passes; the other 39 tests of jobs pass as they were.

--- a/jobs/checkpoint.c
+++ b/jobs/checkpoint.c
@@ -21,18 +21,21 @@
 static bool
 is_unfinished (const struct GspanItem *item)
 {
-  return item->result != NULL
-         && (item->state == GSPAN_ITEM_RUNNING || item->state == GSPAN_ITEM_WAITING);
+  return item->state == GSPAN_ITEM_RUNNING || item->state == GSPAN_ITEM_WAITING;
 }
 
 static bool
-has_enough_new_events (const struct GspanJob *job, guint64 events_min)
+has_enough_progress (const struct GspanJob *job, guint64 events_min)
 {
   for (guint i = 0; i < job->document.items->len; i++)
     {
       const struct GspanItem *item = &job->items[i];
 
-      if (is_unfinished (item) && item->last_event_id >= item->checkpointed_event_id + events_min)
+      if (!is_unfinished (item))
+        continue;
+      if (item->server_errors > item->checkpointed_errors)
+        return true;
+      if (item->result != NULL && item->last_event_id >= item->checkpointed_event_id + events_min)
         return true;
     }
   return false;
@@ -55,8 +58,8 @@
       || node->catalog.store_fails || !allows_checkpoint (node, job))
     return false;
   if (last)
-    return has_enough_new_events (job, HANDOVER_EVENTS_MIN);
-  return node->now >= job->next_checkpoint_at_us && has_enough_new_events (job, NEW_EVENTS_MIN);
+    return has_enough_progress (job, HANDOVER_EVENTS_MIN);
+  return node->now >= job->next_checkpoint_at_us && has_enough_progress (job, NEW_EVENTS_MIN);
 }
 
 static gint
@@ -70,7 +73,10 @@
   return x < y ? -1 : x > y;
 }
 
-/* Unfinished items of JOB with at least EVENTS_MIN events, those with the most events first. */
+/*
+ * Unfinished items of JOB with at least EVENTS_MIN events, or with failed runs, those with the most
+ * events first.
+ */
 static GPtrArray *
 unfinished_items (struct GspanJob *job, guint64 events_min)
 {
@@ -78,13 +84,29 @@
 
   for (guint i = 0; i < job->document.items->len; i++)
     {
-      if (is_unfinished (&job->items[i]) && job->items[i].last_event_id >= events_min)
-        g_ptr_array_add (items, &job->items[i]);
+      struct GspanItem *item = &job->items[i];
+      bool has_events = item->result != NULL && item->last_event_id >= events_min;
+
+      if (is_unfinished (item) && (has_events || item->server_errors > 0))
+        g_ptr_array_add (items, item);
     }
   g_ptr_array_sort (items, compare_progress);
   return items;
 }
 
+static json_t *
+encode_item (const struct GspanItem *item)
+{
+  json_t *value = item->result != NULL
+                      ? gspan_job_result_encode (item->result)
+                      : json_pack ("{s:s, s:s}", "item", item->submitted->id, "text", "");
+
+  json_object_set_new (value, "events", json_integer ((json_int_t)item->last_event_id));
+  if (item->server_errors > 0)
+    json_object_set_new (value, "errors", json_integer ((json_int_t)item->server_errors));
+  return value;
+}
+
 /*
  * Returns the checkpoint as JSON. If it would be too large, the items with the fewest events are
  * left out, since they are the cheapest to regenerate.
@@ -99,15 +121,14 @@
   for (guint i = 0; i < items->len; i++)
     {
       struct GspanItem *item = g_ptr_array_index (items, i);
-      json_t *value;
+      size_t text = item->result != NULL ? item->result->text->len : 0;
 
       item->checkpointed_event_id = item->last_event_id;
-      if (item->result->text->len > text_left)
+      item->checkpointed_errors = item->server_errors;
+      if (text > text_left)
         continue;
-      text_left -= item->result->text->len;
-      value = gspan_job_result_encode (item->result);
-      json_object_set_new (value, "events", json_integer ((json_int_t)item->last_event_id));
-      json_array_append_new (values, value);
+      text_left -= text;
+      json_array_append_new (values, encode_item (item));
     }
   g_ptr_array_unref (items);
   return json_pack ("{s:o}", "items", values);
@@ -164,6 +185,15 @@
   job->checkpoint = json_incref (spec);
 }
 
+static void
+restore_errors (struct GspanItem *item, json_t *value)
+{
+  json_int_t errors = json_integer_value (json_object_get (value, "errors"));
+
+  item->server_errors = MAX (item->server_errors, (guint)CLAMP (errors, 0, G_MAXUINT16));
+  item->checkpointed_errors = item->server_errors;
+}
+
 static void
 restore_item (struct GspanJob *job, json_t *value)
 {
@@ -172,6 +202,8 @@
   struct GspanItem *item
       = result != NULL ? g_hash_table_lookup (job->items_by_id, result->item_id) : NULL;
 
+  if (item != NULL)
+    restore_errors (item, value);
   if (item == NULL || events <= 0 || item->state != GSPAN_ITEM_WAITING || item->result != NULL)
     {
       if (result != NULL)
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -39,7 +39,8 @@
   struct GspanJobResult *result; /* generated so far; NULL before the first event */
   guint64 last_event_id;         /* 0 before the first event */
   guint64 checkpointed_event_id; /* last_event_id at the last checkpoint, even if it had no room */
-  guint server_errors;           /* responses with status 500 */
+  guint server_errors;           /* responses with status 500, at all owners */
+  guint checkpointed_errors;     /* server_errors at the last checkpoint */
   guint consecutive_losses;      /* runs in a row that were lost before their first event */
   guint64 retry_at_us;           /* earliest start of the next run */
 };
--- a/test/jobs_test.cc
+++ b/test/jobs_test.cc
@@ -715,6 +715,28 @@
   EXPECT_FALSE (gspan_jobs_is_busy (&rig.node.jobs));
 }
 
+TEST_F (Jobs, FailedRunsOfAnItemAreCountedAcrossOwners)
+{
+  Rig &rig = start_nodes (2);
+  Rig &other = *world.rigs[1];
+
+  submit_job (rig, 1, "j1", 1);
+  for (int i = 0; i < 2; i++)
+    {
+      world.run (200 * GSPAN_MS);
+      ASSERT_EQ (open_runs (rig).size (), 1U);
+      rig.http_done (open_runs (rig)[0], GSPAN_HTTP_COMPLETE, 500, signed_head, "");
+    }
+  rig.drain ();
+  world.run (1500 * GSPAN_MS);
+  ASSERT_EQ (open_runs (other).size (), 1U);
+  other.http_done (open_runs (other)[0], GSPAN_HTTP_COMPLETE, 500, signed_head, "");
+  world.run (1500 * GSPAN_MS);
+  EXPECT_TRUE (open_runs (other).empty ());
+  ASSERT_EQ (all_results (other, "j1", 900).size (), 1U);
+  EXPECT_NE (response_to (other, 900)->body.find ("abandoned"), std::string::npos);
+}
+
 /* The handover must not fail because the texts are larger than the store's largest value. */
 TEST_F (Jobs, HandoverCheckpointLeavesOutRunsThatDoNotFit)
 {
