gateway: verdicts in the store stand apart from what peers tell one another

crash_reports.c had two jobs: evidence by datagram, and verdicts in the store. The latter is gateway/verdicts.c now; how a fingerprint is written is one pair of functions beside its maker. A late answer of an earlier start can no longer put the birth back from which catalog/leaving.c goes.

--- a/board/message.h
+++ b/board/message.h
@@ -28,7 +28,7 @@
   GSPAN_OWNER_JOBS,
   GSPAN_OWNER_RUNS,
   GSPAN_OWNER_WEIGHTS,
-  GSPAN_OWNER_CRASHES
+  GSPAN_OWNER_VERDICTS
 };
 
 /* Names one operation: ID is chosen by OWNER and unique among its open operations. */
--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -68,7 +68,7 @@
   follower_init (&catalog->followers[GSPAN_FOLLOW_RETIREMENTS], gspan_wire_kind_retirements,
                  follows_retirements);
   follower_init (&catalog->followers[GSPAN_FOLLOW_WEIGHTS], gspan_wire_kind_weight_versions, false);
-  follower_init (&catalog->followers[GSPAN_FOLLOW_VERDICTS], GSPAN_CRASH_REPORTS_KIND, true);
+  follower_init (&catalog->followers[GSPAN_FOLLOW_VERDICTS], GSPAN_VERDICTS_KIND, true);
   gspan_config_init (&catalog->config);
   gspan_leaving_init (&catalog->leaving);
   gspan_feed_init (&catalog->feed);
@@ -142,7 +142,7 @@
       gspan_weights_apply (node, object, outbox);
       break;
     case GSPAN_FOLLOW_VERDICTS:
-      gspan_crash_reports_apply (node, object, outbox);
+      gspan_verdicts_apply (node, object, outbox);
       break;
     case GSPAN_FOLLOW_COUNT:
       break;
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -22,7 +22,7 @@
   GSPAN_FOLLOW_NODES,
   GSPAN_FOLLOW_RETIREMENTS,
   GSPAN_FOLLOW_WEIGHTS,  /* by the holder of the lease of orders only */
-  GSPAN_FOLLOW_VERDICTS, /* on requests that crash replicas (gateway/crash_reports.h) */
+  GSPAN_FOLLOW_VERDICTS, /* on requests that crash replicas (gateway/verdicts.h) */
   GSPAN_FOLLOW_COUNT
 };
 
--- a/catalog/leaving.c
+++ b/catalog/leaving.c
@@ -50,11 +50,21 @@
   gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_INFO, &line);
 }
 
+/* Of the latest start of ID that has said so; 0 where none has. */
+static guint64
+birth_of (GHashTable *starts, const char *id)
+{
+  const struct Start *start = g_hash_table_lookup (starts, id);
+
+  return start != NULL ? start->born : 0;
+}
+
 void
 gspan_leaving_note_answer (struct GspanNode *node, struct GspanReplica *replica,
                            const struct GspanWireResponse *answer, struct GspanOutbox *outbox)
 {
   GHashTable *starts = node->catalog.leaving.starts;
+  guint64 born = MAX (replica->born, birth_of (starts, replica->id));
   struct GspanReplica *listed;
   struct Start *start;
 
@@ -64,7 +74,7 @@
   replica->leaving = true;
   g_hash_table_foreach_remove (starts, is_old, &node->now);
   start = g_new0 (struct Start, 1);
-  start->born = replica->born;
+  start->born = born;
   start->noted_at = node->now;
   g_hash_table_replace (starts, g_strdup (replica->id), start);
   /* the entry may have lapsed and come back since the request was sent */
--- a/desk/poison_requests.c
+++ b/desk/poison_requests.c
@@ -10,7 +10,8 @@
 
 enum
 {
-  COUNTS_MAX = 8 /* pieces of evidence kept of one request; the oldest goes first */
+  FINGERPRINT_DIGITS = 16, /* hexadecimal */
+  COUNTS_MAX = 8           /* pieces of evidence kept of one request; the oldest goes first */
 };
 
 struct Count
@@ -55,6 +56,23 @@
   return hash != 0 ? hash : 1;
 }
 
+char *
+gspan_poison_fingerprint_format (guint64 fingerprint)
+{
+  return g_strdup_printf ("%016" G_GINT64_MODIFIER "x", fingerprint);
+}
+
+bool
+gspan_poison_fingerprint_parse (const char *text, guint64 *fingerprint)
+{
+  char *end = NULL;
+
+  if (text == NULL || strlen (text) != FINGERPRINT_DIGITS)
+    return false;
+  *fingerprint = g_ascii_strtoull (text, &end, 16);
+  return *end == '\0' && *fingerprint != 0;
+}
+
 static guint64
 hash_of (const char *upstream)
 {
--- a/desk/poison_requests.h
+++ b/desk/poison_requests.h
@@ -55,6 +55,13 @@
 guint64 gspan_poison_requests_fingerprint (const char *service, const char *path,
                                            struct GspanStr body);
 
+/* FINGERPRINT in messages, names of objects and log lines: 16 hex digits, released with g_free ().
+ */
+char *gspan_poison_fingerprint_format (guint64 fingerprint);
+
+/* False where TEXT, which may be NULL, is none. */
+bool gspan_poison_fingerprint_parse (const char *text, guint64 *fingerprint);
+
 /*
  * Notes EVIDENCE that a request crashes UPSTREAM, seen at NOW. What is known to have ended makes a
  * crash of any evidence. Returns the evidence that stands if that is new or stronger, else -1.
--- a/gateway/crash_reports.c
+++ b/gateway/crash_reports.c
@@ -9,8 +9,6 @@
 #define TELL_NEW_US (20 * GSPAN_MS)
 #define TELL_AGAIN_US (300 * GSPAN_MS)
 #define SILENCE_LEAST_US (400 * GSPAN_MS) /* sound replicas have mostly answered by then */
-#define OTHERS_WAIT_US (2 * GSPAN_SECOND) /* for whoever recorded the last crash to write */
-#define RETRY_US (500 * GSPAN_MS)
 
 enum
 {
@@ -30,13 +28,6 @@
   guint64 at;
 };
 
-struct Verdict
-{
-  bool stored;
-  guint64 write_at_us; /* not stored: not written before */
-  guint64 revision;    /* of an old one in the store that is to be replaced; 0 is none */
-};
-
 static void
 report_free (gpointer data)
 {
@@ -51,13 +42,11 @@
 {
   *reports = (struct GspanCrashReports){ 0 };
   reports->recent = g_ptr_array_new_with_free_func (report_free);
-  reports->verdicts = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
 }
 
 void
 gspan_crash_reports_finish (struct GspanCrashReports *reports)
 {
-  g_hash_table_unref (reports->verdicts);
   g_ptr_array_unref (reports->recent);
 }
 
@@ -68,17 +57,11 @@
   return g_strdup_printf ("%s/%" G_GUINT64_FORMAT, replica->id, replica->born);
 }
 
-static char *
-hex_of (guint64 fingerprint)
-{
-  return g_strdup_printf ("%016" G_GINT64_MODIFIER "x", fingerprint);
-}
-
 static void
 log_report (const struct GspanNode *node, guint64 fingerprint, const char *upstream,
             const char *what, const char *source, struct GspanOutbox *outbox)
 {
-  char *content = hex_of (fingerprint);
+  char *content = gspan_poison_fingerprint_format (fingerprint);
   struct GspanLine line;
 
   gspan_line_init (&line, "request-evidence");
@@ -93,45 +76,6 @@
   g_free (content);
 }
 
-static void
-log_verdict (const struct GspanNode *node, guint64 fingerprint, const char *event, guint64 until,
-             struct GspanOutbox *outbox)
-{
-  char *content = hex_of (fingerprint);
-  struct GspanLine line;
-
-  gspan_line_init (&line, event);
-  gspan_line_cstr (&line, "content", content);
-  gspan_line_u64 (&line, "life_us", until > node->now ? until - node->now : 0);
-  gspan_outbox_log (outbox, "crashes", GSPAN_PRIORITY_NOTICE, &line);
-  g_free (content);
-}
-
-static struct Verdict *
-add_verdict (struct GspanNode *node, guint64 fingerprint)
-{
-  struct Verdict *verdict = g_new0 (struct Verdict, 1);
-
-  g_hash_table_replace (node->crash_reports.verdicts, g_memdup2 (&fingerprint, sizeof fingerprint),
-                        verdict);
-  return verdict;
-}
-
-/* Has a verdict that is new here written to the store, by this node first if OWN. */
-static void
-check_verdict (struct GspanNode *node, guint64 fingerprint, bool own, struct GspanOutbox *outbox)
-{
-  guint64 until
-      = gspan_poison_requests_condemned_until (&node->poison_requests, fingerprint, node->now);
-  guint64 wait = OTHERS_WAIT_US;
-
-  if (until == 0 || g_hash_table_contains (node->crash_reports.verdicts, &fingerprint))
-    return;
-  wait += (guint64)g_rand_int_range (node->random, 0, (gint32)OTHERS_WAIT_US);
-  add_verdict (node, fingerprint)->write_at_us = own ? node->now : node->now + wait;
-  log_verdict (node, fingerprint, "request-condemned", until, outbox);
-}
-
 static void
 tell (struct GspanNode *node, guint64 fingerprint, const char *upstream, const char *what)
 {
@@ -170,7 +114,7 @@
   for (guint i = first; i < reports->recent->len; i++)
     {
       const struct Report *report = g_ptr_array_index (reports->recent, i);
-      char *content = hex_of (report->fingerprint);
+      char *content = gspan_poison_fingerprint_format (report->fingerprint);
 
       json_array_append_new (list, json_pack ("{s:s, s:s, s:s, s:I}", "content", content,
                                               "upstream", report->upstream, "what", report->what,
@@ -218,7 +162,7 @@
     {
       log_report (node, fingerprint, upstream, evidence_names[stands], "own", outbox);
       tell (node, fingerprint, upstream, evidence_names[stands]);
-      check_verdict (node, fingerprint, true, outbox);
+      gspan_verdicts_check (node, fingerprint, true, outbox);
       tell_recent (node, outbox);
     }
   g_free (upstream);
@@ -269,24 +213,13 @@
 
       log_report (node, fingerprint, upstream, crashed, "own", outbox);
       tell (node, fingerprint, upstream, crashed);
-      check_verdict (node, fingerprint, true, outbox);
+      gspan_verdicts_check (node, fingerprint, true, outbox);
     }
   tell_recent (node, outbox);
   g_array_unref (changed);
   g_free (upstream);
 }
 
-static bool
-parse_hex (const char *text, guint64 *number)
-{
-  char *end = NULL;
-
-  if (text == NULL || strlen (text) != 16)
-    return false;
-  *number = g_ascii_strtoull (text, &end, 16);
-  return *end == '\0' && *number != 0;
-}
-
 static void
 receive_report (struct GspanNode *node, json_t *report, struct GspanOutbox *outbox)
 {
@@ -298,7 +231,8 @@
   guint64 fingerprint;
   int stands = -1;
 
-  if (!parse_hex (json_string_value (json_object_get (report, "content")), &fingerprint)
+  if (!gspan_poison_fingerprint_parse (json_string_value (json_object_get (report, "content")),
+                                       &fingerprint)
       || upstream == NULL || what == NULL)
     return;
   if (strcmp (what, answered_name) == 0)
@@ -317,7 +251,7 @@
   /* each node would say again what one of them has seen; only what this leads to here is new */
   if (gspan_poison_requests_refused_until (poison, fingerprint, node->now) != 0)
     log_report (node, fingerprint, upstream, evidence_names[stands], "peer", outbox);
-  check_verdict (node, fingerprint, false, outbox);
+  gspan_verdicts_check (node, fingerprint, false, outbox);
 }
 
 void
@@ -335,141 +269,9 @@
 }
 
 void
-gspan_crash_reports_apply (struct GspanNode *node, const struct GspanStoreObject *object,
-                           struct GspanOutbox *outbox)
+gspan_crash_reports_handle (struct GspanNode *node, struct GspanOutbox *outbox)
 {
-  gint64 until_ms = json_integer_value (json_object_get (object->spec, "until_ms"));
-  gint64 life_ms = until_ms - node->wall_ms;
-  guint64 fingerprint;
-
-  if (!parse_hex (object->name, &fingerprint))
-    return;
-  if (object->removed)
-    {
-      g_hash_table_remove (node->crash_reports.verdicts, &fingerprint);
-      gspan_poison_requests_clear (&node->poison_requests, fingerprint);
-      return;
-    }
-  add_verdict (node, fingerprint)->stored = true;
-  if (life_ms <= 0)
-    return;
-  gspan_poison_requests_merge (&node->poison_requests, fingerprint, (guint64)life_ms * GSPAN_MS,
-                               node->now);
-  log_verdict (
-      node, fingerprint, "request-condemned",
-      gspan_poison_requests_condemned_until (&node->poison_requests, fingerprint, node->now),
-      outbox);
-}
-
-static struct GspanStoreCall *
-start_call (struct GspanNode *node, enum GspanStoreOp op, guint64 fingerprint,
-            struct GspanOutbox *outbox)
-{
-  struct GspanCrashReports *reports = &node->crash_reports;
-  struct GspanRef ref = { GSPAN_OWNER_CRASHES, gspan_node_next_id (node) };
-  char *name = hex_of (fingerprint);
-  struct GspanStoreCall *call
-      = gspan_outbox_store (outbox, ref, op, GSPAN_CRASH_REPORTS_KIND, name);
-
-  reports->call = ref.id;
-  reports->call_verdict = fingerprint;
-  reports->call_removes = op == GSPAN_STORE_REMOVE;
-  g_free (name);
-  return call;
-}
-
-static void
-write_verdict (struct GspanNode *node, guint64 fingerprint, const struct Verdict *verdict,
-               guint64 until, struct GspanOutbox *outbox)
-{
-  enum GspanStoreOp op = verdict->revision != 0 ? GSPAN_STORE_REPLACE : GSPAN_STORE_CREATE;
-  gint64 until_ms = node->wall_ms + (gint64)((until - node->now) / GSPAN_MS);
-  struct GspanStoreCall *call = start_call (node, op, fingerprint, outbox);
-
-  call->revision = verdict->revision;
-  call->value = json_pack ("{s:I, s:s}", "until_ms", (json_int_t)until_ms, "by", node->self.name);
-}
-
-/* Writes a verdict that isn't stored, or has one removed that is over; one at a time. */
-static void
-sync_verdicts (struct GspanNode *node, struct GspanOutbox *outbox)
-{
-  struct GspanCrashReports *reports = &node->crash_reports;
-  bool cleans_up = gspan_feed_publishes (node);
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, reports->verdicts);
-  while (reports->call == 0 && g_hash_table_iter_next (&iter, &key, &value))
-    {
-      const struct Verdict *verdict = value;
-      guint64 fingerprint = *(const guint64 *)key;
-      guint64 until
-          = gspan_poison_requests_condemned_until (&node->poison_requests, fingerprint, node->now);
-
-      if (until == 0 && !verdict->stored)
-        g_hash_table_iter_remove (&iter);
-      else if (until == 0 && cleans_up)
-        start_call (node, GSPAN_STORE_REMOVE, fingerprint, outbox);
-      else if (until != 0 && !verdict->stored && node->now >= verdict->write_at_us)
-        write_verdict (node, fingerprint, verdict, until, outbox);
-    }
-}
-
-/* A verdict stands in the store already; one that is over there has to be replaced. */
-static void
-on_conflict (const struct GspanNode *node, struct Verdict *verdict,
-             const struct GspanStoreObject *object)
-{
-  json_t *until_ms = object != NULL ? json_object_get (object->spec, "until_ms") : NULL;
-
-  verdict->stored = object == NULL || json_integer_value (until_ms) > node->wall_ms;
-  verdict->revision = object != NULL ? object->revision : 0;
-}
-
-static void
-on_call_done (struct GspanNode *node, const struct GspanStoreReply *reply)
-{
-  struct GspanCrashReports *reports = &node->crash_reports;
-  struct Verdict *verdict = g_hash_table_lookup (reports->verdicts, &reports->call_verdict);
-
-  reports->call = 0;
-  if (verdict == NULL)
-    return;
-  switch (reply->result)
-    {
-    case GSPAN_STORE_OK:
-      if (reports->call_removes)
-        g_hash_table_remove (reports->verdicts, &reports->call_verdict);
-      else
-        verdict->stored = true;
-      break;
-    case GSPAN_STORE_CONFLICT:
-      on_conflict (node, verdict, gspan_store_reply_first (reply));
-      break;
-    case GSPAN_STORE_MISSING: /* removed meanwhile */
-      g_hash_table_remove (reports->verdicts, &reports->call_verdict);
-      break;
-    case GSPAN_STORE_GAP:
-    case GSPAN_STORE_UNAVAILABLE:
-    case GSPAN_STORE_UNKNOWN:
-      reports->next_call_at_us = node->now + RETRY_US;
-      break;
-    }
-}
-
-void
-gspan_crash_reports_handle (struct GspanNode *node, const struct GspanEvent *event,
-                            struct GspanOutbox *outbox)
-{
-  struct GspanCrashReports *reports = &node->crash_reports;
-
-  if (event->kind == GSPAN_EVENT_STORE_DONE && event->ref.id == reports->call)
-    on_call_done (node, event->u.store.reply);
   tell_recent (node, outbox);
   if (node->catalog.store_fails)
     gspan_poison_requests_keep_unconfirmed (&node->poison_requests, node->now);
-  else if (reports->call == 0 && node->now >= reports->next_call_at_us)
-    sync_verdicts (node, outbox);
 }
--- a/gateway/crash_reports.h
+++ b/gateway/crash_reports.h
@@ -4,9 +4,7 @@
 
 #include "catalog/replica.h"
 #include "desk/poison_requests.h"
-#include "store/store.h"
 
-struct GspanEvent;
 struct GspanNode;
 struct GspanOutbox;
 
@@ -18,18 +16,11 @@
  * that start later or were cut off; the holder of the lease of orders removes it once it is over.
  */
 
-#define GSPAN_CRASH_REPORTS_KIND "poison"
-
 struct GspanCrashReports
 {
-  GPtrArray *recent;    /* struct Report, told to the other nodes for a while */
-  bool has_new;         /* one of them hasn't been told yet */
-  guint64 told_at_us;   /* the last datagrams */
-  GHashTable *verdicts; /* fingerprint to struct Verdict */
-  guint64 call;         /* write to the store under way; 0 is none */
-  guint64 call_verdict; /* that CALL writes or removes */
-  bool call_removes;
-  guint64 next_call_at_us;
+  GPtrArray *recent;  /* struct Report, told to the other nodes for a while */
+  bool has_new;       /* one of them hasn't been told yet */
+  guint64 told_at_us; /* the last datagrams */
 };
 
 void gspan_crash_reports_init (struct GspanCrashReports *reports);
@@ -61,9 +52,4 @@
 void gspan_crash_reports_receive (struct GspanNode *node, json_t *message,
                                   struct GspanOutbox *outbox);
 
-/* Takes in a verdict as it stands in the store. */
-void gspan_crash_reports_apply (struct GspanNode *node, const struct GspanStoreObject *object,
-                                struct GspanOutbox *outbox);
-
-void gspan_crash_reports_handle (struct GspanNode *node, const struct GspanEvent *event,
-                                 struct GspanOutbox *outbox);
+void gspan_crash_reports_handle (struct GspanNode *node, struct GspanOutbox *outbox);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -118,7 +118,7 @@
 static void
 log_content (const struct GspanNode *node, const struct GspanCall *call, struct GspanLine *line)
 {
-  char *content = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", call->fingerprint);
+  char *content = gspan_poison_fingerprint_format (call->fingerprint);
 
   gspan_line_cstr (line, "content", content);
   gspan_line_u64 (
--- a/node/node.c
+++ b/node/node.c
@@ -22,6 +22,7 @@
   node->poison_requests.unconfirmed_us = LAPSE_HEARTBEATS * config->limits.heartbeat_us
                                          + config->limits.drain_notice_us + LIST_SLACK_US;
   gspan_crash_reports_init (&node->crash_reports);
+  gspan_verdicts_init (&node->verdicts);
   gspan_catalog_init (&node->catalog, config->self.keeps_disk);
   gspan_peers_init (&node->peers);
   gspan_gateway_init (&node->gateway);
@@ -39,6 +40,7 @@
   gspan_gateway_finish (&node->gateway);
   gspan_peers_finish (&node->peers);
   gspan_catalog_finish (&node->catalog);
+  gspan_verdicts_finish (&node->verdicts);
   gspan_crash_reports_finish (&node->crash_reports);
   gspan_poison_requests_finish (&node->poison_requests);
   g_rand_free (node->random);
@@ -94,8 +96,8 @@
     case GSPAN_OWNER_WEIGHTS:
       gspan_weights_handle (node, event, outbox);
       break;
-    case GSPAN_OWNER_CRASHES:
-      gspan_crash_reports_handle (node, event, outbox);
+    case GSPAN_OWNER_VERDICTS:
+      gspan_verdicts_handle (node, event, outbox);
       break;
     default: /* of the other daemons' controllers, which aren't here */
       break;
@@ -107,7 +109,8 @@
 {
   gspan_catalog_handle (node, event, outbox);
   gspan_peers_handle (node, event, outbox);
-  gspan_crash_reports_handle (node, event, outbox);
+  gspan_crash_reports_handle (node, outbox);
+  gspan_verdicts_handle (node, event, outbox);
   gspan_gateway_handle (node, event, outbox);
   gspan_jobs_handle (node, event, outbox);
   gspan_runner_handle (node, event, outbox);
--- a/node/node.h
+++ b/node/node.h
@@ -6,6 +6,7 @@
 #include "desk/poison_requests.h"
 #include "gateway/crash_reports.h"
 #include "gateway/gateway.h"
+#include "gateway/verdicts.h"
 #include "jobs/jobs.h"
 #include "jobs/runner.h"
 #include "node/peers.h"
@@ -48,6 +49,7 @@
   struct GspanMetrics metrics;
   struct GspanPoisonRequests poison_requests;
   struct GspanCrashReports crash_reports;
+  struct GspanVerdicts verdicts;
   struct GspanCatalog catalog;
   struct GspanPeers peers;
   struct GspanGateway gateway;
