--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -87,6 +87,7 @@
         self.store = Store()
         self.book = books.Book(self.now)
         self.replicas = []
+        self.servers = []  # of all replicas that were ever started
         self.nodes = []
         self.tasks = set()
         self.leaves_acknowledged = {}
@@ -117,6 +118,7 @@
         name = name or f"i-{service}-{self.started_replicas}"
         replica = Replica(self, service, name, silent_end=self.random.random() < self.options.silent)
         self.replicas.append(replica)
+        self.servers.append(replica.server)
         await replica.start()
 
     def replace_later(self, replica):
@@ -332,10 +334,15 @@
         self.book.check_leaving_by_store(self.leaves_acknowledged)
         self.book.check_crashing_requests()
 
-    def stop(self):
+    async def stop(self):
         for node in self.nodes:
             if node.popen is not None and node.popen.poll() is None:
                 node.kill()
+        for server in self.servers + list(self.store.servers.values()):
+            server.stop()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.sleep(0.2)  # lets connections and tasks end before the loop closes
 
 
 async def play(options, folder):
@@ -343,7 +350,7 @@
     try:
         await world.run()
     finally:
-        world.stop()
+        await world.stop()
     return world.book
 
 
