gateway: long silence speaks against a request before its deadline

Now an attempt without an answer for four times the route's target latency, a second at least, counts as a suspicion while it is still waited for; nothing is given up sooner, and its answer clears it. LongSilenceIsToldBeforeTheDeadline failed before (the third node sent the content on) and passes.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -11,8 +11,14 @@
 
 #define DEADLINE_DEFAULT_US (60 * GSPAN_SECOND) /* of a call whose caller and route name none */
 #define BUSY_WAIT_US (100 * GSPAN_MS)           /* until a busy replica has a place, with a lot */
+#define LONG_SILENCE_US (GSPAN_SECOND)          /* of an attempt, at least */
 #define STARTING_WAIT_US (500 * GSPAN_MS)       /* until a starting node knows its configuration */
 
+enum
+{
+  LONG_SILENCE_TARGETS = 4 /* of the route's target latency; callers of streams leave then */
+};
+
 struct GspanCall
 {
   guint64 id;
@@ -42,8 +48,9 @@
   struct GspanCall *call;
   struct GspanReplica *replica;
   guint64 sent;
-  GString *body; /* of a stream's answer that isn't passed on as it comes */
-  guint pieces;  /* of a stream's answer, that came so far */
+  GString *body;  /* of a stream's answer that isn't passed on as it comes */
+  guint pieces;   /* of a stream's answer, that came so far */
+  bool is_silent; /* noted as such (gateway/crash_reports.h) */
 };
 
 static void
@@ -114,7 +121,7 @@
   gspan_wire_add_retry_after (&action->u.reply.headers, wait_us);
 }
 
-/* What tells one request's tries at several nodes, and what this node holds against it. */
+/* The content tells a request's tries at several nodes; CRASHES is what counts against it here. */
 static void
 log_content (const struct GspanNode *node, const struct GspanCall *call, struct GspanLine *line)
 {
@@ -175,6 +182,24 @@
     }
 }
 
+/* An attempt that is silent for far longer than usual tells so while it is still waited for. */
+static void
+note_long_silence (struct GspanNode *node, const struct GspanCall *call, struct GspanOutbox *outbox)
+{
+  guint64 limit = MAX (LONG_SILENCE_US, call->state.target_latency_us * LONG_SILENCE_TARGETS);
+
+  for (guint i = 0; i < call->open->len; i++)
+    {
+      struct GspanAttempt *attempt = g_ptr_array_index (call->open, i);
+
+      if (attempt->is_silent || has_answer (attempt) || node->now < attempt->sent + limit)
+        continue;
+      attempt->is_silent = true;
+      gspan_crash_reports_note (node, call->fingerprint, attempt->replica, GSPAN_POISON_SUSPECTED,
+                                outbox);
+    }
+}
+
 static void
 cancel_attempts (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
@@ -299,7 +324,7 @@
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
 }
 
-/* Until when what is known of the call's content forbids to send it; 0 where it doesn't. */
+/* Until when the call is refused since its content crashes replicas; 0 where it isn't. */
 static guint64
 refused_until (const struct GspanNode *node, const struct GspanCall *call)
 {
@@ -318,7 +343,7 @@
   return true;
 }
 
-/* It can't be served, and has not run: says so at once, and when it may come back. */
+/* Answers at once that the call has not run, and when it may come back. */
 static void
 refuse_poison (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
@@ -599,7 +624,7 @@
     pass_bytes (call, bytes, outbox);
 }
 
-/* Such a request goes to one replica at a time. */
+/* True where the call may crash replicas, so that it goes to one at a time. */
 static bool
 is_suspected (const struct GspanNode *node, const struct GspanCall *call)
 {
@@ -619,8 +644,12 @@
       call->may_have_run = call->may_have_run || call->open->len > 0;
       give_up (node, call, "time is up", 504, outbox);
     }
-  else if (gspan_hedge_due (&call->state) && !is_suspected (node, call))
-    try_next (node, call, outbox);
+  else
+    {
+      note_long_silence (node, call, outbox);
+      if (gspan_hedge_due (&call->state) && !is_suspected (node, call))
+        try_next (node, call, outbox);
+    }
 }
 
 static void
--- a/test/poison_requests_test.cc
+++ b/test/poison_requests_test.cc
@@ -239,6 +239,28 @@
   EXPECT_EQ (rig.exchanges.size (), 1U);
 }
 
+/* The replicas end silently, and the route would wait for ten seconds. */
+TEST_F (PoisonRequests, LongSilenceIsToldBeforeTheDeadline)
+{
+  start (3, 6);
+  std::string spec = config_spec (5, "non_idempotent");
+  spec.replace (spec.find ("\"timeoutMs\":800"), 15, "\"timeoutMs\":10000");
+  world.put ("config", "main", spec.c_str ());
+  world.run (GSPAN_SECOND);
+  for (guint64 i = 0; i < 3; i++)
+    {
+      world.rigs[i]->request (
+          i, "POST", "/desk/poison",
+          { "Host: a.example", "X-Attempt-Id: a" + std::to_string (i), "X-Deadline-Ms: 10000" },
+          "hello");
+      world.run (1500 * GSPAN_MS);
+    }
+  EXPECT_EQ (world.rigs[1]->exchanges.size (), 1U);
+  EXPECT_TRUE (world.rigs[2]->exchanges.empty ());
+  ASSERT_NE (response_to (*world.rigs[2], 2), nullptr);
+  EXPECT_EQ (response_to (*world.rigs[2], 2)->status, 503);
+}
+
 TEST_F (PoisonRequests, ItemThatEndsReplicasWaitsAndOthersGoOn)
 {
   Rig &rig = start_nodes ();
