--- a/catalog/leaving.c
+++ b/catalog/leaving.c
@@ -6,7 +6,7 @@
 
 #define KEPT_US (3600 * GSPAN_SECOND) /* far longer than a replica takes to leave */
 
-struct Start
+struct Incarnation
 {
   guint64 born;
   guint64 noted_at;
@@ -15,23 +15,23 @@
 void
 gspan_leaving_init (struct GspanLeaving *leaving)
 {
-  leaving->starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  leaving->incarnations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void
 gspan_leaving_finish (struct GspanLeaving *leaving)
 {
-  g_hash_table_unref (leaving->starts);
+  g_hash_table_unref (leaving->incarnations);
 }
 
 static gboolean
 is_old (gpointer key, gpointer value, gpointer user)
 {
-  const struct Start *start = value;
+  const struct Incarnation *incarnation = value;
   const guint64 *now = user;
 
   (void)key;
-  return start->noted_at + KEPT_US < *now;
+  return incarnation->noted_at + KEPT_US < *now;
 }
 
 static void
@@ -50,33 +50,33 @@
   gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_INFO, &line);
 }
 
-/* Of the latest start of ID that has said so; 0 where none has. */
+/* Of the latest incarnation of ID that has said so; 0 where none has. */
 static guint64
-birth_of (GHashTable *starts, const char *id)
+birth_of (GHashTable *incarnations, const char *id)
 {
-  const struct Start *start = g_hash_table_lookup (starts, id);
+  const struct Incarnation *incarnation = g_hash_table_lookup (incarnations, id);
 
-  return start != NULL ? start->born : 0;
+  return incarnation != NULL ? incarnation->born : 0;
 }
 
 void
 gspan_leaving_note_answer (struct GspanNode *node, struct GspanReplica *replica,
                            const struct GspanWireResponse *answer, struct GspanOutbox *outbox)
 {
-  GHashTable *starts = node->catalog.leaving.starts;
-  guint64 born = MAX (replica->born, birth_of (starts, replica->id));
+  GHashTable *incarnations = node->catalog.leaving.incarnations;
+  guint64 born = MAX (replica->born, birth_of (incarnations, replica->id));
   struct GspanReplica *listed;
-  struct Start *start;
+  struct Incarnation *incarnation;
 
   /* another replica answers at the address of a misdirected request */
   if (!answer->leaving || answer->misdirected || replica->leaving)
     return;
   replica->leaving = true;
-  g_hash_table_foreach_remove (starts, is_old, &node->now);
-  start = g_new0 (struct Start, 1);
-  start->born = born;
-  start->noted_at = node->now;
-  g_hash_table_replace (starts, g_strdup (replica->id), start);
+  g_hash_table_foreach_remove (incarnations, is_old, &node->now);
+  incarnation = g_new0 (struct Incarnation, 1);
+  incarnation->born = born;
+  incarnation->noted_at = node->now;
+  g_hash_table_replace (incarnations, g_strdup (replica->id), incarnation);
   /* the entry may have lapsed and come back since the request was sent */
   listed = g_hash_table_lookup (node->catalog.replicas, replica->id);
   if (listed != NULL && gspan_leaving_has (&node->catalog.leaving, listed))
@@ -87,7 +87,7 @@
 bool
 gspan_leaving_has (const struct GspanLeaving *leaving, const struct GspanReplica *replica)
 {
-  const struct Start *start = g_hash_table_lookup (leaving->starts, replica->id);
+  const struct Incarnation *incarnation = g_hash_table_lookup (leaving->incarnations, replica->id);
 
-  return start != NULL && replica->born <= start->born;
+  return incarnation != NULL && replica->born <= incarnation->born;
 }
--- a/catalog/leaving.h
+++ b/catalog/leaving.h
@@ -7,13 +7,14 @@
 struct GspanWireResponse;
 
 /*
- * Replicas that have said in an answer that they leave. It holds for that start of the replica,
- * whatever the store says later or can't say, and also where its entry lapses and comes back.
+ * Replicas that have said in an answer that they leave. It holds for that incarnation of the
+ * replica, whatever the store says later or can't say, and also where its entry lapses and comes
+ * back.
  */
 
 struct GspanLeaving
 {
-  GHashTable *starts; /* id to struct Start */
+  GHashTable *incarnations; /* id to struct Incarnation */
 };
 
 void gspan_leaving_init (struct GspanLeaving *leaving);
@@ -23,5 +24,5 @@
 void gspan_leaving_note_answer (struct GspanNode *node, struct GspanReplica *replica,
                                 const struct GspanWireResponse *answer, struct GspanOutbox *outbox);
 
-/* True where this start of REPLICA, or a later one under its id, has said that it leaves. */
+/* True where this incarnation of REPLICA, or a later one under its id, has said that it leaves. */
 bool gspan_leaving_has (const struct GspanLeaving *leaving, const struct GspanReplica *replica);
--- a/desk/poison_requests.h
+++ b/desk/poison_requests.h
@@ -4,8 +4,8 @@
 
 /*
  * Requests that crash the upstreams that run them, by content. What speaks against a request are
- * starts of upstreams at which it was without an answer; an answer to the same content clears it.
- * Upstreams are named by whatever tells their starts apart.
+ * incarnations of upstreams at which it was without an answer; an answer to the same content clears
+ * it. Upstreams are named by whatever tells their incarnations apart.
  *
  * Evidence short of a crash counts for a limited time only: by its end it would be known that the
  * upstream has ended, which makes it a crash. A request with two counts is refused for a while, so
@@ -25,7 +25,7 @@
   GSPAN_POISON_ENTRIES_MAX = 4096     /* fingerprints kept; the oldest goes first */
 };
 
-/* The stronger, the greater. */
+/* In ascending order of strength. */
 enum GspanPoisonEvidence
 {
   GSPAN_POISON_EXPOSED,   /* it was cancelled there; counts only once the upstream has ended */
--- a/gateway/crash_reports.c
+++ b/gateway/crash_reports.c
@@ -24,7 +24,7 @@
 {
   guint64 fingerprint;
   char *upstream;
-  const char *what; /* static */
+  const char *what; /* one of the names above */
   guint64 at;
 };
 
@@ -50,9 +50,9 @@
   g_ptr_array_unref (reports->recent);
 }
 
-/* What tells two starts of a replica apart. Released with g_free (). */
+/* Released with g_free (). */
 static char *
-start_of (const struct GspanReplica *replica)
+incarnation_of (const struct GspanReplica *replica)
 {
   return g_strdup_printf ("%s/%" G_GUINT64_FORMAT, replica->id, replica->born);
 }
@@ -154,7 +154,7 @@
                           const struct GspanReplica *replica, enum GspanPoisonEvidence evidence,
                           struct GspanOutbox *outbox)
 {
-  char *upstream = start_of (replica);
+  char *upstream = incarnation_of (replica);
   int stands = gspan_poison_requests_record (&node->poison_requests, fingerprint, upstream,
                                              evidence, node->now);
 
@@ -182,7 +182,7 @@
 gspan_crash_reports_note_answer (struct GspanNode *node, guint64 fingerprint,
                                  const struct GspanReplica *replica, struct GspanOutbox *outbox)
 {
-  char *upstream = start_of (replica);
+  char *upstream = incarnation_of (replica);
 
   if (replica->failures > 0)
     gspan_poison_requests_upstream_works (&node->poison_requests, upstream);
@@ -201,7 +201,7 @@
                                    struct GspanOutbox *outbox)
 {
   GArray *changed = g_array_new (FALSE, FALSE, sizeof (guint64));
-  char *upstream = start_of (replica);
+  char *upstream = incarnation_of (replica);
 
   gspan_poison_requests_upstream_ended (&node->poison_requests, upstream, node->now, changed);
   gspan_gateway_replica_ended (node, replica, outbox);
