--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -9,7 +9,7 @@
   MANY_LEAST = 3 /* replicas whose removal at once is taken for a lapse */
 };
 
-/* Most entries gone at once have lapsed; those of replicas that live are back after so long. */
+/* If most entries vanish at once, they have expired; live replicas register again within this. */
 #define MANY_GRACE_US (2 * GSPAN_SECOND)
 
 static void
@@ -74,7 +74,7 @@
   gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_INFO, &line);
 }
 
-/* A replica that ends without having left first may have been ended by a request. */
+/* A replica that ends without draining first may have been crashed by a request. */
 static void
 note_end (struct GspanNode *node, const struct GspanReplica *replica, struct GspanOutbox *outbox)
 {
--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -19,8 +19,8 @@
 #define JOBS_PAUSE_US (25 * GSPAN_SECOND)
 
 /*
- * Entries lapse in an outage after several heartbeats without a write. Those of replicas that live
- * are back about two seconds after the store's return.
+ * In an outage, entries expire after several heartbeats. Replicas that are alive register again
+ * within about two seconds after its end.
  */
 #define OUTAGE_LEAST_US (GSPAN_SECOND)
 #define LAPSE_GRACE_US (2 * GSPAN_SECOND)
@@ -316,7 +316,7 @@
     node->catalog.store_failed = true;
 }
 
-/* True where the store may have been away for so long, until now, that entries have lapsed. */
+/* True if an outage ends now that may have been long enough for entries to expire. */
 static bool
 ends_outage (const struct GspanNode *node)
 {
@@ -466,7 +466,7 @@
   if (which == GSPAN_FOLLOW_NODES || which == GSPAN_FOLLOW_RETIREMENTS
       || which == GSPAN_FOLLOW_VERDICTS)
     return SLOW_WATCH_WAIT_MS;
-  /* Bounds how long a connection that died unseen hides a leaving replica. */
+  /* Bounds the time for which a silent connection hides that a replica leaves. */
   if (which == GSPAN_FOLLOW_REPLICAS
       || (gspan_feed_publishes (node) && which != GSPAN_FOLLOW_WEIGHTS))
     return gspan_feed_watch_ms (node);
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -51,15 +51,15 @@
   struct GspanFollower followers[GSPAN_FOLLOW_COUNT];
   struct GspanConfig config;
   GHashTable *replicas;   /* id to struct GspanReplica */
-  guint64 replicas_as_of; /* the store held then what is known of them; 0 is never */
-  bool replicas_by_feed;  /* another node told that last, else the store */
+  guint64 replicas_as_of; /* time at which the store held what is known of them; 0 is never */
+  bool replicas_by_feed;  /* the last update came from another node, else from the store */
   struct GspanLeaving leaving;
   struct GspanFeed feed;
   bool store_fails;        /* a follower's call failed, and no call has been answered since */
   guint64 store_ok_at;     /* the store last answered any call of this node; 0 is never */
   guint64 store_failed_at; /* last failure of any call, cut watches too; 0 is none */
   bool store_failed;       /* a call of any kind failed, and none has been answered since */
-  guint64 lapse_until;     /* entries that are missing until then may only have lapsed */
+  guint64 lapse_until;     /* until then a missing entry may be registered again, after an outage */
   bool many_removed;       /* the answer being taken in removes half of the replicas or more */
   guint failures;          /* in a row */
 };
@@ -94,7 +94,7 @@
 /* Starts or stops following WHICH. */
 void gspan_catalog_want (struct GspanCatalog *catalog, enum GspanFollowed which, bool wanted);
 
-/* How old is what is known of the replicas, in microseconds; G_MAXUINT64 before the first list. */
+/* Age of what is known of the replicas, in microseconds; G_MAXUINT64 before the first list. */
 guint64 gspan_catalog_replicas_age (const struct GspanCatalog *catalog, guint64 now);
 
 /* True where a configuration is in force and the replicas are known. */
--- a/catalog/leaving.c
+++ b/catalog/leaving.c
@@ -50,7 +50,7 @@
   gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_INFO, &line);
 }
 
-/* Of the latest incarnation of ID that has said so; 0 where none has. */
+/* Time of birth of the latest incarnation of ID that has announced to leave; 0 if none has. */
 static guint64
 birth_of (GHashTable *incarnations, const char *id)
 {
@@ -68,7 +68,7 @@
   struct GspanReplica *listed;
   struct Incarnation *incarnation;
 
-  /* another replica answers at the address of a misdirected request */
+  /* a misdirected request is answered by another replica */
   if (!answer->leaving || answer->misdirected || replica->leaving)
     return;
   replica->leaving = true;
@@ -77,7 +77,7 @@
   incarnation->born = born;
   incarnation->noted_at = node->now;
   g_hash_table_replace (incarnations, g_strdup (replica->id), incarnation);
-  /* the entry may have lapsed and come back since the request was sent */
+  /* the entry may have expired and been registered again since the request was sent */
   listed = g_hash_table_lookup (node->catalog.replicas, replica->id);
   if (listed != NULL && gspan_leaving_has (&node->catalog.leaving, listed))
     listed->leaving = true;
--- a/catalog/leaving.h
+++ b/catalog/leaving.h
@@ -7,9 +7,9 @@
 struct GspanWireResponse;
 
 /*
- * Replicas that have said in an answer that they leave. It holds for that incarnation of the
- * replica, whatever the store says later or can't say, and also where its entry lapses and comes
- * back.
+ * Replicas that have announced in a response that they are about to leave. The announcement holds
+ * for that incarnation of the replica, regardless of what the store says later, of outages of the
+ * store, and of an entry that expires and is registered again.
  */
 
 struct GspanLeaving
@@ -20,9 +20,9 @@
 void gspan_leaving_init (struct GspanLeaving *leaving);
 void gspan_leaving_finish (struct GspanLeaving *leaving);
 
-/* Takes in what REPLICA's ANSWER says of it; any answer or part of one that has headers will do. */
+/* Notes whether ANSWER, complete or only its head, announces that REPLICA is about to leave. */
 void gspan_leaving_note_answer (struct GspanNode *node, struct GspanReplica *replica,
                                 const struct GspanWireResponse *answer, struct GspanOutbox *outbox);
 
-/* True where this incarnation of REPLICA, or a later one under its id, has said that it leaves. */
+/* True if this incarnation of REPLICA, or a later one with the same id, has announced it. */
 bool gspan_leaving_has (const struct GspanLeaving *leaving, const struct GspanReplica *replica);
--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -28,7 +28,7 @@
   GPtrArray *models; /* struct GspanReplicaModel */
 
   /* What this process knows by itself. */
-  bool leaving;        /* it has said so in an answer (catalog/leaving.h) */
+  bool leaving;        /* as it announced in a response (catalog/leaving.h) */
   guint open;          /* requests of ours that it has now */
   guint failures;      /* in a row */
   guint64 avoid_until; /* after failures */
@@ -52,7 +52,7 @@
 /* Notes that REPLICA has at least version WEIGHTS of MODEL. */
 void gspan_replica_set_weights (struct GspanReplica *replica, const char *model, guint64 weights);
 
-/* True where it is about to leave, as it says itself in its entry or in an answer. */
+/* True if it is about to leave, as its entry or one of its responses says. */
 bool gspan_replica_is_leaving (const struct GspanReplica *replica);
 
 /* True where it may get new requests at NOW. */
--- a/desk/poison_requests.h
+++ b/desk/poison_requests.h
@@ -3,14 +3,14 @@
 #include "common/str.h"
 
 /*
- * Requests that crash the upstreams that run them, by content. What speaks against a request are
- * incarnations of upstreams at which it was without an answer; an answer to the same content clears
- * it. Upstreams are named by whatever tells their incarnations apart.
+ * Requests that crash the upstreams that run them, identified by content. The evidence against a
+ * request is the set of upstream incarnations from which it got no answer; an answer to the same
+ * content clears it. UPSTREAM names an incarnation, not only an upstream.
  *
- * Evidence short of a crash counts for a limited time only: by its end it would be known that the
- * upstream has ended, which makes it a crash. A request with two counts is refused for a while, so
- * that one that merely stood beside crashes is served again soon; one with three crashes is
- * condemned.
+ * Evidence weaker than a crash expires: within that time it becomes known whether the upstream has
+ * ended, which turns the evidence into a crash. A request that counts against two upstreams is
+ * refused for a short time only, since it may merely have been in flight at two crashes. A request
+ * with three crashes is condemned.
  *
  * Times are microseconds of the steady clock.
  */
@@ -28,7 +28,7 @@
 /* In ascending order of strength. */
 enum GspanPoisonEvidence
 {
-  GSPAN_POISON_EXPOSED,   /* it was cancelled there; counts only once the upstream has ended */
+  GSPAN_POISON_EXPOSED,   /* cancelled before an answer; counts only if the upstream ends */
   GSPAN_POISON_SUSPECTED, /* the upstream gave no answer */
   GSPAN_POISON_CRASHED    /* the upstream ended while it had the request */
 };
@@ -63,8 +63,8 @@
 bool gspan_poison_fingerprint_parse (const char *text, guint64 *fingerprint);
 
 /*
- * Notes EVIDENCE that a request crashes UPSTREAM, seen at NOW. What is known to have ended makes a
- * crash of any evidence. Returns the evidence that stands if that is new or stronger, else -1.
+ * Records EVIDENCE that a request crashes UPSTREAM, seen at NOW. If UPSTREAM is known to have
+ * ended, any evidence is a crash. Returns the evidence recorded, or -1 if as much was known before.
  */
 int gspan_poison_requests_record (struct GspanPoisonRequests *poison, guint64 fingerprint,
                                   const char *upstream, enum GspanPoisonEvidence evidence,
@@ -75,21 +75,20 @@
                                          const char *upstream, guint64 now);
 
 /*
- * UPSTREAM has ended unplanned: evidence that names it is a crash. Appends the fingerprints that
- * this changes to CHANGED (of guint64).
+ * UPSTREAM has ended unplanned, which turns all evidence with its name into crashes. Appends the
+ * fingerprints that are affected to CHANGED (of guint64).
  */
 void gspan_poison_requests_upstream_ended (struct GspanPoisonRequests *poison, const char *upstream,
                                            guint64 now, GArray *changed);
 
-/* UPSTREAM answers again: suspicions that name it count no more, unless it turns out to have ended.
- */
+/* UPSTREAM answers again: suspicions with its name count only if it turns out to have ended. */
 void gspan_poison_requests_upstream_works (struct GspanPoisonRequests *poison,
                                            const char *upstream);
 
-/* The same content was answered: nothing speaks against it. False where nothing did. */
+/* Drops all evidence, since the same content was answered. False if there was none. */
 bool gspan_poison_requests_clear (struct GspanPoisonRequests *poison, guint64 fingerprint);
 
-/* Keeps evidence short of a crash, since nothing can show now whether its upstreams have ended. */
+/* Prolongs evidence weaker than a crash while the end of an upstream could not be noticed. */
 void gspan_poison_requests_keep_unconfirmed (struct GspanPoisonRequests *poison, guint64 now);
 
 /*
@@ -99,15 +98,15 @@
 guint gspan_poison_requests_crash_count (const struct GspanPoisonRequests *poison,
                                          guint64 fingerprint, guint64 now);
 
-/* Until when the request is refused; 0 where it isn't. */
+/* Time until which the request is refused; 0 if it isn't. */
 guint64 gspan_poison_requests_refused_until (const struct GspanPoisonRequests *poison,
                                              guint64 fingerprint, guint64 now);
 
-/* Until when the request is condemned; 0 where it isn't. */
+/* Time until which the request is condemned; 0 if it isn't. */
 guint64 gspan_poison_requests_condemned_until (const struct GspanPoisonRequests *poison,
                                                guint64 fingerprint, guint64 now);
 
-/* Takes a peer's verdict on a fingerprint. LIFE_US is cut at GSPAN_POISON_TTL_US. */
+/* Applies a peer's verdict on a fingerprint. LIFE_US is limited to GSPAN_POISON_TTL_US. */
 void gspan_poison_requests_merge (struct GspanPoisonRequests *poison, guint64 fingerprint,
                                   guint64 life_us, guint64 now);
 
--- a/gateway/crash_reports.c
+++ b/gateway/crash_reports.c
@@ -5,10 +5,10 @@
 #include "common/clock.h"
 #include "node/node.h"
 
-#define TOLD_FOR_US (GSPAN_SECOND) /* datagrams get lost */
-#define TELL_NEW_US (20 * GSPAN_MS)
-#define TELL_AGAIN_US (300 * GSPAN_MS)
-#define SILENCE_LEAST_US (400 * GSPAN_MS) /* sound replicas have mostly answered by then */
+#define RESEND_FOR_US (GSPAN_SECOND) /* a report is repeated, since datagrams get lost */
+#define SEND_NEW_INTERVAL_US (20 * GSPAN_MS)
+#define RESEND_INTERVAL_US (300 * GSPAN_MS)
+#define SILENCE_MIN_US (400 * GSPAN_MS) /* healthy replicas have mostly answered by then */
 
 enum
 {
@@ -16,7 +16,7 @@
   FORMAT_VERSION = 1
 };
 
-/* Names of evidence in messages and log lines; one more says that the request was answered. */
+/* Report types in messages and log lines: one for each evidence, and one for an answer. */
 static const char *const evidence_names[] = { "exposed", "suspected", "crashed" };
 static const char answered_name[] = "answered";
 
@@ -24,7 +24,7 @@
 {
   guint64 fingerprint;
   char *upstream;
-  const char *what; /* one of the names above */
+  const char *type; /* one of the names above */
   guint64 at;
 };
 
@@ -59,7 +59,7 @@
 
 static void
 log_report (const struct GspanNode *node, guint64 fingerprint, const char *upstream,
-            const char *what, const char *source, struct GspanOutbox *outbox)
+            const char *type, const char *source, struct GspanOutbox *outbox)
 {
   char *content = gspan_poison_fingerprint_format (fingerprint);
   struct GspanLine line;
@@ -67,7 +67,7 @@
   gspan_line_init (&line, "request-evidence");
   gspan_line_cstr (&line, "content", content);
   gspan_line_cstr (&line, "upstream", upstream);
-  gspan_line_cstr (&line, "evidence", what);
+  gspan_line_cstr (&line, "evidence", type);
   gspan_line_cstr (&line, "source", source);
   gspan_line_u64 (
       &line, "crashes",
@@ -77,21 +77,21 @@
 }
 
 static void
-tell (struct GspanNode *node, guint64 fingerprint, const char *upstream, const char *what)
+queue_report (struct GspanNode *node, guint64 fingerprint, const char *upstream, const char *type)
 {
   struct Report *report = g_new0 (struct Report, 1);
 
   report->fingerprint = fingerprint;
   report->upstream = g_strdup (upstream);
-  report->what = what;
+  report->type = type;
   report->at = node->now;
   g_ptr_array_add (node->crash_reports.recent, report);
   node->crash_reports.has_new = true;
 }
 
-/* What was told of a request before it was answered. */
+/* Drops the reports on a request that has been answered since. */
 static void
-forget_recent (struct GspanCrashReports *reports, guint64 fingerprint)
+drop_reports (struct GspanCrashReports *reports, guint64 fingerprint)
 {
   for (guint i = reports->recent->len; i > 0; i--)
     {
@@ -103,7 +103,7 @@
 }
 
 static void
-send_recent (struct GspanNode *node, struct GspanOutbox *outbox)
+send_reports (struct GspanNode *node, struct GspanOutbox *outbox)
 {
   struct GspanCrashReports *reports = &node->crash_reports;
   guint count = reports->recent->len;
@@ -117,7 +117,7 @@
       char *content = gspan_poison_fingerprint_format (report->fingerprint);
 
       json_array_append_new (list, json_pack ("{s:s, s:s, s:s, s:I}", "content", content,
-                                              "upstream", report->upstream, "what", report->what,
+                                              "upstream", report->upstream, "what", report->type,
                                               "age_us", (json_int_t)(node->now - report->at)));
       g_free (content);
     }
@@ -129,7 +129,7 @@
 }
 
 static void
-tell_recent (struct GspanNode *node, struct GspanOutbox *outbox)
+send_reports_if_due (struct GspanNode *node, struct GspanOutbox *outbox)
 {
   struct GspanCrashReports *reports = &node->crash_reports;
   guint64 pause;
@@ -138,15 +138,15 @@
     {
       const struct Report *oldest = g_ptr_array_index (reports->recent, 0);
 
-      if (oldest->at + TOLD_FOR_US >= node->now)
+      if (oldest->at + RESEND_FOR_US >= node->now)
         break;
       g_ptr_array_remove_index (reports->recent, 0);
     }
-  pause = reports->has_new ? TELL_NEW_US : TELL_AGAIN_US;
-  if (reports->recent->len == 0 || node->now < reports->told_at_us + pause)
+  pause = reports->has_new ? SEND_NEW_INTERVAL_US : RESEND_INTERVAL_US;
+  if (reports->recent->len == 0 || node->now < reports->sent_at_us + pause)
     return;
-  send_recent (node, outbox);
-  reports->told_at_us = node->now;
+  send_reports (node, outbox);
+  reports->sent_at_us = node->now;
 }
 
 void
@@ -155,15 +155,15 @@
                           struct GspanOutbox *outbox)
 {
   char *upstream = incarnation_of (replica);
-  int stands = gspan_poison_requests_record (&node->poison_requests, fingerprint, upstream,
-                                             evidence, node->now);
+  int recorded = gspan_poison_requests_record (&node->poison_requests, fingerprint, upstream,
+                                               evidence, node->now);
 
-  if (stands >= GSPAN_POISON_SUSPECTED)
+  if (recorded >= GSPAN_POISON_SUSPECTED)
     {
-      log_report (node, fingerprint, upstream, evidence_names[stands], "own", outbox);
-      tell (node, fingerprint, upstream, evidence_names[stands]);
+      log_report (node, fingerprint, upstream, evidence_names[recorded], "own", outbox);
+      queue_report (node, fingerprint, upstream, evidence_names[recorded]);
       gspan_verdicts_check (node, fingerprint, true, outbox);
-      tell_recent (node, outbox);
+      send_reports_if_due (node, outbox);
     }
   g_free (upstream);
 }
@@ -175,7 +175,7 @@
 {
   gspan_crash_reports_note (
       node, fingerprint, replica,
-      elapsed_us >= SILENCE_LEAST_US ? GSPAN_POISON_SUSPECTED : GSPAN_POISON_EXPOSED, outbox);
+      elapsed_us >= SILENCE_MIN_US ? GSPAN_POISON_SUSPECTED : GSPAN_POISON_EXPOSED, outbox);
 }
 
 void
@@ -189,9 +189,9 @@
   if (gspan_poison_requests_clear (&node->poison_requests, fingerprint))
     {
       log_report (node, fingerprint, upstream, answered_name, "own", outbox);
-      forget_recent (&node->crash_reports, fingerprint);
-      tell (node, fingerprint, upstream, answered_name);
-      tell_recent (node, outbox);
+      drop_reports (&node->crash_reports, fingerprint);
+      queue_report (node, fingerprint, upstream, answered_name);
+      send_reports_if_due (node, outbox);
     }
   g_free (upstream);
 }
@@ -212,10 +212,10 @@
       const char *crashed = evidence_names[GSPAN_POISON_CRASHED];
 
       log_report (node, fingerprint, upstream, crashed, "own", outbox);
-      tell (node, fingerprint, upstream, crashed);
+      queue_report (node, fingerprint, upstream, crashed);
       gspan_verdicts_check (node, fingerprint, true, outbox);
     }
-  tell_recent (node, outbox);
+  send_reports_if_due (node, outbox);
   g_array_unref (changed);
   g_free (upstream);
 }
@@ -225,32 +225,32 @@
 {
   struct GspanPoisonRequests *poison = &node->poison_requests;
   const char *upstream = json_string_value (json_object_get (report, "upstream"));
-  const char *what = json_string_value (json_object_get (report, "what"));
+  const char *type = json_string_value (json_object_get (report, "what"));
   gint64 age_us = json_integer_value (json_object_get (report, "age_us"));
-  guint64 seen_at = node->now - MIN ((guint64)MAX (0, age_us), TOLD_FOR_US);
+  guint64 seen_at = node->now - MIN ((guint64)MAX (0, age_us), RESEND_FOR_US);
   guint64 fingerprint;
-  int stands = -1;
+  int recorded = -1;
 
   if (!gspan_poison_fingerprint_parse (json_string_value (json_object_get (report, "content")),
                                        &fingerprint)
-      || upstream == NULL || what == NULL)
+      || upstream == NULL || type == NULL)
     return;
-  if (strcmp (what, answered_name) == 0)
+  if (strcmp (type, answered_name) == 0)
     {
       gspan_poison_requests_clear (poison, fingerprint);
-      forget_recent (&node->crash_reports, fingerprint);
+      drop_reports (&node->crash_reports, fingerprint);
       return;
     }
   for (int evidence = GSPAN_POISON_SUSPECTED; evidence <= GSPAN_POISON_CRASHED; evidence++)
     {
-      if (strcmp (what, evidence_names[evidence]) == 0)
-        stands = gspan_poison_requests_record (poison, fingerprint, upstream, evidence, seen_at);
+      if (strcmp (type, evidence_names[evidence]) == 0)
+        recorded = gspan_poison_requests_record (poison, fingerprint, upstream, evidence, seen_at);
     }
-  if (stands < 0)
+  if (recorded < 0)
     return;
-  /* each node would say again what one of them has seen; only what this leads to here is new */
+  /* the node that saw it has logged it; here only a refusal that results from it is news */
   if (gspan_poison_requests_refused_until (poison, fingerprint, node->now) != 0)
-    log_report (node, fingerprint, upstream, evidence_names[stands], "peer", outbox);
+    log_report (node, fingerprint, upstream, evidence_names[recorded], "peer", outbox);
   gspan_verdicts_check (node, fingerprint, false, outbox);
 }
 
@@ -271,7 +271,7 @@
 void
 gspan_crash_reports_handle (struct GspanNode *node, struct GspanOutbox *outbox)
 {
-  tell_recent (node, outbox);
+  send_reports_if_due (node, outbox);
   if (node->catalog.store_fails)
     gspan_poison_requests_keep_unconfirmed (&node->poison_requests, node->now);
 }
--- a/gateway/crash_reports.h
+++ b/gateway/crash_reports.h
@@ -9,46 +9,46 @@
 struct GspanOutbox;
 
 /*
- * Requests that crash the replicas that run them, known to the whole fleet: such a request comes
- * again at any node. Each node tells the others by datagram, at once and again for a while, at
- * which replicas a request was left without an answer, and which request was answered after all;
- * each judges by itself (desk/poison_requests.h). A verdict is also written to the store, for nodes
- * that start later or were cut off; the holder of the lease of orders removes it once it is over.
+ * Evidence that requests crash the replicas that run them, shared between all nodes, since clients
+ * retry such a request at any node. A node reports by datagram at which replicas a request got no
+ * answer, and when the same content was answered after all. Reports are sent at once and repeated
+ * for a while. Each node evaluates the evidence by itself (desk/poison_requests.h); condemned
+ * requests are also recorded in the store (gateway/verdicts.h).
  */
 
 struct GspanCrashReports
 {
-  GPtrArray *recent;  /* struct Report, told to the other nodes for a while */
-  bool has_new;       /* one of them hasn't been told yet */
-  guint64 told_at_us; /* the last datagrams */
+  GPtrArray *recent;  /* struct Report, sent and repeated for a while */
+  bool has_new;       /* one of them hasn't been sent yet */
+  guint64 sent_at_us; /* time of the last datagrams */
 };
 
 void gspan_crash_reports_init (struct GspanCrashReports *reports);
 void gspan_crash_reports_finish (struct GspanCrashReports *reports);
 
-/* Notes what this node saw of a request with the content FINGERPRINT at REPLICA. */
+/* Records and reports EVIDENCE that the request FINGERPRINT crashes REPLICA. */
 void gspan_crash_reports_note (struct GspanNode *node, guint64 fingerprint,
                                const struct GspanReplica *replica,
                                enum GspanPoisonEvidence evidence, struct GspanOutbox *outbox);
 
 /*
- * As above, for a request that was at REPLICA without an answer for ELAPSED_US and was then given
- * up; not for long says little.
+ * As above, for a request that got no answer from REPLICA within ELAPSED_US and was then cancelled.
+ * The evidence is GSPAN_POISON_SUSPECTED only if that was long enough for a healthy replica.
  */
 void gspan_crash_reports_note_silence (struct GspanNode *node, guint64 fingerprint,
                                        const struct GspanReplica *replica, guint64 elapsed_us,
                                        struct GspanOutbox *outbox);
 
-/* REPLICA has answered a request with the content FINGERPRINT, or is well on the way. */
+/* REPLICA has answered the request FINGERPRINT, or its stream has produced several events. */
 void gspan_crash_reports_note_answer (struct GspanNode *node, guint64 fingerprint,
                                       const struct GspanReplica *replica,
                                       struct GspanOutbox *outbox);
 
-/* REPLICA is gone from the list, or started anew under its id. */
+/* REPLICA was removed from the store without draining, or has restarted under its id. */
 void gspan_crash_reports_replica_ended (struct GspanNode *node, const struct GspanReplica *replica,
                                         struct GspanOutbox *outbox);
 
-/* Takes in MESSAGE, which another node has sent. */
+/* Applies the reports in MESSAGE from another node. */
 void gspan_crash_reports_receive (struct GspanNode *node, json_t *message,
                                   struct GspanOutbox *outbox);
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -49,8 +49,8 @@
   struct GspanReplica *replica;
   guint64 sent;
   GString *body;  /* of a stream's answer that isn't passed on as it comes */
-  guint pieces;   /* of a stream's answer, that came so far */
-  bool is_silent; /* noted as such (gateway/crash_reports.h) */
+  guint pieces;   /* of a stream's answer, received so far */
+  bool is_silent; /* reported as silent (gateway/crash_reports.h) */
 };
 
 static void
@@ -121,7 +121,7 @@
   gspan_wire_add_retry_after (&action->u.reply.headers, wait_us);
 }
 
-/* The content tells a request's tries at several nodes; CRASHES is what counts against it here. */
+/* "content" is the same for all tries of a request at any node; "crashes" counts against it. */
 static void
 log_content (const struct GspanNode *node, const struct GspanCall *call, struct GspanLine *line)
 {
@@ -161,14 +161,14 @@
   g_hash_table_remove (node->gateway.attempts, &attempt->id);
 }
 
-/* An attempt whose answer is well on the way doesn't speak against its request. */
+/* True if so much of the answer has come that the request can't have crashed the replica. */
 static bool
 has_answer (const struct GspanAttempt *attempt)
 {
   return attempt->pieces > 1;
 }
 
-/* The attempts that are open now are given up without an answer. */
+/* Reports the open attempts, which are about to be cancelled without an answer. */
 static void
 note_silence (struct GspanNode *node, const struct GspanCall *call, struct GspanOutbox *outbox)
 {
@@ -182,7 +182,7 @@
     }
 }
 
-/* An attempt that is silent for far longer than usual tells so while it is still waited for. */
+/* Reports open attempts that have been silent for far longer than usual. They stay open. */
 static void
 note_long_silence (struct GspanNode *node, const struct GspanCall *call, struct GspanOutbox *outbox)
 {
@@ -324,7 +324,7 @@
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
 }
 
-/* Until when the call is refused since its content crashes replicas; 0 where it isn't. */
+/* Time until which the call is refused because its content crashes replicas; 0 if it isn't. */
 static guint64
 refused_until (const struct GspanNode *node, const struct GspanCall *call)
 {
@@ -491,7 +491,7 @@
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
 }
 
-/* What the failed attempt says of its replica, and of its request. */
+/* Records what the failed attempt shows of its replica and of its request. */
 static void
 blame (struct GspanNode *node, const struct GspanAttempt *attempt,
        const struct GspanEventHttp *answer, const struct GspanWireResponse *wire,
@@ -624,7 +624,7 @@
     pass_bytes (call, bytes, outbox);
 }
 
-/* True where the call may crash replicas, so that it goes to one at a time. */
+/* True if the call may crash replicas. It is then sent to one at a time. */
 static bool
 is_suspected (const struct GspanNode *node, const struct GspanCall *call)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -25,7 +25,7 @@
 void gspan_gateway_handle (struct GspanNode *node, const struct GspanEvent *event,
                            struct GspanOutbox *outbox);
 
-/* REPLICA has ended unplanned: notes it against the requests that are there without an answer. */
+/* REPLICA has ended unplanned: records a crash for each attempt that it hasn't answered. */
 void gspan_gateway_replica_ended (struct GspanNode *node, const struct GspanReplica *replica,
                                   struct GspanOutbox *outbox);
 bool gspan_gateway_has_calls (const struct GspanGateway *gateway);
--- a/gateway/verdicts.c
+++ b/gateway/verdicts.c
@@ -3,14 +3,15 @@
 #include "common/clock.h"
 #include "node/node.h"
 
-#define OTHERS_WAIT_US (2 * GSPAN_SECOND) /* for whoever recorded the last crash to write */
+#define OTHERS_WAIT_US                                                                             \
+  (2 * GSPAN_SECOND) /* gives the node that recorded the last crash time to write */
 #define RETRY_US (500 * GSPAN_MS)
 
 struct Verdict
 {
   bool stored;
-  guint64 write_at_us; /* not stored: not written before */
-  guint64 revision;    /* of an old one in the store that is to be replaced; 0 is none */
+  guint64 write_at_us; /* earliest time of the write, unless stored */
+  guint64 revision;    /* of an expired verdict in the store, to be replaced; 0 is none */
 };
 
 void
@@ -120,7 +121,7 @@
   call->value = json_pack ("{s:I, s:s}", "until_ms", (json_int_t)until_ms, "by", node->self.name);
 }
 
-/* Writes a verdict that isn't stored, or has one removed that is over; one at a time. */
+/* Starts the next write: creates a verdict that isn't stored, or removes an expired one. */
 static void
 sync_verdicts (struct GspanNode *node, struct GspanOutbox *outbox)
 {
@@ -147,7 +148,7 @@
     }
 }
 
-/* A verdict stands in the store already; one that is over there has to be replaced. */
+/* The store already has a verdict on the request. An expired one has to be replaced. */
 static void
 on_conflict (const struct GspanNode *node, struct Verdict *verdict,
              const struct GspanStoreObject *object)
@@ -178,7 +179,7 @@
     case GSPAN_STORE_CONFLICT:
       on_conflict (node, verdict, gspan_store_reply_first (reply));
       break;
-    case GSPAN_STORE_MISSING: /* removed meanwhile */
+    case GSPAN_STORE_MISSING: /* another node has removed it */
       g_hash_table_remove (verdicts->items, &verdicts->fingerprint);
       break;
     case GSPAN_STORE_GAP:
--- a/gateway/verdicts.h
+++ b/gateway/verdicts.h
@@ -7,10 +7,11 @@
 struct GspanOutbox;
 
 /*
- * Verdicts on requests that crash replicas, in the store: nodes that start, or that were cut off
- * from the others, read there what they were not told. The node that recorded the last crash writes
- * a verdict, and if it is gone any other that knows it; the holder of the lease of orders removes
- * it once it is over or an answer has cleared it.
+ * Verdicts on requests that crash replicas, one object in the store for each condemned request.
+ * Nodes that start, or that were partitioned from the others, read there what they have missed. The
+ * node that recorded the last crash writes the verdict; if it fails to, any other node that knows
+ * the verdict does so later. The holder of the lease of orders removes the object when the verdict
+ * has expired or an answer has cleared it.
  */
 
 #define GSPAN_VERDICTS_KIND "poison"
@@ -28,13 +29,13 @@
 void gspan_verdicts_finish (struct GspanVerdicts *verdicts);
 
 /*
- * Has the verdict on FINGERPRINT written to the store where there is one that isn't known to be
- * there; OWN where this node recorded the last crash.
+ * Schedules the write of the verdict on FINGERPRINT if there is one and it isn't known to be
+ * stored. OWN says that this node recorded the last crash, which makes it write first.
  */
 void gspan_verdicts_check (struct GspanNode *node, guint64 fingerprint, bool own,
                            struct GspanOutbox *outbox);
 
-/* Takes in a verdict as it stands in the store. */
+/* Applies a verdict that was read from the store, or its removal. */
 void gspan_verdicts_apply (struct GspanNode *node, const struct GspanStoreObject *object,
                            struct GspanOutbox *outbox);
 
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -93,7 +93,7 @@
                                             gspan_str_from_bytes (item->submitted->body));
 }
 
-/* A run that has got this far doesn't speak against its item. */
+/* True if the run has so many events that its item can't have crashed the replica. */
 static bool
 has_begun (const struct GspanRun *run)
 {
@@ -438,7 +438,7 @@
   return true;
 }
 
-/* False while a verdict on ITEM, or a wait after its last runs, forbids to run it at SERVICE. */
+/* False while ITEM is in backoff, or condemned as a request that crashes replicas of SERVICE. */
 static bool
 may_run (const struct GspanNode *node, struct GspanItem *item, const char *service)
 {
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -24,7 +24,7 @@
 void gspan_runner_handle (struct GspanNode *node, const struct GspanEvent *event,
                           struct GspanOutbox *outbox);
 
-/* REPLICA has ended unplanned: notes it against the items that are there and have hardly begun. */
+/* REPLICA has ended unplanned: records a crash for each run there without several events. */
 void gspan_runner_replica_ended (struct GspanNode *node, const struct GspanReplica *replica,
                                  struct GspanOutbox *outbox);
 
