route, jobs, gateway: requests that may crash replicas don't share one

Cause, from the evidence lines: items in flight beside one that ends replicas were queued again with it, placed together on the next replica, and condemned with it after three crashes. A count can't tell the cause from what stands beside it. Now a request that something counts against isn't sent to a replica that has another such request: the next crash speaks against one of them only, and two events of a stream clear the others. Items wait for such a place; desk requests take any replica if there is none.

--- a/catalog/pick.c
+++ b/catalog/pick.c
@@ -21,6 +21,8 @@
     return false;
   if (query->open_max > 0 && replica->open >= query->open_max)
     return false;
+  if (query->is_suspect && replica->suspects > 0)
+    return false;
   if (gspan_pace_is_slow (replica, query->typical_us, query->now))
     return false;
   if (query->model == NULL)
--- a/catalog/pick.h
+++ b/catalog/pick.h
@@ -23,6 +23,8 @@
   guint open_max;         /* of our own requests at one replica; 0 is no limit */
   guint32 draw;           /* by lot */
   guint64 typical_us;     /* between two events; replicas far slower are passed over; 0 is none */
+  bool is_suspect;        /* may crash it: not beside another such request, so that a crash tells
+                             which of them caused it */
   bool last_resort;       /* replicas that are avoided since they failed will do, too */
 };
 
--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -30,6 +30,7 @@
   /* What this process knows by itself. */
   bool leaving;        /* as it announced in a response (catalog/leaving.h) */
   guint open;          /* requests of ours that it has now */
+  guint suspects;      /* of these, those that may crash it (desk/poison_requests.h) */
   guint failures;      /* in a row */
   guint64 avoid_until; /* after failures */
   guint64 remove_at;   /* its removal, seen beside an outage of the store, counts then; 0 none */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -48,9 +48,10 @@
   struct GspanCall *call;
   struct GspanReplica *replica;
   guint64 sent;
-  GString *body;  /* of a stream's answer that isn't passed on as it comes */
-  guint pieces;   /* of a stream's answer, received so far */
-  bool is_silent; /* reported as silent (gateway/crash_reports.h) */
+  bool is_suspect; /* the request may crash the replica */
+  GString *body;   /* of a stream's answer that isn't passed on as it comes */
+  guint pieces;    /* of a stream's answer, received so far */
+  bool is_silent;  /* reported as silent (gateway/crash_reports.h) */
 };
 
 static void
@@ -59,6 +60,7 @@
   struct GspanAttempt *attempt = data;
 
   attempt->replica->open--;
+  attempt->replica->suspects -= attempt->is_suspect;
   gspan_replica_unref (attempt->replica);
   g_string_free (attempt->body, TRUE);
   g_free (attempt);
@@ -259,6 +261,14 @@
   forget_call (node, call, outbox);
 }
 
+/* True if something counts against the call's content. */
+static bool
+is_suspect (const struct GspanNode *node, const struct GspanCall *call)
+{
+  return gspan_poison_requests_crash_count (&node->poison_requests, call->fingerprint, node->now)
+         > 0;
+}
+
 static struct GspanReplica *
 pick (struct GspanNode *node, const struct GspanCall *call)
 {
@@ -270,6 +280,11 @@
   query.zone = node->self.zone;
   query.tried = call->tried;
   query.draw = g_rand_int (node->random);
+  query.is_suspect = is_suspect (node, call);
+  replica = gspan_pick_replica (node->catalog.replicas, &query);
+  if (replica != NULL)
+    return replica;
+  query.is_suspect = false;
   replica = gspan_pick_replica (node->catalog.replicas, &query);
   if (replica != NULL)
     return replica;
@@ -292,7 +307,9 @@
   attempt->sent = node->now;
   attempt->body = g_string_new (NULL);
   gspan_events_reset (&call->events);
+  attempt->is_suspect = is_suspect (node, call);
   replica->open++;
+  replica->suspects += attempt->is_suspect;
   g_hash_table_insert (node->gateway.attempts, &attempt->id, attempt);
   g_ptr_array_add (call->open, attempt);
   g_ptr_array_add (call->tried, g_strdup (replica->id));
@@ -626,7 +643,7 @@
 
 /* True if the call may crash replicas. It is then sent to one at a time. */
 static bool
-is_suspected (const struct GspanNode *node, const struct GspanCall *call)
+may_crash (const struct GspanNode *node, const struct GspanCall *call)
 {
   return gspan_poison_requests_crash_count (&node->poison_requests, call->fingerprint, node->now)
          >= GSPAN_POISON_CRASH_THRESHOLD;
@@ -647,7 +664,7 @@
   else
     {
       note_long_silence (node, call, outbox);
-      if (gspan_hedge_due (&call->state) && !is_suspected (node, call))
+      if (gspan_hedge_due (&call->state) && !may_crash (node, call))
         try_next (node, call, outbox);
     }
 }
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -40,6 +40,7 @@
   guint64 last_active_us; /* last event; before the first one, the response's head or the start */
   guint64 weight_version; /* that generates now; 0 is unknown */
   guint event_count;      /* valid events of this run */
+  bool is_suspect;        /* the item may crash the replica */
   bool is_streaming;      /* a response of 200 with the replica's stamp has begun */
   bool has_invalid_event; /* an event out of order, not UTF-8 or of a weight version not allowed */
 };
@@ -50,6 +51,7 @@
   struct GspanRun *run = data;
 
   run->replica->open--;
+  run->replica->suspects -= run->is_suspect;
   gspan_replica_unref (run->replica);
   gspan_events_finish (&run->events);
   g_free (run);
@@ -93,6 +95,17 @@
                                             gspan_str_from_bytes (item->submitted->body));
 }
 
+/* True if something counts against ITEM as a request to replicas of SERVICE. */
+static bool
+is_suspect (const struct GspanNode *node, const struct GspanItem *item, const char *service)
+{
+  if (g_hash_table_size (node->poison_requests.items) == 0)
+    return false;
+  return gspan_poison_requests_crash_count (&node->poison_requests, fingerprint_of (item, service),
+                                            node->now)
+         > 0;
+}
+
 /* True if the run has so many events that its item can't have crashed the replica. */
 static bool
 has_begun (const struct GspanRun *run)
@@ -101,8 +114,10 @@
 }
 
 static void
-note_answer (struct GspanNode *node, const struct GspanRun *run, struct GspanOutbox *outbox)
+note_answer (struct GspanNode *node, struct GspanRun *run, struct GspanOutbox *outbox)
 {
+  run->replica->suspects -= run->is_suspect;
+  run->is_suspect = false;
   gspan_crash_reports_note_answer (node, fingerprint_of (run->item, run->replica->service),
                                    run->replica, outbox);
 }
@@ -387,6 +402,7 @@
   query.open_max = concurrency_limit (node, service);
   query.draw = g_rand_int (node->random);
   query.typical_us = typical_us;
+  query.is_suspect = is_suspect (node, item, service);
   return gspan_pick_replica (node->catalog.replicas, &query);
 }
 
@@ -406,7 +422,9 @@
   run->started_at_us = node->now;
   run->last_active_us = node->now;
   gspan_events_init (&run->events, gspan_wire_event_weight_version);
+  run->is_suspect = is_suspect (node, item, replica->service);
   replica->open++;
+  replica->suspects += run->is_suspect;
   gspan_job_set_state (job, item, GSPAN_ITEM_RUNNING);
   g_hash_table_insert (node->runner.runs, &run->id, run);
   if (item->submitted->group[0] != '\0')
@@ -485,6 +503,11 @@
       replica = pick_replica (node, job, item, service, typical_us);
       if (replica == NULL)
         replica = pick_replica (node, job, item, service, 0);
+      if (replica == NULL && is_suspect (node, item, service))
+        {
+          g_queue_push_tail (&job->waiting_items, item);
+          continue;
+        }
       if (replica == NULL)
         {
           g_queue_push_head (&job->waiting_items, item);
--- a/test/poison_requests_test.cc
+++ b/test/poison_requests_test.cc
@@ -261,6 +261,41 @@
   EXPECT_EQ (response_to (*world.rigs[2], 2)->status, 503);
 }
 
+/* All runs at a replica break together when one item ends it; the others must not be condemned. */
+TEST_F (PoisonRequests, ItemsBesideOneThatEndsReplicasAreCompleted)
+{
+  Rig &rig = start_nodes ();
+  unsigned models = 2;
+
+  submit_job (rig, 1, "j1", 8);
+  for (int i = 0; i < 2500; i++)
+    {
+      world.run (10 * GSPAN_MS);
+      std::set<std::string> broken;
+      for (const Exchange &run : open_runs (rig))
+        if (run.header ("X-Attempt-Id") == "i0")
+          broken.insert (replica_of (run));
+      for (const Exchange &run : open_runs (rig))
+        {
+          if (broken.count (replica_of (run)) > 0)
+            rig.http_done (run, GSPAN_HTTP_LOST, 0, {}, "");
+          else if (world.now >= run.sent_at_us + 100 * GSPAN_MS)
+            finish_run (rig, run, 3);
+        }
+      for (const std::string &name : broken)
+        {
+          models++;
+          world.put ("servers", "m" + std::to_string (models),
+                     replica_spec ("llm", 30 + models, 1).c_str ());
+          world.scheduled.push_back (
+              { world.now + 3600 * GSPAN_MS, [this, name] { world.remove ("servers", name); } });
+        }
+    }
+  read_results (rig, 9, "j1", 0);
+  world.run (100 * GSPAN_MS);
+  EXPECT_EQ (result_ids (*response_to (rig, 9)).size (), 7U);
+}
+
 TEST_F (PoisonRequests, ItemThatEndsReplicasWaitsAndOthersGoOn)
 {
   Rig &rig = start_nodes ();
