--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -541,6 +541,7 @@
 
   gspan_wire_read_response (answer->status, answer->headers, &wire);
   gspan_leaving_note_answer (node, attempt->replica, &wire, outbox);
+  gspan_limits_note_answer (node, attempt->replica, &wire, outbox);
   not_run = answer->result == GSPAN_HTTP_NOT_SENT || (whole && wire.not_run && !good);
   call->state.now = node->now;
   if (whole && wire.signed_by_replica && !not_run)
@@ -585,6 +586,7 @@
 
   gspan_wire_read_response (answer->status, answer->headers, &wire);
   gspan_leaving_note_answer (node, attempt->replica, &wire, outbox);
+  gspan_limits_note_answer (node, attempt->replica, &wire, outbox);
   if (call->state.response_started || answer->status < 200 || answer->status >= 300
       || !wire.signed_by_replica)
     return;
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -70,6 +70,20 @@
   g_hash_table_unref (runner->runs);
 }
 
+static void
+log_start (const struct GspanRun *run, struct GspanOutbox *outbox)
+{
+  struct GspanLine line;
+
+  gspan_line_init (&line, "run-started");
+  gspan_line_cstr (&line, "job", run->job->id);
+  gspan_line_cstr (&line, "item", run->item->submitted->id);
+  gspan_line_cstr (&line, "upstream", run->replica->id);
+  gspan_line_u64 (&line, "events", run->item->last_event_id);
+  gspan_line_u64 (&line, "open_there", run->replica->open);
+  gspan_outbox_log (outbox, "runner", GSPAN_PRIORITY_INFO, &line);
+}
+
 static void
 log_run (const struct GspanRun *run, const char *event, const char *outcome, int status,
          struct GspanOutbox *outbox)
@@ -236,6 +250,7 @@
 
   gspan_wire_read_response (answer->status, answer->headers, &wire);
   gspan_leaving_note_answer (node, run->replica, &wire, outbox);
+  gspan_limits_note_answer (node, run->replica, &wire, outbox);
   run->is_streaming = answer->status == 200 && wire.signed_by_replica;
   run->weight_version = wire.weight_version;
   run->last_active_us = run->node->now;
@@ -349,6 +364,7 @@
 
   gspan_wire_read_response (answer->status, answer->headers, &wire);
   gspan_leaving_note_answer (node, run->replica, &wire, outbox);
+  gspan_limits_note_answer (node, run->replica, &wire, outbox);
   log_run (run, "run-ended", outcomes[answer->result], answer->status, outbox);
   if (whole && run->is_streaming && run->events.pending->len == 0 && item->last_event_id > 0)
     {
@@ -441,6 +457,7 @@
   gspan_wire_write_run_headers (item->submitted, job->host, replica->id, item->last_event_id,
                                 &http->headers);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_RUNS, 1);
+  log_start (run, outbox);
 }
 
 /* Abandons ITEM if no replica has finished it in the time that ROUTE allows. */
--- a/node/node.h
+++ b/node/node.h
@@ -2,6 +2,7 @@
 
 #include "board/message.h"
 #include "catalog/catalog.h"
+#include "catalog/limits.h"
 #include "common/metrics.h"
 #include "desk/poison_requests.h"
 #include "gateway/crash_reports.h"
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -187,6 +187,7 @@
 {
   start_exchange (node, load, "GET", gspan_wire_report_path, outbox);
   load->asking = true;
+  log_load (node, load, "report-asked", 0, outbox);
 }
 
 static void
@@ -408,6 +409,7 @@
       load->call = 0;
       gspan_wire_read_response (event->u.http.status, event->u.http.headers, &wire);
       gspan_leaving_note_answer (node, load->replica, &wire, outbox);
+      gspan_limits_note_answer (node, load->replica, &wire, outbox);
       if (load->asking)
         on_report (node, load, &event->u.http, outbox);
       else
