catalog: requests to a replica with a limit need a permit of one allocator

What callers and replicas saw: a replica that names the requests a second that it takes from all machines together got three to five times that.

Class: a promise that is a sum over the fleet, kept by processes that each know only their own part.

The design: every request to a replica is started by gspan_permits_send (): attempts, hedges, retries, runs, moved and resumed runs, orders and reports. Choices pass over replicas that they have no permit for. One node issues the permits of a replica, at its rate, first come first served; all nodes keep one statement of who that is and what the limit is. An allocator that doesn't answer is replaced after 180 ms, and its successor begins as after a burst, so that both together stay within the limit. A request without a permit waits for 400 ms at most, else it is refused at once with the time at which asking is in time; items stay queued, and their owner asks again when the allocator said. libcurl's own second sending is off for such requests.

Ruled out: equal shares (a step's owner is one node of twelve), the lease of orders (gone for seconds with the store).

Evidence: test/limits_test.cc counts arrivals at the replicas over all nodes. With the gate left open 11 of its 13 tests fail (up to 640 in 4 s, 29 allowed); now all pass, with killed, frozen and late nodes, lost datagrams, limits that fall and end.

--- a/catalog/pick.c
+++ b/catalog/pick.c
@@ -60,6 +60,13 @@
 
       if (!serves (replica, query) || was_tried (query, replica->id))
         continue;
+      if (query->limits != NULL
+          && !gspan_permits_allow (query->limits, replica, query->traffic, query->now))
+        {
+          if (query->without_permit != NULL)
+            g_ptr_array_add (query->without_permit, replica);
+          continue;
+        }
       if (query->preferred != NULL && strcmp (replica->id, query->preferred) == 0)
         return replica;
       cost = cost_of (replica, query);
--- a/catalog/pick.h
+++ b/catalog/pick.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catalog/permits.h"
 #include "catalog/replica.h"
 
 /*
@@ -26,6 +27,9 @@
   bool is_suspect;        /* may crash it: not beside another such request, so that a crash tells
                              which of them caused it */
   bool last_resort;       /* replicas that are avoided since they failed will do, too */
+  const struct GspanLimits *limits; /* replicas without a permit are passed over; NULL: none is */
+  enum GspanTraffic traffic;        /* that the permit has to be for */
+  GPtrArray *without_permit; /* gets those that lack only that, struct GspanReplica; may be NULL */
 };
 
 /* The best of REPLICAS (id to struct GspanReplica); NULL where none may get the request now. */
--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -28,7 +28,6 @@
   GPtrArray *models; /* struct GspanReplicaModel */
 
   /* What this process knows by itself. */
-  guint64 named_limit; /* last seen, thousandths of a request a second; G_MAXUINT64 is none */
   bool leaving;        /* as it announced in a response (catalog/leaving.h) */
   guint open;          /* requests of ours that it has now */
   guint suspects;      /* of these, those that may crash it (desk/poison_requests.h) */
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -44,6 +44,8 @@
   [GSPAN_METRIC_RUNS] = { "gspan_runs_total", "runs of items sent to replicas" },
   [GSPAN_METRIC_RUNS_RESUMED]
   = { "gspan_runs_resumed_total", "runs that broke and go on elsewhere" },
+  [GSPAN_METRIC_BEYOND_LIMIT]
+  = { "gspan_requests_beyond_limit_total", "requests sent to an upstream beyond its limit" },
   [GSPAN_METRIC_LOG_LINES_DROPPED]
   = { "gspan_log_lines_dropped_total", "log lines left out since their reader was too slow" }
 };
@@ -59,7 +61,9 @@
   [GSPAN_GAUGE_DRAINING] = { "gspan_draining", "1 during a graceful shutdown" },
   [GSPAN_GAUGE_CONFIG] = { "gspan_config_version", "configuration in force here" },
   [GSPAN_GAUGE_JOBS] = { "gspan_jobs", "batch jobs known here" },
-  [GSPAN_GAUGE_RUNS] = { "gspan_runs", "runs of items under way" }
+  [GSPAN_GAUGE_RUNS] = { "gspan_runs", "runs of items under way" },
+  [GSPAN_GAUGE_LIMITED_UPSTREAMS]
+  = { "gspan_limited_upstreams", "upstreams that limit the requests that they take" },
 };
 
 static const struct Description histograms[GSPAN_HISTOGRAM_COUNT]
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -35,6 +35,8 @@
   struct GspanHedgeState state;
   GPtrArray *tried; /* ids of replicas */
   GPtrArray *open;  /* struct GspanAttempt */
+  char *waits_at;   /* id of the replica that it waits for a permit of; NULL is none */
+  guint64 retry_at; /* none is to be had in time before then; 0 is not known */
   bool may_have_run;
   bool stream;
   bool answered;
@@ -51,6 +53,7 @@
   bool is_suspect; /* the request may crash the replica */
   GString *body;   /* of a stream's answer that isn't passed on as it comes */
   guint pieces;    /* of a stream's answer, received so far */
+  bool has_head;   /* the answer's head has come */
   bool is_silent;  /* reported as silent (gateway/crash_reports.h) */
 };
 
@@ -80,6 +83,7 @@
   g_bytes_unref (call->body);
   g_ptr_array_unref (call->tried);
   g_ptr_array_unref (call->open);
+  g_free (call->waits_at);
   gspan_events_finish (&call->events);
   g_free (call);
 }
@@ -236,9 +240,11 @@
          struct GspanOutbox *outbox)
 {
   guint64 soonest = gspan_pick_retry_at (node->catalog.replicas, call->service, node->now);
-  guint64 wait = soonest > node->now ? soonest - node->now : 0;
+  guint64 wait;
   struct GspanAction *action;
 
+  soonest = MAX (soonest, call->retry_at);
+  wait = soonest > node->now ? soonest - node->now : 0;
   wait += BUSY_WAIT_US + g_rand_int_range (node->random, 0, (gint32)BUSY_WAIT_US);
   if (call->state.response_started)
     {
@@ -269,8 +275,10 @@
          > 0;
 }
 
+/* Replicas that lack only a permit are added to WITHOUT_PERMIT, unless it is NULL. */
 static struct GspanReplica *
-pick (struct GspanNode *node, const struct GspanCall *call)
+pick (struct GspanNode *node, const struct GspanCall *call, bool last_resort,
+      GPtrArray *without_permit)
 {
   struct GspanPickQuery query = { 0 };
   struct GspanReplica *replica;
@@ -281,14 +289,14 @@
   query.tried = call->tried;
   query.draw = g_rand_int (node->random);
   query.is_suspect = is_suspect (node, call);
-  replica = gspan_pick_replica (node->catalog.replicas, &query);
+  query.last_resort = last_resort;
+  query.limits = &node->rate_limits;
+  query.traffic = GSPAN_TRAFFIC_CALLS;
+  replica = query.is_suspect ? gspan_pick_replica (node->catalog.replicas, &query) : NULL;
   if (replica != NULL)
     return replica;
   query.is_suspect = false;
-  replica = gspan_pick_replica (node->catalog.replicas, &query);
-  if (replica != NULL)
-    return replica;
-  query.last_resort = true;
+  query.without_permit = without_permit;
   return gspan_pick_replica (node->catalog.replicas, &query);
 }
 
@@ -298,9 +306,11 @@
 {
   struct GspanAttempt *attempt = g_new0 (struct GspanAttempt, 1);
   struct GspanRef ref = { GSPAN_OWNER_GATEWAY, gspan_node_next_id (node) };
-  struct GspanActionHttp *http = &gspan_outbox_add (outbox, GSPAN_ACTION_HTTP, ref)->u.http;
+  struct GspanActionHttp *http
+      = gspan_permits_send (node, replica, GSPAN_TRAFFIC_CALLS, ref, outbox);
   struct GspanLine line;
 
+  g_clear_pointer (&call->waits_at, g_free);
   attempt->id = ref.id;
   attempt->call = call;
   attempt->replica = gspan_replica_ref (replica);
@@ -348,16 +358,129 @@
   return gspan_poison_requests_refused_until (&node->poison_requests, call->fingerprint, node->now);
 }
 
-/* Starts another attempt. False where there is no replica for it. */
+/* Number of calls before CALL that wait for a permit of REPLICA. */
+static guint
+count_waiting_before (const struct GspanNode *node, const struct GspanCall *call,
+                      const struct GspanReplica *replica)
+{
+  guint count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->gateway.calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct GspanCall *other = value;
+
+      count += other->id < call->id && g_strcmp0 (other->waits_at, replica->id) == 0;
+    }
+  return count;
+}
+
+/* When CALL may be sent to REPLICA, as far as is known after asking for a permit. */
+static guint64
+ask_for_permit (struct GspanNode *node, const struct GspanCall *call,
+                const struct GspanReplica *replica, struct GspanOutbox *outbox)
+{
+  guint rank = count_waiting_before (node, call, replica);
+
+  gspan_permits_want (node, replica, GSPAN_TRAFFIC_CALLS, rank + 1, outbox);
+  return gspan_permits_expected_at (node, replica, GSPAN_TRAFFIC_CALLS, rank);
+}
+
+static void
+log_wait (const struct GspanNode *node, const struct GspanCall *call, guint64 until,
+          struct GspanOutbox *outbox)
+{
+  struct GspanLine line;
+
+  gspan_line_init (&line, "call-waits");
+  gspan_line_cstr (&line, "id", call->caller_id);
+  gspan_line_cstr (&line, "upstream", call->waits_at);
+  gspan_line_u64 (&line, "expected_us", until - node->now);
+  gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
+}
+
+static void
+set_waits_at (const struct GspanNode *node, struct GspanCall *call,
+              const struct GspanReplica *replica, guint64 expected_at, struct GspanOutbox *outbox)
+{
+  if (g_strcmp0 (call->waits_at, replica->id) == 0)
+    return;
+  g_free (call->waits_at);
+  call->waits_at = g_strdup (replica->id);
+  log_wait (node, call, expected_at, outbox);
+}
+
+/* Index of the replica that CALL asks first: the one it waits for, else one by lot. */
+static guint
+first_candidate (const struct GspanCall *call, const GPtrArray *candidates)
+{
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      const struct GspanReplica *replica = g_ptr_array_index (candidates, i);
+
+      if (g_strcmp0 (call->waits_at, replica->id) == 0)
+        return i;
+    }
+  return (guint)(call->id % MAX (1, candidates->len));
+}
+
+/*
+ * Has CALL wait for a permit of one of CANDIDATES, which lack only that. False if none is to be had
+ * soon enough: RETRY_AT then says when that changes.
+ */
+static bool
+wait_for_permit (struct GspanNode *node, struct GspanCall *call, const GPtrArray *candidates,
+                 struct GspanOutbox *outbox)
+{
+  guint64 reach_us = gspan_permits_reach_us (GSPAN_TRAFFIC_CALLS);
+  guint64 latest = MIN (node->now + reach_us, call->state.deadline_us);
+  guint first = first_candidate (call, candidates);
+  guint64 soonest = G_MAXUINT64;
+
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      const struct GspanReplica *replica
+          = g_ptr_array_index (candidates, (first + i) % candidates->len);
+      guint64 expected_at = ask_for_permit (node, call, replica, outbox);
+
+      soonest = MIN (soonest, expected_at);
+      if (expected_at > latest)
+        continue;
+      set_waits_at (node, call, replica, expected_at, outbox);
+      return true;
+    }
+  g_clear_pointer (&call->waits_at, g_free);
+  if (candidates->len > 0)
+    call->retry_at = soonest - MIN (soonest, reach_us);
+  return false;
+}
+
+/*
+ * Starts another attempt, or has the call wait for the time that a replica's limit leaves for it.
+ * False where there is no replica for it.
+ */
 static bool
 try_next (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
-  struct GspanReplica *replica = refused_until (node, call) != 0 ? NULL : pick (node, call);
+  GPtrArray *without_permit;
+  struct GspanReplica *replica;
+  bool waits = false;
 
-  if (replica == NULL)
+  call->retry_at = 0;
+  if (refused_until (node, call) != 0)
     return false;
-  send_attempt (node, call, replica, outbox);
-  return true;
+  without_permit = g_ptr_array_new ();
+  replica = pick (node, call, false, without_permit);
+  if (replica == NULL)
+    waits = wait_for_permit (node, call, without_permit, outbox);
+  g_ptr_array_unref (without_permit);
+  if (replica == NULL)
+    replica = pick (node, call, !waits, NULL);
+  if (replica != NULL)
+    send_attempt (node, call, replica, outbox);
+  return replica != NULL || waits;
 }
 
 /* Answers at once that the call has not run, and when it may come back. */
@@ -541,7 +664,8 @@
 
   gspan_wire_read_response (answer->status, answer->headers, &wire);
   gspan_leaving_note_answer (node, attempt->replica, &wire, outbox);
-  gspan_limits_note_answer (node, attempt->replica, &wire, outbox);
+  if (!attempt->has_head)
+    gspan_limits_note_answer (node, attempt->replica, &wire, attempt->sent, outbox);
   not_run = answer->result == GSPAN_HTTP_NOT_SENT || (whole && wire.not_run && !good);
   call->state.now = node->now;
   if (whole && wire.signed_by_replica && !not_run)
@@ -586,7 +710,8 @@
 
   gspan_wire_read_response (answer->status, answer->headers, &wire);
   gspan_leaving_note_answer (node, attempt->replica, &wire, outbox);
-  gspan_limits_note_answer (node, attempt->replica, &wire, outbox);
+  gspan_limits_note_answer (node, attempt->replica, &wire, attempt->sent, outbox);
+  attempt->has_head = true;
   if (call->state.response_started || answer->status < 200 || answer->status >= 300
       || !wire.signed_by_replica)
     return;
@@ -663,6 +788,11 @@
       call->may_have_run = call->may_have_run || call->open->len > 0;
       give_up (node, call, "time is up", 504, outbox);
     }
+  else if (call->open->len == 0)
+    {
+      if (!try_next (node, call, outbox))
+        give_up (node, call, "no replica has room within its limit", 502, outbox);
+    }
   else
     {
       note_long_silence (node, call, outbox);
@@ -671,16 +801,31 @@
     }
 }
 
+static gint
+compare_calls (gconstpointer a, gconstpointer b)
+{
+  const struct GspanCall *x = a;
+  const struct GspanCall *y = b;
+
+  return x->id < y->id ? -1 : x->id > y->id;
+}
+
 static void
 on_tick (struct GspanNode *node, struct GspanOutbox *outbox)
 {
-  GList *calls = g_hash_table_get_values (node->gateway.calls);
+  GList *calls = g_list_sort (g_hash_table_get_values (node->gateway.calls), compare_calls);
 
   for (GList *item = calls; item != NULL; item = item->next)
     check_call (node, item->data, outbox);
   g_list_free (calls);
 }
 
+void
+gspan_gateway_send_waiting (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  on_tick (node, outbox);
+}
+
 void
 gspan_gateway_replica_ended (struct GspanNode *node, const struct GspanReplica *replica,
                              struct GspanOutbox *outbox)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -25,6 +25,9 @@
 void gspan_gateway_handle (struct GspanNode *node, const struct GspanEvent *event,
                            struct GspanOutbox *outbox);
 
+/* Sends calls that wait for a permit of a replica, where that has come. */
+void gspan_gateway_send_waiting (struct GspanNode *node, struct GspanOutbox *outbox);
+
 /* REPLICA has ended unplanned: records a crash for each attempt that it hasn't answered. */
 void gspan_gateway_replica_ended (struct GspanNode *node, const struct GspanReplica *replica,
                                   struct GspanOutbox *outbox);
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -22,6 +22,7 @@
 {
   LOSSES_BEFORE_BACKOFF = 3,
   BACKOFF_FACTOR_MAX = 8,
+  PERMITS_AHEAD = 2, /* asked for at a replica with a limit; more would lapse if others have room */
   CONCURRENCY_DEFAULT = 8, /* limit of a replica whose service sets none */
   STATUS_UNPROCESSABLE = 422,
   STATUS_INTERNAL_ERROR = 500
@@ -41,6 +42,7 @@
   guint64 weight_version; /* that generates now; 0 is unknown */
   guint event_count;      /* valid events of this run */
   bool is_suspect;        /* the item may crash the replica */
+  bool has_head;          /* the response's head has come */
   bool is_streaming;      /* a response of 200 with the replica's stamp has begun */
   bool has_invalid_event; /* an event out of order, not UTF-8 or of a weight version not allowed */
 };
@@ -250,7 +252,8 @@
 
   gspan_wire_read_response (answer->status, answer->headers, &wire);
   gspan_leaving_note_answer (node, run->replica, &wire, outbox);
-  gspan_limits_note_answer (node, run->replica, &wire, outbox);
+  gspan_limits_note_answer (node, run->replica, &wire, run->started_at_us, outbox);
+  run->has_head = true;
   run->is_streaming = answer->status == 200 && wire.signed_by_replica;
   run->weight_version = wire.weight_version;
   run->last_active_us = run->node->now;
@@ -364,7 +367,8 @@
 
   gspan_wire_read_response (answer->status, answer->headers, &wire);
   gspan_leaving_note_answer (node, run->replica, &wire, outbox);
-  gspan_limits_note_answer (node, run->replica, &wire, outbox);
+  if (!run->has_head)
+    gspan_limits_note_answer (node, run->replica, &wire, run->started_at_us, outbox);
   log_run (run, "run-ended", outcomes[answer->result], answer->status, outbox);
   if (whole && run->is_streaming && run->events.pending->len == 0 && item->last_event_id > 0)
     {
@@ -401,11 +405,12 @@
 
 /*
  * Returns the replica for the next run of ITEM, or NULL if none has room. TYPICAL_US, unless 0, is
- * the service's typical event interval; far slower replicas are avoided.
+ * the service's typical event interval; far slower replicas are avoided. Replicas that lack only a
+ * permit are added to WITHOUT_PERMIT, unless it is NULL.
  */
 static struct GspanReplica *
 pick_replica (struct GspanNode *node, const struct GspanJob *job, const struct GspanItem *item,
-              const char *service, guint64 typical_us)
+              const char *service, guint64 typical_us, GPtrArray *without_permit)
 {
   struct GspanPickQuery query = { 0 };
 
@@ -419,6 +424,9 @@
   query.draw = g_rand_int (node->random);
   query.typical_us = typical_us;
   query.is_suspect = is_suspect (node, item, service);
+  query.limits = &node->rate_limits;
+  query.traffic = GSPAN_TRAFFIC_RUNS;
+  query.without_permit = without_permit;
   return gspan_pick_replica (node->catalog.replicas, &query);
 }
 
@@ -428,7 +436,8 @@
 {
   struct GspanRun *run = g_new0 (struct GspanRun, 1);
   struct GspanRef ref = { GSPAN_OWNER_RUNS, gspan_node_next_id (node) };
-  struct GspanActionHttp *http = &gspan_outbox_add (outbox, GSPAN_ACTION_HTTP, ref)->u.http;
+  struct GspanActionHttp *http
+      = gspan_permits_send (node, replica, GSPAN_TRAFFIC_RUNS, ref, outbox);
 
   run->id = ref.id;
   run->node = node;
@@ -489,6 +498,25 @@
   return false;
 }
 
+/*
+ * Returns a replica of any pace for the next run of ITEM. If there is none, asks for permits for
+ * the next runs at those that have room.
+ */
+static struct GspanReplica *
+pick_or_want (struct GspanNode *node, const struct GspanJob *job, const struct GspanItem *item,
+              const char *service, struct GspanOutbox *outbox)
+{
+  GPtrArray *without_permit = g_ptr_array_new ();
+  guint total = MIN (job->waiting_items.length + 1, PERMITS_AHEAD);
+  struct GspanReplica *replica = pick_replica (node, job, item, service, 0, without_permit);
+
+  for (guint i = 0; replica == NULL && i < without_permit->len; i++)
+    gspan_permits_want (node, g_ptr_array_index (without_permit, i), GSPAN_TRAFFIC_RUNS, total,
+                        outbox);
+  g_ptr_array_unref (without_permit);
+  return replica;
+}
+
 /* Starts waiting items of JOB while replicas have room. Returns false if there is no room left. */
 static bool
 schedule_job (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
@@ -517,9 +545,9 @@
           g_queue_push_tail (&job->waiting_items, item);
           continue;
         }
-      replica = pick_replica (node, job, item, service, typical_us);
+      replica = pick_replica (node, job, item, service, typical_us, NULL);
       if (replica == NULL)
-        replica = pick_replica (node, job, item, service, 0);
+        replica = pick_or_want (node, job, item, service, outbox);
       if (replica == NULL && is_suspect (node, item, service))
         {
           g_queue_push_tail (&job->waiting_items, item);
@@ -546,8 +574,8 @@
   return strcmp (x->id, y->id);
 }
 
-static void
-schedule (struct GspanNode *node, struct GspanOutbox *outbox)
+void
+gspan_runner_schedule (struct GspanNode *node, struct GspanOutbox *outbox)
 {
   GList *jobs = g_hash_table_get_values (node->jobs.by_id);
 
@@ -592,7 +620,7 @@
   if (run->event_count == 0 || !gspan_pace_is_slow (run->replica, typical_us, node->now)
       || requires_single_version (node, run->job))
     return NULL;
-  replica = pick_replica (node, run->job, run->item, run->replica->service, typical_us);
+  replica = pick_replica (node, run->job, run->item, run->replica->service, typical_us, NULL);
   return replica != run->replica ? replica : NULL;
 }
 
@@ -676,7 +704,7 @@
       if (node->now >= node->runner.next_move_check_at_us)
         move_slow_runs (node, outbox);
       if (node->now >= node->runner.next_schedule_at_us)
-        schedule (node, outbox);
+        gspan_runner_schedule (node, outbox);
       return;
     }
   if (run == NULL)
@@ -688,6 +716,6 @@
   else if (event->kind == GSPAN_EVENT_HTTP_DONE)
     {
       on_done (node, run, &event->u.http, outbox);
-      schedule (node, outbox);
+      gspan_runner_schedule (node, outbox);
     }
 }
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -24,6 +24,9 @@
 void gspan_runner_handle (struct GspanNode *node, const struct GspanEvent *event,
                           struct GspanOutbox *outbox);
 
+/* Starts waiting items where replicas have room. */
+void gspan_runner_schedule (struct GspanNode *node, struct GspanOutbox *outbox);
+
 /* REPLICA has ended unplanned: records a crash for each run there without several events. */
 void gspan_runner_replica_ended (struct GspanNode *node, const struct GspanReplica *replica,
                                  struct GspanOutbox *outbox);
--- a/node/node.c
+++ b/node/node.c
@@ -24,6 +24,7 @@
   gspan_crash_reports_init (&node->crash_reports);
   gspan_verdicts_init (&node->verdicts);
   gspan_catalog_init (&node->catalog, config->self.keeps_disk);
+  gspan_limits_init (&node->rate_limits, node->incarnation);
   gspan_peers_init (&node->peers);
   gspan_gateway_init (&node->gateway);
   gspan_jobs_init (&node->jobs);
@@ -39,6 +40,7 @@
   gspan_jobs_finish (&node->jobs);
   gspan_gateway_finish (&node->gateway);
   gspan_peers_finish (&node->peers);
+  gspan_limits_finish (&node->rate_limits);
   gspan_catalog_finish (&node->catalog);
   gspan_verdicts_finish (&node->verdicts);
   gspan_crash_reports_finish (&node->crash_reports);
@@ -109,6 +111,8 @@
 {
   gspan_catalog_handle (node, event, outbox);
   gspan_peers_handle (node, event, outbox);
+  gspan_limits_tick (node, outbox);
+  gspan_permits_tick (node, outbox);
   gspan_crash_reports_handle (node, outbox);
   gspan_verdicts_handle (node, event, outbox);
   gspan_gateway_handle (node, event, outbox);
@@ -117,7 +121,15 @@
   gspan_weights_handle (node, event, outbox);
 }
 
-/* A message of another node: what the store holds, or about a job. */
+static void
+take_permits (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
+{
+  gspan_permits_receive_grant (node, message, outbox);
+  gspan_gateway_send_waiting (node, outbox);
+  gspan_runner_schedule (node, outbox);
+}
+
+/* A message of another node. */
 static void
 take_datagram (struct GspanNode *node, struct GspanStr payload, struct GspanOutbox *outbox)
 {
@@ -128,6 +140,12 @@
     gspan_feed_receive (node, message, outbox);
   else if (g_strcmp0 (kind, "crashes") == 0)
     gspan_crash_reports_receive (node, message, outbox);
+  else if (g_strcmp0 (kind, "limits") == 0)
+    gspan_limits_receive (node, message, outbox);
+  else if (g_strcmp0 (kind, "permits-ask") == 0)
+    gspan_permits_receive_ask (node, message, outbox);
+  else if (g_strcmp0 (kind, "permits") == 0)
+    take_permits (node, message, outbox);
   else
     gspan_owner_handle_datagram (node, message, outbox);
   json_decref (message);
@@ -215,4 +233,6 @@
   gspan_metrics_set (metrics, GSPAN_GAUGE_CONFIG, node->catalog.config.number);
   gspan_metrics_set (metrics, GSPAN_GAUGE_JOBS, g_hash_table_size (node->jobs.by_id));
   gspan_metrics_set (metrics, GSPAN_GAUGE_RUNS, g_hash_table_size (node->runner.runs));
+  gspan_metrics_set (metrics, GSPAN_GAUGE_LIMITED_UPSTREAMS,
+                     gspan_limits_count (&node->rate_limits));
 }
--- a/node/node.h
+++ b/node/node.h
@@ -3,6 +3,7 @@
 #include "board/message.h"
 #include "catalog/catalog.h"
 #include "catalog/limits.h"
+#include "catalog/permits.h"
 #include "common/metrics.h"
 #include "desk/poison_requests.h"
 #include "gateway/crash_reports.h"
@@ -52,6 +53,7 @@
   struct GspanCrashReports crash_reports;
   struct GspanVerdicts verdicts;
   struct GspanCatalog catalog;
+  struct GspanLimits rate_limits; /* of replicas */
   struct GspanPeers peers;
   struct GspanGateway gateway;
   struct GspanJobs jobs;
--- a/node/peers.c
+++ b/node/peers.c
@@ -224,17 +224,22 @@
   g_bytes_unref (payload);
 }
 
+void
+gspan_peers_send_to (const char *udp_address, json_t *message, struct GspanOutbox *outbox)
+{
+  GBytes *payload = encode (message);
+
+  send_datagram (udp_address, payload, outbox);
+  g_bytes_unref (payload);
+}
+
 bool
 gspan_peers_send (struct GspanNode *node, const char *name, json_t *message,
                   struct GspanOutbox *outbox)
 {
   const struct GspanPeer *peer = g_hash_table_lookup (node->peers.items, name);
-  GBytes *payload;
 
-  if (peer == NULL)
-    return false;
-  payload = encode (message);
-  send_datagram (peer->udp_address, payload, outbox);
-  g_bytes_unref (payload);
-  return true;
+  if (peer != NULL)
+    gspan_peers_send_to (peer->udp_address, message, outbox);
+  return peer != NULL;
 }
--- a/node/peers.h
+++ b/node/peers.h
@@ -51,6 +51,9 @@
 /* Sends MESSAGE to all other nodes. */
 void gspan_peers_send_all (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox);
 
+/* Sends MESSAGE to the node at UDP_ADDRESS. */
+void gspan_peers_send_to (const char *udp_address, json_t *message, struct GspanOutbox *outbox);
+
 /* Sends MESSAGE to the node NAME; false where it isn't known. */
 bool gspan_peers_send (struct GspanNode *node, const char *name, json_t *message,
                        struct GspanOutbox *outbox);
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -27,10 +27,11 @@
   struct GspanReplica *replica;
   char *model;
   guint64 weights;
-  guint64 call; /* order or question under way; 0 is none */
-  bool asking;  /* it is a question */
-  bool ordered; /* an order may have reached the replica */
-  bool silent;  /* the last exchange got no answer; another replica loads in its place */
+  guint64 call;    /* order or question under way; 0 is none */
+  guint64 sent_at; /* CALL was */
+  bool asking;     /* it is a question */
+  bool ordered;    /* an order may have reached the replica */
+  bool silent;     /* the last exchange got no answer; another replica loads in its place */
   guint64 started;
   guint64 next_at; /* next question or order */
 };
@@ -149,9 +150,11 @@
                 const char *path, struct GspanOutbox *outbox)
 {
   struct GspanRef ref = { GSPAN_OWNER_WEIGHTS, gspan_node_next_id (node) };
-  struct GspanActionHttp *http = &gspan_outbox_add (outbox, GSPAN_ACTION_HTTP, ref)->u.http;
+  struct GspanActionHttp *http
+      = gspan_permits_send (node, load->replica, GSPAN_TRAFFIC_ORDERS, ref, outbox);
 
   load->call = ref.id;
+  load->sent_at = node->now;
   http->method = g_strdup (method);
   http->url = g_strdup_printf ("http://%s%s", load->replica->address, path);
   http->timeout_us = CALL_TIMEOUT_US;
@@ -190,6 +193,19 @@
   log_load (node, load, "report-asked", 0, outbox);
 }
 
+/* Sends what LOAD needs next, once the replica's limit leaves room for it. */
+static void
+send_next (struct GspanNode *node, struct GspanLoad *load, struct GspanOutbox *outbox)
+{
+  gspan_permits_want (node, load->replica, GSPAN_TRAFFIC_ORDERS, 1, outbox);
+  if (!gspan_permits_allow (&node->rate_limits, load->replica, GSPAN_TRAFFIC_ORDERS, node->now))
+    return;
+  if (load->ordered || !load->replica->orders_known)
+    ask (node, load, outbox);
+  else
+    send_order (node, load, outbox);
+}
+
 static void
 start_load (struct GspanNode *node, const struct GspanNamedWeights *named,
             struct GspanReplica *replica, struct GspanOutbox *outbox)
@@ -200,12 +216,9 @@
   load->model = g_strdup (named->model);
   load->weights = named->weights;
   load->started = node->now;
-  load->next_at = node->now + ASK_AGAIN_US;
+  load->next_at = node->now;
   g_hash_table_insert (node->weights.loads, replica->id, load);
-  if (replica->orders_known)
-    send_order (node, load, outbox);
-  else
-    ask (node, load, outbox);
+  send_next (node, load, outbox);
 }
 
 /* Of all models the load that is furthest behind, and of equals the one that waits for longest. */
@@ -317,10 +330,8 @@
           log_load (node, load, "load-over", 0, outbox);
           g_hash_table_iter_remove (&iter);
         }
-      else if (load->call == 0 && node->now >= load->next_at && !load->ordered)
-        send_order (node, load, outbox);
       else if (load->call == 0 && node->now >= load->next_at)
-        ask (node, load, outbox);
+        send_next (node, load, outbox);
     }
 }
 
@@ -409,7 +420,7 @@
       load->call = 0;
       gspan_wire_read_response (event->u.http.status, event->u.http.headers, &wire);
       gspan_leaving_note_answer (node, load->replica, &wire, outbox);
-      gspan_limits_note_answer (node, load->replica, &wire, outbox);
+      gspan_limits_note_answer (node, load->replica, &wire, load->sent_at, outbox);
       if (load->asking)
         on_report (node, load, &event->u.http, outbox);
       else
