catalog: permits of a second may be used at once after a pause

Items of a step come together after a pause, and a replica that loads weights gets nothing for a second; with two permits in hand at most, what the limit allowed in the pause was lost. A limit is in requests a second, so one second's worth may be used at once, two requests at least. In any four seconds that is five times the limit and one; six times and five are allowed.

--- a/catalog/rate.h
+++ b/catalog/rate.h
@@ -5,7 +5,8 @@
 
 /*
  * Times at which requests may be sent at a bounded rate, reserved one after another (the generic
- * cell rate algorithm), apart from any I/O. After a pause a few may go at once.
+ * cell rate algorithm), apart from any I/O. After a pause those of a second may go at once, two at
+ * least: answers the load of a step of a trainer, whose items come together after a pause.
  */
 
 struct GspanRate
@@ -14,11 +15,6 @@
   guint64 next_at; /* when the next request would be due if all were spaced evenly */
 };
 
-enum
-{
-  GSPAN_RATE_BURST = 2 /* beside the one that is due, after a pause */
-};
-
 /* RATE as it is right after a burst: what another has reserved meanwhile isn't known. */
 void gspan_rate_init_used (struct GspanRate *rate, double per_s, guint64 now);
 
