test: the soak has replicas that limit their requests, and counts what they get

Replicas name limits that may change and end, and reject what is beyond; the book sums all that reaches one, from whichever node, against one and a half times the limit and five more in any four seconds. Only what a disturbed node may have sent is left out.

--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -7,6 +7,10 @@
 RETRIES_ALLOWED = 3  # of a request that has ended three replicas, once its end can be known
 ENDS_ALLOWED = 3
 LATE_ANSWER_S = 0.5  # beyond the deadline
+WINDOW_S = 4.0  # over which requests to a replica with a limit are counted
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+NOTICE_S = 0.5  # after which a node that has passed an answer on keeps what it says
 
 
 class Book:
@@ -22,10 +26,30 @@
         self.disturbed = defaultdict(list)  # node to (from, until)
         self.store_disturbed = []  # (from, until)
         self.stops = defaultdict(list)  # node to (from, until) of its restarts and freezes
+        self.limits = defaultdict(list)  # replica to spans [values, until], values of (time first named, limit)
+        self.got_at = defaultdict(list)  # replica to (time, node) of all that reached it; no node: an item or an order
+        self.most_of_limit = 0.0  # the largest share of what a limit allows that reached a replica
         self.broken = []
 
     # What is seen.
 
+    def got(self, replica, request):
+        node = self.node_of(request.headers.get("x-attempt-id", ""))
+        self.got_at[replica.start_name].append((self.now(), node))
+
+    def names_limit(self, replica):
+        spans = self.limits[replica.start_name]
+        if not spans or spans[-1][1] is not None:
+            spans.append([[], None])
+        values = spans[-1][0]
+        if not values or values[-1][1] != replica.limit:
+            values.append((self.now(), replica.limit))
+
+    def limit_ends(self, replica):
+        spans = self.limits[replica.start_name]
+        if spans and spans[-1][1] is None:
+            spans[-1][1] = self.now()
+
     def client_sends(self, attempt, node):
         self.sent[attempt] = (node, self.now())
 
@@ -101,6 +125,27 @@
     def any_disturbed(self, at):
         return any(self.is_disturbed(node, at) for node in list(self.disturbed))
 
+    def check_limits(self):
+        """All that reaches a replica counts, from whichever node, but for what a disturbed node may have sent."""
+        for replica, spans in self.limits.items():
+            for values, until in spans:
+                times = [at for at, node in self.got_at[replica]
+                         if values[0][0] + STABLE_S <= at < (until or self.now())
+                         and not (self.is_disturbed(node, at) if node else self.any_disturbed(at))]
+                for start in times:
+                    self.check_window(replica, values, start, sum(start <= at < start + WINDOW_S for at in times))
+
+    def check_window(self, replica, values, start, count):
+        """Where the limit changes, the highest that held in the window or half a second before it counts."""
+        ends = [at for at, _ in values[1:]] + [float("inf")]
+        limit = max(limit for (at, limit), end in zip(values, ends)
+                    if end >= start - NOTICE_S and at < start + WINDOW_S)
+        allowed = LIMIT_FACTOR * limit * WINDOW_S + LIMIT_EXTRA
+        self.most_of_limit = max(self.most_of_limit, count / allowed)
+        if count > allowed:
+            self.broken.append(f"LIMIT {replica}: {count} requests in {WINDOW_S:.0f} s from {start:.1f} s on, "
+                               f"{allowed:.0f} allowed by its limit of {limit:.1f} a second")
+
     def check_crashing_requests(self):
         for path, sends in self.contents.items():
             if len(self.ends[path]) < ENDS_ALLOWED:
--- a/test/soak/replica.py
+++ b/test/soak/replica.py
@@ -21,6 +21,9 @@
         self.leaving = False
         self.alive = True
         self.lose_answers = False
+        self.limit = None  # requests a second from all nodes together
+        self.room = 0.0  # requests that it takes now, where it has a limit
+        self.room_at = 0.0
         self.born = world.wall_ms()
         self.start_name = f"{name}#{self.born}"  # a replica may start again under the id that it had
         self.spec = None
@@ -69,15 +72,36 @@
         if self.world.store.objects["servers"].get(self.name, {}).get("spec") == self.spec:
             await self.world.store.remove("servers", self.name)
 
+    def set_limit(self, limit):
+        self.limit = limit
+        self.room = 0.0
+        self.room_at = self.world.now()
+
+    def takes_one_more(self):
+        """False where it rejects a request since more than its limit come."""
+        if self.limit is None:
+            return True
+        now = self.world.now()
+        self.room = min(2 * self.limit, self.room + (now - self.room_at) * self.limit)
+        self.room_at = now
+        if self.room < 1:
+            return False
+        self.room -= 1
+        return True
+
     async def serve(self, request, write):
         if not self.alive:
             await asyncio.sleep(3600)
+        self.world.book.got(self, request)
         if request.path == "/api/report":
-            return self.report()
+            return self.report(request)
         if request.path == "/api/order":
-            return Reply(200)
+            return Reply(200, b"", self.answer_headers(request))
         if request.headers.get("x-expect-instance", self.name) != self.name:
             return Reply(421, b"", {"X-Not-Executed": "1"})
+        if not self.takes_one_more():
+            self.world.book.names_limit(self)
+            return Reply(503, b"", {"X-Not-Executed": "1", "Server-Limit": f"{self.limit:.1f}"})
         self.world.book.reached(self, request)
         if KILLER in request.path:
             self.world.book.ended(self, request)
@@ -99,6 +123,9 @@
         if self.leaving:
             headers["Server-Leaving"] = "1"
             headers["Connection"] = "close"
+        if self.limit is not None:
+            headers["Server-Limit"] = f"{self.limit:.1f}"
+            self.world.book.names_limit(self)
         return headers
 
     async def stream(self, request, write):
@@ -114,7 +141,7 @@
         write(b"0\r\n\r\n")
         return None
 
-    def report(self):
+    def report(self, request):
         return Reply(200, json.dumps({"phase": "both", "models": [{"name": "m0", "version": 1, "adapters": []}],
                                       "busy": False, "seqNo": 0, "queuedReqs": 0, "activeReqs": 0, "kvUsed": 0,
-                                      "kvTotal": 9000, "handles": 0}).encode())
+                                      "kvTotal": 9000, "handles": 0}).encode(), self.answer_headers(request))
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -25,6 +25,7 @@
 BUILD = os.environ.get("GSPAN_BUILD", os.path.join(ROOT, "build"))
 SERVICES = {"desk": 4, "calls": 4, "llm": 4}
 START_S = 3.0
+READY_WITHIN_S = 30.0
 DEADLINE_S = 1.1
 RETRIES = 2
 BACK_AFTER_S = 2.0
@@ -235,6 +236,16 @@
         await asyncio.sleep(3)
         replica.lose_answers = False
 
+    async def limit(self):
+        """Most replicas of a service name a limit for some seconds; it may change meanwhile."""
+        chosen = [r for r in self.living(self.random.choice(list(SERVICES))) if self.random.random() < 0.8]
+        for replica in chosen:
+            replica.set_limit(self.random.choice([1.0, 2.5, 4.0, 8.0]))
+        await asyncio.sleep(self.random.uniform(8, 12))
+        for replica in chosen:
+            self.book.limit_ends(replica)
+            replica.limit = None
+
     async def store_fault(self, nodes):
         fault = self.random.choice(["busy", "silent", "reset", "lost", "slow"])
         for_s = self.random.uniform(1, 6)
@@ -300,7 +311,7 @@
         """In series that overlap."""
         kinds = {"leave": self.leave, "crash": self.crash, "lose": self.lose_answers, "store": self.store_away,
                  "some": self.store_turns_some_away, "forget": self.forget_history, "watches": self.cut_watches,
-                 "kill": self.kill_node, "term": self.stop_node, "freeze": self.freeze_node}
+                 "kill": self.kill_node, "term": self.stop_node, "freeze": self.freeze_node, "limit": self.limit}
         chosen = [kinds[name] for name in self.options.faults.split(",") if name]
         await asyncio.sleep(START_S)
         while chosen and self.now() < self.options.seconds - 6:
@@ -320,6 +331,8 @@
             self.nodes[-1].start()
         for node in self.nodes:
             while not await node.is_ready():
+                if node.popen.poll() is not None or self.now() > READY_WITHIN_S:
+                    raise RuntimeError(f"{node.name} isn't ready; exit code {node.popen.poll()}")
                 await asyncio.sleep(0.05)
         self.started = time.monotonic()
 
@@ -333,6 +346,7 @@
         self.book.check_leaving_by_answer()
         self.book.check_leaving_by_store(self.leaves_acknowledged)
         self.book.check_crashing_requests()
+        self.book.check_limits()
 
     async def stop(self):
         for node in self.nodes:
@@ -363,7 +377,7 @@
     parser.add_argument("--killers", type=int, default=2, help="contents that end each replica that runs them")
     parser.add_argument("--silent", type=float, default=0.5, help="share of replicas that end without a reset")
     parser.add_argument("--pause", type=float, default=1.5, help="mean time between two faults, in seconds")
-    parser.add_argument("--faults", default="leave,crash,lose,store,some,forget,watches,kill,term,freeze")
+    parser.add_argument("--faults", default="leave,crash,lose,store,some,forget,watches,kill,term,freeze,limit")
     parser.add_argument("--keep", help="folder for settings and logs")
     parser.add_argument("--quiet", action="store_true", help="no figures, which differ between two runs of a seed")
     options = parser.parse_args()
@@ -374,7 +388,8 @@
             os.remove(os.path.join(folder, name))
         book = asyncio.run(play(options, folder))
     if not options.quiet:
-        print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()})
+        print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()},
+              f"most of a limit {book.most_of_limit:.2f}")
     for line in book.broken:
         print(line)
     print(f"{len(book.broken)} promises broken")
