--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -65,6 +65,7 @@
   gspan_line_cstr (&line, "upstream", replica->id);
   gspan_line_cstr (&line, "service", replica->service);
   gspan_line_cstr (&line, "address", replica->address);
+  gspan_line_cstr (&line, "software", replica->software);
   gspan_line_cstr (&line, "state", gspan_replica_is_leaving (replica) ? "draining" : "ready");
   gspan_line_cstr (&line, "source", node->catalog.replicas_by_feed ? "feed" : "store");
   gspan_line_u64 (&line, "age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
--- a/catalog/replica.c
+++ b/catalog/replica.c
@@ -48,6 +48,7 @@
   g_free (replica->service);
   g_free (replica->address);
   g_free (replica->zone);
+  g_free (replica->software);
   g_ptr_array_unref (replica->models);
   g_free (replica);
 }
--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -21,6 +21,7 @@
   char *service;
   char *address; /* "IP:PORT" */
   char *zone;
+  char *software; /* version of what it runs; empty where its entry names none */
   guint slots;
   bool draining;     /* as its entry says */
   bool removed;      /* no longer registered */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -344,7 +344,9 @@
   gspan_line_init (&line, "call-attempt");
   gspan_line_cstr (&line, "id", call->caller_id);
   gspan_line_cstr (&line, "upstream", replica->id);
+  gspan_line_cstr (&line, "software", replica->software);
   gspan_line_u64 (&line, "attempt", call->state.attempts);
+  gspan_line_u64 (&line, "last_event", call->last_event);
   gspan_line_u64 (&line, "open_there", replica->open);
   gspan_line_u64 (&line, "list_age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
   gspan_line_u64 (&line, "left_us", http->timeout_us);
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -81,6 +81,7 @@
   gspan_line_cstr (&line, "job", run->job->id);
   gspan_line_cstr (&line, "item", run->item->submitted->id);
   gspan_line_cstr (&line, "upstream", run->replica->id);
+  gspan_line_cstr (&line, "software", run->replica->software);
   gspan_line_u64 (&line, "events", run->item->last_event_id);
   gspan_line_u64 (&line, "open_there", run->replica->open);
   gspan_outbox_log (outbox, "runner", GSPAN_PRIORITY_INFO, &line);
