runner: the text of an item goes on at the software version that began it

What replicas saw: a run with Last-Event-Id in the middle of a text whose first events came from another version of the software; what two versions write doesn't fit together.

Cause: an entry's software version was read nowhere, and a checkpoint didn't name it, so lost, silent and moved runs and those of a new owner went on at any replica. Class: a fact that one process learns (who wrote a text) and the fleet needs.

Now a result under way names its software, the checkpoint carries it, and the choice of a replica asks for it. Where no replica of the version is there to stay, or none has taken the item for two seconds, it begins anew, since nothing of it is listed yet; checkpoints of before name none and begin anew too. Such an item doesn't keep those behind it waiting.

Evidence: test/software_test.cc; without the choice's question 4 of its 5 tests fail (takeover, moved runs, lost runs).

--- a/catalog/pick.c
+++ b/catalog/pick.c
@@ -19,6 +19,8 @@
   if (strcmp (replica->service, query->service) != 0
       || !gspan_replica_usable (replica, query->last_resort ? G_MAXUINT64 : query->now))
     return false;
+  if (query->software != NULL && g_strcmp0 (replica->software, query->software) != 0)
+    return false;
   if (query->open_max > 0 && replica->open >= query->open_max)
     return false;
   if (query->is_suspect && replica->suspects > 0)
@@ -78,6 +80,31 @@
   return best;
 }
 
+/* True where only a failure may keep it from getting requests now. */
+static bool
+stays (const struct GspanReplica *replica, const char *service)
+{
+  return strcmp (replica->service, service) == 0 && !gspan_replica_is_leaving (replica)
+         && !replica->removed && !replica->misdirected;
+}
+
+bool
+gspan_pick_has_software (GHashTable *replicas, const char *service, const char *software)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, replicas);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct GspanReplica *replica = value;
+
+      if (stays (replica, service) && g_strcmp0 (replica->software, software) == 0)
+        return true;
+    }
+  return false;
+}
+
 guint64
 gspan_pick_retry_at (GHashTable *replicas, const char *service, guint64 now)
 {
@@ -90,8 +117,7 @@
     {
       const struct GspanReplica *replica = value;
 
-      if (strcmp (replica->service, service) != 0 || gspan_replica_is_leaving (replica)
-          || replica->removed || replica->misdirected)
+      if (!stays (replica, service))
         continue;
       if (soonest == 0 || MAX (now, replica->avoid_until) < soonest)
         soonest = MAX (now, replica->avoid_until);
--- a/catalog/pick.h
+++ b/catalog/pick.h
@@ -20,6 +20,7 @@
   const char *model;      /* NULL for plain services */
   guint64 weights_min;    /* of MODEL */
   guint64 weights_max;    /* of MODEL; 0 is no limit */
+  const char *software;   /* version that a text can go on at; NULL is any */
   const char *preferred;  /* id of the replica that has the prompt; NULL is none */
   guint open_max;         /* of our own requests at one replica; 0 is no limit */
   guint32 draw;           /* by lot */
@@ -35,6 +36,9 @@
 /* The best of REPLICAS (id to struct GspanReplica); NULL where none may get the request now. */
 struct GspanReplica *gspan_pick_replica (GHashTable *replicas, const struct GspanPickQuery *query);
 
+/* True if replicas of SERVICE with that version of their SOFTWARE are there to stay. */
+bool gspan_pick_has_software (GHashTable *replicas, const char *service, const char *software);
+
 /*
  * When the soonest replica of SERVICE that is avoided now may be tried again; 0 where there is
  * none to wait for.
--- a/jobs/checkpoint.c
+++ b/jobs/checkpoint.c
@@ -101,6 +101,8 @@
                       ? gspan_job_result_encode (item->result)
                       : json_pack ("{s:s, s:s}", "item", item->submitted->id, "text", "");
 
+  if (item->result != NULL && item->result->software != NULL)
+    json_object_set_new (value, "software", json_string (item->result->software));
   json_object_set_new (value, "events", json_integer ((json_int_t)item->last_event_id));
   if (item->server_errors > 0)
     json_object_set_new (value, "errors", json_integer ((json_int_t)item->server_errors));
@@ -210,6 +212,7 @@
         gspan_job_result_free (result);
       return;
     }
+  result->software = g_strdup (json_string_value (json_object_get (value, "software")));
   item->result = result;
   item->last_event_id = (guint64)events;
   item->checkpointed_event_id = item->last_event_id;
--- a/jobs/checkpoint.h
+++ b/jobs/checkpoint.h
@@ -9,8 +9,8 @@
 /*
  * Checkpoints of a job: what its unfinished runs have generated, written to the store periodically
  * so that a new owner resumes from there. A checkpoint never becomes invalid, however old it is:
- * any replica can resume a text up to event N, with the weight versions that generated it, at event
- * N + 1.
+ * any replica with the software version that began a text can resume it, with the weight versions
+ * that generated it, after its last event.
  */
 
 /* Name of the checkpoint among the job's objects; it sorts before the parts. */
--- a/jobs/result.c
+++ b/jobs/result.c
@@ -17,6 +17,7 @@
   struct GspanJobResult *result = data;
 
   g_free (result->item_id);
+  g_free (result->software);
   g_string_free (result->text, TRUE);
   g_array_unref (result->weight_versions);
   g_free (result);
--- a/jobs/result.h
+++ b/jobs/result.h
@@ -8,8 +8,9 @@
 struct GspanJobResult
 {
   char *item_id;
-  bool completed;          /* false if the item was abandoned */
-  GString *text;           /* data of all events, separated by line feeds */
+  bool completed; /* false if the item was abandoned */
+  GString *text;  /* data of all events, separated by line feeds */
+  char *software; /* version of the replicas' software that generates it; NULL is unknown */
   GArray *weight_versions; /* guint64: weight versions that generated it, ascending */
 };
 
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -15,6 +15,7 @@
 #define BUSY_BACKOFF_US (100 * GSPAN_MS)          /* of a replica that refused a run */
 #define LOST_RUN_BACKOFF_US (GSPAN_SECOND)        /* of an item, times its consecutive losses */
 #define CONDEMNED_RECHECK_US (GSPAN_SECOND)       /* of an item that crashes replicas */
+#define RESUME_WAIT_US (2 * GSPAN_SECOND)         /* for replicas of the text's software version */
 #define SCHEDULE_INTERVAL_US (50 * GSPAN_MS)
 #define SLOW_CHECK_INTERVAL_US (100 * GSPAN_MS)
 
@@ -170,6 +171,15 @@
   item->checkpointed_event_id = 0;
 }
 
+/* Software version that the text of ITEM has to go on at; NULL where it is to begin. */
+static const char *
+software_of (const struct GspanItem *item)
+{
+  if (item->last_event_id == 0 || item->result == NULL)
+    return NULL;
+  return item->result->software != NULL ? item->result->software : "";
+}
+
 static bool
 requires_single_version (const struct GspanNode *node, const struct GspanJob *job)
 {
@@ -227,7 +237,10 @@
       gspan_replica_set_weights (run->replica, run->job->document.model, event->mark);
     }
   if (item->result == NULL)
-    item->result = gspan_job_result_new (item->submitted->id);
+    {
+      item->result = gspan_job_result_new (item->submitted->id);
+      item->result->software = g_strdup (run->replica->software);
+    }
   if (!event->has_id || event->id != item->last_event_id + 1 || !weight_version_allowed (run)
       || !g_utf8_validate (event->data.data, (gssize)event->data.len, NULL))
     {
@@ -241,6 +254,7 @@
     gspan_job_result_add_version (item->result, run->weight_version);
   item->last_event_id = event->id;
   item->consecutive_losses = 0;
+  item->resumable_since_us = 0;
   run->last_active_us = run->node->now;
   run->event_count++;
 }
@@ -420,6 +434,7 @@
   query.zone = node->self.zone;
   query.model = job->document.model[0] != '\0' ? job->document.model : NULL;
   query.weights_min = job->document.weight_version_min;
+  query.software = software_of (item);
   query.preferred = g_hash_table_lookup (job->prompt_replicas, item->submitted->group);
   query.open_max = concurrency_limit (node, service);
   query.draw = g_rand_int (node->random);
@@ -499,6 +514,35 @@
   return false;
 }
 
+/*
+ * Has ITEM begin anew where its text can't go on: the software version that began it is gone, or
+ * none of its replicas has taken the item for a while.
+ */
+static void
+begin_anew_if_due (struct GspanNode *node, const struct GspanJob *job, struct GspanItem *item,
+                   const char *service, struct GspanOutbox *outbox)
+{
+  const char *software = software_of (item);
+  struct GspanLine line;
+  bool is_there;
+
+  if (software == NULL)
+    return;
+  if (item->resumable_since_us == 0)
+    item->resumable_since_us = node->now;
+  is_there = gspan_pick_has_software (node->catalog.replicas, service, software);
+  if (is_there && node->now < item->resumable_since_us + RESUME_WAIT_US)
+    return;
+  gspan_line_init (&line, "item-begins-anew");
+  gspan_line_cstr (&line, "job", job->id);
+  gspan_line_cstr (&line, "item", item->submitted->id);
+  gspan_line_cstr (&line, "software", software);
+  gspan_line_u64 (&line, "is_there", is_there);
+  gspan_line_u64 (&line, "events", item->last_event_id);
+  gspan_outbox_log (outbox, "runner", GSPAN_PRIORITY_INFO, &line);
+  discard_progress (item);
+}
+
 /*
  * Returns a replica of any pace for the next run of ITEM. If there is none, asks for permits for
  * the next runs at those that have room.
@@ -518,12 +562,25 @@
   return replica;
 }
 
-/* Starts waiting items of JOB while replicas have room. Returns false if there is no room left. */
+/* Puts the items of HELD back in front of those that wait. */
+static void
+put_back (struct GspanJob *job, GQueue *held)
+{
+  while (held->length > 0)
+    g_queue_push_head (&job->waiting_items, g_queue_pop_tail (held));
+}
+
+/*
+ * Starts waiting items of JOB while replicas have room. Returns false if there is no room left.
+ * Items that only some replicas may run don't keep the others waiting.
+ */
 static bool
 schedule_job (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
   const struct GspanConfigRoute *route = gspan_config_match (
       &node->catalog.config, gspan_str_from (job->host), gspan_str_from (job->path));
+  GQueue held = G_QUEUE_INIT;
+  bool has_room = true;
   const char *service;
   guint64 typical_us;
   guint count = job->waiting_items.length;
@@ -534,7 +591,7 @@
   if (service == NULL)
     return true;
   typical_us = gspan_pace_typical (node->catalog.replicas, service, node->now);
-  for (guint i = 0; i < count; i++)
+  for (guint i = 0; i < count && has_room; i++)
     {
       struct GspanItem *item = g_queue_pop_head (&job->waiting_items);
       struct GspanReplica *replica;
@@ -546,22 +603,22 @@
           g_queue_push_tail (&job->waiting_items, item);
           continue;
         }
+      begin_anew_if_due (node, job, item, service, outbox);
       replica = pick_replica (node, job, item, service, typical_us, NULL);
       if (replica == NULL)
         replica = pick_or_want (node, job, item, service, outbox);
-      if (replica == NULL && is_suspect (node, item, service))
+      if (replica != NULL)
+        start_run (node, job, item, replica, outbox);
+      else if (is_suspect (node, item, service))
+        g_queue_push_tail (&job->waiting_items, item);
+      else
         {
-          g_queue_push_tail (&job->waiting_items, item);
-          continue;
+          has_room = software_of (item) != NULL;
+          g_queue_push_tail (&held, item);
         }
-      if (replica == NULL)
-        {
-          g_queue_push_head (&job->waiting_items, item);
-          return false;
-        }
-      start_run (node, job, item, replica, outbox);
     }
-  return true;
+  put_back (job, &held);
+  return has_room;
 }
 
 static gint
--- /dev/null
+++ b/test/software_test.cc
@@ -0,0 +1,230 @@
+#include "test/node_world.h"
+
+#include <set>
+
+/*
+ * Replicas of several versions of their software serve side by side. What two versions write
+ * doesn't fit together: a text or a stream goes on only at the version that began it.
+ */
+
+static std::string
+replica_of_version (const char *service, unsigned number, const char *software)
+{
+  std::string spec = replica_spec (service, number, 1);
+
+  spec.replace (spec.find ("\"v1\""), 4, std::string ("\"") + software + "\"");
+  return spec;
+}
+
+class Software : public NodeTest
+{
+protected:
+  /* m1 and d1 run v1, m2 and d2 run v2. */
+  Rig &
+  start_two_versions (unsigned nodes = 1)
+  {
+    Rig &rig = start_nodes (nodes);
+
+    world.put ("config", "main", config_spec (4, "streaming").c_str ());
+    world.put ("servers", "m2", replica_of_version ("llm", 4, "v2").c_str ());
+    world.put ("servers", "d2", replica_of_version ("desk", 2, "v2").c_str ());
+    world.run (GSPAN_SECOND);
+    return rig;
+  }
+
+  static std::string
+  host_of (const Exchange &exchange)
+  {
+    return exchange.url.substr (7, exchange.url.find ('/', 7) - 7);
+  }
+
+  /* The version that runs at the replica that got EXCHANGE. */
+  static std::string
+  version_of (const Exchange &exchange)
+  {
+    std::string host = host_of (exchange);
+
+    return host == "10.0.0.1:80" || host == "10.0.0.3:80" ? "v1" : "v2";
+  }
+
+  /* Lets a run bring COUNT events and then breaks it. */
+  static void
+  break_run (Rig &rig, const Exchange &run, unsigned count)
+  {
+    std::string from = run.header ("Last-Event-Id");
+    unsigned first = from.empty () ? 1 : (unsigned)std::stoul (from) + 1;
+
+    rig.http_head (run, 200, stream_head (1));
+    for (unsigned id = first; id < first + count; id++)
+      rig.http_data (run, 200, stream_head (1), sse (id));
+    rig.http_done (run, GSPAN_HTTP_LOST, 200, {}, "");
+  }
+
+  /* Runs that begin in the middle of a text. */
+  static std::vector<Exchange>
+  resumed_runs (const Rig &rig)
+  {
+    std::vector<Exchange> found;
+
+    for (const auto &run : open_runs (rig))
+      if (!run.header ("Last-Event-Id").empty ())
+        found.push_back (run);
+    return found;
+  }
+
+  /* A stream of a desk caller; RESUMES is the attempt that brought its first events. */
+  void
+  send_stream (Rig &rig, guint64 id, const std::string &attempt, unsigned last_event = 0,
+               const std::string &resumes = "")
+  {
+    std::vector<std::string> headers
+        = { "Host: a.example", "X-Attempt-Id: " + attempt, "X-Deadline-Ms: 800" };
+
+    if (last_event > 0)
+      headers.push_back ("Last-Event-Id: " + std::to_string (last_event));
+    if (!resumes.empty ())
+      headers.push_back ("Resumes: " + resumes);
+    rig.request (id, "POST", "/desk/s", headers, "hello");
+  }
+
+  /* Brings the first COUNT events of a stream, whose replica's version is returned. */
+  std::string
+  begin_stream (Rig &rig, guint64 id, const std::string &attempt, unsigned count)
+  {
+    send_stream (rig, id, attempt);
+    Exchange exchange = rig.exchanges.back ();
+    rig.http_head (exchange, 200, stream_head (1));
+    for (unsigned event = 1; event <= count; event++)
+      rig.http_data (exchange, 200, stream_head (1), sse (event));
+    return version_of (exchange);
+  }
+};
+
+TEST_F (Software, ItemGoesOnAtTheVersionThatBeganIt)
+{
+  Rig &rig = start_two_versions ();
+
+  submit_job (rig, 1, "j1", 4);
+  world.run (200 * GSPAN_MS);
+  ASSERT_EQ (open_runs (rig).size (), 4U);
+  std::map<std::string, std::string> began;
+  for (const auto &run : open_runs (rig))
+    {
+      began[run.header ("X-Attempt-Id")] = version_of (run);
+      break_run (rig, run, 2);
+    }
+  world.run (GSPAN_SECOND);
+  EXPECT_EQ (resumed_runs (rig).size (), 4U);
+  for (const auto &run : resumed_runs (rig))
+    EXPECT_EQ (version_of (run), began[run.header ("X-Attempt-Id")]);
+}
+
+TEST_F (Software, ItemWhoseVersionHasGoneBeginsAnew)
+{
+  Rig &rig = start_two_versions ();
+
+  submit_job (rig, 1, "j1", 4);
+  world.run (200 * GSPAN_MS);
+  world.put ("servers", "m1", replica_spec ("llm", 3, 1, "draining").c_str ());
+  world.run (500 * GSPAN_MS);
+  for (const auto &run : open_runs (rig))
+    if (version_of (run) == "v1")
+      break_run (rig, run, 2);
+  world.run (GSPAN_SECOND);
+  EXPECT_EQ (open_runs (rig).size (), 4U);
+  for (const auto &run : open_runs (rig))
+    {
+      EXPECT_EQ (version_of (run), "v2");
+      EXPECT_EQ (run.header ("Last-Event-Id"), "");
+      finish_run (rig, run, 3);
+    }
+  world.run (2 * GSPAN_SECOND);
+  read_results (rig, 2, "j1", 0);
+  EXPECT_EQ (result_ids (*response_to (rig, 2)).size (), 4U);
+}
+
+/* Replicas of the version are there, but none takes the item. */
+TEST_F (Software, ItemDoesNotWaitForItsVersionForLong)
+{
+  Rig &rig = start_two_versions ();
+
+  submit_job (rig, 1, "j1", 2);
+  world.run (200 * GSPAN_MS);
+  guint64 end = world.now + 4 * GSPAN_SECOND;
+  for (const auto &run : open_runs (rig))
+    if (version_of (run) == "v1")
+      break_run (rig, run, 2);
+  bool anew = false;
+  while (world.now < end && !anew)
+    {
+      world.run (50 * GSPAN_MS);
+      for (const auto &run : open_runs (rig))
+        {
+          if (version_of (run) == "v1")
+            rig.http_done (run, GSPAN_HTTP_COMPLETE, 503, { "X-Not-Executed: 1" }, "");
+          else if (run.sent_at_us > end - 4 * GSPAN_SECOND)
+            anew = run.header ("Last-Event-Id").empty ();
+        }
+    }
+  EXPECT_TRUE (anew);
+}
+
+TEST_F (Software, OwnerThatTakesOverKeepsTheVersion)
+{
+  start_two_versions (3);
+  submit_job (*world.rigs[0], 1, "j1", 2);
+  world.run (200 * GSPAN_MS);
+  std::map<std::string, std::string> began;
+  for (const auto &run : open_runs (*world.rigs[0]))
+    {
+      began[run.header ("X-Attempt-Id")] = version_of (run);
+      world.rigs[0]->http_head (run, 200, stream_head (1));
+      for (unsigned id = 1; id <= 60; id++)
+        world.rigs[0]->http_data (run, 200, stream_head (1), sse (id));
+    }
+  world.run (2500 * GSPAN_MS);
+  world.rigs[0]->paused = true;
+  std::set<std::string> resumed;
+  for (unsigned step = 0; step < 60; step++)
+    {
+      world.run (100 * GSPAN_MS);
+      for (size_t i = 1; i < world.rigs.size (); i++)
+        for (const auto &run : resumed_runs (*world.rigs[i]))
+          {
+            resumed.insert (run.header ("X-Attempt-Id"));
+            EXPECT_EQ (version_of (run), began[run.header ("X-Attempt-Id")]);
+          }
+    }
+  EXPECT_EQ (resumed.size (), 2U);
+}
+
+TEST_F (Software, RunThatMovesFromASlowReplicaKeepsTheVersion)
+{
+  Rig &rig = start_two_versions ();
+
+  for (unsigned i = 0; i < 3; i++)
+    world.put ("servers", "m" + std::to_string (5 + i),
+               replica_of_version ("llm", 5 + i, "v2").c_str ());
+  world.run (500 * GSPAN_MS);
+  submit_job (rig, 1, "j1", 10);
+  world.run (200 * GSPAN_MS);
+  std::map<guint64, unsigned> events;
+  for (unsigned step = 0; step < 60; step++)
+    {
+      for (const auto &run : open_runs (rig))
+        {
+          bool is_slow = version_of (run) == "v1";
+          if (events.emplace (run.ref.id, 0).second)
+            rig.http_head (run, 200, stream_head (1));
+          if (is_slow && step % 4 != 0)
+            continue;
+          std::string from = run.header ("Last-Event-Id");
+          unsigned next = (from.empty () ? 0 : (unsigned)std::stoul (from)) + ++events[run.ref.id];
+          rig.http_data (run, 200, stream_head (1), sse (next));
+          if (from.empty ())
+            continue;
+          EXPECT_EQ (version_of (run), "v1") << "only v1 was slow";
+        }
+      world.run (20 * GSPAN_MS);
+    }
+}
