--- a/jobs/job.h
+++ b/jobs/job.h
@@ -42,7 +42,7 @@
   guint server_errors;           /* responses with status 500, at all owners */
   guint checkpointed_errors;     /* server_errors at the last checkpoint */
   guint consecutive_losses;      /* runs in a row that were lost before their first event */
-  guint64 resumable_since_us;    /* waits to be resumed since then; 0 if it isn't looked for yet */
+  guint64 resumable_since_us;    /* waits for a replica that takes it since then; 0 doesn't yet */
   guint64 retry_at_us;           /* earliest start of the next run */
 };
 
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -43,6 +43,7 @@
   guint64 weight_version; /* that generates now; 0 is unknown */
   guint event_count;      /* valid events of this run */
   bool is_suspect;        /* the item may crash the replica */
+  bool was_rejected;      /* the replica said that it doesn't run it */
   bool has_head;          /* the response's head has come */
   bool is_streaming;      /* a response of 200 with the replica's stamp has begun */
   bool has_invalid_event; /* an event out of order, not UTF-8 or of a weight version not allowed */
@@ -198,6 +199,9 @@
 {
   struct GspanItem *item = run->item;
 
+  if (!run->was_rejected)
+    item->resumable_since_us = 0;
+
   if (item->state == GSPAN_ITEM_RUNNING)
     {
       /* the next replica may have another weight version, which could not continue the result */
@@ -254,7 +258,6 @@
     gspan_job_result_add_version (item->result, run->weight_version);
   item->last_event_id = event->id;
   item->consecutive_losses = 0;
-  item->resumable_since_us = 0;
   run->last_active_us = run->node->now;
   run->event_count++;
 }
@@ -402,6 +405,7 @@
     on_server_error (node, run, outbox);
   else if (whole && wire.not_run)
     {
+      run->was_rejected = true;
       run->replica->misdirected = run->replica->misdirected || wire.misdirected;
       run->replica->avoid_until = MAX (run->replica->avoid_until, node->now + BUSY_BACKOFF_US);
       requeue (node, run);
