gateway: a caller's stream goes on at the software version that began it

What callers saw: a stream that broke went on at any replica, within one answer or when they took it up at another machine, so that events of two software versions stood in one stream.

Cause: the attempt's version was known to nobody, and a machine that gets a resumption hasn't served its beginning. Class: a fact that one process learns and the fleet needs.

Now the version is fixed with the first event that is passed on. What nobody knows, or whose version has gone, is refused by 503 with a time; where one version serves nothing is sent and nothing refused.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -12,6 +12,8 @@
 #define DEADLINE_DEFAULT_US (60 * GSPAN_SECOND) /* of a call whose caller and route name none */
 #define BUSY_WAIT_US (100 * GSPAN_MS)           /* until a busy replica has a place, with a lot */
 #define LONG_SILENCE_US (GSPAN_SECOND)          /* of an attempt, at least */
+#define ORIGIN_WAIT_US (60 * GSPAN_MS)          /* for other nodes' answers about a stream */
+#define VERSION_GONE_WAIT_US (GSPAN_SECOND)     /* until a stream's version may be back */
 #define STARTING_WAIT_US (500 * GSPAN_MS)       /* until a starting node knows its configuration */
 
 enum
@@ -40,8 +42,12 @@
   bool may_have_run;
   bool stream;
   bool answered;
+  bool has_events;    /* of a stream: some have been passed on */
   guint64 last_event; /* passed on to the caller, of a stream */
   struct GspanEvents events;
+  char *software; /* version that the stream goes on at; NULL is any */
+  char *resumes;  /* attempt that brought the first event of a stream taken up; NULL is none */
+  guint64 origin_until; /* RESUMES is asked for until then; 0 is not asked */
 };
 
 struct GspanAttempt
@@ -84,6 +90,8 @@
   g_ptr_array_unref (call->tried);
   g_ptr_array_unref (call->open);
   g_free (call->waits_at);
+  g_free (call->software);
+  g_free (call->resumes);
   gspan_events_finish (&call->events);
   g_free (call);
 }
@@ -290,6 +298,7 @@
   query.draw = g_rand_int (node->random);
   query.is_suspect = is_suspect (node, call);
   query.last_resort = last_resort;
+  query.software = call->software;
   query.limits = &node->rate_limits;
   query.traffic = GSPAN_TRAFFIC_CALLS;
   replica = query.is_suspect ? gspan_pick_replica (node->catalog.replicas, &query) : NULL;
@@ -498,6 +507,51 @@
   forget_call (node, call, outbox);
 }
 
+static void
+start_first (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
+{
+  if (!try_next (node, call, outbox))
+    give_up (node, call, "no replica is up", 502, outbox);
+}
+
+static void
+refuse_resumption (struct GspanNode *node, struct GspanCall *call, const char *why,
+                   struct GspanOutbox *outbox)
+{
+  log_call (node, call, "call-not-run", why, 503, outbox);
+  gspan_gateway_refuse (node, call->request, why, VERSION_GONE_WAIT_US, outbox);
+  forget_call (node, call, outbox);
+}
+
+/*
+ * Goes on with a stream that the caller takes up again, at the software version that began it. If
+ * that isn't known here, the other nodes are asked first.
+ */
+static void
+resume_stream (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
+{
+  const char *software = gspan_streams_find (&node->streams, call->resumes);
+
+  if (software == NULL && gspan_streams_is_mixed (node, call->service))
+    {
+      if (call->origin_until == 0)
+        {
+          call->origin_until = MIN (node->now + ORIGIN_WAIT_US, call->state.deadline_us);
+          gspan_streams_ask (node, call->resumes, outbox);
+        }
+      else if (node->now >= call->origin_until)
+        refuse_resumption (node, call, "the version that began the stream isn't known", outbox);
+      return;
+    }
+  g_clear_pointer (&call->resumes, g_free);
+  call->software = g_strdup (software);
+  if (software != NULL
+      && !gspan_pick_has_software (node->catalog.replicas, call->service, software))
+    refuse_resumption (node, call, "no replica of the version that began the stream", outbox);
+  else
+    start_first (node, call, outbox);
+}
+
 static guint64
 deadline_of (const struct GspanNode *node, const struct GspanWireRequest *wire,
              const struct GspanConfigRoute *route)
@@ -543,10 +597,14 @@
   gspan_events_init (&call->events, NULL);
   g_hash_table_insert (node->gateway.calls, &call->id, call);
   g_hash_table_insert (node->gateway.by_request, &call->request, call);
+  if (wire->last_event_id > 0 && route->repeat == GSPAN_REPEAT_RESUMED)
+    call->resumes = gspan_str_dup (wire->resumes);
   if (refused_until (node, call) != 0)
     refuse_poison (node, call, outbox);
-  else if (!try_next (node, call, outbox))
-    give_up (node, call, "no replica is up", 502, outbox);
+  else if (call->resumes != NULL)
+    resume_stream (node, call, outbox);
+  else
+    start_first (node, call, outbox);
 }
 
 static void
@@ -726,10 +784,24 @@
 
 struct PassOn
 {
-  struct GspanCall *call;
+  struct GspanNode *node;
+  struct GspanAttempt *attempt;
   struct GspanOutbox *outbox;
 };
 
+/* From its first event on, the stream goes on at replicas of this version only. */
+static void
+note_software (const struct PassOn *to)
+{
+  struct GspanCall *call = to->attempt->call;
+  const struct GspanReplica *replica = to->attempt->replica;
+
+  if (call->software == NULL)
+    call->software = g_strdup (replica->software);
+  gspan_streams_note_begin (to->node, call->caller_id, call->service, call->software, to->outbox);
+  call->has_events = true;
+}
+
 static void
 pass_bytes (const struct GspanCall *call, struct GspanStr bytes, struct GspanOutbox *outbox)
 {
@@ -744,22 +816,25 @@
 pass_event (void *user, const struct GspanStreamEvent *event)
 {
   struct PassOn *to = user;
+  struct GspanCall *call = to->attempt->call;
 
-  if (event->has_id && event->id <= to->call->last_event)
+  if (event->has_id && event->id <= call->last_event)
     return;
   if (event->has_id)
-    to->call->last_event = event->id;
-  pass_bytes (to->call, event->raw, to->outbox);
+    call->last_event = event->id;
+  if (!call->has_events)
+    note_software (to);
+  pass_bytes (call, event->raw, to->outbox);
 }
 
 /* A stream that may be resumed is passed on by whole events, so that another run can go on. */
 static void
-on_data (struct GspanAttempt *attempt, const struct GspanEventHttp *answer,
+on_data (struct GspanNode *node, struct GspanAttempt *attempt, const struct GspanEventHttp *answer,
          struct GspanOutbox *outbox)
 {
   struct GspanCall *call = attempt->call;
   struct GspanStr bytes = gspan_str_from_bytes (answer->body);
-  struct PassOn to = { call, outbox };
+  struct PassOn to = { node, attempt, outbox };
 
   attempt->pieces++;
   if (!call->state.response_started || answer->status < 200 || answer->status >= 300)
@@ -790,6 +865,8 @@
       call->may_have_run = call->may_have_run || call->open->len > 0;
       give_up (node, call, "time is up", 504, outbox);
     }
+  else if (call->resumes != NULL)
+    resume_stream (node, call, outbox);
   else if (call->open->len == 0)
     {
       if (!try_next (node, call, outbox))
@@ -871,7 +948,7 @@
   else if (event->kind == GSPAN_EVENT_HTTP_HEAD)
     on_head (node, attempt, &event->u.http, outbox);
   else if (event->kind == GSPAN_EVENT_HTTP_DATA)
-    on_data (attempt, &event->u.http, outbox);
+    on_data (node, attempt, &event->u.http, outbox);
   else if (event->kind == GSPAN_EVENT_HTTP_DONE)
     on_done (node, attempt, &event->u.http, outbox);
 }
--- a/node/node.c
+++ b/node/node.c
@@ -27,6 +27,7 @@
   gspan_limits_init (&node->rate_limits, node->incarnation);
   gspan_peers_init (&node->peers);
   gspan_gateway_init (&node->gateway);
+  gspan_streams_init (&node->streams);
   gspan_jobs_init (&node->jobs);
   gspan_runner_init (&node->runner);
   gspan_weights_init (&node->weights);
@@ -38,6 +39,7 @@
   gspan_weights_finish (&node->weights);
   gspan_runner_finish (&node->runner);
   gspan_jobs_finish (&node->jobs);
+  gspan_streams_finish (&node->streams);
   gspan_gateway_finish (&node->gateway);
   gspan_peers_finish (&node->peers);
   gspan_limits_finish (&node->rate_limits);
@@ -113,6 +115,7 @@
   gspan_peers_handle (node, event, outbox);
   gspan_limits_tick (node, outbox);
   gspan_permits_tick (node, outbox);
+  gspan_streams_tick (node, outbox);
   gspan_crash_reports_handle (node, outbox);
   gspan_verdicts_handle (node, event, outbox);
   gspan_gateway_handle (node, event, outbox);
@@ -129,6 +132,13 @@
   gspan_runner_schedule (node, outbox);
 }
 
+static void
+take_streams (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
+{
+  gspan_streams_receive (node, message);
+  gspan_gateway_send_waiting (node, outbox);
+}
+
 /* A message of another node. */
 static void
 take_datagram (struct GspanNode *node, struct GspanStr payload, struct GspanOutbox *outbox)
@@ -146,6 +156,10 @@
     gspan_permits_receive_ask (node, message, outbox);
   else if (g_strcmp0 (kind, "permits") == 0)
     take_permits (node, message, outbox);
+  else if (g_strcmp0 (kind, "streams") == 0)
+    take_streams (node, message, outbox);
+  else if (g_strcmp0 (kind, "stream-ask") == 0)
+    gspan_streams_receive_ask (node, message, outbox);
   else
     gspan_owner_handle_datagram (node, message, outbox);
   json_decref (message);
--- a/node/node.h
+++ b/node/node.h
@@ -8,6 +8,7 @@
 #include "desk/poison_requests.h"
 #include "gateway/crash_reports.h"
 #include "gateway/gateway.h"
+#include "gateway/streams.h"
 #include "gateway/verdicts.h"
 #include "jobs/jobs.h"
 #include "jobs/runner.h"
@@ -56,6 +57,7 @@
   struct GspanLimits rate_limits; /* of replicas */
   struct GspanPeers peers;
   struct GspanGateway gateway;
+  struct GspanStreams streams;
   struct GspanJobs jobs;
   struct GspanRunner runner;
   struct GspanWeights weights;
--- a/test/software_test.cc
+++ b/test/software_test.cc
@@ -228,3 +228,132 @@
       world.run (20 * GSPAN_MS);
     }
 }
+
+TEST_F (Software, StreamGoesOnWithinOneAnswerAtItsVersionOnly)
+{
+  Rig &rig = start_two_versions ();
+
+  world.put ("servers", "d3", replica_of_version ("desk", 9, "v2").c_str ());
+  world.run (500 * GSPAN_MS);
+  for (guint64 id = 1; id <= 12; id++)
+    {
+      std::string began = begin_stream (rig, id, "a" + std::to_string (id), 2);
+      size_t open = rig.exchanges.size ();
+      rig.http_done (rig.exchanges.back (), GSPAN_HTTP_LOST, 200, {}, "");
+      if (began == "v2")
+        {
+          ASSERT_EQ (rig.exchanges.size (), open) << "the other replica of v2 goes on";
+          EXPECT_EQ (version_of (rig.exchanges.back ()), "v2");
+          EXPECT_EQ (rig.exchanges.back ().header ("Last-Event-Id"), "2");
+          rig.http_done (rig.exchanges.back (), GSPAN_HTTP_COMPLETE, 200, stream_head (1), "");
+        }
+      else
+        EXPECT_EQ (response_to (rig, id)->status, 200) << "begun, then broken off";
+      world.run (3 * GSPAN_SECOND);
+    }
+  for (const auto &exchange : rig.exchanges)
+    EXPECT_EQ (exchange.header ("Last-Event-Id"), "");
+}
+
+/* The machine that served it is killed as soon as the first event has been passed on. */
+TEST_F (Software, StreamTakenUpElsewhereGoesOnAtItsVersion)
+{
+  start_two_versions (4);
+  std::map<std::string, std::string> began;
+  for (guint64 id = 1; id <= 20; id++)
+    {
+      std::string attempt = "a" + std::to_string (id);
+      began[attempt] = begin_stream (*world.rigs[0], id, attempt, 1);
+    }
+  world.rigs[0]->paused = true;
+  world.run (50 * GSPAN_MS);
+  unsigned gone_on = 0;
+  for (const auto &stream : began)
+    {
+      Rig &rig = *world.rigs[1 + gone_on % 3];
+      send_stream (rig, 100 + gone_on, "b" + stream.first, 1, stream.first);
+      world.run (100 * GSPAN_MS);
+      ASSERT_FALSE (rig.exchanges.empty ());
+      EXPECT_EQ (version_of (rig.exchanges.back ()), stream.second) << stream.first;
+      EXPECT_EQ (rig.exchanges.back ().header ("Last-Event-Id"), "1");
+      rig.http_done (rig.exchanges.back (), GSPAN_HTTP_COMPLETE, 200, stream_head (1), "");
+      gone_on++;
+    }
+  EXPECT_EQ (gone_on, 20U);
+}
+
+TEST_F (Software, NodeThatHasRestartedAsksTheOthers)
+{
+  start_two_versions (3);
+  std::string began = begin_stream (*world.rigs[0], 1, "a1", 3);
+  world.run (100 * GSPAN_MS);
+  world.restart (1);
+  world.run (2 * GSPAN_SECOND);
+  Rig &rig = *world.rigs[1];
+  send_stream (rig, 2, "b1", 3, "a1");
+  world.run (60 * GSPAN_MS);
+  ASSERT_EQ (rig.exchanges.size (), 1U);
+  EXPECT_EQ (version_of (rig.exchanges[0]), began);
+}
+
+TEST_F (Software, StreamOfUnknownVersionIsRefusedWhereSeveralServe)
+{
+  Rig &rig = start_two_versions (2);
+
+  send_stream (rig, 1, "b1", 3, "never-seen");
+  world.run (200 * GSPAN_MS);
+  EXPECT_TRUE (rig.exchanges.empty ());
+  ASSERT_NE (response_to (rig, 1), nullptr);
+  EXPECT_EQ (response_to (rig, 1)->status, 503);
+  EXPECT_TRUE (response_to (rig, 1)->has ("Retry-After"));
+}
+
+TEST_F (Software, StreamWhoseVersionHasGoneIsRefused)
+{
+  Rig &rig = start_two_versions ();
+  std::string began = begin_stream (rig, 1, "a1", 3);
+
+  rig.http_done (rig.exchanges.back (), GSPAN_HTTP_LOST, 200, {}, "");
+  world.put ("servers", began == "v1" ? "d1" : "d2",
+             replica_of_version ("desk", began == "v1" ? 1 : 2, "v3").c_str ());
+  world.remove ("servers", began == "v1" ? "d1" : "d2");
+  world.run (3 * GSPAN_SECOND);
+  send_stream (rig, 2, "b1", 3, "a1");
+  world.run (100 * GSPAN_MS);
+  EXPECT_TRUE (rig.exchanges.empty ());
+  ASSERT_NE (response_to (rig, 2), nullptr);
+  EXPECT_EQ (response_to (rig, 2)->status, 503);
+}
+
+TEST_F (Software, StreamGoesOnAnywhereWhereOneVersionServes)
+{
+  Rig &rig = start_nodes (2);
+
+  world.put ("config", "main", config_spec (4, "streaming").c_str ());
+  world.run (GSPAN_SECOND);
+  send_stream (rig, 1, "b1", 3, "never-seen");
+  ASSERT_EQ (rig.exchanges.size (), 1U);
+  EXPECT_EQ (rig.exchanges[0].header ("Last-Event-Id"), "3");
+}
+
+/* Streams that began when there was one version are told once there are two. */
+TEST_F (Software, StreamBegunBeforeTheSecondVersionCameGoesOnAtTheFirst)
+{
+  start_nodes (3);
+  world.put ("config", "main", config_spec (4, "streaming").c_str ());
+  world.run (GSPAN_SECOND);
+  begin_stream (*world.rigs[0], 1, "a1", 2);
+  world.run (500 * GSPAN_MS);
+  world.put ("servers", "d2", replica_of_version ("desk", 2, "v2").c_str ());
+  world.run (2 * GSPAN_SECOND);
+  world.rigs[0]->paused = true;
+  for (guint64 id = 10; id < 16; id++)
+    {
+      Rig &rig = *world.rigs[1 + id % 2];
+      send_stream (rig, id, "b" + std::to_string (id), 2, "a1");
+      world.run (100 * GSPAN_MS);
+      ASSERT_FALSE (rig.exchanges.empty ());
+      EXPECT_EQ (version_of (rig.exchanges.back ()), "v1");
+      rig.http_done (rig.exchanges.back (), GSPAN_HTTP_COMPLETE, 200, stream_head (1), "");
+    }
+}
