test: the soak has software versions side by side, and clients that resume streams elsewhere

Replicas name their version in each event; the book wants every stream and text from one version, and of the streams that are taken up half as many to go on as begin.

--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -7,6 +7,7 @@
 RETRIES_ALLOWED = 3  # of a request that has ended three replicas, once its end can be known
 ENDS_ALLOWED = 3
 LATE_ANSWER_S = 0.5  # beyond the deadline
+RESUMED_LEAST = 12  # streams that were taken up, for their share to count
 WINDOW_S = 4.0  # over which requests to a replica with a limit are counted
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
@@ -28,6 +29,8 @@
         self.stops = defaultdict(list)  # node to (from, until) of its restarts and freezes
         self.limits = defaultdict(list)  # replica to spans [values, until], values of (time first named, limit)
         self.got_at = defaultdict(list)  # replica to (time, node) of all that reached it; no node: an item or an order
+        self.streams = {False: [], True: []}  # by whether they were taken up: whether each try brought an event
+        self.mixed = []  # streams and texts with events of two software versions
         self.most_of_limit = 0.0  # the largest share of what a limit allows that reached a replica
         self.broken = []
 
@@ -50,6 +53,20 @@
         if spans and spans[-1][1] is None:
             spans[-1][1] = self.now()
 
+    def stream_tried(self, node, sent, resumed, brought):
+        """One try of a stream: RESUMED where it was taken up, BROUGHT where an event came of it."""
+        if not self.is_disturbed(node, sent) and not self.is_disturbed(node, self.now()):
+            self.streams[resumed].append(brought)
+
+    def stream_ended(self, name, events, whole, last):
+        versions = {data.rpartition("@")[2] for _, data in events}
+        if [number for number, _ in events] != list(range(1, len(events) + 1)):
+            self.broken.append(f"ORDER {name}: events {[number for number, _ in events]}")
+        if len(versions) > 1:
+            self.mixed.append(f"{name}: events of {sorted(versions)}")
+        if whole and len(events) != last:
+            self.broken.append(f"ORDER {name}: ended as whole after {len(events)} of {last} events")
+
     def client_sends(self, attempt, node):
         self.sent[attempt] = (node, self.now())
 
@@ -125,6 +142,15 @@
     def any_disturbed(self, at):
         return any(self.is_disturbed(node, at) for node in list(self.disturbed))
 
+    def check_software(self):
+        """The pages bear two such streams; none is known to be allowed here."""
+        self.broken += [f"ORDER {line}" for line in self.mixed]
+        if len(self.streams[True]) >= RESUMED_LEAST and self.streams[False]:
+            begun, gone_on = (sum(tries) / len(tries) for tries in (self.streams[False], self.streams[True]))
+            if gone_on < begun / 2:
+                self.broken.append(f"LOST of {len(self.streams[True])} streams taken up {gone_on:.2f} go on, "
+                                   f"of new ones {begun:.2f} begin")
+
     def check_limits(self):
         """All that reaches a replica counts, from whichever node, but for what a disturbed node may have sent."""
         for replica, spans in self.limits.items():
--- a/test/soak/replica.py
+++ b/test/soak/replica.py
@@ -13,10 +13,11 @@
 class Replica:
     """One start of a replica. BOOK notes what reaches it."""
 
-    def __init__(self, world, service, name, silent_end):
+    def __init__(self, world, service, name, silent_end, software="v1"):
         self.world = world
         self.service = service
         self.name = name
+        self.software = software
         self.silent_end = silent_end  # its connections stay open when it ends
         self.leaving = False
         self.alive = True
@@ -34,7 +35,7 @@
         await self.register(state)
 
     async def register(self, state):
-        spec = {"service": self.service, "address": f"127.0.0.1:{self.server.port}", "zone": "a", "version": "v1",
+        spec = {"service": self.service, "address": f"127.0.0.1:{self.server.port}", "zone": "a", "version": self.software,
                 "slots": 8, "state": state, "coldLeftMs": 0, "seqNo": 1, "born": self.born,
                 "models": [{"name": "m0", "version": 1, "adapters": []}]}
         self.spec = spec
@@ -109,7 +110,7 @@
             if self.silent_end:
                 await asyncio.sleep(3600)
             raise Broken
-        if request.path.startswith("/batch/"):
+        if request.path.startswith(("/batch/", "/text/")):
             return await self.stream(request, write)
         await asyncio.sleep(0.01)
         if not self.alive:
@@ -136,7 +137,9 @@
             await asyncio.sleep(0.05)
             if not self.alive:
                 await asyncio.sleep(3600)
-            text = f"id: {event}\ndata: {request.path}-{event}\n\n"
+            if self.lose_answers and self.world.random.random() < 0.1:
+                raise Broken
+            text = f"id: {event}\ndata: {request.path}-{event}@{self.software}\n\n"
             write(f"{len(text):x}\r\n{text}\r\n".encode())
         write(b"0\r\n\r\n")
         return None
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -16,14 +16,14 @@
 
 import book as books
 import wire
-from replica import KILLER, Replica
+from replica import EVENTS, KILLER, Replica
 from store import Store
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "scripts"))
 from fleet import free_port, free_udp_port  # noqa: E402 pylint: disable=wrong-import-position
 BUILD = os.environ.get("GSPAN_BUILD", os.path.join(ROOT, "build"))
-SERVICES = {"desk": 4, "calls": 4, "llm": 4}
+SERVICES = {"desk": 4, "calls": 4, "llm": 4, "text": 4}
 START_S = 3.0
 READY_WITHIN_S = 30.0
 DEADLINE_S = 1.1
@@ -37,10 +37,12 @@
          "targetLatencyMs": 150, "priority": 2, "service": "desk", "maxAttempts": 2},
         {"name": "calls", "host": "a.example", "pathPrefix": "/calls/", "type": "non_idempotent", "timeoutMs": 1100,
          "targetLatencyMs": 150, "priority": 2, "service": "calls", "maxAttempts": 2},
+        {"name": "text", "host": "a.example", "pathPrefix": "/text/", "type": "streaming", "resumable": True,
+         "timeoutMs": 4000, "targetLatencyMs": 300, "priority": 2, "service": "text", "maxAttempts": 2},
         {"name": "batch", "host": "a.example", "pathPrefix": "/batch/", "type": "rollout", "timeoutMs": 10000,
          "targetLatencyMs": 400, "priority": 1, "service": "llm", "maxAttempts": 3, "maxQueueS": 40.0,
          "resultDueMs": 7500, "singleVersion": False}],
-    "services": [{"name": "desk"}, {"name": "calls"},
+    "services": [{"name": "desk"}, {"name": "calls"}, {"name": "text"},
                  {"name": "llm", "engine": {"slots": 8, "kvCapacity": 9000, "models": [{"name": "m0"}]}}],
     "limits": {"maxBodyBytes": 1000000, "idleTimeoutMs": 15000}}
 
@@ -94,6 +96,7 @@
         self.leaves_acknowledged = {}
         self.started_replicas = 0
         self.attempts = 0
+        self.versions = 1
 
     def now(self):
         return time.monotonic() - self.started
@@ -114,10 +117,11 @@
 
     # Replicas.
 
-    async def add_replica(self, service, name=None):
+    async def add_replica(self, service, name=None, software="v1"):
         self.started_replicas += 1
         name = name or f"i-{service}-{self.started_replicas}"
-        replica = Replica(self, service, name, silent_end=self.random.random() < self.options.silent)
+        replica = Replica(self, service, name, silent_end=self.random.random() < self.options.silent,
+                          software=software)
         self.replicas.append(replica)
         self.servers.append(replica.server)
         await replica.start()
@@ -126,7 +130,7 @@
         """It is back after some seconds, mostly with a new id."""
         name = replica.name if self.random.random() < 0.3 else None
         self.replicas.remove(replica)
-        self.later(BACK_AFTER_S, self.add_replica, replica.service, name)
+        self.later(BACK_AFTER_S, self.add_replica, replica.service, name, replica.software)
 
     def living(self, service):
         return [r for r in self.replicas if r.service == service and r.alive and not r.leaving]
@@ -166,6 +170,37 @@
             await self.ask(f"/{route}/{number}-{asked}", kept=kept, node=node)
             await asyncio.sleep(self.random.uniform(0.02, 0.2))
 
+    async def reader(self, number):
+        """Reads streams, leaves some in the middle, and takes each up again elsewhere."""
+        asked = 0
+        while self.now() < self.options.seconds:
+            asked += 1
+            await self.read_stream(f"/text/{number}-{asked}")
+            await asyncio.sleep(self.random.uniform(0.02, 0.3))
+
+    async def read_stream(self, path):
+        events = []
+        first = None  # attempt that brought the first event
+        whole = False
+        for _ in range(1 + 2 * RETRIES):
+            node = self.random.choice(self.nodes)
+            self.attempts += 1
+            headers = {"Host": "a.example", "X-Attempt-Id": f"s{self.attempts}", "X-Deadline-Ms": 4000}
+            if events:
+                headers.update({"Last-Event-Id": len(events), "Resumes": first})
+            sent = self.now()
+            self.book.client_sends(headers["X-Attempt-Id"], node.name)
+            most = self.random.choice([1, 2, EVENTS, EVENTS + 1])
+            status, new, whole = await wire.stream(node.front, path, headers, most)
+            self.book.stream_tried(node.name, sent, bool(events), bool(new))
+            if new and not events:
+                first = headers["X-Attempt-Id"]
+            events += new
+            if whole or len(events) >= EVENTS:
+                break
+            await asyncio.sleep(0.05 if status == 200 else 0.4)
+        self.book.stream_ended(path, events, whole, EVENTS)
+
     async def killer(self, number):
         """The same content again and again, at any node."""
         route = ["desk", "calls"][number % 2]
@@ -206,8 +241,11 @@
                 results = json.loads(answer[2])["results"]
                 seen += [r["id"] for r in results]
                 for result in results:
-                    text = "\n".join(f"/batch/{result['id']}-{n}" for n in range(1, 7))
-                    if result["state"] != "completed" or result["output"] != text:
+                    lines = [line.rpartition("@") for line in result["output"].split("\n")]
+                    text = [f"/batch/{result['id']}-{n}" for n in range(1, EVENTS + 1)]
+                    if len({software for _, _, software in lines}) > 1:
+                        self.book.mixed.append(f"{result['id']}: {result['output']!r}")
+                    if result["state"] != "completed" or [line for line, _, _ in lines] != text:
                         self.book.broken.append(f"MIXED {result['id']}: {result['state']} {result['output']!r}")
             await asyncio.sleep(0.4)
         if sorted(seen) != sorted(wanted):
@@ -236,6 +274,19 @@
         await asyncio.sleep(3)
         replica.lose_answers = False
 
+    async def newer(self):
+        """Half of a service's replicas are replaced by ones of another version, one after the other."""
+        service = self.random.choice(["llm", "text", "text"])
+        self.versions += 1
+        software = f"v{self.versions}"
+        for replica in self.living(service)[::2]:
+            await self.add_replica(service, software=software)
+            await asyncio.sleep(0.3)
+            if self.random.random() < 0.3:
+                await replica.end()
+            else:
+                self.go(replica.leave(0, "draining", books.DRAIN_S + self.random.uniform(0, 2)))
+
     async def limit(self):
         """Most replicas of a service name a limit for some seconds; it may change meanwhile."""
         chosen = [r for r in self.living(self.random.choice(list(SERVICES))) if self.random.random() < 0.8]
@@ -311,7 +362,8 @@
         """In series that overlap."""
         kinds = {"leave": self.leave, "crash": self.crash, "lose": self.lose_answers, "store": self.store_away,
                  "some": self.store_turns_some_away, "forget": self.forget_history, "watches": self.cut_watches,
-                 "kill": self.kill_node, "term": self.stop_node, "freeze": self.freeze_node, "limit": self.limit}
+                 "kill": self.kill_node, "term": self.stop_node, "freeze": self.freeze_node, "limit": self.limit,
+                 "newer": self.newer}
         chosen = [kinds[name] for name in self.options.faults.split(",") if name]
         await asyncio.sleep(START_S)
         while chosen and self.now() < self.options.seconds - 6:
@@ -339,6 +391,7 @@
     async def run(self):
         await self.start()
         work = [self.client(i) for i in range(self.options.clients)]
+        work += [self.reader(i) for i in range(self.options.readers)]
         work += [self.killer(i) for i in range(self.options.killers)]
         await asyncio.gather(self.faults(), self.trainer(), *work)
         while any("read_job" in repr(task) for task in self.tasks):
@@ -347,6 +400,7 @@
         self.book.check_leaving_by_store(self.leaves_acknowledged)
         self.book.check_crashing_requests()
         self.book.check_limits()
+        self.book.check_software()
 
     async def stop(self):
         for node in self.nodes:
@@ -374,10 +428,11 @@
     parser.add_argument("--seconds", type=float, default=25)
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--clients", type=int, default=8)
+    parser.add_argument("--readers", type=int, default=4, help="clients that read streams and take them up elsewhere")
     parser.add_argument("--killers", type=int, default=2, help="contents that end each replica that runs them")
     parser.add_argument("--silent", type=float, default=0.5, help="share of replicas that end without a reset")
     parser.add_argument("--pause", type=float, default=1.5, help="mean time between two faults, in seconds")
-    parser.add_argument("--faults", default="leave,crash,lose,store,some,forget,watches,kill,term,freeze,limit")
+    parser.add_argument("--faults", default="leave,crash,lose,store,some,forget,watches,kill,term,freeze,limit,newer")
     parser.add_argument("--keep", help="folder for settings and logs")
     parser.add_argument("--quiet", action="store_true", help="no figures, which differ between two runs of a seed")
     options = parser.parse_args()
@@ -389,7 +444,8 @@
         book = asyncio.run(play(options, folder))
     if not options.quiet:
         print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()},
-              f"most of a limit {book.most_of_limit:.2f}")
+              f"most of a limit {book.most_of_limit:.2f}, streams begun {len(book.streams[False])}, taken up "
+              f"{len(book.streams[True])} of which {sum(book.streams[True])} went on")
     for line in book.broken:
         print(line)
     print(f"{len(book.broken)} promises broken")
--- a/test/soak/wire.py
+++ b/test/soak/wire.py
@@ -134,3 +134,44 @@
         return await asyncio.wait_for(exchange(), timeout_s)
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, TypeError, ValueError):
         return None
+
+
+async def stream(port, path, headers, most, timeout_s=5.0):
+    """
+    Reads a stream of events, MOST of them at most, and closes the connection then. (status, events as (id, data),
+    whether it ended as whole); status 0 where no head came.
+    """
+    events = []
+    status = 0
+    whole = False
+    writer = None
+
+    async def exchange():
+        nonlocal status, whole, writer
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(format_head(f"POST {path} HTTP/1.1", {**headers, "Content-Length": 0}))
+        first, answer_headers = await read_head(reader)
+        status = int(first[1])
+        if status != 200 or answer_headers.get("transfer-encoding", "").lower() != "chunked":
+            return
+        pending = b""
+        while len(events) < most:
+            size = int((await reader.readline()).split(b";")[0], 16)
+            if size == 0:
+                whole = True
+                return
+            pending += await reader.readexactly(size)
+            await reader.readline()
+            *done, pending = pending.split(b"\n\n")
+            for event in done:
+                lines = dict(line.split(": ", 1) for line in event.decode().split("\n"))
+                events.append((int(lines["id"]), lines["data"]))
+
+    try:
+        await asyncio.wait_for(exchange(), timeout_s)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, TypeError, ValueError, KeyError):
+        pass
+    finally:
+        if writer is not None:
+            writer.transport.abort()
+    return status, events[:most], whole
