runner: items are never suspected of crashing replicas

What trainers saw: an item under which several replicas had ended in a burst of crashes was never placed again, though all was calm and there was room: its content was condemned for ten minutes, and after lost runs it waited for up to eight seconds.

What is handed in for later doesn't crash replicas by itself, say the users, so all evidence against items is out: recording, asking, waiting, and the growing pause after lost runs.

--- a/gateway/crash_reports.c
+++ b/gateway/crash_reports.c
@@ -205,7 +205,6 @@
 
   gspan_poison_requests_upstream_ended (&node->poison_requests, upstream, node->now, changed);
   gspan_gateway_replica_ended (node, replica, outbox);
-  gspan_runner_replica_ended (node, replica, outbox);
   for (guint i = 0; i < changed->len; i++)
     {
       guint64 fingerprint = g_array_index (changed, guint64, i);
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -41,9 +41,7 @@
   guint64 checkpointed_event_id; /* last_event_id at the last checkpoint, even if it had no room */
   guint server_errors;           /* responses with status 500, at all owners */
   guint checkpointed_errors;     /* server_errors at the last checkpoint */
-  guint consecutive_losses;      /* runs in a row that were lost before their first event */
   guint64 resumable_since_us;    /* waits for a replica that takes it since then; 0 doesn't yet */
-  guint64 retry_at_us;           /* earliest start of the next run */
 };
 
 /* A caller that waits for results, by long poll. */
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -13,16 +13,12 @@
 #define FIRST_EVENT_TIMEOUT_US (3 * GSPAN_SECOND) /* covers a full queue or a load of weights */
 #define EVENT_TIMEOUT_US (GSPAN_SECOND)           /* several event intervals of a slow replica */
 #define BUSY_BACKOFF_US (100 * GSPAN_MS)          /* of a replica that refused a run */
-#define LOST_RUN_BACKOFF_US (GSPAN_SECOND)        /* of an item, times its consecutive losses */
-#define CONDEMNED_RECHECK_US (GSPAN_SECOND)       /* of an item that crashes replicas */
 #define RESUME_WAIT_US (2 * GSPAN_SECOND)         /* for replicas of the text's software version */
 #define SCHEDULE_INTERVAL_US (50 * GSPAN_MS)
 #define SLOW_CHECK_INTERVAL_US (100 * GSPAN_MS)
 
 enum
 {
-  LOSSES_BEFORE_BACKOFF = 3,
-  BACKOFF_FACTOR_MAX = 8,
   PERMITS_AHEAD = 2, /* asked for at a replica with a limit; more would lapse if others have room */
   CONCURRENCY_DEFAULT = 8, /* limit of a replica whose service sets none */
   STATUS_UNPROCESSABLE = 422,
@@ -42,7 +38,6 @@
   guint64 last_active_us; /* last event; before the first one, the response's head or the start */
   guint64 weight_version; /* that generates now; 0 is unknown */
   guint event_count;      /* valid events of this run */
-  bool is_suspect;        /* the item may crash the replica */
   bool was_rejected;      /* the replica said that it doesn't run it */
   bool has_head;          /* the response's head has come */
   bool is_streaming;      /* a response of 200 with the replica's stamp has begun */
@@ -55,7 +50,6 @@
   struct GspanRun *run = data;
 
   run->replica->open--;
-  run->replica->suspects -= run->is_suspect;
   gspan_replica_unref (run->replica);
   gspan_events_finish (&run->events);
   g_free (run);
@@ -107,40 +101,6 @@
   gspan_outbox_log (outbox, "runner", GSPAN_PRIORITY_INFO, &line);
 }
 
-static guint64
-fingerprint_of (const struct GspanItem *item, const char *service)
-{
-  return gspan_poison_requests_fingerprint (service, item->submitted->path,
-                                            gspan_str_from_bytes (item->submitted->body));
-}
-
-/* True if something counts against ITEM as a request to replicas of SERVICE. */
-static bool
-is_suspect (const struct GspanNode *node, const struct GspanItem *item, const char *service)
-{
-  if (g_hash_table_size (node->poison_requests.items) == 0)
-    return false;
-  return gspan_poison_requests_crash_count (&node->poison_requests, fingerprint_of (item, service),
-                                            node->now)
-         > 0;
-}
-
-/* True if the run has so many events that its item can't have crashed the replica. */
-static bool
-has_begun (const struct GspanRun *run)
-{
-  return run->event_count > 1;
-}
-
-static void
-note_answer (struct GspanNode *node, struct GspanRun *run, struct GspanOutbox *outbox)
-{
-  run->replica->suspects -= run->is_suspect;
-  run->is_suspect = false;
-  gspan_crash_reports_note_answer (node, fingerprint_of (run->item, run->replica->service),
-                                   run->replica, outbox);
-}
-
 static void
 finish_item (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item, bool completed,
              struct GspanOutbox *outbox)
@@ -257,7 +217,6 @@
   if (run->weight_version > 0)
     gspan_job_result_add_version (item->result, run->weight_version);
   item->last_event_id = event->id;
-  item->consecutive_losses = 0;
   run->last_active_us = run->node->now;
   run->event_count++;
 }
@@ -296,9 +255,6 @@
            struct GspanOutbox *outbox)
 {
   log_run (run, "run-broken-off", reason, 0, outbox);
-  if (!has_begun (run) && !run->has_invalid_event)
-    gspan_crash_reports_note_silence (node, fingerprint_of (run->item, run->replica->service),
-                                      run->replica, node->now - run->started_at_us, outbox);
   gspan_replica_failed (run->replica, node->now);
   if (run->has_invalid_event && !weight_version_allowed (run))
     discard_progress (run->item);
@@ -320,8 +276,6 @@
   if (previous_count > 0 && run->event_count > previous_count)
     gspan_pace_note (run->replica, node->now, node->now - previous_active_us,
                      run->event_count - previous_count);
-  if (previous_count <= 1 && has_begun (run))
-    note_answer (node, run, outbox);
   if (run->has_invalid_event)
     abort_run (node, run, "event out of order, not UTF-8 or of a disallowed weight version",
                outbox);
@@ -352,23 +306,10 @@
   finish_item (node, job, item, false, outbox);
 }
 
-/*
- * Queues the item of a lost RUN to be resumed. Backs off if several runs in a row were lost before
- * their first event, since the item itself may crash replicas.
- */
 static void
-on_run_lost (struct GspanNode *node, struct GspanRun *run, enum GspanHttpResult result,
-             struct GspanOutbox *outbox)
+on_run_lost (struct GspanNode *node, struct GspanRun *run)
 {
-  struct GspanItem *item = run->item;
-
   gspan_replica_failed (run->replica, node->now);
-  if (!has_begun (run) && (result == GSPAN_HTTP_LOST || result == GSPAN_HTTP_TIMEOUT))
-    gspan_crash_reports_note (node, fingerprint_of (item, run->replica->service), run->replica,
-                              GSPAN_POISON_SUSPECTED, outbox);
-  if (run->event_count == 0 && ++item->consecutive_losses >= LOSSES_BEFORE_BACKOFF)
-    item->retry_at_us
-        = node->now + LOST_RUN_BACKOFF_US * MIN (item->consecutive_losses, BACKOFF_FACTOR_MAX);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_RUNS_RESUMED, 1);
   requeue (node, run);
 }
@@ -390,7 +331,6 @@
   log_run (run, "run-ended", outcomes[answer->result], answer->status, outbox);
   if (whole && run->is_streaming && run->events.pending->len == 0 && item->last_event_id > 0)
     {
-      note_answer (node, run, outbox);
       gspan_replica_worked (run->replica);
       gspan_metrics_observe (&node->metrics, GSPAN_HISTOGRAM_RUN, node->now - run->started_at_us);
       g_hash_table_remove (node->runner.runs, &run->id);
@@ -411,7 +351,7 @@
       requeue (node, run);
     }
   else
-    on_run_lost (node, run, answer->result, outbox);
+    on_run_lost (node, run);
 }
 
 static guint
@@ -443,7 +383,6 @@
   query.open_max = concurrency_limit (node, service);
   query.draw = g_rand_int (node->random);
   query.typical_us = typical_us;
-  query.is_suspect = is_suspect (node, item, service);
   query.limits = &node->rate_limits;
   query.traffic = GSPAN_TRAFFIC_RUNS;
   query.without_permit = without_permit;
@@ -467,9 +406,7 @@
   run->started_at_us = node->now;
   run->last_active_us = node->now;
   gspan_events_init (&run->events, gspan_wire_event_weight_version);
-  run->is_suspect = is_suspect (node, item, replica->service);
   replica->open++;
-  replica->suspects += run->is_suspect;
   gspan_job_set_state (job, item, GSPAN_ITEM_RUNNING);
   g_hash_table_insert (node->runner.runs, &run->id, run);
   if (item->submitted->group[0] != '\0')
@@ -502,22 +439,6 @@
   return true;
 }
 
-/* False while ITEM is in backoff, or condemned as a request that crashes replicas of SERVICE. */
-static bool
-may_run (const struct GspanNode *node, struct GspanItem *item, const char *service)
-{
-  if (item->retry_at_us > node->now)
-    return false;
-  if (g_hash_table_size (node->poison_requests.items) == 0)
-    return true;
-  if (gspan_poison_requests_condemned_until (&node->poison_requests, fingerprint_of (item, service),
-                                             node->now)
-      == 0)
-    return true;
-  item->retry_at_us = node->now + CONDEMNED_RECHECK_US;
-  return false;
-}
-
 /*
  * Has ITEM begin anew where its text can't go on: the software version that began it is gone, or
  * none of its replicas has taken the item for a while.
@@ -602,19 +523,12 @@
 
       if (abandon_if_late (node, job, item, route, outbox))
         continue;
-      if (!may_run (node, item, service))
-        {
-          g_queue_push_tail (&job->waiting_items, item);
-          continue;
-        }
       begin_anew_if_due (node, job, item, service, outbox);
       replica = pick_replica (node, job, item, service, typical_us, NULL);
       if (replica == NULL)
         replica = pick_or_want (node, job, item, service, outbox);
       if (replica != NULL)
         start_run (node, job, item, replica, outbox);
-      else if (is_suspect (node, item, service))
-        g_queue_push_tail (&job->waiting_items, item);
       else
         {
           has_room = software_of (item) != NULL;
@@ -736,24 +650,6 @@
   g_list_free (runs);
 }
 
-void
-gspan_runner_replica_ended (struct GspanNode *node, const struct GspanReplica *replica,
-                            struct GspanOutbox *outbox)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, node->runner.runs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct GspanRun *run = value;
-
-      if (run->replica == replica && !has_begun (run))
-        gspan_crash_reports_note (node, fingerprint_of (run->item, replica->service), replica,
-                                  GSPAN_POISON_CRASHED, outbox);
-    }
-}
-
 void
 gspan_runner_handle (struct GspanNode *node, const struct GspanEvent *event,
                      struct GspanOutbox *outbox)
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -4,12 +4,12 @@
 #include "jobs/job.h"
 
 struct GspanNode;
-struct GspanReplica;
 
 /*
  * Runs the items of the jobs that this node owns. An item is placed on a replica by load and
  * resumed on another replica from its last event if a run is lost. It is abandoned only for a
- * reason that the route allows: a response of 422, too many responses of 500, or its age.
+ * reason that the route allows: a response of 422, too many responses of 500, or its age. An item
+ * is never taken for a request that crashes replicas, whatever became of those that ran it.
  */
 
 struct GspanRunner
@@ -27,9 +27,5 @@
 /* Starts waiting items where replicas have room. */
 void gspan_runner_schedule (struct GspanNode *node, struct GspanOutbox *outbox);
 
-/* REPLICA has ended unplanned: records a crash for each run there without several events. */
-void gspan_runner_replica_ended (struct GspanNode *node, const struct GspanReplica *replica,
-                                 struct GspanOutbox *outbox);
-
 /* Cancels all runs of JOB. What they have generated stays with their items. */
 void gspan_runner_stop (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox);
