http, gateway, runner: bytes without end are broken off at a bound

Replicas in trouble may send bytes that are no answer without end, in a head or a body. Kept in memory until the caller gave up: header lines and trailers without a bound of ours, collected bodies up to 64 MB each and without a sum, an event that doesn't end, the answer of a stream that failed, the text of an item.

Cause: each collects until something outside ends it. Now: heads and trailers of an answer 64 KB, the provisional heads among them; a collected answer 8 MB, all together 32 MB and 1 MB each; an event and the rest of a failed stream 1 MB; a text what an object of the store may have. Beyond it the connection is closed, the log says result=too-long, the caller gets another try or 502 with the reason, and the item goes on elsewhere; such an end is no evidence of a crash.

Evidence: Client.AnswerWithoutEnd..., Client.ManyLongAnswers..., three of NodeTest.

--- a/board/message.h
+++ b/board/message.h
@@ -44,7 +44,8 @@
   GSPAN_HTTP_COMPLETE, /* the answer is whole: its length or its end mark says so */
   GSPAN_HTTP_NOT_SENT, /* no byte of the request left this process */
   GSPAN_HTTP_LOST,     /* bytes left, and no whole answer came */
-  GSPAN_HTTP_TIMEOUT   /* as LOST, given up at the timeout */
+  GSPAN_HTTP_TIMEOUT,  /* as LOST, given up at the timeout */
+  GSPAN_HTTP_TOO_LONG  /* as LOST, broken off at a bound: bytes without end are no answer */
 };
 
 /* How an operation on a platform object ended. */
--- a/common/events.c
+++ b/common/events.c
@@ -8,6 +8,7 @@
   events->pending = g_string_new (NULL);
   events->data = g_string_new (NULL);
   events->mark = mark;
+  events->is_too_long = false;
 }
 
 void
@@ -21,6 +22,7 @@
 gspan_events_reset (struct GspanEvents *events)
 {
   g_string_truncate (events->pending, 0);
+  events->is_too_long = false;
 }
 
 /* Value of LINE where it is called NAME; the empty view with no data elsewhere. */
@@ -112,10 +114,15 @@
 {
   size_t len;
 
+  if (events->is_too_long)
+    return;
   g_string_append_len (events->pending, data.data, (gssize)data.len);
   while ((len = whole_event (events->pending)) > 0)
     {
       tell (events, (struct GspanStr){ events->pending->str, len }, callback, user);
       g_string_erase (events->pending, 0, (gssize)len);
     }
+  events->is_too_long = events->pending->len > GSPAN_EVENT_MAX;
+  if (events->is_too_long)
+    g_string_truncate (events->pending, 0);
 }
--- a/common/events.h
+++ b/common/events.h
@@ -14,9 +14,15 @@
   guint64 mark;
 };
 
+enum
+{
+  GSPAN_EVENT_MAX = 1 << 20 /* bytes of an event */
+};
+
 struct GspanEvents
 {
   GString *pending; /* bytes of the event under way */
+  bool is_too_long; /* an event went beyond the bound; what follows is dropped */
   GString *data;
   const char *mark; /* name of a line with a number that is to be found; static, may be NULL */
 };
@@ -29,6 +35,9 @@
 /* Drops what has come of an event that isn't whole. */
 void gspan_events_reset (struct GspanEvents *events);
 
-/* Calls CALLBACK for each event that DATA completes. What it gets is borrowed. */
+/*
+ * Calls CALLBACK for each event that DATA completes. What it gets is borrowed. An event of more
+ * than GSPAN_EVENT_MAX bytes sets IS_TOO_LONG.
+ */
 void gspan_events_feed (struct GspanEvents *events, struct GspanStr data,
                         GspanEventsCallback callback, void *user);
--- a/desk/outcome.c
+++ b/desk/outcome.c
@@ -18,6 +18,7 @@
       return GSPAN_OUTCOME_NOT_RUN;
     case GSPAN_HTTP_LOST:
     case GSPAN_HTTP_TIMEOUT:
+    case GSPAN_HTTP_TOO_LONG:
       return GSPAN_OUTCOME_UNKNOWN;
     case GSPAN_HTTP_COMPLETE:
       break;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -18,6 +18,7 @@
 
 enum
 {
+  KEPT_BODY_MAX = 1 << 20, /* bytes of a stream's answer that isn't passed on as it comes */
   LONG_SILENCE_TARGETS = 4 /* of the route's target latency; callers of streams leave then */
 };
 
@@ -677,7 +678,7 @@
 log_failure (const struct GspanNode *node, const struct GspanAttempt *attempt,
              const struct GspanEventHttp *answer, bool not_run, struct GspanOutbox *outbox)
 {
-  static const char *const results[] = { "whole", "not-sent", "lost", "timeout" };
+  static const char *const results[] = { "whole", "not-sent", "lost", "timeout", "too-long" };
   struct GspanLine line;
 
   gspan_line_init (&line, "call-attempt-failed");
@@ -711,6 +712,14 @@
     gspan_crash_reports_note_silence (node, content, replica, node->now - attempt->sent, outbox);
 }
 
+static const char *
+why_failed (const struct GspanEventHttp *answer, bool not_run)
+{
+  if (not_run)
+    return "every replica is busy";
+  return answer->result == GSPAN_HTTP_TOO_LONG ? "the answer was too long" : "the answer was lost";
+}
+
 static void
 on_done (struct GspanNode *node, struct GspanAttempt *attempt, const struct GspanEventHttp *answer,
          struct GspanOutbox *outbox)
@@ -754,8 +763,7 @@
       if (whole && !good && !not_run && wire.signed_by_replica && !call->state.response_started)
         pass_answer (node, call, answer, body, outbox);
       else
-        give_up (node, call, not_run ? "every replica is busy" : "the answer was lost", 502,
-                 outbox);
+        give_up (node, call, why_failed (answer, not_run), 502, outbox);
     }
   g_bytes_unref (body);
 }
@@ -827,6 +835,20 @@
   pass_bytes (call, event->raw, to->outbox);
 }
 
+/* Ends an attempt whose answer goes on without end. */
+static void
+break_off (struct GspanNode *node, struct GspanAttempt *attempt,
+           const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
+{
+  struct GspanRef ref = { GSPAN_OWNER_GATEWAY, attempt->id };
+  struct GspanEventHttp ended = *answer;
+
+  gspan_outbox_add (outbox, GSPAN_ACTION_HTTP_CANCEL, ref);
+  ended.result = GSPAN_HTTP_TOO_LONG;
+  ended.elapsed_us = node->now - attempt->sent;
+  on_done (node, attempt, &ended, outbox);
+}
+
 /* A stream that may be resumed is passed on by whole events, so that another run can go on. */
 static void
 on_data (struct GspanNode *node, struct GspanAttempt *attempt, const struct GspanEventHttp *answer,
@@ -843,6 +865,8 @@
     gspan_events_feed (&call->events, bytes, pass_event, &to);
   else
     pass_bytes (call, bytes, outbox);
+  if (call->events.is_too_long || attempt->body->len > KEPT_BODY_MAX)
+    break_off (node, attempt, answer, outbox);
 }
 
 /* True if the call may crash replicas. It is then sent to one at a time. */
--- a/http/client.c
+++ b/http/client.c
@@ -19,8 +19,11 @@
   UNACKNOWLEDGED_MAX_MS = 4000, /* sent bytes without an acknowledgement end the connection */
   SENDS_MAX = 2,                /* of a request that may run twice: libcurl repeats it once */
   CONNECTIONS_KEPT = 512,
-  IDLE_AGE_MAX_S = 12, /* a connection idle for longer isn't used again */
-  ANSWER_MAX = 64 << 20
+  IDLE_AGE_MAX_S = 12,    /* a connection idle for longer isn't used again */
+  HEAD_MAX = 64 << 10,    /* bytes of an answer's heads and trailers */
+  ANSWER_MAX = 8 << 20,   /* bytes of an answer that is collected */
+  ANSWERS_MAX = 32 << 20, /* of all that are collected at once */
+  ANSWER_LEAST = 1 << 20  /* that an answer may have in any case */
 };
 
 #define SILENCE_CHECK_S 0.02
@@ -42,7 +45,9 @@
   char *echo; /* header line that the answer's head must hold; NULL checks nothing */
   bool head_told;
   bool cancelled;
-  guint sends; /* times that libcurl began to send the request */
+  bool too_long;     /* broken off at a bound */
+  size_t head_bytes; /* of all heads, the provisional ones too */
+  guint sends;       /* times that libcurl began to send the request */
   guint64 started;
   guint64 silence_us;
   guint64 heard_at; /* last answer byte; 0 before the first */
@@ -62,6 +67,7 @@
   ev_timer timer;
   ev_timer silence;      /* runs while exchanges with a limit on silence are open */
   guint limited;         /* their number */
+  size_t buffered;       /* bytes of answers that are being collected */
   GHashTable *exchanges; /* struct GspanRef to struct Exchange */
   bool inside;           /* libcurl is on the stack and takes no handle in or out */
   GPtrArray *starting;   /* exchanges to add once libcurl is off the stack */
@@ -94,6 +100,7 @@
 
   if (exchange->silence_us > 0)
     exchange->client->limited--;
+  exchange->client->buffered -= exchange->answer->len;
   curl_multi_remove_handle (exchange->client->multi, exchange->easy);
   curl_easy_cleanup (exchange->easy);
   curl_slist_free_all (exchange->fields);
@@ -162,6 +169,10 @@
   struct GspanStr line = { data, size * count };
 
   exchange->heard_at = gspan_clock_now ();
+  exchange->head_bytes += line.len;
+  exchange->too_long = exchange->head_bytes > HEAD_MAX;
+  if (exchange->too_long)
+    return 0;
   if (gspan_str_has_prefix (line, GSPAN_STR ("HTTP/")))
     gspan_headers_clear (&exchange->headers);
   else if (line.len <= 2 && !echoes_request (exchange))
@@ -171,6 +182,20 @@
   return line.len;
 }
 
+/* Adds bytes to the answer that is collected. False where it is too long. */
+static bool
+collect (struct Exchange *exchange, const char *data, size_t len)
+{
+  struct GspanHttpClient *client = exchange->client;
+  size_t total = exchange->answer->len + len;
+
+  if (total > ANSWER_MAX || (total > ANSWER_LEAST && client->buffered + len > ANSWERS_MAX))
+    return false;
+  client->buffered += len;
+  g_string_append_len (exchange->answer, data, (gssize)len);
+  return true;
+}
+
 static size_t
 on_data (char *data, size_t size, size_t count, void *user)
 {
@@ -184,10 +209,8 @@
   gspan_framing_data (&exchange->framing, (struct GspanStr){ data, len });
   if (!exchange->stream)
     {
-      if (exchange->answer->len + len > ANSWER_MAX)
-        return 0;
-      g_string_append_len (exchange->answer, data, (gssize)len);
-      return len;
+      exchange->too_long = !collect (exchange, data, len);
+      return exchange->too_long ? 0 : len;
     }
   if (!exchange->head_told)
     {
@@ -251,6 +274,9 @@
   if (code == CURLE_OK
       && gspan_framing_whole (&exchange->framing, answer_status (exchange), &exchange->headers))
     return GSPAN_HTTP_COMPLETE;
+  /* libcurl gives up by itself on a line of a head that doesn't end */
+  if (exchange->too_long || code == CURLE_OUT_OF_MEMORY)
+    return GSPAN_HTTP_TOO_LONG;
   if (!was_sent (exchange))
     return GSPAN_HTTP_NOT_SENT;
   return code == CURLE_OPERATION_TIMEDOUT ? GSPAN_HTTP_TIMEOUT : GSPAN_HTTP_LOST;
@@ -265,7 +291,9 @@
   g_hash_table_steal (client->exchanges, &exchange->ref);
   if (exchange->stream && !exchange->head_told && result == GSPAN_HTTP_COMPLETE)
     tell (exchange, GSPAN_EVENT_HTTP_HEAD, result, NULL);
-  body = g_bytes_new (exchange->answer->str, exchange->answer->len);
+  client->buffered -= exchange->answer->len;
+  body = g_string_free_to_bytes (exchange->answer);
+  exchange->answer = g_string_new (NULL);
   tell (exchange, GSPAN_EVENT_HTTP_DONE, result, body);
   g_bytes_unref (body);
   exchange_free (exchange);
@@ -560,3 +588,9 @@
 {
   return g_hash_table_size (client->exchanges);
 }
+
+size_t
+gspan_http_client_buffered (const struct GspanHttpClient *client)
+{
+  return client->buffered;
+}
--- a/http/client.h
+++ b/http/client.h
@@ -15,8 +15,9 @@
 
 /*
  * Starts an exchange under REF. HTTP_HEAD and HTTP_DATA events come for streamed exchanges only;
- * exactly one HTTP_DONE ends each exchange that is not cancelled. No callback from within this
- * call.
+ * exactly one HTTP_DONE ends each exchange that is not cancelled; an answer whose head, or whose
+ * body where it is collected, goes on beyond a bound is broken off as GSPAN_HTTP_TOO_LONG. No
+ * callback from within this call.
  */
 void gspan_http_client_start (struct GspanHttpClient *client, struct GspanRef ref,
                               const struct GspanActionHttp *http);
@@ -24,4 +25,7 @@
 /* Ends the exchange under REF and closes its connection. No further event comes for it. */
 void gspan_http_client_cancel (struct GspanHttpClient *client, struct GspanRef ref);
 
+/* Bytes of the answers that are being collected, which are bounded together. */
+size_t gspan_http_client_buffered (const struct GspanHttpClient *client);
+
 guint gspan_http_client_open (const struct GspanHttpClient *client);
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -41,6 +41,7 @@
   bool was_rejected;      /* the replica said that it doesn't run it */
   bool has_head;          /* the response's head has come */
   bool is_streaming;      /* a response of 200 with the replica's stamp has begun */
+  bool is_too_long;       /* the text is longer than a result may be */
   bool has_invalid_event; /* an event out of order, not UTF-8 or of a weight version not allowed */
 };
 
@@ -193,7 +194,7 @@
   struct GspanRun *run = user;
   struct GspanItem *item = run->item;
 
-  if (run->has_invalid_event)
+  if (run->has_invalid_event || run->is_too_long)
     return;
   if (event->has_mark)
     {
@@ -211,6 +212,12 @@
       run->has_invalid_event = true;
       return;
     }
+  /* a result has to fit into an object of the store */
+  if (item->result->text->len + event->data.len > run->node->limits.object_max_bytes)
+    {
+      run->is_too_long = true;
+      return;
+    }
   if (item->last_event_id > 0)
     g_string_append_c (item->result->text, '\n');
   g_string_append_len (item->result->text, event->data.data, (gssize)event->data.len);
@@ -256,7 +263,7 @@
 {
   log_run (run, "run-broken-off", reason, 0, outbox);
   gspan_replica_failed (run->replica, node->now);
-  if (run->has_invalid_event && !weight_version_allowed (run))
+  if (run->is_too_long || (run->has_invalid_event && !weight_version_allowed (run)))
     discard_progress (run->item);
   cancel_request (run, outbox);
   requeue (node, run);
@@ -279,6 +286,8 @@
   if (run->has_invalid_event)
     abort_run (node, run, "event out of order, not UTF-8 or of a disallowed weight version",
                outbox);
+  else if (run->is_too_long || run->events.is_too_long)
+    abort_run (node, run, "bytes without end", outbox);
 }
 
 static guint
@@ -318,7 +327,7 @@
 on_done (struct GspanNode *node, struct GspanRun *run, const struct GspanEventHttp *answer,
          struct GspanOutbox *outbox)
 {
-  static const char *const outcomes[] = { "whole", "not-sent", "lost", "timeout" };
+  static const char *const outcomes[] = { "whole", "not-sent", "lost", "timeout", "too-long" };
   bool whole = answer->result == GSPAN_HTTP_COMPLETE;
   struct GspanJob *job = run->job;
   struct GspanItem *item = run->item;
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -63,9 +63,9 @@
   }
 
   GspanHttpResult
-  call (bool fresh, bool stream = false, guint64 silence_us = 0)
+  call (bool fresh, bool stream = false, guint64 silence_us = 0, const std::string &address = "")
   {
-    std::string url = "http://" + server.address + "/x";
+    std::string url = "http://" + (address.empty () ? server.address : address) + "/x";
     GspanActionHttp http{};
     unsigned before = done;
 
@@ -114,6 +114,64 @@
       }
 }
 
+/* Bytes that are no answer may come without end; they may not fill the memory meanwhile. */
+TEST_F (Client, AnswerWithoutEndIsBrokenOffAtABound)
+{
+  const size_t kernel_buffers = 16 << 20;
+  const std::string length = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n";
+  const std::vector<std::tuple<const char *, std::string, std::string, size_t>> cases = {
+    { "header lines", "HTTP/1.1 200 OK\r\n", "X-Pad: 0123456789\r\n", 64 << 10 },
+    { "one header line", "HTTP/1.1 200 OK\r\nX-Pad: ", "0123456789", 200 << 10 },
+    { "a status line", "HTTP/1.1 200 ", "0123456789", 200 << 10 },
+    { "heads", "", "HTTP/1.1 100 Continue\r\n\r\n", 64 << 10 },
+    { "a body", length + "\r\n", "0123456789", 8 << 20 },
+    { "chunks", length + "Transfer-Encoding: chunked\r\n\r\n", "a\r\n0123456789\r\n", 16 << 20 },
+    { "trailers", length + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Pad: 0123456789\r\n",
+      64 << 10 },
+  };
+
+  for (const auto &[name, head, piece, bound] : cases)
+    {
+      EndlessServer endless (wire, head, piece);
+      EXPECT_EQ (call (true, false, 60 * GSPAN_SECOND, endless.address), GSPAN_HTTP_TOO_LONG)
+          << name;
+      EXPECT_TRUE (wire.run_until ([&] { return endless.closed_by_peer; })) << name;
+      EXPECT_LE (endless.sent, bound + kernel_buffers) << name;
+    }
+}
+
+TEST_F (Client, ManyLongAnswersShareABound)
+{
+  const size_t kernel_buffers = 16 << 20;
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n";
+  std::vector<std::unique_ptr<EndlessServer>> servers;
+  const unsigned count = 12;
+  size_t sent = 0;
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      servers.push_back (std::make_unique<EndlessServer> (wire, head, std::string (4096, 'x')));
+      std::string url = "http://" + servers.back ()->address + "/x";
+      GspanActionHttp http{};
+      gspan_headers_init (&http.headers);
+      http.method = const_cast<char *> ("GET");
+      http.url = const_cast<char *> (url.c_str ());
+      http.timeout_us = 60 * GSPAN_SECOND;
+      http.http_framing_only = true;
+      gspan_http_client_start (client, { GSPAN_OWNER_DESK, 100 + i }, &http);
+      gspan_headers_finish (&http.headers);
+    }
+  EXPECT_TRUE (wire.run_until ([&] {
+    EXPECT_LE (gspan_http_client_buffered (client), (size_t)(32 << 20) + count * (1 << 20));
+    return done == count;
+  }));
+  for (const auto &server : servers)
+    sent += server->sent;
+  EXPECT_GT (sent, (size_t)8000000) << "those that fit are whole";
+  EXPECT_LE (sent, count * (8000000 + kernel_buffers));
+  EXPECT_EQ (gspan_http_client_buffered (client), 0U);
+}
+
 TEST_F (Client, RefusedConnectionIsNotSent)
 {
   server.address = "127.0.0.1:1";
--- a/test/node_test.cc
+++ b/test/node_test.cc
@@ -335,3 +335,79 @@
   EXPECT_STREQ (json_string_value (json_object_get (status, "state")), "completed");
   EXPECT_EQ (world.objects["retirements"]["vm-8"].status, nullptr);
 }
+
+/* Events without an end may not fill the memory; callers get an error, items go on elsewhere. */
+TEST_F (NodeTest, EventWithoutEndIsBrokenOffAtABound)
+{
+  Rig &rig = start_nodes ();
+  std::string piece (64 << 10, 'x');
+  size_t bytes = 0;
+
+  world.put ("config", "main", config_spec (4, "streaming").c_str ());
+  world.run (GSPAN_SECOND);
+  send_desk_request (rig, 1, "a1");
+  while (response_to (rig, 1) == nullptr || rig.responses.back ().status != -1)
+    {
+      ASSERT_FALSE (rig.exchanges.empty ());
+      ASSERT_LE (bytes, (size_t)4 << 20) << "both attempts together";
+      Exchange exchange = rig.exchanges.back ();
+      if (response_to (rig, 1) == nullptr)
+        rig.http_head (exchange, 200, stream_head (1));
+      rig.http_data (exchange, 200, stream_head (1), (bytes == 0 ? "data: " : "") + piece);
+      bytes += piece.size ();
+    }
+  EXPECT_TRUE (rig.exchanges.empty ());
+  EXPECT_TRUE (rig.logged ("result=too-long"));
+  EXPECT_TRUE (rig.logged ("the answer was too long"));
+}
+
+TEST_F (NodeTest, FailureWithoutEndOfAStreamIsBrokenOffAtABound)
+{
+  Rig &rig = start_nodes ();
+  std::string piece (64 << 10, 'x');
+  size_t bytes = 0;
+
+  world.put ("config", "main", config_spec (4, "streaming").c_str ());
+  world.run (GSPAN_SECOND);
+  send_desk_request (rig, 1, "a1");
+  while (response_to (rig, 1) == nullptr)
+    {
+      ASSERT_FALSE (rig.exchanges.empty ());
+      ASSERT_LE (bytes, (size_t)4 << 20) << "both attempts together";
+      rig.http_data (rig.exchanges.back (), 500, signed_head, piece);
+      bytes += piece.size ();
+    }
+  EXPECT_EQ (response_to (rig, 1)->status, 502);
+}
+
+TEST_F (NodeTest, ItemWhoseEventOrTextHasNoEndGoesOnElsewhere)
+{
+  Rig &rig = start_nodes ();
+  std::string piece (64 << 10, 'x');
+
+  submit_job (rig, 1, "j1", 2);
+  world.run (200 * GSPAN_MS);
+  ASSERT_EQ (open_runs (rig).size (), 2U);
+  Exchange event = open_runs (rig)[0];
+  Exchange text = open_runs (rig)[1];
+  rig.http_head (event, 200, stream_head (1));
+  rig.http_head (text, 200, stream_head (1));
+  for (unsigned i = 1; i <= 40; i++)
+    {
+      rig.http_data (event, 200, stream_head (1), piece);
+      rig.http_data (text, 200, stream_head (1),
+                     "id: " + std::to_string (i) + "\ndata: " + piece + "\n\n");
+    }
+  EXPECT_EQ (rig.cancelled.size (), 2U);
+  world.run (500 * GSPAN_MS);
+  ASSERT_EQ (open_runs (rig).size (), 2U);
+  for (const auto &run : open_runs (rig))
+    {
+      EXPECT_EQ (run.header ("Last-Event-Id"), "");
+      finish_run (rig, run, 3);
+    }
+  world.run (GSPAN_SECOND);
+  read_results (rig, 9, "j1", 0);
+  world.run (100 * GSPAN_MS);
+  EXPECT_EQ (result_ids (*response_to (rig, 9)).size (), 2U);
+}
--- a/test/wire.h
+++ b/test/wire.h
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <functional>
 #include <map>
 #include <memory>
@@ -158,6 +159,97 @@
   }
 };
 
+/* Server that answers every request with HEAD and then PIECE again and again, until the peer
+ * closes. */
+class EndlessServer
+{
+public:
+  std::string address;
+  size_t sent = 0;
+  bool closed_by_peer = false;
+
+  EndlessServer (Wire &wire, std::string head, std::string piece)
+      : wire_ (wire), head_ (std::move (head)), piece_ (std::move (piece))
+  {
+    sockaddr_in where{};
+    socklen_t len = sizeof where;
+
+    listener_ = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    where.sin_family = AF_INET;
+    where.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    bind (listener_, reinterpret_cast<sockaddr *> (&where), sizeof where);
+    listen (listener_, 16);
+    getsockname (listener_, reinterpret_cast<sockaddr *> (&where), &len);
+    address = "127.0.0.1:" + std::to_string (ntohs (where.sin_port));
+    ev_io_init (&accept_, on_accept, listener_, EV_READ);
+    accept_.data = this;
+    ev_io_start (wire_.loop, &accept_);
+  }
+
+  ~EndlessServer ()
+  {
+    drop ();
+    ev_io_stop (wire_.loop, &accept_);
+    close (listener_);
+  }
+
+  EndlessServer (const EndlessServer &) = delete;
+  EndlessServer &operator= (const EndlessServer &) = delete;
+
+private:
+  Wire &wire_;
+  std::string head_;
+  std::string piece_;
+  std::string pending_;
+  int listener_;
+  int fd_ = -1;
+  ev_io accept_{};
+  ev_io write_{};
+
+  void
+  drop ()
+  {
+    if (fd_ < 0)
+      return;
+    ev_io_stop (wire_.loop, &write_);
+    close (fd_);
+    fd_ = -1;
+  }
+
+  static void
+  on_accept (struct ev_loop *, ev_io *io, int)
+  {
+    auto *self = static_cast<EndlessServer *> (io->data);
+
+    self->drop ();
+    self->fd_ = accept4 (io->fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    self->pending_ = self->head_;
+    ev_io_init (&self->write_, on_writable, self->fd_, EV_WRITE);
+    self->write_.data = self;
+    ev_io_start (self->wire_.loop, &self->write_);
+  }
+
+  static void
+  on_writable (struct ev_loop *, ev_io *io, int)
+  {
+    auto *self = static_cast<EndlessServer *> (io->data);
+
+    while (self->pending_.size () < 65536)
+      self->pending_ += self->piece_;
+    ssize_t len = send (io->fd, self->pending_.data (), self->pending_.size (), MSG_NOSIGNAL);
+    if (len < 0 && errno == EAGAIN)
+      return;
+    if (len < 0)
+      {
+        self->closed_by_peer = true;
+        self->drop ();
+        return;
+      }
+    self->sent += static_cast<size_t> (len);
+    self->pending_.erase (0, static_cast<size_t> (len));
+  }
+};
+
 /* Caller with one raw connection to PORT. */
 class WireCaller
 {
