--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -31,6 +31,8 @@
         self.got_at = defaultdict(list)  # replica to (time, node) of all that reached it; no node: an item or an order
         self.streams = {False: [], True: []}  # by whether they were taken up: whether each try brought an event
         self.mixed = []  # streams and texts with events of two software versions
+        self.endless = 0  # answers without end
+        self.memory_mb = 0  # the most that a node used
         self.most_of_limit = 0.0  # the largest share of what a limit allows that reached a replica
         self.broken = []
 
@@ -142,6 +144,11 @@
     def any_disturbed(self, at):
         return any(self.is_disturbed(node, at) for node in list(self.disturbed))
 
+    def check_memory(self, node, peak_mb, most_mb):
+        self.memory_mb = max(self.memory_mb, peak_mb)
+        if peak_mb > most_mb:
+            self.broken.append(f"MEMORY {node}: {peak_mb} MB at its peak, a VM has {most_mb}")
+
     def check_software(self):
         """The pages bear two such streams; none is known to be allowed here."""
         self.broken += [f"ORDER {line}" for line in self.mixed]
--- a/test/soak/replica.py
+++ b/test/soak/replica.py
@@ -22,6 +22,7 @@
         self.leaving = False
         self.alive = True
         self.lose_answers = False
+        self.endless = False  # some answers go on until the caller closes
         self.limit = None  # requests a second from all nodes together
         self.room = 0.0  # requests that it takes now, where it has a limit
         self.room_at = 0.0
@@ -90,7 +91,7 @@
         self.room -= 1
         return True
 
-    async def serve(self, request, write):
+    async def serve(self, request, writer):
         if not self.alive:
             await asyncio.sleep(3600)
         self.world.book.got(self, request)
@@ -104,6 +105,8 @@
             self.world.book.names_limit(self)
             return Reply(503, b"", {"X-Not-Executed": "1", "Server-Limit": f"{self.limit:.1f}"})
         self.world.book.reached(self, request)
+        if self.endless and self.world.random.random() < 0.3:
+            return await self.answer_without_end(request, writer)
         if KILLER in request.path:
             self.world.book.ended(self, request)
             await self.end()
@@ -111,7 +114,7 @@
                 await asyncio.sleep(3600)
             raise Broken
         if request.path.startswith(("/batch/", "/text/")):
-            return await self.stream(request, write)
+            return await self.stream(request, writer)
         await asyncio.sleep(0.01)
         if not self.alive:
             await asyncio.sleep(3600)
@@ -119,6 +122,17 @@
             raise Broken
         return Reply(200, request.path.encode(), self.answer_headers(request))
 
+    async def answer_without_end(self, request, writer):
+        head = format_head("HTTP/1.1 200 OK", {**self.answer_headers(request), "Content-Type": "text/event-stream"})
+        start, piece = self.world.random.choice([
+            (b"HTTP/1.1 200 OK\r\n", b"X-Pad: 0123456789\r\n"), (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            (b"HTTP/1.1 200 OK\r\nX-Pad: ", b"0123456789"), (head, b"data: 0123456789\n"), (head, b"0123456789")])
+        writer.write(start)
+        self.world.book.endless += 1
+        while True:
+            writer.write(piece * 6000)
+            await writer.drain()
+
     def answer_headers(self, request):
         headers = {"X-Server-Stamp": self.start_name, "X-Attempt-Id": request.headers.get("x-attempt-id", "")}
         if self.leaving:
@@ -129,19 +143,21 @@
             self.world.book.names_limit(self)
         return headers
 
-    async def stream(self, request, write):
+    async def stream(self, request, writer):
         headers = {**self.answer_headers(request), "Content-Type": "text/event-stream",
                    "X-Weight-Versions": 1, "Transfer-Encoding": "chunked", "Connection": "close"}
-        write(format_head("HTTP/1.1 200 OK", headers))
+        writer.write(format_head("HTTP/1.1 200 OK", headers))
         for event in range(int(request.headers.get("last-event-id", 0)) + 1, EVENTS + 1):
             await asyncio.sleep(0.05)
             if not self.alive:
                 await asyncio.sleep(3600)
             if self.lose_answers and self.world.random.random() < 0.1:
                 raise Broken
+            if writer.is_closing():
+                raise Broken
             text = f"id: {event}\ndata: {request.path}-{event}@{self.software}\n\n"
-            write(f"{len(text):x}\r\n{text}\r\n".encode())
-        write(b"0\r\n\r\n")
+            writer.write(f"{len(text):x}\r\n{text}\r\n".encode())
+        writer.write(b"0\r\n\r\n")
         return None
 
     def report(self, request):
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -24,6 +24,7 @@
 from fleet import free_port, free_udp_port  # noqa: E402 pylint: disable=wrong-import-position
 BUILD = os.environ.get("GSPAN_BUILD", os.path.join(ROOT, "build"))
 SERVICES = {"desk": 4, "calls": 4, "llm": 4, "text": 4}
+MEMORY_MB = 110 * (3 if "sanitize" in BUILD else 1)  # of the smallest VM; sanitizers take twice as much more
 START_S = 3.0
 READY_WITHIN_S = 30.0
 DEADLINE_S = 1.1
@@ -67,6 +68,14 @@
             self.popen = subprocess.Popen([os.path.join(BUILD, "gspan-node"), "--config", self.file], stdout=log,
                                           stderr=log, env={**os.environ, "ASAN_OPTIONS": "detect_leaks=0"})
 
+    def peak_mb(self):
+        """Memory that the process has used at most, in megabytes; 0 where it has ended."""
+        try:
+            with open(f"/proc/{self.popen.pid}/status", encoding="utf-8") as file:
+                return next((int(line.split()[1]) // 1024 for line in file if line.startswith("VmHWM")), 0)
+        except OSError:
+            return 0
+
     def signal(self, number):
         if self.popen.poll() is None:
             self.popen.send_signal(number)
@@ -122,9 +131,9 @@
         name = name or f"i-{service}-{self.started_replicas}"
         replica = Replica(self, service, name, silent_end=self.random.random() < self.options.silent,
                           software=software)
-        self.replicas.append(replica)
         self.servers.append(replica.server)
         await replica.start()
+        self.replicas.append(replica)
 
     def replace_later(self, replica):
         """It is back after some seconds, mostly with a new id."""
@@ -302,6 +311,12 @@
             self.book.limit_ends(replica)
             replica.limit = None
 
+    async def endless(self):
+        replica = self.random.choice(self.replicas)
+        replica.endless = True
+        await asyncio.sleep(3)
+        replica.endless = False
+
     async def store_fault(self, nodes):
         fault = self.random.choice(["busy", "silent", "reset", "lost", "slow"])
         for_s = self.random.uniform(1, 6)
@@ -368,7 +383,8 @@
         kinds = {"leave": self.leave, "crash": self.crash, "lose": self.lose_answers, "store": self.store_away,
                  "some": self.store_turns_some_away, "forget": self.forget_history, "watches": self.cut_watches,
                  "kill": self.kill_node, "term": self.stop_node, "freeze": self.freeze_node, "limit": self.limit,
-                 "newer": self.newer, "burst": self.burst}
+                 "newer": self.newer, "burst": self.burst,
+                 "endless": self.endless}
         chosen = [kinds[name] for name in self.options.faults.split(",") if name]
         await asyncio.sleep(START_S)
         while chosen and self.now() < self.options.seconds - 6:
@@ -406,6 +422,8 @@
         self.book.check_crashing_requests()
         self.book.check_limits()
         self.book.check_software()
+        for node in self.nodes:
+            self.book.check_memory(node.name, node.peak_mb(), MEMORY_MB)
 
     async def stop(self):
         for node in self.nodes:
@@ -437,7 +455,7 @@
     parser.add_argument("--killers", type=int, default=2, help="contents that end each replica that runs them")
     parser.add_argument("--silent", type=float, default=0.5, help="share of replicas that end without a reset")
     parser.add_argument("--pause", type=float, default=1.5, help="mean time between two faults, in seconds")
-    parser.add_argument("--faults", default="leave,crash,lose,store,some,forget,watches,kill,term,freeze,limit,newer,burst")
+    parser.add_argument("--faults", default="leave,crash,lose,store,some,forget,watches,kill,term,freeze,limit,newer,burst,endless")
     parser.add_argument("--keep", help="folder for settings and logs")
     parser.add_argument("--quiet", action="store_true", help="no figures, which differ between two runs of a seed")
     options = parser.parse_args()
@@ -450,7 +468,7 @@
     if not options.quiet:
         print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()},
               f"most of a limit {book.most_of_limit:.2f}, streams begun {len(book.streams[False])}, taken up "
-              f"{len(book.streams[True])} of which {sum(book.streams[True])} went on")
+              f"{len(book.streams[True])} of which {sum(book.streams[True])} went on, endless answers {book.endless}, {book.memory_mb} MB")
     for line in book.broken:
         print(line)
     print(f"{len(book.broken)} promises broken")
--- a/test/soak/wire.py
+++ b/test/soak/wire.py
@@ -64,7 +64,7 @@
 
 
 class Server:
-    """Calls HANDLER (request, write) for each request; it returns a Reply, or None if it has written all itself."""
+    """Calls HANDLER (request, writer) for each request; it returns a Reply, or None if it has written all itself."""
 
     def __init__(self, handler):
         self.handler = handler
@@ -78,7 +78,8 @@
 
     def stop(self):
         """Closes the port and breaks all connections."""
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
         self.break_connections()
 
     def break_connections(self):
@@ -93,7 +94,7 @@
                 url = urllib.parse.urlsplit(target)
                 query = dict(urllib.parse.parse_qsl(url.query))
                 request = Request(method, url.path, query, headers, await read_body(reader, headers))
-                reply = await self.handler(request, writer.write)
+                reply = await self.handler(request, writer)
                 if reply is None:
                     break
                 sent = {**reply.headers, "Content-Length": len(reply.body)}
