catalog: items reach further ahead for permits the longer they wait

Items and desk requests of one service share a replica's limit. Items and orders reach further the longer they have been given nothing, up to two seconds, and so get their turn; a caller who can't be served in time is refused as before.

--- a/catalog/limits.h
+++ b/catalog/limits.h
@@ -40,8 +40,9 @@
 {
   guint64 due_at[GSPAN_PERMITS_MAX]; /* times at which each may be used, ascending */
   guint count;
-  guint64 full_until; /* the allocator has none to give before then */
-  guint64 ask;        /* question under way; 0 is none */
+  guint64 full_until;  /* the allocator has none to give before then */
+  guint64 empty_since; /* none has been given since then; 0 was given at the last question */
+  guint64 ask;         /* question under way; 0 is none */
   guint64 asked_at;
   guint asked_count; /* permits asked for */
   guint tries;       /* times that the question was sent */
--- a/catalog/permits.c
+++ b/catalog/permits.c
@@ -16,7 +16,13 @@
   FORMAT_VERSION = 1
 };
 
-/* Desk callers and orders reach further ahead than items, so items can't keep them out. */
+#define REACH_MAX_US (2 * GSPAN_SECOND)
+
+/*
+ * Desk callers and orders reach further ahead than items at first, so items can't keep them out. A
+ * caller is refused what it can't reach; items and orders reach further the longer they have
+ * waited, so callers can't keep them out either.
+ */
 static const guint64 reaches_us[GSPAN_TRAFFIC_COUNT] = {
   [GSPAN_TRAFFIC_CALLS] = 400 * GSPAN_MS,
   [GSPAN_TRAFFIC_RUNS] = 250 * GSPAN_MS,
@@ -29,6 +35,16 @@
   return reaches_us[traffic];
 }
 
+static guint64
+reach_of (const struct GspanPermitPool *pool, enum GspanTraffic traffic, guint64 now)
+{
+  guint64 waited_us = pool->empty_since != 0 ? now - pool->empty_since : 0;
+
+  if (traffic == GSPAN_TRAFFIC_CALLS)
+    return reaches_us[traffic];
+  return MIN (reaches_us[traffic] + waited_us, REACH_MAX_US);
+}
+
 static void
 remove_first (struct GspanPermitPool *pool)
 {
@@ -152,13 +168,23 @@
 
 /* Notes that the question in POOL has been answered. */
 static void
-end_ask (struct GspanNode *node, struct GspanPermitPool *pool, guint given, guint64 full_us)
+end_ask (struct GspanNode *node, struct GspanPermitPool *pool, enum GspanTraffic traffic,
+         guint given, guint64 full_us)
 {
+  guint64 spread_us = (guint64)g_rand_int_range (node->random, 0, (gint32)FULL_SPREAD_US);
+
   pool->ask = 0;
   pool->full_until = 0;
-  if (given < pool->asked_count)
-    pool->full_until
-        = node->now + full_us + (guint64)g_rand_int_range (node->random, 0, (gint32)FULL_SPREAD_US);
+  if (given > 0)
+    pool->empty_since = 0;
+  else if (pool->empty_since == 0)
+    pool->empty_since = node->now;
+  if (given >= pool->asked_count)
+    return;
+  /* the reach grows meanwhile, so that half of the time is enough */
+  if (traffic != GSPAN_TRAFFIC_CALLS)
+    full_us /= 2;
+  pool->full_until = node->now + full_us + spread_us;
 }
 
 static void
@@ -166,18 +192,19 @@
                struct GspanOutbox *outbox)
 {
   struct GspanPermitPool *pool = &limit->pools[traffic];
+  guint64 reach_us = reach_of (pool, traffic, node->now);
   guint given = 0;
   guint64 full_us;
   guint64 due_at;
 
-  while (given < pool->asked_count && issue (limit, reaches_us[traffic], node->now, &due_at))
+  while (given < pool->asked_count && issue (limit, reach_us, node->now, &due_at))
     {
       add_permit (pool, due_at);
       given++;
     }
-  full_us = full_for_us (limit, reaches_us[traffic], node->now);
+  full_us = full_for_us (limit, reach_us, node->now);
   log_grant (limit, node->self.name, pool->asked_count, given, full_us, outbox);
-  end_ask (node, pool, given, full_us);
+  end_ask (node, pool, traffic, given, full_us);
 }
 
 static void
@@ -198,7 +225,8 @@
                        "format", FORMAT_VERSION, "from", node->self.name, "udp",
                        node->self.udp_address, "id", (json_int_t)pool->ask, "traffic",
                        (json_int_t)traffic, "count", (json_int_t)pool->asked_count, "reach_us",
-                       (json_int_t)reaches_us[traffic], "limit", gspan_limits_encode (limit));
+                       (json_int_t)reach_of (pool, traffic, node->now), "limit",
+                       gspan_limits_encode (limit));
   gspan_peers_send_to (limit->allocator_udp, message, outbox);
   json_decref (message);
 }
@@ -217,6 +245,9 @@
   total = MIN (total, (guint)GSPAN_PERMITS_MAX);
   if (pool->ask != 0 || pool->count >= total || pool->full_until > node->now)
     return;
+  /* nothing has waited here for a while */
+  if (pool->full_until + REACH_MAX_US < node->now)
+    pool->empty_since = 0;
   pool->ask = ++node->rate_limits.last_ask;
   pool->asked_count = total - pool->count;
   pool->tries = 0;
@@ -263,7 +294,7 @@
   const char *udp = json_string_value (json_object_get (message, "udp"));
   json_int_t count = json_integer_value (json_object_get (message, "count"));
   json_int_t asked_reach = json_integer_value (json_object_get (message, "reach_us"));
-  guint64 reach_us = (guint64)CLAMP (asked_reach, 0, (json_int_t)GSPAN_SECOND);
+  guint64 reach_us = (guint64)CLAMP (asked_reach, 0, (json_int_t)REACH_MAX_US);
   struct GspanLimit *limit;
   json_t *permits;
   json_t *answer;
@@ -321,6 +352,7 @@
   const char *by = json_string_value (json_object_get (statement, "allocator"));
   struct GspanPermitPool *pool;
   struct GspanLimit *limit;
+  enum GspanTraffic traffic;
   json_t *after_us;
   size_t index;
 
@@ -335,9 +367,11 @@
   {
     add_permit (pool,
                 node->now
-                    + (guint64)CLAMP (json_integer_value (after_us), 0, (json_int_t)GSPAN_SECOND));
+                    + (guint64)CLAMP (json_integer_value (after_us), 0, (json_int_t)REACH_MAX_US));
   }
-  end_ask (node, pool, (guint)index, (guint64)CLAMP (full_us, 0, (json_int_t)(10 * GSPAN_SECOND)));
+  traffic = (enum GspanTraffic)json_integer_value (json_object_get (message, "traffic"));
+  end_ask (node, pool, traffic, (guint)index,
+           (guint64)CLAMP (full_us, 0, (json_int_t)(10 * GSPAN_SECOND)));
 }
 
 static void
--- a/test/limits_test.cc
+++ b/test/limits_test.cc
@@ -249,6 +249,22 @@
   EXPECT_EQ (completed, 80U) << "two replicas take eight a second";
 }
 
+TEST_F (Limits, ItemsAreNotStarvedByCallsToTheSameReplicas)
+{
+  start_nodes (4);
+  std::string config = config_spec (4);
+  size_t at = config.find ("\"service\":\"desk\"");
+  world.put ("config", "main", config.replace (at, 16, "\"service\":\"llm\"").c_str ());
+  world.run (GSPAN_SECOND);
+  limit_all (4);
+  play (4 * GSPAN_SECOND, 10 * GSPAN_MS);
+  submit_job (*world.rigs[0], 10, "j1", 10);
+  play (12 * GSPAN_SECOND, 10 * GSPAN_MS);
+  expect_within (4);
+  EXPECT_EQ (world.rigs[0]->node.metrics.values[GSPAN_METRIC_ITEMS_COMPLETED], 10U)
+      << "of some 90 that the limits allow meanwhile";
+}
+
 TEST_F (Limits, RefusedRunsAndRetriesCountToo)
 {
   start_nodes (4);
