--- /dev/null
+++ b/gateway/answers.c
@@ -0,0 +1,249 @@
+#include "gateway/answers.h"
+
+#include "common/clock.h"
+#include "gateway/attempts.h"
+#include "node/node.h"
+#include "platform/wire.h"
+
+enum
+{
+  KEPT_BODY_MAX = 1 << 20 /* bytes of a stream's answer that isn't passed on as it comes */
+};
+
+static void
+copy_answer_headers (const struct GspanHeaders *from, struct GspanHeaders *to)
+{
+  for (guint i = 0; i < from->items->len; i++)
+    {
+      const char *line = g_ptr_array_index (from->items, i);
+
+      if (!gspan_wire_is_hop_by_hop_header (line))
+        g_ptr_array_add (to->items, g_strdup (line));
+    }
+}
+
+/* Passes a replica's whole answer on and ends the call. */
+static void
+pass_answer (struct GspanNode *node, struct GspanCall *call, const struct GspanEventHttp *answer,
+             GBytes *body, struct GspanOutbox *outbox)
+{
+  bool good = answer->status >= 200 && answer->status < 300;
+  struct GspanAction *action
+      = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY, (struct GspanRef){ 0 });
+
+  action->u.reply.request = call->request;
+  action->u.reply.status = answer->status;
+  action->u.reply.body = g_bytes_ref (body);
+  copy_answer_headers (answer->headers, &action->u.reply.headers);
+  gspan_call_log (node, call, "call-answered", good ? "complete" : "failed", answer->status,
+                  outbox);
+  gspan_call_observe (node, call, good ? GSPAN_METRIC_DESK_COMPLETE : GSPAN_METRIC_DESK_FAILED);
+  gspan_call_forget (node, call, outbox);
+}
+
+static void
+end_stream (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
+{
+  struct GspanAction *action
+      = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_END, (struct GspanRef){ 0 });
+
+  action->u.reply.request = call->request;
+  gspan_call_log (node, call, "call-answered", "complete", 200, outbox);
+  gspan_call_observe (node, call, GSPAN_METRIC_DESK_COMPLETE);
+  gspan_call_forget (node, call, outbox);
+}
+
+static void
+log_failure (const struct GspanNode *node, const struct GspanAttempt *attempt,
+             const struct GspanEventHttp *answer, bool not_run, struct GspanOutbox *outbox)
+{
+  static const char *const results[] = { "whole", "not-sent", "lost", "timeout", "too-long" };
+  struct GspanLine line;
+
+  gspan_line_init (&line, "call-attempt-failed");
+  gspan_line_cstr (&line, "id", attempt->call->caller_id);
+  gspan_line_cstr (&line, "upstream", attempt->replica->id);
+  gspan_call_log_content (node, attempt->call, &line);
+  gspan_line_cstr (&line, "result", results[answer->result]);
+  gspan_line_int (&line, "status", answer->status);
+  gspan_line_cstr (&line, "ran", not_run ? "no" : "maybe");
+  gspan_line_u64 (&line, "elapsed_us", answer->elapsed_us);
+  gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
+}
+
+/* Records what the failed attempt shows of its replica and of its request. */
+static void
+blame (struct GspanNode *node, const struct GspanAttempt *attempt,
+       const struct GspanEventHttp *answer, const struct GspanWireResponse *wire,
+       struct GspanOutbox *outbox)
+{
+  struct GspanReplica *replica = attempt->replica;
+  guint64 content = attempt->call->fingerprint;
+
+  replica->misdirected = replica->misdirected || wire->misdirected;
+  if (answer->result != GSPAN_HTTP_COMPLETE)
+    gspan_replica_failed (replica, node->now);
+  if (gspan_attempt_has_answer (attempt))
+    return;
+  if (answer->result == GSPAN_HTTP_LOST)
+    gspan_crash_reports_note (node, content, replica, GSPAN_POISON_SUSPECTED, outbox);
+  else if (answer->result == GSPAN_HTTP_TIMEOUT)
+    gspan_crash_reports_note_silence (node, content, replica, node->now - attempt->sent, outbox);
+}
+
+static const char *
+why_failed (const struct GspanEventHttp *answer, bool not_run)
+{
+  if (not_run)
+    return "every replica is busy";
+  return answer->result == GSPAN_HTTP_TOO_LONG ? "the answer was too long" : "the answer was lost";
+}
+
+void
+gspan_answers_handle_done (struct GspanNode *node, struct GspanAttempt *attempt,
+                           const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
+{
+  struct GspanCall *call = attempt->call;
+  bool whole = answer->result == GSPAN_HTTP_COMPLETE;
+  bool good = whole && answer->status >= 200 && answer->status < 300;
+  struct GspanWireResponse wire;
+  bool not_run;
+  GBytes *body;
+
+  gspan_wire_read_response (answer->status, answer->headers, &wire);
+  gspan_leaving_note_answer (node, attempt->replica, &wire, outbox);
+  if (!attempt->has_head)
+    gspan_limits_note_answer (node, attempt->replica, &wire, attempt->sent, outbox);
+  not_run = answer->result == GSPAN_HTTP_NOT_SENT || (whole && wire.not_run && !good);
+  call->state.now = node->now;
+  if (whole && wire.signed_by_replica && !not_run)
+    gspan_crash_reports_note_answer (node, call->fingerprint, attempt->replica, outbox);
+  if (good && call->state.response_started)
+    {
+      end_stream (node, call, outbox);
+      return;
+    }
+  body = call->stream ? g_bytes_new (attempt->body->str, attempt->body->len)
+                      : g_bytes_ref (answer->body);
+  if (good && wire.signed_by_replica)
+    {
+      gspan_replica_worked (attempt->replica);
+      pass_answer (node, call, answer, body, outbox);
+      g_bytes_unref (body);
+      return;
+    }
+  blame (node, attempt, answer, &wire, outbox);
+  log_failure (node, attempt, answer, not_run, outbox);
+  call->may_have_run = call->may_have_run || !not_run;
+  gspan_call_forget_attempt (node, attempt);
+  if ((!gspan_hedge_may_retry (&call->state, not_run)
+       || !gspan_attempts_try_next (node, call, outbox))
+      && call->open->len == 0)
+    {
+      if (whole && !good && !not_run && wire.signed_by_replica && !call->state.response_started)
+        pass_answer (node, call, answer, body, outbox);
+      else
+        gspan_call_give_up (node, call, why_failed (answer, not_run), 502, outbox);
+    }
+  g_bytes_unref (body);
+}
+
+void
+gspan_answers_handle_head (struct GspanNode *node, struct GspanAttempt *attempt,
+                           const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
+{
+  struct GspanCall *call = attempt->call;
+  struct GspanWireResponse wire;
+  struct GspanAction *action;
+
+  gspan_wire_read_response (answer->status, answer->headers, &wire);
+  gspan_leaving_note_answer (node, attempt->replica, &wire, outbox);
+  gspan_limits_note_answer (node, attempt->replica, &wire, attempt->sent, outbox);
+  attempt->has_head = true;
+  if (call->state.response_started || answer->status < 200 || answer->status >= 300
+      || !wire.signed_by_replica)
+    return;
+  call->state.response_started = true;
+  action = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_BEGIN, (struct GspanRef){ 0 });
+  action->u.reply.request = call->request;
+  action->u.reply.status = answer->status;
+  copy_answer_headers (answer->headers, &action->u.reply.headers);
+}
+
+struct PassOn
+{
+  struct GspanNode *node;
+  struct GspanAttempt *attempt;
+  struct GspanOutbox *outbox;
+};
+
+/* From its first event on, the stream goes on at replicas of this version only. */
+static void
+note_software (const struct PassOn *to)
+{
+  struct GspanCall *call = to->attempt->call;
+  const struct GspanReplica *replica = to->attempt->replica;
+
+  if (call->software == NULL)
+    call->software = g_strdup (replica->software);
+  gspan_streams_note_begin (to->node, call->caller_id, call->service, call->software, to->outbox);
+  call->has_events = true;
+}
+
+static void
+pass_bytes (const struct GspanCall *call, struct GspanStr bytes, struct GspanOutbox *outbox)
+{
+  struct GspanAction *action
+      = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_DATA, (struct GspanRef){ 0 });
+
+  action->u.reply.request = call->request;
+  action->u.reply.body = g_bytes_new (bytes.data, bytes.len);
+}
+
+static void
+pass_event (void *user, const struct GspanStreamEvent *event)
+{
+  struct PassOn *to = user;
+  struct GspanCall *call = to->attempt->call;
+
+  if (event->has_id && event->id <= call->last_event)
+    return;
+  if (event->has_id)
+    call->last_event = event->id;
+  if (!call->has_events)
+    note_software (to);
+  pass_bytes (call, event->raw, to->outbox);
+}
+
+/* Ends an attempt whose answer goes on without end. */
+static void
+break_off (struct GspanNode *node, struct GspanAttempt *attempt,
+           const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
+{
+  struct GspanRef ref = { GSPAN_OWNER_GATEWAY, attempt->id };
+  struct GspanEventHttp ended = *answer;
+
+  gspan_outbox_add (outbox, GSPAN_ACTION_HTTP_CANCEL, ref);
+  ended.result = GSPAN_HTTP_TOO_LONG;
+  ended.elapsed_us = node->now - attempt->sent;
+  gspan_answers_handle_done (node, attempt, &ended, outbox);
+}
+
+void
+gspan_answers_handle_data (struct GspanNode *node, struct GspanAttempt *attempt,
+                           const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
+{
+  struct GspanCall *call = attempt->call;
+  struct GspanStr bytes = gspan_str_from_bytes (answer->body);
+  struct PassOn to = { node, attempt, outbox };
+
+  attempt->pieces++;
+  if (!call->state.response_started || answer->status < 200 || answer->status >= 300)
+    g_string_append_len (attempt->body, bytes.data, (gssize)bytes.len);
+  else if (call->state.repeat == GSPAN_REPEAT_RESUMED)
+    gspan_events_feed (&call->events, bytes, pass_event, &to);
+  else
+    pass_bytes (call, bytes, outbox);
+  if (call->events.is_too_long || attempt->body->len > KEPT_BODY_MAX)
+    break_off (node, attempt, answer, outbox);
+}
--- /dev/null
+++ b/gateway/attempts.c
@@ -0,0 +1,206 @@
+#include "gateway/attempts.h"
+
+#include "catalog/pick.h"
+#include "common/clock.h"
+#include "node/node.h"
+#include "platform/wire.h"
+
+/* Replicas that lack only a permit are added to WITHOUT_PERMIT, unless it is NULL. */
+static struct GspanReplica *
+pick (struct GspanNode *node, const struct GspanCall *call, bool last_resort,
+      GPtrArray *without_permit)
+{
+  struct GspanPickQuery query = { 0 };
+  struct GspanReplica *replica;
+
+  query.service = call->service;
+  query.now = node->now;
+  query.zone = node->self.zone;
+  query.tried = call->tried;
+  query.draw = g_rand_int (node->random);
+  query.is_suspect = gspan_call_is_suspect (node, call);
+  query.last_resort = last_resort;
+  query.software = call->software;
+  query.limits = &node->rate_limits;
+  query.traffic = GSPAN_TRAFFIC_CALLS;
+  replica = query.is_suspect ? gspan_pick_replica (node->catalog.replicas, &query) : NULL;
+  if (replica != NULL)
+    return replica;
+  query.is_suspect = false;
+  query.without_permit = without_permit;
+  return gspan_pick_replica (node->catalog.replicas, &query);
+}
+
+static void
+send_attempt (struct GspanNode *node, struct GspanCall *call, struct GspanReplica *replica,
+              struct GspanOutbox *outbox)
+{
+  struct GspanAttempt *attempt = g_new0 (struct GspanAttempt, 1);
+  struct GspanRef ref = { GSPAN_OWNER_GATEWAY, gspan_node_next_id (node) };
+  struct GspanActionHttp *http
+      = gspan_permits_send (node, replica, GSPAN_TRAFFIC_CALLS, ref, outbox);
+  struct GspanLine line;
+
+  g_clear_pointer (&call->waits_at, g_free);
+  attempt->id = ref.id;
+  attempt->call = call;
+  attempt->replica = gspan_replica_ref (replica);
+  attempt->sent = node->now;
+  attempt->body = g_string_new (NULL);
+  gspan_events_reset (&call->events);
+  attempt->is_suspect = gspan_call_is_suspect (node, call);
+  replica->open++;
+  replica->suspects += attempt->is_suspect;
+  g_hash_table_insert (node->gateway.attempts, &attempt->id, attempt);
+  g_ptr_array_add (call->open, attempt);
+  g_ptr_array_add (call->tried, g_strdup (replica->id));
+  call->state.attempts++;
+  call->state.last_sent_at_us = node->now;
+  if (call->state.attempts > 1)
+    gspan_metrics_add (&node->metrics, GSPAN_METRIC_DESK_RETRIES, 1);
+  http->method = g_strdup (call->method);
+  http->url = g_strdup_printf ("http://%s%s", replica->address, call->path);
+  http->body = g_bytes_ref (call->body);
+  http->timeout_us = call->state.deadline_us - node->now;
+  http->new_connection = call->state.repeat == GSPAN_REPEAT_FORBIDDEN;
+  http->stream = call->stream;
+  http->http_framing_only = true;
+  http->tcp_keepalive = true;
+  http->required_header = call->caller_id[0] != '\0'
+                              ? gspan_wire_attempt_id_line (gspan_str_from (call->caller_id))
+                              : NULL;
+  gspan_wire_write_attempt_headers (&call->headers, replica->id, http->timeout_us,
+                                    call->state.response_started ? call->last_event : 0,
+                                    &http->headers);
+  gspan_line_init (&line, "call-attempt");
+  gspan_line_cstr (&line, "id", call->caller_id);
+  gspan_line_cstr (&line, "upstream", replica->id);
+  gspan_line_cstr (&line, "software", replica->software);
+  gspan_line_u64 (&line, "attempt", call->state.attempts);
+  gspan_line_u64 (&line, "last_event", call->last_event);
+  gspan_line_u64 (&line, "open_there", replica->open);
+  gspan_line_u64 (&line, "list_age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
+  gspan_line_u64 (&line, "left_us", http->timeout_us);
+  gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
+}
+
+/* Number of calls before CALL that wait for a permit of REPLICA. */
+static guint
+count_waiting_before (const struct GspanNode *node, const struct GspanCall *call,
+                      const struct GspanReplica *replica)
+{
+  guint count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->gateway.calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct GspanCall *other = value;
+
+      count += other->id < call->id && g_strcmp0 (other->waits_at, replica->id) == 0;
+    }
+  return count;
+}
+
+/* When CALL may be sent to REPLICA, as far as is known after asking for a permit. */
+static guint64
+ask_for_permit (struct GspanNode *node, const struct GspanCall *call,
+                const struct GspanReplica *replica, struct GspanOutbox *outbox)
+{
+  guint rank = count_waiting_before (node, call, replica);
+
+  gspan_permits_want (node, replica, GSPAN_TRAFFIC_CALLS, rank + 1, outbox);
+  return gspan_permits_expected_at (node, replica, GSPAN_TRAFFIC_CALLS, rank);
+}
+
+static void
+log_wait (const struct GspanNode *node, const struct GspanCall *call, guint64 until,
+          struct GspanOutbox *outbox)
+{
+  struct GspanLine line;
+
+  gspan_line_init (&line, "call-waits");
+  gspan_line_cstr (&line, "id", call->caller_id);
+  gspan_line_cstr (&line, "upstream", call->waits_at);
+  gspan_line_u64 (&line, "expected_us", until - node->now);
+  gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
+}
+
+static void
+set_waits_at (const struct GspanNode *node, struct GspanCall *call,
+              const struct GspanReplica *replica, guint64 expected_at, struct GspanOutbox *outbox)
+{
+  if (g_strcmp0 (call->waits_at, replica->id) == 0)
+    return;
+  g_free (call->waits_at);
+  call->waits_at = g_strdup (replica->id);
+  log_wait (node, call, expected_at, outbox);
+}
+
+/* Index of the replica that CALL asks first: the one it waits for, else one by lot. */
+static guint
+first_candidate (const struct GspanCall *call, const GPtrArray *candidates)
+{
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      const struct GspanReplica *replica = g_ptr_array_index (candidates, i);
+
+      if (g_strcmp0 (call->waits_at, replica->id) == 0)
+        return i;
+    }
+  return (guint)(call->id % MAX (1, candidates->len));
+}
+
+/*
+ * Has CALL wait for a permit of one of CANDIDATES, which lack only that. False if none is to be had
+ * soon enough: RETRY_AT then says when that changes.
+ */
+static bool
+wait_for_permit (struct GspanNode *node, struct GspanCall *call, const GPtrArray *candidates,
+                 struct GspanOutbox *outbox)
+{
+  guint64 reach_us = gspan_permits_reach_us (GSPAN_TRAFFIC_CALLS);
+  guint64 latest = MIN (node->now + reach_us, call->state.deadline_us);
+  guint first = first_candidate (call, candidates);
+  guint64 soonest = G_MAXUINT64;
+
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      const struct GspanReplica *replica
+          = g_ptr_array_index (candidates, (first + i) % candidates->len);
+      guint64 expected_at = ask_for_permit (node, call, replica, outbox);
+
+      soonest = MIN (soonest, expected_at);
+      if (expected_at > latest)
+        continue;
+      set_waits_at (node, call, replica, expected_at, outbox);
+      return true;
+    }
+  g_clear_pointer (&call->waits_at, g_free);
+  if (candidates->len > 0)
+    call->retry_at = soonest - MIN (soonest, reach_us);
+  return false;
+}
+
+bool
+gspan_attempts_try_next (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
+{
+  GPtrArray *without_permit;
+  struct GspanReplica *replica;
+  bool waits = false;
+
+  call->retry_at = 0;
+  if (gspan_call_refused_until (node, call) != 0)
+    return false;
+  without_permit = g_ptr_array_new ();
+  replica = pick (node, call, false, without_permit);
+  if (replica == NULL)
+    waits = wait_for_permit (node, call, without_permit, outbox);
+  g_ptr_array_unref (without_permit);
+  if (replica == NULL)
+    replica = pick (node, call, !waits, NULL);
+  if (replica != NULL)
+    send_attempt (node, call, replica, outbox);
+  return replica != NULL || waits;
+}
--- /dev/null
+++ b/gateway/attempts.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "gateway/calls.h"
+
+/* Where a call is sent next, and what it waits for before that. */
+
+/*
+ * Starts another attempt, or has the call wait for the time that a replica's limit leaves for it.
+ * False where there is no replica for it.
+ */
+bool gspan_attempts_try_next (struct GspanNode *node, struct GspanCall *call,
+                              struct GspanOutbox *outbox);
--- /dev/null
+++ b/gateway/calls.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "board/message.h"
+#include "common/events.h"
+#include "common/metrics.h"
+#include "gateway/hedge.h"
+
+struct GspanNode;
+struct GspanReplica;
+
+/*
+ * A desk caller's request while this node has it, and its attempts at replicas. Times are
+ * microseconds of the steady clock.
+ */
+
+struct GspanCall
+{
+  guint64 id;
+  guint64 request;
+  char *caller_id;
+  char *route;
+  char *service;
+  char *method;
+  char *path;
+  struct GspanHeaders headers;
+  GBytes *body;
+  guint64 fingerprint;
+  guint64 started;
+  struct GspanHedgeState state;
+  GPtrArray *tried; /* ids of replicas */
+  GPtrArray *open;  /* struct GspanAttempt */
+  char *waits_at;   /* id of the replica that it waits for a permit of; NULL is none */
+  guint64 retry_at; /* none is to be had in time before then; 0 is not known */
+  bool may_have_run;
+  bool stream;
+  bool has_events;    /* of a stream: some have been passed on */
+  guint64 last_event; /* passed on to the caller, of a stream */
+  struct GspanEvents events;
+  char *software; /* version that the stream goes on at; NULL is any */
+  char *resumes;  /* attempt that brought the first event of a stream taken up; NULL is none */
+  guint64 origin_until; /* RESUMES is asked for until then; 0 is not asked */
+};
+
+struct GspanAttempt
+{
+  guint64 id;
+  struct GspanCall *call;
+  struct GspanReplica *replica;
+  guint64 sent;
+  bool is_suspect; /* the request may crash the replica */
+  GString *body;   /* of a stream's answer that isn't passed on as it comes */
+  guint pieces;    /* of a stream's answer, received so far */
+  bool has_head;   /* the answer's head has come */
+  bool is_silent;  /* reported as silent (gateway/crash_reports.h) */
+};
+
+void gspan_call_free (gpointer call);
+
+/* Gives the place at its replica back as well. */
+void gspan_attempt_free (gpointer attempt);
+
+/* True if so much of the answer has come that the request can't have crashed the replica. */
+bool gspan_attempt_has_answer (const struct GspanAttempt *attempt);
+
+/* Adds what identifies the call's content: "content" is the same for all its tries at any node. */
+void gspan_call_log_content (const struct GspanNode *node, const struct GspanCall *call,
+                             struct GspanLine *line);
+void gspan_call_log (const struct GspanNode *node, const struct GspanCall *call, const char *event,
+                     const char *outcome, int status, struct GspanOutbox *outbox);
+
+/* Counts the call as METRIC, with its duration. */
+void gspan_call_observe (struct GspanNode *node, const struct GspanCall *call,
+                         enum GspanMetric metric);
+
+/* Reports the open attempts, which are about to be cancelled without an answer. */
+void gspan_call_note_silence (struct GspanNode *node, const struct GspanCall *call,
+                              struct GspanOutbox *outbox);
+
+/* Reports open attempts that have been silent for far longer than usual. They stay open. */
+void gspan_call_note_long_silence (struct GspanNode *node, const struct GspanCall *call,
+                                   struct GspanOutbox *outbox);
+
+/* Frees ATTEMPT, whose exchange has ended. */
+void gspan_call_forget_attempt (struct GspanNode *node, struct GspanAttempt *attempt);
+
+/* Cancels all attempts and frees CALL, which has been answered or whose caller has left. */
+void gspan_call_forget (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox);
+
+/* Gives the final answer to a call that no replica answered, and frees it. */
+void gspan_call_give_up (struct GspanNode *node, struct GspanCall *call, const char *why,
+                         int status_if_run, struct GspanOutbox *outbox);
+
+/* True if something counts against the call's content. */
+bool gspan_call_is_suspect (const struct GspanNode *node, const struct GspanCall *call);
+
+/* Time until which the call is refused because its content crashes replicas; 0 if it isn't. */
+guint64 gspan_call_refused_until (const struct GspanNode *node, const struct GspanCall *call);
