--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -24,8 +24,5 @@
 void gspan_runner_handle (struct GspanNode *node, const struct GspanEvent *event,
                           struct GspanOutbox *outbox);
 
-/* Starts waiting items where replicas have room. */
-void gspan_runner_schedule (struct GspanNode *node, struct GspanOutbox *outbox);
-
 /* Cancels all runs of JOB. What they have generated stays with their items. */
 void gspan_runner_stop (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox);
--- a/node/node.c
+++ b/node/node.c
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include "common/clock.h"
+#include "jobs/placement.h"
 #include "platform/wire.h"
 
 #define LIST_SLACK_US (GSPAN_SECOND) /* until a lapse is known here, beside the drain notice */
@@ -129,7 +130,7 @@
 {
   gspan_permits_receive_grant (node, message, outbox);
   gspan_gateway_send_waiting (node, outbox);
-  gspan_runner_schedule (node, outbox);
+  gspan_placement_schedule (node, outbox);
 }
 
 static void
