catalog: reminders of a limit are no new evidence for it

A limit ends with an answer without the header to a request that was sent when the limit was known. Each reminder of the allocator, once a second, moved that time on at the other nodes, so that a limit could not end there where answers take longer than a second to begin. Only a statement that is new counts now (Limits.ReminderOfAnotherNodeIsNoNewEvidence, failed before).

--- a/catalog/limits.c
+++ b/catalog/limits.c
@@ -341,10 +341,10 @@
   limit = record_of (&node->rate_limits, statement.upstream, statement.born);
   if (limit == NULL)
     return;
-  if (statement.holds && statement.version >= limit->version)
-    limit->learned_at = node->now;
   if (!goes_before (&statement, limit))
     return;
+  if (statement.holds)
+    limit->learned_at = node->now;
   is_moved = strcmp (statement.allocator, limit->allocator) != 0;
   is_news = limit->holds != statement.holds;
   limit->version = statement.version;
--- a/catalog/limits.h
+++ b/catalog/limits.h
@@ -57,7 +57,7 @@
   guint64 version;       /* of the statement */
   char *allocator;       /* name of the node that issues permits */
   char *allocator_udp;   /* where it is asked */
-  guint64 learned_at;    /* this node last saw or heard that the limit holds */
+  guint64 learned_at;    /* this node last saw the limit, or heard of it first */
   guint64 told_at;       /* this node last told the others; 0 is never */
   guint tell_again;      /* times that it still has to, since datagrams get lost */
   struct GspanRate rate; /* of the permits, where this node is the allocator */
--- a/test/limits_test.cc
+++ b/test/limits_test.cc
@@ -400,6 +400,25 @@
   EXPECT_EQ (gspan_limits_count (&rig.node.rate_limits), 1U);
 }
 
+/* Else a limit could not end where answers take longer than the time between two reminders. */
+TEST_F (Limits, ReminderOfAnotherNodeIsNoNewEvidence)
+{
+  Rig &rig = start_nodes (2);
+  Rig &other = *world.rigs[1];
+
+  send_desk_request (rig, 1, "a1");
+  std::string name = rig.exchanges[0].header ("X-Expect-Instance");
+  rig.http_done (rig.exchanges[0], GSPAN_HTTP_COMPLETE, 200,
+                 { "X-Server-Stamp: s", "Server-Limit: 4" }, "good");
+  world.run (100 * GSPAN_MS);
+  auto *limit = static_cast<GspanLimit *> (
+      g_hash_table_lookup (other.node.rate_limits.items, name.c_str ()));
+  ASSERT_NE (limit, nullptr);
+  guint64 learned_at = limit->learned_at;
+  world.run (5 * GSPAN_SECOND);
+  EXPECT_EQ (limit->learned_at, learned_at);
+}
+
 TEST_F (Limits, NewStartOfAReplicaHasNoLimit)
 {
   Rig &rig = start_nodes (1);
