runner: texts are kept while the replicas of their version are avoided

They wait for three seconds now, which is below the five that an item may be at no replica. Software.ItemIsKeptWhileTheReplicasOfItsVersionAreAvoided failed before.

--- a/jobs/placement.c
+++ b/jobs/placement.c
@@ -7,7 +7,8 @@
 #include "common/clock.h"
 #include "node/node.h"
 
-#define RESUME_WAIT_US (2 * GSPAN_SECOND) /* for replicas of the text's software version */
+/* For replicas of the text's software version: longer than one that has failed is avoided. */
+#define RESUME_WAIT_US (3 * GSPAN_SECOND)
 #define SCHEDULE_INTERVAL_US (50 * GSPAN_MS)
 #define SLOW_CHECK_INTERVAL_US (100 * GSPAN_MS)
 
--- a/test/software_test.cc
+++ b/test/software_test.cc
@@ -119,6 +119,26 @@
     EXPECT_EQ (version_of (run), began[run.header ("X-Attempt-Id")]);
 }
 
+/* As a reset of all connections does: each replica has failed several times at once. */
+TEST_F (Software, ItemIsKeptWhileTheReplicasOfItsVersionAreAvoided)
+{
+  Rig &rig = start_two_versions ();
+
+  submit_job (rig, 1, "j1", 8);
+  world.run (200 * GSPAN_MS);
+  ASSERT_EQ (open_runs (rig).size (), 8U);
+  std::map<std::string, std::string> began;
+  for (const auto &run : open_runs (rig))
+    {
+      began[run.header ("X-Attempt-Id")] = version_of (run);
+      break_run (rig, run, 2);
+    }
+  world.run (2200 * GSPAN_MS);
+  EXPECT_EQ (resumed_runs (rig).size (), 8U);
+  for (const auto &run : resumed_runs (rig))
+    EXPECT_EQ (version_of (run), began[run.header ("X-Attempt-Id")]);
+}
+
 TEST_F (Software, ItemWhoseVersionHasGoneBeginsAnew)
 {
   Rig &rig = start_two_versions ();
