gateway: a stream of unknown origin is asked for even where one version is known

The rule holds for machines out of touch too.

Now an origin that isn't known is asked for in any case; where nobody answers in 60 ms, a service with one version goes on anywhere as before. By then a node that woke has read what waited for it.

Software.NodeThatWasFrozenAsksBeforeItGoesOn failed before. StreamGoesOnAnywhereWhereOneVersionServes looked for the sending at once; it now gives the 60 ms and wants the same.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -82,24 +82,33 @@
   gspan_call_forget (node, call, outbox);
 }
 
+/* Asks the other nodes for the origin of CALL's stream. True while their answers may come. */
+static bool
+wait_for_origin (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
+{
+  if (call->origin_until == 0)
+    {
+      call->origin_until = MIN (node->now + ORIGIN_WAIT_US, call->state.deadline_us);
+      gspan_streams_ask (node, call->resumes, outbox);
+    }
+  return node->now < call->origin_until;
+}
+
 /*
  * Goes on with a stream that the caller takes up again, at the software version that began it. If
- * that isn't known here, the other nodes are asked first.
+ * that isn't known here, the other nodes are asked first, even where only one version is known: a
+ * node that was suspended hasn't heard of another one yet.
  */
 static void
 resume_stream (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
   const char *software = gspan_streams_find (&node->streams, call->resumes);
 
+  if (software == NULL && wait_for_origin (node, call, outbox))
+    return;
   if (software == NULL && gspan_streams_is_mixed (node, call->service))
     {
-      if (call->origin_until == 0)
-        {
-          call->origin_until = MIN (node->now + ORIGIN_WAIT_US, call->state.deadline_us);
-          gspan_streams_ask (node, call->resumes, outbox);
-        }
-      else if (node->now >= call->origin_until)
-        refuse_resumption (node, call, "the version that began the stream isn't known", outbox);
+      refuse_resumption (node, call, "the version that began the stream isn't known", outbox);
       return;
     }
   g_clear_pointer (&call->resumes, g_free);
--- a/test/software_test.cc
+++ b/test/software_test.cc
@@ -352,10 +352,49 @@
   world.put ("config", "main", config_spec (4, "streaming").c_str ());
   world.run (GSPAN_SECOND);
   send_stream (rig, 1, "b1", 3, "never-seen");
+  world.run (80 * GSPAN_MS);
   ASSERT_EQ (rig.exchanges.size (), 1U);
   EXPECT_EQ (rig.exchanges[0].header ("Last-Event-Id"), "3");
 }
 
+/* It hasn't heard of the second version when the request comes. */
+TEST_F (Software, NodeThatWasFrozenAsksBeforeItGoesOn)
+{
+  start_nodes (3);
+  world.put ("config", "main", config_spec (4, "streaming").c_str ());
+  world.run (GSPAN_SECOND);
+  Rig &frozen = *world.rigs[1];
+  frozen.paused = true;
+  world.put ("servers", "d3", replica_of_version ("desk", 9, "v2").c_str ());
+  world.run (GSPAN_SECOND);
+  Rig &rig = *world.rigs[0];
+  std::string attempt;
+  for (guint64 id = 1; id < 30 && attempt.empty (); id++)
+    {
+      begin_stream (rig, id, "a" + std::to_string (id), 2);
+      if (host_of (rig.exchanges.back ()) == "10.0.0.9:80")
+        attempt = "a" + std::to_string (id);
+    }
+  ASSERT_FALSE (attempt.empty ());
+  frozen.paused = false;
+  send_stream (frozen, 100, "b1", 2, attempt);
+  world.run (100 * GSPAN_MS);
+  for (const auto &exchange : frozen.exchanges)
+    EXPECT_EQ (host_of (exchange), "10.0.0.9:80");
+  /* it may not know a replica of that version yet, and says so */
+  if (frozen.exchanges.empty ())
+    {
+      ASSERT_NE (response_to (frozen, 100), nullptr);
+      EXPECT_EQ (response_to (frozen, 100)->status, 503);
+      EXPECT_TRUE (response_to (frozen, 100)->has ("Retry-After"));
+    }
+  world.run (GSPAN_SECOND);
+  send_stream (frozen, 101, "b2", 2, attempt);
+  world.run (100 * GSPAN_MS);
+  ASSERT_FALSE (frozen.exchanges.empty ());
+  EXPECT_EQ (host_of (frozen.exchanges.back ()), "10.0.0.9:80");
+}
+
 /* Streams that began when there was one version are told once there are two. */
 TEST_F (Software, StreamBegunBeforeTheSecondVersionCameGoesOnAtTheFirst)
 {
