catalog: a statement about a later start doesn't undo a replica's limit

What a replica got: all that came, while it named a limit. A node that heard from another of a limit of a later start of the replica, before its own list showed that start, kept the later record, found none for the start that it knew, and did not note the limit in answers either.

Cause: limits were looked up by the exact start. Whatever answers at the address is the later start, or soon will be; so a record of a later start counts for it too.

--- a/catalog/limits.c
+++ b/catalog/limits.c
@@ -54,7 +54,8 @@
   if (g_hash_table_size (limits->items) == 0)
     return NULL;
   limit = g_hash_table_lookup (limits->items, replica->id);
-  return limit != NULL && limit->born == replica->born && limit->holds ? limit : NULL;
+  /* a later start that the list doesn't show yet is what answers at the address by now */
+  return limit != NULL && limit->born >= replica->born && limit->holds ? limit : NULL;
 }
 
 bool
@@ -188,16 +189,14 @@
   tell_due (node, outbox);
 }
 
-/* The record of UPSTREAM's incarnation; a later one replaces it. NULL where it is a later one. */
+/* The record of UPSTREAM's incarnation, or of a later one that is known; it replaces older ones. */
 static struct GspanLimit *
 record_of (struct GspanLimits *limits, const char *upstream, guint64 born)
 {
   struct GspanLimit *limit = g_hash_table_lookup (limits->items, upstream);
 
-  if (limit != NULL && limit->born == born)
+  if (limit != NULL && limit->born >= born)
     return limit;
-  if (limit != NULL && limit->born > born)
-    return NULL;
   limit = g_new0 (struct GspanLimit, 1);
   limit->upstream = g_strdup (upstream);
   limit->born = born;
@@ -238,8 +237,6 @@
 {
   struct GspanLimit *limit = record_of (&node->rate_limits, replica->id, replica->born);
 
-  if (limit == NULL)
-    return;
   limit->learned_at = node->now;
   if (limit->holds && fabs (limit->requests_per_s - requests_per_s) < SAME_LIMIT)
     return;
@@ -339,9 +336,7 @@
   if (!decode (value, &statement))
     return;
   limit = record_of (&node->rate_limits, statement.upstream, statement.born);
-  if (limit == NULL)
-    return;
-  if (!goes_before (&statement, limit))
+  if (limit->born > statement.born || !goes_before (&statement, limit))
     return;
   if (statement.holds)
     limit->learned_at = node->now;
--- a/catalog/limits.h
+++ b/catalog/limits.h
@@ -83,7 +83,7 @@
                                const struct GspanWireResponse *answer, guint64 sent_at,
                                struct GspanOutbox *outbox);
 
-/* The limit of this incarnation of REPLICA; NULL where it has none. */
+/* The limit of REPLICA, or of a later start of it that its entry doesn't show yet; NULL is none. */
 struct GspanLimit *gspan_limits_find (const struct GspanLimits *limits,
                                       const struct GspanReplica *replica);
 
--- a/test/limits_test.cc
+++ b/test/limits_test.cc
@@ -497,3 +497,20 @@
       RC_ASSERT ((double)count <= per_s * 4 + std::max (per_s, 2.0) + 1);
     }
 }
+
+/* A node may hear of a replica's new start from the others before it reads the entry. */
+TEST_F (Limits, StatementAboutALaterStartDoesNotUndoTheLimit)
+{
+  Rig &rig = start_nodes (1);
+
+  limit_all (4);
+  play (2 * GSPAN_SECOND, 20 * GSPAN_MS);
+  for (const char *name : { "d1", "d2" })
+    rig.datagram (std::string ("{\"kind\":\"limits\",\"format\":1,\"limits\":[{\"upstream\":\"")
+                  + name
+                  + "\",\"born\":5,\"holds\":true,\"mrps\":4000,\"version\":1,"
+                    "\"allocator\":\"vm-9\",\"udp\":\"127.0.0.1:9\"}]}");
+  play (10 * GSPAN_SECOND, 20 * GSPAN_MS);
+  EXPECT_EQ (gspan_limits_count (&rig.node.rate_limits), 2U);
+  expect_within (4);
+}
