catalog: limits are told in datagrams that a receiver takes whole

A receiver takes 16 KB of a datagram (shell/udp.c). All statements that were due went into one, so that with some 150 replicas or more that limit their requests it was cut, read as nothing, and the other nodes were told of no limit at all. 64 go into one now, the rest with the next tick. Limits.ManyLimitsAreToldInSeveralDatagrams failed before; the test world now wants every datagram of every test below that size.

--- a/catalog/limits.c
+++ b/catalog/limits.c
@@ -16,7 +16,8 @@
 enum
 {
   TELL_TIMES = 3,
-  MILLI = 1000, /* limits in messages and log lines are thousandths of a request a second */
+  STATEMENTS_MAX = 64, /* in a datagram, of some 12 KB */
+  MILLI = 1000,        /* limits in messages and log lines are thousandths of a request a second */
   INCARNATION_SHIFT = 20, /* leaves room for that many questions, within a signed number */
   FORMAT_VERSION = 1
 };
@@ -160,7 +161,7 @@
   gpointer value;
 
   g_hash_table_iter_init (&iter, node->rate_limits.items);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  while (json_array_size (list) < STATEMENTS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct GspanLimit *limit = value;
 
--- a/test/limits_test.cc
+++ b/test/limits_test.cc
@@ -514,3 +514,27 @@
   EXPECT_EQ (gspan_limits_count (&rig.node.rate_limits), 2U);
   expect_within (4);
 }
+
+TEST_F (Limits, ManyLimitsAreToldInSeveralDatagrams)
+{
+  Rig &rig = start_nodes (2);
+  const unsigned count = 300;
+
+  for (unsigned number = 0; number < count; number++)
+    world.put ("servers", "x" + std::to_string (number),
+               replica_spec ("desk", 10 + number, 0).c_str ());
+  world.run (2 * GSPAN_SECOND);
+  world.lose_datagrams = true;
+  for (guint64 id = 1; id <= 4000; id++)
+    {
+      send_desk_request (rig, id, "a" + std::to_string (id));
+      if (!rig.exchanges.empty ())
+        rig.http_done (rig.exchanges.back (), GSPAN_HTTP_COMPLETE, 200,
+                       { "X-Server-Stamp: s", "Server-Limit: 4" }, "good");
+    }
+  world.lose_datagrams = false;
+  world.run (3 * GSPAN_SECOND);
+  EXPECT_GE (gspan_limits_count (&rig.node.rate_limits), count);
+  EXPECT_EQ (gspan_limits_count (&world.rigs[1]->node.rate_limits),
+             gspan_limits_count (&rig.node.rate_limits));
+}
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -639,6 +639,7 @@
             std::string to = action->u.datagram.address;
             World *in = &world;
 
+            EXPECT_LE (text.size (), 16384U) << "a receiver takes no more (shell/udp.c)";
             if (world.lose_datagrams)
               break;
             world.scheduled.push_back ({ world.now + GSPAN_MS, [in, to, text] {
