scripts: test processes get ports that no outgoing connection takes

Ports were drawn from the range that the system gives to outgoing connections too, and were free only until the process listened.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -37,14 +38,20 @@
 )
 
 
-PORTS_GIVEN = set()  # (ip, kind, port): the system may name a free port twice before anybody listens there
+# Below those that the system gives to outgoing connections, which could take a port before its process listens there.
+PORTS = range(12000, 32000)
+PORTS_GIVEN = set()  # (ip, kind, port): a free port may be drawn twice before anybody listens there
 
 
 def free_port(ip, kind=socket.SOCK_STREAM):
     while True:
         with socket.socket(socket.AF_INET, kind) as probe:
-            probe.bind((ip, 0))
-            given = (ip, kind, probe.getsockname()[1])
+            port = random.SystemRandom().choice(PORTS)
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+        given = (ip, kind, port)
         if given not in PORTS_GIVEN:
             PORTS_GIVEN.add(given)
             return given[2]
