peers: lines that tell which other nodes a node knows

Whether nodes hear one another decides whether they keep a replica's limit together, and no line said which others a node tells. event=peer-known and event=peer-gone do. 42 soak runs (14 at a time): all others known 1.13 s after a node's start at the latest, which speaks against nodes that didn't know each other as the cause of the failure in KNOWN-RED.txt.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -133,7 +133,7 @@
       gspan_jobs_apply_head (node, object, outbox);
       break;
     case GSPAN_FOLLOW_NODES:
-      gspan_peers_apply (node, object);
+      gspan_peers_apply (node, object, outbox);
       break;
     case GSPAN_FOLLOW_RETIREMENTS:
       gspan_peers_apply_retirement (node, object, outbox);
--- a/node/peers.c
+++ b/node/peers.c
@@ -34,8 +34,22 @@
   g_free (peers->retirement_vm);
 }
 
+static void
+log_peer (const struct GspanNode *node, const char *event, const char *name, const char *udp,
+          struct GspanOutbox *outbox)
+{
+  struct GspanLine line;
+
+  gspan_line_init (&line, event);
+  gspan_line_cstr (&line, "vm", name);
+  gspan_line_cstr (&line, "udp", udp);
+  gspan_line_u64 (&line, "known", g_hash_table_size (node->peers.items));
+  gspan_outbox_log (outbox, "peers", GSPAN_PRIORITY_INFO, &line);
+}
+
 void
-gspan_peers_apply (struct GspanNode *node, const struct GspanStoreObject *object)
+gspan_peers_apply (struct GspanNode *node, const struct GspanStoreObject *object,
+                   struct GspanOutbox *outbox)
 {
   const char *udp = json_string_value (json_object_get (object->spec, "udp"));
   const char *zone = json_string_value (json_object_get (object->spec, "zone"));
@@ -43,9 +57,13 @@
 
   if (object->removed || udp == NULL)
     {
-      g_hash_table_remove (node->peers.items, object->name);
+      if (g_hash_table_remove (node->peers.items, object->name))
+        log_peer (node, "peer-gone", object->name, "", outbox);
       return;
     }
+  peer = g_hash_table_lookup (node->peers.items, object->name);
+  if (peer == NULL || strcmp (peer->udp_address, udp) != 0)
+    log_peer (node, "peer-known", object->name, udp, outbox);
   peer = g_new0 (struct GspanPeer, 1);
   peer->name = g_strdup (object->name);
   peer->zone = g_strdup (zone);
--- a/node/peers.h
+++ b/node/peers.h
@@ -30,7 +30,8 @@
 
 void gspan_peers_init (struct GspanPeers *peers);
 void gspan_peers_finish (struct GspanPeers *peers);
-void gspan_peers_apply (struct GspanNode *node, const struct GspanStoreObject *object);
+void gspan_peers_apply (struct GspanNode *node, const struct GspanStoreObject *object,
+                        struct GspanOutbox *outbox);
 
 /* Nothing that lasts is kept on a VM's disk: a VM that is to be emptied is empty at once. */
 void gspan_peers_apply_retirement (struct GspanNode *node, const struct GspanStoreObject *object,
