gateway: lines that tell how a stream is taken up and why a limit refuses

event=call-resumes says which attempt a stream goes on from, which version began it and whether others had to be asked. A caller who is refused at once for a limit was told that no replica is up; the reason names the limit now.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -66,11 +66,18 @@
   gspan_call_forget (node, call, outbox);
 }
 
+/* Why CALL, which no replica takes now, is refused. */
+static const char *
+why_refused (const struct GspanCall *call)
+{
+  return call->retry_at != 0 ? "no replica has room within its limit" : "no replica is up";
+}
+
 static void
 start_first (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
   if (!gspan_attempts_try_next (node, call, outbox))
-    gspan_call_give_up (node, call, "no replica is up", 502, outbox);
+    gspan_call_give_up (node, call, why_refused (call), 502, outbox);
 }
 
 static void
@@ -82,6 +89,24 @@
   gspan_call_forget (node, call, outbox);
 }
 
+static void
+log_resumption (const struct GspanNode *node, const struct GspanCall *call, const char *software,
+                struct GspanOutbox *outbox)
+{
+  struct GspanLine line;
+
+  gspan_line_init (&line, "call-resumes");
+  gspan_line_cstr (&line, "id", call->caller_id);
+  gspan_line_cstr (&line, "resumes", call->resumes);
+  gspan_line_cstr (&line, "service", call->service);
+  gspan_line_cstr (&line, "software", software != NULL ? software : "");
+  gspan_line_u64 (&line, "last_event", call->last_event);
+  gspan_line_u64 (&line, "asked", call->origin_until != 0);
+  gspan_line_u64 (&line, "elapsed_us", node->now - call->started);
+  gspan_line_u64 (&line, "list_age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
+  gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
+}
+
 /* Asks the other nodes for the origin of CALL's stream. True while their answers may come. */
 static bool
 wait_for_origin (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
@@ -106,6 +131,7 @@
 
   if (software == NULL && wait_for_origin (node, call, outbox))
     return;
+  log_resumption (node, call, software, outbox);
   if (software == NULL && gspan_streams_is_mixed (node, call->service))
     {
       refuse_resumption (node, call, "the version that began the stream isn't known", outbox);
@@ -224,7 +250,7 @@
   else if (call->open->len == 0)
     {
       if (!gspan_attempts_try_next (node, call, outbox))
-        gspan_call_give_up (node, call, "no replica has room within its limit", 502, outbox);
+        gspan_call_give_up (node, call, why_refused (call), 502, outbox);
     }
   else
     {
