--- a/scripts/check.py
+++ b/scripts/check.py
@@ -75,6 +75,7 @@
     for name, text in results:
         if name in red:
             print(f"known red, {'failed' if text is not None else 'passed'}: {name}")
+            print(text or "", end="")
     passed = sum(1 for _, text in results if text is None)
     print(f"{passed} passed, {len(failed)} failed")
     return 1 if failed or passed == 0 else 0
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -8,6 +8,8 @@
 import json
 import os
 import random
+import re
+import shutil
 import signal
 import subprocess
 import sys
@@ -24,12 +26,18 @@
 from fleet import free_port, free_udp_port  # noqa: E402 pylint: disable=wrong-import-position
 BUILD = os.environ.get("GSPAN_BUILD", os.path.join(ROOT, "build"))
 SERVICES = {"desk": 4, "calls": 4, "llm": 4, "text": 4}
-MEMORY_MB = 110 * (3 if "sanitize" in BUILD else 1)  # of the smallest VM; sanitizers take twice as much more
+MEMORY_MB = 110  # of the smallest VM
+SANITIZER_FACTOR = 3  # sanitizers take twice as much more
 START_S = 3.0
 READY_WITHIN_S = 30.0
 DEADLINE_S = 1.1
 RETRIES = 2
 BACK_AFTER_S = 2.0
+# Each run that failed has a folder there.
+FAILED_RUNS = os.environ.get("GSPAN_SOAK_FAILED", os.path.join(tempfile.gettempdir(), "gspan-soak-failed"))
+FAILED_RUNS_KEPT = 20
+NAMES = r"\bi-[a-z]+-\d+|\ba\d+\b|\bs\d+\b|\bj\d+-\d+(?:-\d+)?"  # of replicas, attempts, jobs and items
+LINES_SHOWN = 150  # of the logs, on a failure
 
 CONFIG = {
     "version": 3,
@@ -423,7 +431,7 @@
         self.book.check_limits()
         self.book.check_software()
         for node in self.nodes:
-            self.book.check_memory(node.name, node.peak_mb(), MEMORY_MB)
+            self.book.check_memory(node.name, node.peak_mb(), self.options.memory_mb)
 
     async def stop(self):
         for node in self.nodes:
@@ -445,6 +453,42 @@
     return world.book
 
 
+def names_in(broken):
+    """Ids of replicas and attempts that the broken promises name."""
+    return {name for line in broken for name in re.findall(NAMES, line)}
+
+
+def show_lines(folder, broken):
+    """Lines of the logs that name what the broken promises are about, the latest of them."""
+    names = names_in(broken)
+    if not names:
+        return
+    found = []
+    for file in sorted(os.listdir(folder)):
+        if not file.endswith(".log"):
+            continue
+        with open(os.path.join(folder, file), encoding="utf-8", errors="replace") as log:
+            found += [f"{file}: {line.rstrip()}" for line in log if names & set(re.split(r"[\s=\"#]+", line))]
+    print(f"{len(found)} log lines name {', '.join(sorted(names))}")
+    for line in found[-LINES_SHOWN:]:
+        print(line[:400])
+
+
+def keep_failed_run(folder, options, book):
+    """Keeps settings, logs and what was seen of a run that failed, and shows the lines that matter."""
+    os.makedirs(FAILED_RUNS, exist_ok=True)
+    for old in sorted(os.listdir(FAILED_RUNS))[:-FAILED_RUNS_KEPT]:
+        shutil.rmtree(os.path.join(FAILED_RUNS, old), ignore_errors=True)
+    kept = os.path.join(FAILED_RUNS, f"{time.strftime('%Y%m%dT%H%M%S')}-seed-{options.seed}-{os.getpid()}")
+    shutil.copytree(folder, kept)
+    with open(os.path.join(kept, "book.json"), "w", encoding="utf-8") as file:
+        json.dump({"options": vars(options), "broken": book.broken, "wall_s": time.time() - book.now(),
+                   "got_at": book.got_at, "limits": book.limits, "disturbed": book.disturbed,
+                   "stops": book.stops}, file, default=str)
+    print(f"kept in {kept}")
+    show_lines(kept, book.broken)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
@@ -456,6 +500,8 @@
     parser.add_argument("--silent", type=float, default=0.5, help="share of replicas that end without a reset")
     parser.add_argument("--pause", type=float, default=1.5, help="mean time between two faults, in seconds")
     parser.add_argument("--faults", default="leave,crash,lose,store,some,forget,watches,kill,term,freeze,limit,newer,burst,endless")
+    parser.add_argument("--memory-mb", type=int, default=MEMORY_MB * (SANITIZER_FACTOR if "sanitize" in BUILD else 1),
+                        help="memory that a node may use")
     parser.add_argument("--keep", help="folder for settings and logs")
     parser.add_argument("--quiet", action="store_true", help="no figures, which differ between two runs of a seed")
     options = parser.parse_args()
@@ -465,6 +511,8 @@
         for name in os.listdir(folder):
             os.remove(os.path.join(folder, name))
         book = asyncio.run(play(options, folder))
+        if book.broken:
+            keep_failed_run(folder, options, book)
     if not options.quiet:
         print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()},
               f"most of a limit {book.most_of_limit:.2f}, streams begun {len(book.streams[False])}, taken up "
