jobs: items with a reward call are listed with its score only

Cause: an item's scorer was read nowhere. Its text was taken for its result.

The reward call is a part of its own in the life of an item (docs/design/rewards.md): a whole text is unscored until a 2xx with a replica's signature has come for its call, which leaves after the last event and, for long texts, after the text is in the store. jobs/reward_plan decides when and in which order, apart from I/O; all calls pass the gate of catalog/permits and the choice of catalog/pick.

A write of a checkpoint that fails counts as not made, so that it is made again.

--- a/board/board.c
+++ b/board/board.c
@@ -128,6 +128,7 @@
     case GSPAN_OWNER_GATEWAY:
     case GSPAN_OWNER_JOBS:
     case GSPAN_OWNER_RUNS:
+    case GSPAN_OWNER_REWARDS:
     case GSPAN_OWNER_WEIGHTS:
     case GSPAN_OWNER_VERDICTS:
       break;
--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -209,7 +209,8 @@
 static bool
 places_work (const struct GspanNode *node)
 {
-  return node->weights.lease.held || g_hash_table_size (node->runner.runs) > 0;
+  return node->weights.lease.held || g_hash_table_size (node->runner.runs) > 0
+         || g_hash_table_size (node->rewards.calls) > 0;
 }
 
 /* Until the next look for changes of replicas. */
--- a/catalog/limits.h
+++ b/catalog/limits.h
@@ -26,7 +26,7 @@
 enum GspanTraffic
 {
   GSPAN_TRAFFIC_CALLS,  /* of desk callers */
-  GSPAN_TRAFFIC_RUNS,   /* of items */
+  GSPAN_TRAFFIC_RUNS,   /* of items, and their reward calls */
   GSPAN_TRAFFIC_ORDERS, /* and questions about them */
   GSPAN_TRAFFIC_COUNT
 };
--- a/catalog/pick.c
+++ b/catalog/pick.c
@@ -23,6 +23,10 @@
     return false;
   if (query->open_max > 0 && replica->open >= query->open_max)
     return false;
+  if (query->open_percent > 0
+      && (replica->open + 1) * 100 > MAX (1, replica->slots) * query->open_percent
+      && replica->open > 0)
+    return false;
   if (query->is_suspect && replica->suspects > 0)
     return false;
   if (gspan_pace_is_slow (replica, query->typical_us, query->now))
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -44,6 +44,9 @@
   [GSPAN_METRIC_RUNS] = { "gspan_runs_total", "runs of items sent to replicas" },
   [GSPAN_METRIC_RUNS_RESUMED]
   = { "gspan_runs_resumed_total", "runs that broke and go on elsewhere" },
+  [GSPAN_METRIC_REWARD_CALLS] = { "gspan_reward_calls_total", "reward calls sent to replicas" },
+  [GSPAN_METRIC_REWARD_CALLS_FAILED]
+  = { "gspan_reward_calls_failed_total", "reward calls that brought no score" },
   [GSPAN_METRIC_BEYOND_LIMIT]
   = { "gspan_requests_beyond_limit_total", "requests sent to an upstream beyond its limit" },
   [GSPAN_METRIC_LOG_LINES_DROPPED]
@@ -62,17 +65,20 @@
   [GSPAN_GAUGE_CONFIG] = { "gspan_config_version", "configuration in force here" },
   [GSPAN_GAUGE_JOBS] = { "gspan_jobs", "batch jobs known here" },
   [GSPAN_GAUGE_RUNS] = { "gspan_runs", "runs of items under way" },
+  [GSPAN_GAUGE_REWARD_CALLS] = { "gspan_reward_calls", "reward calls under way" },
+  [GSPAN_GAUGE_UNSCORED_TEXTS] = { "gspan_unscored_texts", "whole texts without a score yet" },
   [GSPAN_GAUGE_LIMITED_UPSTREAMS]
   = { "gspan_limited_upstreams", "upstreams that limit the requests that they take" },
 };
 
-static const struct Description histograms[GSPAN_HISTOGRAM_COUNT]
-    = { [GSPAN_HISTOGRAM_DESK]
-        = { "gspan_desk_seconds", "from taking a desk call to its whole answer or its outcome" },
-        [GSPAN_HISTOGRAM_PULL]
-        = { "gspan_pull_seconds",
-            "from a trainer's pull to its batch; pulls without one don't count" },
-        [GSPAN_HISTOGRAM_RUN] = { "gspan_run_seconds", "of a run of an item that ended whole" } };
+static const struct Description histograms[GSPAN_HISTOGRAM_COUNT] = {
+  [GSPAN_HISTOGRAM_DESK]
+  = { "gspan_desk_seconds", "from taking a desk call to its whole answer or its outcome" },
+  [GSPAN_HISTOGRAM_PULL]
+  = { "gspan_pull_seconds", "from a trainer's pull to its batch; pulls without one don't count" },
+  [GSPAN_HISTOGRAM_RUN] = { "gspan_run_seconds", "of a run of an item that ended whole" },
+  [GSPAN_HISTOGRAM_REWARD] = { "gspan_reward_seconds", "from an item's whole text to its score" }
+};
 
 #define US_PER_S 1e6
 
--- a/jobs/checkpoint.c
+++ b/jobs/checkpoint.c
@@ -10,6 +10,7 @@
 
 /* Bounds the generation time that is lost with an owner. */
 #define CHECKPOINT_INTERVAL_US (2 * GSPAN_SECOND)
+#define WRITE_WAIT_MAX_US (300 * GSPAN_MS) /* of a whole text's reward call for the write of it */
 
 enum
 {
@@ -21,7 +22,8 @@
 static bool
 is_unfinished (const struct GspanItem *item)
 {
-  return item->state == GSPAN_ITEM_RUNNING || item->state == GSPAN_ITEM_WAITING;
+  return item->state == GSPAN_ITEM_RUNNING || item->state == GSPAN_ITEM_WAITING
+         || item->state == GSPAN_ITEM_UNSCORED;
 }
 
 static bool
@@ -33,7 +35,7 @@
 
       if (!is_unfinished (item))
         continue;
-      if (item->server_errors > item->checkpointed_errors)
+      if (gspan_item_error_count (item) > item->checkpointed_errors)
         return true;
       if (item->result != NULL && item->last_event_id >= item->checkpointed_event_id + events_min)
         return true;
@@ -51,6 +53,36 @@
   return route != NULL && !route->single_version;
 }
 
+/* True if much would be lost of the whole text of ITEM, which hasn't been written yet. */
+static bool
+is_worth_a_write (const struct GspanItem *item)
+{
+  return item->last_event_id >= item->checkpointed_event_id + NEW_EVENTS_MIN;
+}
+
+/* True if a reward call waits for a write. */
+static bool
+has_reward_call_waiting (const struct GspanJob *job)
+{
+  for (const GList *entry = job->unscored_items.head; entry != NULL; entry = entry->next)
+    {
+      if (is_worth_a_write (entry->data))
+        return true;
+    }
+  return false;
+}
+
+bool
+gspan_checkpoint_covers (const struct GspanNode *node, const struct GspanJob *job,
+                         const struct GspanItem *item)
+{
+  if (item->last_event_id < NEW_EVENTS_MIN || node->catalog.store_fails
+      || !allows_checkpoint (node, job)
+      || node->now >= item->reward.owed_since_us + WRITE_WAIT_MAX_US)
+    return true;
+  return !is_worth_a_write (item) && job->checkpoint_call == 0;
+}
+
 static bool
 is_due (const struct GspanNode *node, const struct GspanJob *job, bool last)
 {
@@ -59,7 +91,8 @@
     return false;
   if (last)
     return has_enough_progress (job, HANDOVER_EVENTS_MIN);
-  return node->now >= job->next_checkpoint_at_us && has_enough_progress (job, NEW_EVENTS_MIN);
+  return has_reward_call_waiting (job)
+         || (node->now >= job->next_checkpoint_at_us && has_enough_progress (job, NEW_EVENTS_MIN));
 }
 
 static gint
@@ -87,7 +120,7 @@
       struct GspanItem *item = &job->items[i];
       bool has_events = item->result != NULL && item->last_event_id >= events_min;
 
-      if (is_unfinished (item) && (has_events || item->server_errors > 0))
+      if (is_unfinished (item) && (has_events || gspan_item_error_count (item) > 0))
         g_ptr_array_add (items, item);
     }
   g_ptr_array_sort (items, compare_progress);
@@ -106,6 +139,11 @@
   json_object_set_new (value, "events", json_integer ((json_int_t)item->last_event_id));
   if (item->server_errors > 0)
     json_object_set_new (value, "errors", json_integer ((json_int_t)item->server_errors));
+  if (item->reward.server_errors > 0)
+    json_object_set_new (value, "reward_errors",
+                         json_integer ((json_int_t)item->reward.server_errors));
+  if (item->state == GSPAN_ITEM_UNSCORED)
+    json_object_set_new (value, "whole", json_true ());
   return value;
 }
 
@@ -126,7 +164,7 @@
       size_t text = item->result != NULL ? item->result->text->len : 0;
 
       item->checkpointed_event_id = item->last_event_id;
-      item->checkpointed_errors = item->server_errors;
+      item->checkpointed_errors = gspan_item_error_count (item);
       if (text > text_left)
         continue;
       text_left -= text;
@@ -159,6 +197,17 @@
   return job->checkpoint_call != 0 || is_due (node, job, true);
 }
 
+/* What the last write should have kept counts as not written. */
+static void
+mark_unwritten (struct GspanJob *job)
+{
+  for (guint i = 0; i < job->document.items->len; i++)
+    {
+      job->items[i].checkpointed_event_id = 0;
+      job->items[i].checkpointed_errors = 0;
+    }
+}
+
 void
 gspan_checkpoint_write_done (struct GspanNode *node, struct GspanJob *job,
                              const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
@@ -177,6 +226,8 @@
    * after that replaces the object.
    */
   job->has_checkpoint = reply->result == GSPAN_STORE_OK || reply->result == GSPAN_STORE_CONFLICT;
+  if (reply->result != GSPAN_STORE_OK && job->content_loaded)
+    mark_unwritten (job);
 }
 
 void
@@ -188,12 +239,19 @@
 }
 
 static void
-restore_errors (struct GspanItem *item, json_t *value)
+restore_count (guint *count, json_t *value, const char *key)
 {
-  json_int_t errors = json_integer_value (json_object_get (value, "errors"));
+  json_int_t kept = json_integer_value (json_object_get (value, key));
 
-  item->server_errors = MAX (item->server_errors, (guint)CLAMP (errors, 0, G_MAXUINT16));
-  item->checkpointed_errors = item->server_errors;
+  *count = MAX (*count, (guint)CLAMP (kept, 0, G_MAXUINT16));
+}
+
+static void
+restore_errors (struct GspanItem *item, json_t *value)
+{
+  restore_count (&item->server_errors, value, "errors");
+  restore_count (&item->reward.server_errors, value, "reward_errors");
+  item->checkpointed_errors = gspan_item_error_count (item);
 }
 
 static void
@@ -216,6 +274,11 @@
   item->result = result;
   item->last_event_id = (guint64)events;
   item->checkpointed_event_id = item->last_event_id;
+  if (item->submitted->reward != NULL && json_is_true (json_object_get (value, "whole")))
+    {
+      g_queue_remove (&job->waiting_items, item);
+      gspan_job_set_state (job, item, GSPAN_ITEM_UNSCORED);
+    }
 }
 
 void
--- a/jobs/checkpoint.h
+++ b/jobs/checkpoint.h
@@ -16,6 +16,13 @@
 /* Name of the checkpoint among the job's objects; it sorts before the parts. */
 extern const char gspan_checkpoint_name[];
 
+/*
+ * True if nothing that is worth keeping of the whole text of ITEM would be lost with this node: it
+ * is in the store, short, or can't be kept now. The wait for a write is bounded.
+ */
+bool gspan_checkpoint_covers (const struct GspanNode *node, const struct GspanJob *job,
+                              const struct GspanItem *item);
+
 /*
  * Writes a checkpoint of JOB if one is due. LAST is true during a handover, when fewer new events
  * are enough and the interval between checkpoints doesn't count.
--- a/jobs/document.c
+++ b/jobs/document.c
@@ -1,5 +1,15 @@
 #include "jobs/document.h"
 
+static void
+reward_free (struct GspanRewardRequest *reward)
+{
+  g_free (reward->id);
+  g_free (reward->host);
+  g_free (reward->path);
+  g_clear_pointer (&reward->body, g_bytes_unref);
+  g_free (reward);
+}
+
 static void
 item_free (gpointer data)
 {
@@ -10,6 +20,7 @@
   g_free (item->group);
   gspan_headers_finish (&item->headers);
   g_clear_pointer (&item->body, g_bytes_unref);
+  g_clear_pointer (&item->reward, reward_free);
   g_free (item);
 }
 
@@ -36,3 +47,10 @@
   g_ptr_array_add (document->items, item);
   return item;
 }
+
+struct GspanRewardRequest *
+gspan_job_item_add_reward (struct GspanJobItem *item)
+{
+  item->reward = g_new0 (struct GspanRewardRequest, 1);
+  return item->reward;
+}
--- a/jobs/groups.c
+++ b/jobs/groups.c
@@ -54,12 +54,20 @@
 }
 
 static struct GspanJobGroup *
-find_group (struct GspanGroups *groups, guint item)
+find_group (const struct GspanGroups *groups, guint item)
 {
   return &g_array_index (groups->groups, struct GspanJobGroup,
                          g_array_index (groups->group_of_item, guint, item));
 }
 
+guint
+gspan_groups_missing_count (const struct GspanGroups *groups, guint index)
+{
+  const struct GspanJobGroup *group = find_group (groups, index);
+
+  return group->item_count - group->done_count;
+}
+
 void
 gspan_groups_mark_done (struct GspanGroups *groups, guint index)
 {
--- a/jobs/groups.h
+++ b/jobs/groups.h
@@ -31,6 +31,9 @@
  */
 void gspan_groups_load (struct GspanGroups *groups, const struct GspanJobDocument *document);
 
+/* Items that the group of the item at INDEX lacks to be complete. */
+guint gspan_groups_missing_count (const struct GspanGroups *groups, guint index);
+
 /* Counts the item at INDEX of the document as done, or takes that back. */
 void gspan_groups_mark_done (struct GspanGroups *groups, guint index);
 void gspan_groups_unmark_done (struct GspanGroups *groups, guint index);
--- a/jobs/job.c
+++ b/jobs/job.c
@@ -40,6 +40,7 @@
   job->readers = g_ptr_array_new_with_free_func (g_free);
   job->item_readers = g_ptr_array_new_with_free_func (item_reader_free);
   g_queue_init (&job->waiting_items);
+  g_queue_init (&job->unscored_items);
   return job;
 }
 
@@ -54,6 +55,7 @@
   g_clear_pointer (&job->items, g_free);
   g_hash_table_remove_all (job->items_by_id);
   g_queue_clear (&job->waiting_items);
+  g_queue_clear (&job->unscored_items);
 }
 
 void
@@ -137,6 +139,19 @@
                     (json_int_t)job->item_count, "received_ms", (json_int_t)job->received_ms);
 }
 
+bool
+gspan_job_is_run_here (const struct GspanJob *job)
+{
+  return job->is_owner && !job->ended && job->content_loaded && job->segments_up_to_date
+         && !job->handing_over;
+}
+
+guint
+gspan_item_error_count (const struct GspanItem *item)
+{
+  return item->server_errors + item->reward.server_errors;
+}
+
 static bool
 is_done (enum GspanItemState state)
 {
@@ -152,6 +167,10 @@
     gspan_groups_mark_done (&job->groups, index);
   else if (!is_done (state) && is_done (item->state))
     gspan_groups_unmark_done (&job->groups, index);
+  if (item->state == GSPAN_ITEM_UNSCORED)
+    g_queue_remove (&job->unscored_items, item);
+  if (state == GSPAN_ITEM_UNSCORED)
+    g_queue_push_tail (&job->unscored_items, item);
   item->state = state;
 }
 
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -5,6 +5,7 @@
 #include "jobs/document.h"
 #include "jobs/groups.h"
 #include "jobs/result.h"
+#include "jobs/reward_plan.h"
 
 /*
  * One batch job, with what this node has cached of it. In the store a job is its head, an object of
@@ -27,6 +28,7 @@
 {
   GSPAN_ITEM_WAITING, /* queued in waiting_items */
   GSPAN_ITEM_RUNNING,
+  GSPAN_ITEM_UNSCORED, /* its text is whole; queued in unscored_items for its reward call */
   GSPAN_ITEM_FINISHED, /* its result is in ready_results, not yet committed */
   GSPAN_ITEM_COMMITTED
 };
@@ -36,12 +38,13 @@
 {
   const struct GspanJobItem *submitted;
   enum GspanItemState state;
-  struct GspanJobResult *result; /* generated so far; NULL before the first event */
-  guint64 last_event_id;         /* 0 before the first event */
-  guint64 checkpointed_event_id; /* last_event_id at the last checkpoint, even if it had no room */
-  guint server_errors;           /* responses with status 500, at all owners */
-  guint checkpointed_errors;     /* server_errors at the last checkpoint */
-  guint64 resumable_since_us;    /* waits for a replica that takes it since then; 0 doesn't yet */
+  struct GspanJobResult *result;  /* generated so far; NULL before the first event */
+  guint64 last_event_id;          /* 0 before the first event */
+  guint64 checkpointed_event_id;  /* last_event_id at the last checkpoint, even if it had no room */
+  guint server_errors;            /* responses with status 500, at all owners */
+  guint checkpointed_errors;      /* failures at the last checkpoint, of runs and reward calls */
+  struct GspanRewardState reward; /* of its reward call; counts from the whole text on */
+  guint64 resumable_since_us;     /* waits for a replica that takes it since then; 0 doesn't yet */
 };
 
 /* A caller that waits for results, by long poll. */
@@ -92,6 +95,7 @@
 
   bool is_owner;               /* this node runs the job */
   GQueue waiting_items;        /* struct GspanItem */
+  GQueue unscored_items;       /* struct GspanItem: all in that state, also with a call under way */
   GHashTable *prompt_replicas; /* group to id of the replica that its prompt was last sent to */
   GPtrArray *ready_results;    /* struct GspanJobResult, finished but not committed */
   guint64 append_call;
@@ -149,7 +153,16 @@
 /* Loads BODY as the job's content. Returns false and sets ERROR if it isn't a valid job. */
 bool gspan_job_load (struct GspanJob *job, struct GspanStr body, struct GspanError *error);
 
-/* Sets the state of ITEM and updates the counts of finished items by group. */
+/* True while this node may start requests for the items of JOB. */
+bool gspan_job_is_run_here (const struct GspanJob *job);
+
+/* Responses with status 500 to runs and reward calls of ITEM. */
+guint gspan_item_error_count (const struct GspanItem *item);
+
+/*
+ * Sets the state of ITEM, and updates the counts of finished items by group and the queue of
+ * unscored ones.
+ */
 void gspan_job_set_state (struct GspanJob *job, struct GspanItem *item, enum GspanItemState state);
 
 /* Appends RESULT, of which it takes ownership, to the committed results. */
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -45,6 +45,23 @@
   return g_hash_table_lookup (jobs->by_id, id);
 }
 
+static gint
+compare_age (gconstpointer a, gconstpointer b)
+{
+  const struct GspanJob *x = a;
+  const struct GspanJob *y = b;
+
+  if (x->received_ms != y->received_ms)
+    return x->received_ms < y->received_ms ? -1 : 1;
+  return strcmp (x->id, y->id);
+}
+
+GList *
+gspan_jobs_by_age (const struct GspanJobs *jobs)
+{
+  return g_list_sort (g_hash_table_get_values (jobs->by_id), compare_age);
+}
+
 struct GspanStoreCall *
 gspan_jobs_start_call (struct GspanNode *node, enum GspanJobOp job_op, const char *id,
                        enum GspanStoreOp op, const char *kind, const char *name,
@@ -66,6 +83,7 @@
 remove_job (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
   gspan_runner_stop (node, job, outbox);
+  gspan_rewards_stop (node, job, outbox);
   g_hash_table_remove (node->jobs.by_id, job->id);
 }
 
@@ -141,6 +159,7 @@
     case GSPAN_JOB_WRITE_CHECKPOINT:
       if (job != NULL && job->checkpoint_call == call->id)
         gspan_checkpoint_write_done (node, job, reply, outbox);
+      gspan_rewards_schedule (node, outbox);
       break;
     case GSPAN_JOB_SET_OWNER:
       if (job != NULL && job->head_write_call == call->id)
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -55,6 +55,9 @@
 /* Returns the job ID, or NULL if it isn't known here. */
 struct GspanJob *gspan_jobs_find (const struct GspanJobs *jobs, const char *id);
 
+/* All jobs, the oldest first. Release with g_list_free (). */
+GList *gspan_jobs_by_age (const struct GspanJobs *jobs);
+
 /*
  * Applies the head OBJECT, as read from the store or sent by another node, unless a newer revision
  * is known. May free the job: if OBJECT is marked as removed, or isn't a valid head.
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -91,6 +91,7 @@
       return;
     }
   gspan_runner_stop (node, job, outbox);
+  gspan_rewards_stop (node, job, outbox);
   /* A new owner may commit results from now on, so readers here wait for a list call. */
   job->segments_up_to_date = false;
   job->append_call = 0;
@@ -309,6 +310,7 @@
 {
   job->handing_over = true;
   gspan_runner_stop (node, job, outbox);
+  gspan_rewards_stop (node, job, outbox);
   gspan_checkpoint_write_if_due (node, job, true, outbox);
   if (gspan_checkpoint_pending (node, job) || job->ready_results->len > 0 || job->append_call != 0
       || job->head_write_call != 0 || node->catalog.store_fails
--- a/jobs/placement.c
+++ b/jobs/placement.c
@@ -53,19 +53,6 @@
   return gspan_pick_replica (node->catalog.replicas, &query);
 }
 
-/* Abandons ITEM if no replica has finished it in the time that ROUTE allows. */
-static bool
-abandon_if_late (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item,
-                 const struct GspanConfigRoute *route, struct GspanOutbox *outbox)
-{
-  gint64 age_ms = node->wall_ms - job->received_ms;
-
-  if (route->give_up_after_us == 0 || age_ms < (gint64)(route->give_up_after_us / GSPAN_MS))
-    return false;
-  gspan_run_finish_item (node, job, item, false, outbox);
-  return true;
-}
-
 /*
  * Has ITEM begin anew where its text can't go on: the software version that began it is gone, or
  * none of its replicas has taken the item for a while.
@@ -148,7 +135,7 @@
       struct GspanItem *item = g_queue_pop_head (&job->waiting_items);
       struct GspanReplica *replica;
 
-      if (abandon_if_late (node, job, item, route, outbox))
+      if (gspan_run_abandon_if_late (node, job, item, outbox))
         continue;
       begin_anew_if_due (node, job, item, service, outbox);
       replica = pick_replica (node, job, item, service, typical_us, NULL);
@@ -166,30 +153,17 @@
   return has_room;
 }
 
-static gint
-compare_age (gconstpointer a, gconstpointer b)
-{
-  const struct GspanJob *x = a;
-  const struct GspanJob *y = b;
-
-  if (x->received_ms != y->received_ms)
-    return x->received_ms < y->received_ms ? -1 : 1;
-  return strcmp (x->id, y->id);
-}
-
 void
 gspan_placement_schedule (struct GspanNode *node, struct GspanOutbox *outbox)
 {
-  GList *jobs = g_hash_table_get_values (node->jobs.by_id);
+  GList *jobs = gspan_jobs_by_age (&node->jobs);
 
   node->runner.next_schedule_at_us = node->now + SCHEDULE_INTERVAL_US;
-  jobs = g_list_sort (jobs, compare_age);
   for (GList *entry = jobs; entry != NULL; entry = entry->next)
     {
       struct GspanJob *job = entry->data;
 
-      if (!job->is_owner || job->ended || !job->content_loaded || !job->segments_up_to_date
-          || job->handing_over || job->waiting_items.length == 0)
+      if (!gspan_job_is_run_here (job) || job->waiting_items.length == 0)
         continue;
       /* A job that names a model may lack only replicas of that model: try younger jobs too. */
       if (!schedule_job (node, job, outbox) && job->document.model[0] == '\0')
--- a/jobs/result.c
+++ b/jobs/result.c
@@ -18,6 +18,7 @@
 
   g_free (result->item_id);
   g_free (result->software);
+  g_free (result->score);
   g_string_free (result->text, TRUE);
   g_array_unref (result->weight_versions);
   g_free (result);
@@ -49,9 +50,9 @@
   for (guint i = 0; i < result->weight_versions->len; i++)
     json_array_append_new (
         versions, json_integer ((json_int_t)g_array_index (result->weight_versions, guint64, i)));
-  return json_pack ("{s:s, s:b, s:s%, s:o}", "item", result->item_id, "completed",
+  return json_pack ("{s:s, s:b, s:s%, s:o, s:s*}", "item", result->item_id, "completed",
                     (int)result->completed, "text", result->text->str, result->text->len,
-                    "versions", versions);
+                    "versions", versions, "score", result->score);
 }
 
 struct GspanJobResult *
@@ -67,6 +68,7 @@
     return NULL;
   result = gspan_job_result_new (item_id);
   result->completed = json_is_true (json_object_get (value, "completed"));
+  result->score = g_strdup (json_string_value (json_object_get (value, "score")));
   g_string_append_len (result->text, json_string_value (text), (gssize)json_string_length (text));
   json_array_foreach (json_object_get (value, "versions"), index, version)
       gspan_job_result_add_version (result, (guint64)json_integer_value (version));
--- a/jobs/result.h
+++ b/jobs/result.h
@@ -12,6 +12,7 @@
   GString *text;  /* data of all events, separated by line feeds */
   char *software; /* version of the replicas' software that generates it; NULL is unknown */
   GArray *weight_versions; /* guint64: weight versions that generated it, ascending */
+  char *score;             /* signature of the answer to its reward call; NULL is none */
 };
 
 struct GspanJobResult *gspan_job_result_new (const char *item_id);
--- a/jobs/run.c
+++ b/jobs/run.c
@@ -71,6 +71,31 @@
   gspan_segments_advance (node, job, outbox);
 }
 
+void
+gspan_run_finish_text (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item,
+                       struct GspanOutbox *outbox)
+{
+  if (item->submitted->reward != NULL)
+    gspan_rewards_add (node, job, item, outbox);
+  else
+    gspan_run_finish_item (node, job, item, true, outbox);
+}
+
+bool
+gspan_run_abandon_if_late (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item,
+                           struct GspanOutbox *outbox)
+{
+  const struct GspanConfigRoute *route = gspan_config_match (
+      &node->catalog.config, gspan_str_from (job->host), gspan_str_from (job->path));
+  gint64 age_ms = node->wall_ms - job->received_ms;
+
+  if (route == NULL || route->give_up_after_us == 0
+      || age_ms < (gint64)(route->give_up_after_us / GSPAN_MS))
+    return false;
+  gspan_run_finish_item (node, job, item, false, outbox);
+  return true;
+}
+
 void
 gspan_run_discard_progress (struct GspanItem *item)
 {
--- a/jobs/run.h
+++ b/jobs/run.h
@@ -45,6 +45,14 @@
  */
 void gspan_run_requeue (struct GspanNode *node, struct GspanRun *run);
 
+/* The text of ITEM is whole: has it scored, or committed where it needs no score. */
+void gspan_run_finish_text (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item,
+                            struct GspanOutbox *outbox);
+
+/* Abandons ITEM if it hasn't been finished in the time that the route of JOB allows. */
+bool gspan_run_abandon_if_late (struct GspanNode *node, struct GspanJob *job,
+                                struct GspanItem *item, struct GspanOutbox *outbox);
+
 /* Has the result of ITEM committed, as completed or as abandoned. */
 void gspan_run_finish_item (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item,
                             bool completed, struct GspanOutbox *outbox);
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -190,7 +190,7 @@
       gspan_replica_worked (run->replica);
       gspan_metrics_observe (&node->metrics, GSPAN_HISTOGRAM_RUN, node->now - run->started_at_us);
       g_hash_table_remove (node->runner.runs, &run->id);
-      gspan_run_finish_item (node, job, item, true, outbox);
+      gspan_run_finish_text (node, job, item, outbox);
     }
   else if (whole && answer->status == STATUS_UNPROCESSABLE && wire.signed_by_replica)
     {
--- a/node/node.c
+++ b/node/node.c
@@ -31,6 +31,7 @@
   gspan_streams_init (&node->streams);
   gspan_jobs_init (&node->jobs);
   gspan_runner_init (&node->runner);
+  gspan_rewards_init (&node->rewards);
   gspan_weights_init (&node->weights);
 }
 
@@ -38,6 +39,7 @@
 gspan_node_finish (struct GspanNode *node)
 {
   gspan_weights_finish (&node->weights);
+  gspan_rewards_finish (&node->rewards);
   gspan_runner_finish (&node->runner);
   gspan_jobs_finish (&node->jobs);
   gspan_streams_finish (&node->streams);
@@ -98,6 +100,9 @@
     case GSPAN_OWNER_RUNS:
       gspan_runner_handle (node, event, outbox);
       break;
+    case GSPAN_OWNER_REWARDS:
+      gspan_rewards_handle (node, event, outbox);
+      break;
     case GSPAN_OWNER_WEIGHTS:
       gspan_weights_handle (node, event, outbox);
       break;
@@ -122,6 +127,7 @@
   gspan_gateway_handle (node, event, outbox);
   gspan_jobs_handle (node, event, outbox);
   gspan_runner_handle (node, event, outbox);
+  gspan_rewards_handle (node, event, outbox);
   gspan_weights_handle (node, event, outbox);
 }
 
@@ -131,6 +137,7 @@
   gspan_permits_receive_grant (node, message, outbox);
   gspan_gateway_send_waiting (node, outbox);
   gspan_placement_schedule (node, outbox);
+  gspan_rewards_schedule (node, outbox);
 }
 
 static void
@@ -248,6 +255,8 @@
   gspan_metrics_set (metrics, GSPAN_GAUGE_CONFIG, node->catalog.config.number);
   gspan_metrics_set (metrics, GSPAN_GAUGE_JOBS, g_hash_table_size (node->jobs.by_id));
   gspan_metrics_set (metrics, GSPAN_GAUGE_RUNS, g_hash_table_size (node->runner.runs));
+  gspan_metrics_set (metrics, GSPAN_GAUGE_REWARD_CALLS, g_hash_table_size (node->rewards.calls));
+  gspan_metrics_set (metrics, GSPAN_GAUGE_UNSCORED_TEXTS, gspan_rewards_count_unscored (node));
   gspan_metrics_set (metrics, GSPAN_GAUGE_LIMITED_UPSTREAMS,
                      gspan_limits_count (&node->rate_limits));
 }
--- a/node/node.h
+++ b/node/node.h
@@ -11,6 +11,7 @@
 #include "gateway/streams.h"
 #include "gateway/verdicts.h"
 #include "jobs/jobs.h"
+#include "jobs/rewards.h"
 #include "jobs/runner.h"
 #include "node/peers.h"
 #include "weights/weights.h"
@@ -60,6 +61,7 @@
   struct GspanStreams streams;
   struct GspanJobs jobs;
   struct GspanRunner runner;
+  struct GspanRewards rewards;
   struct GspanWeights weights;
 };
 
