soak: items with reward calls, and a check of each score

Every second job of the trainer has scorers, of which one in ten always fails. The book checks that a completed result has the signature of a 2xx to its own call, that the call came after the last event was made, and that an item is abandoned only after three responses of 500.

--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -6,6 +6,7 @@
 STABLE_S = 3.0
 RETRIES_ALLOWED = 3  # of a request that has ended three replicas, once its end can be known
 ENDS_ALLOWED = 3
+ERRORS_UNTIL_ABANDONED = 3  # maxAttempts of the batch route
 LATE_ANSWER_S = 0.5  # beyond the deadline
 RESUMED_LEAST = 12  # streams that were taken up, for their share to count
 WINDOW_S = 4.0  # over which requests to a replica with a limit are counted
@@ -31,6 +32,10 @@
         self.got_at = defaultdict(list)  # replica to (time, node) of all that reached it; no node: an item or an order
         self.streams = {False: [], True: []}  # by whether they were taken up: whether each try brought an event
         self.mixed = []  # streams and texts with events of two software versions
+        self.scorers = {}  # item to whether its reward call always fails; items without one aren't there
+        self.scores = defaultdict(list)  # item to (signature of a 2xx to its reward call, time of the call's arrival)
+        self.score_errors = defaultdict(int)  # item to responses of 500 to its reward call
+        self.texts_made = {}  # item to the time at which a replica first made its last event
         self.endless = 0  # answers without end
         self.memory_mb = 0  # the most that a node used
         self.most_of_limit = 0.0  # the largest share of what a limit allows that reached a replica
@@ -69,6 +74,9 @@
         if whole and len(events) != last:
             self.broken.append(f"ORDER {name}: ended as whole after {len(events)} of {last} events")
 
+    def text_made(self, item):
+        self.texts_made.setdefault(item, self.now())
+
     def client_sends(self, attempt, node):
         self.sent[attempt] = (node, self.now())
 
@@ -141,6 +149,21 @@
             self.broken.append(f"DRAIN {attempt}: {node or 'an item'} reached {replica} {at - since:.1f} s after "
                                "the store had acknowledged that it leaves")
 
+    def check_score(self, result):
+        """A completed result has the signature of an answer to its own call, which left after the text was whole."""
+        item = result["id"]
+        if item not in self.scorers:
+            if "score" in result:
+                self.broken.append(f"MIXED {item}: has a score and needs none")
+        elif result["state"] == "completed":
+            arrived = dict(self.scores[item]).get(result.get("score"))
+            if arrived is None:
+                self.broken.append(f"MIXED {item}: score {result.get('score')!r} isn't the signature of its call")
+            elif arrived < self.texts_made.get(item, float("inf")):
+                self.broken.append(f"MIXED {item}: its reward call came before the last event was made")
+        elif self.score_errors[item] < ERRORS_UNTIL_ABANDONED:
+            self.broken.append(f"MIXED {item}: abandoned after {self.score_errors[item]} failures of its reward call")
+
     def any_disturbed(self, at):
         return any(self.is_disturbed(node, at) for node in list(self.disturbed))
 
--- a/test/soak/replica.py
+++ b/test/soak/replica.py
@@ -8,6 +8,9 @@
 HEARTBEAT_S = 1.2
 KILLER = "/killer/"  # a request whose path holds this ends each replica that begins to run it
 EVENTS = 6  # of a batch item
+SCORE = "/desk/score/"  # paths of reward calls end with the item's id
+FAILING_SCORE = "/desk/never-scored/"
+SCORE_S = 0.03
 
 
 class Replica:
@@ -115,13 +118,31 @@
             raise Broken
         if request.path.startswith(("/batch/", "/text/")):
             return await self.stream(request, writer)
-        await asyncio.sleep(0.01)
+        is_score = request.path.startswith((SCORE, FAILING_SCORE))
+        arrived = self.world.now()
+        await asyncio.sleep(SCORE_S if is_score else 0.01)
         if not self.alive:
             await asyncio.sleep(3600)
+        if is_score:
+            return self.score(request, arrived)
         if self.lose_answers and self.world.random.random() < 0.3:
             raise Broken
         return Reply(200, request.path.encode(), self.answer_headers(request))
 
+    def score(self, request, arrived):
+        """Each answer to a reward call has a signature of its own."""
+        item = request.path.rpartition("/")[2]
+        headers = self.answer_headers(request)
+        if request.path.startswith(FAILING_SCORE):
+            self.world.book.score_errors[item] += 1
+            return Reply(500, b"", headers)
+        self.world.scores += 1
+        headers["X-Server-Stamp"] += f"~{self.world.scores}"
+        self.world.book.scores[item].append((headers["X-Server-Stamp"], arrived))
+        if self.lose_answers and self.world.random.random() < 0.3:
+            raise Broken
+        return Reply(200, b"score", headers)
+
     async def answer_without_end(self, request, writer):
         head = format_head("HTTP/1.1 200 OK", {**self.answer_headers(request), "Content-Type": "text/event-stream"})
         start, piece = self.world.random.choice([
@@ -156,6 +177,8 @@
             if writer.is_closing():
                 raise Broken
             text = f"id: {event}\ndata: {request.path}-{event}@{self.software}\n\n"
+            if event == EVENTS:
+                self.world.book.text_made(request.path.rpartition("/")[2])
             writer.write(f"{len(text):x}\r\n{text}\r\n".encode())
         writer.write(b"0\r\n\r\n")
         return None
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -18,7 +18,7 @@
 
 import book as books
 import wire
-from replica import EVENTS, KILLER, Replica
+from replica import EVENTS, FAILING_SCORE, KILLER, SCORE, Replica
 from store import Store
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -114,6 +114,7 @@
         self.started_replicas = 0
         self.attempts = 0
         self.versions = 1
+        self.scores = 0
 
     def now(self):
         return time.monotonic() - self.started
@@ -234,6 +235,12 @@
             job = f"j{self.options.seed}-{step}"
             items = [{"id": f"{job}-{i}", "path": f"/batch/{job}-{i}", "headers": {"X-Model": "m0"}, "body": "aGk=",
                       "tokenCount": 10, "group": f"g{i // 4}"} for i in range(16)]
+            if step % 2 == 0:
+                for item in items:
+                    fails = self.random.random() < 0.1
+                    item["scorer"] = {"id": f"{item['id']}-score", "host": "a.example", "body": "aGk=",
+                                      "path": f"{FAILING_SCORE if fails else SCORE}{item['id']}"}
+                    self.book.scorers[item["id"]] = fails
             body = json.dumps({"step": step, "model": "m0", "minVersion": 0, "desiredCount": 4, "items": items})
             headers = {"Host": "a.example", "X-Attempt-Id": job}
             await self.until_accepted(f"/batch/{job}", headers, body.encode())
@@ -260,6 +267,9 @@
                     text = [f"/batch/{result['id']}-{n}" for n in range(1, EVENTS + 1)]
                     if len({software for _, _, software in lines}) > 1:
                         self.book.mixed.append(f"{result['id']}: {result['output']!r}")
+                    self.book.check_score(result)
+                    if self.book.scorers.get(result["id"]) and result["state"] == "abandoned":
+                        continue
                     if result["state"] != "completed" or [line for line, _, _ in lines] != text:
                         self.book.broken.append(f"MIXED {result['id']}: {result['state']} {result['output']!r}")
             await asyncio.sleep(0.4)
