catalog: a missed change of replicas is no reason to list everything else

Cause: a node that misses one change of the replicas stops relying on the holder's messages as a whole. Each further message, three a second, then ends the watches of the configuration, of nodes and of verdicts, which are listed and watched again, though the message says that nothing of these has changed.

Evidence: Feed.ChangesThatWereMissedCostNoCallsForWhatElseIsTold, 16 nodes: 563 such calls before, the holder's alone (30 at most) now.

Why the fix works: the revisions of configuration, nodes and verdicts don't depend on the changes of replicas; they count as heard with each recent message.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -427,17 +427,18 @@
 {
   const struct GspanFollower *follower = &node->catalog.followers[which];
 
-  if (!gspan_feed_is_fresh (node) || !follower->synced)
+  if (!follower->synced)
     return false;
   switch (which)
     {
     case GSPAN_FOLLOW_REPLICAS:
+      return gspan_feed_is_fresh (node);
     case GSPAN_FOLLOW_JOBS: /* lost jobs are looked for by the node that tells */
-      return true;
+      return gspan_feed_is_heard (node);
     case GSPAN_FOLLOW_CONFIG:
     case GSPAN_FOLLOW_NODES:
     case GSPAN_FOLLOW_VERDICTS:
-      return follower->newest >= follower->fed_newest;
+      return gspan_feed_is_heard (node) && follower->newest >= follower->fed_newest;
     case GSPAN_FOLLOW_RETIREMENTS:
     case GSPAN_FOLLOW_WEIGHTS:
     case GSPAN_FOLLOW_COUNT:
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -113,6 +113,12 @@
   return (guint)(node->limits.drain_notice_us / GSPAN_MS * WATCH_PERCENT / 100);
 }
 
+bool
+gspan_feed_is_heard (const struct GspanNode *node)
+{
+  return !gspan_feed_publishes (node) && node->now < node->catalog.feed.heard_until;
+}
+
 bool
 gspan_feed_is_fresh (const struct GspanNode *node)
 {
@@ -254,6 +260,7 @@
     note_failure (node, number_of (message, "failed_us"));
   catalog->lapse_until
       = MAX (catalog->lapse_until, node->now + MIN (recent, number_of (message, "lapse_us")));
+  catalog->feed.heard_until = node->now + recent - age;
   if (take_changes (node, message, age, outbox))
-    catalog->feed.fresh_until = node->now + recent - age;
+    catalog->feed.fresh_until = catalog->feed.heard_until;
 }
--- a/catalog/feed.h
+++ b/catalog/feed.h
@@ -22,7 +22,8 @@
   bool publishing;            /* this node has told others since it took the lease */
   guint64 published_at;       /* holder: the last message to the others */
   guint64 published_revision; /* holder: of the replicas, then */
-  guint64 fresh_until;        /* listener: what was heard is recent enough until then */
+  guint64 heard_until;        /* listener: the revisions heard are recent enough until then */
+  guint64 fresh_until;        /* listener: the replicas, too; changes of them may be missing */
 };
 
 void gspan_feed_init (struct GspanFeed *feed);
@@ -40,7 +41,10 @@
 /* Takes in MESSAGE, which a holder has sent. */
 void gspan_feed_receive (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox);
 
-/* True where this node doesn't have to follow the store itself. */
+/* True where the revisions that were heard last are recent: of configuration, nodes and verdicts. */
+bool gspan_feed_is_heard (const struct GspanNode *node);
+
+/* True where this node knows the replicas by what it has heard. */
 bool gspan_feed_is_fresh (const struct GspanNode *node);
 
 /* True where this node tells the others, which need it to look often. */
--- a/scripts/limits.py
+++ b/scripts/limits.py
@@ -9,7 +9,7 @@
 
 WINDOW_S = 4.0
 STABLE_S = 3.0
-SENDS = {"call-attempt", "run-started", "order-sent", "report-asked"}
+SENDS = {"call-attempt", "run-started", "reward-call-started", "order-sent", "report-asked"}
 PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 
 
--- a/test/feed_test.cc
+++ b/test/feed_test.cc
@@ -151,3 +151,28 @@
   world.run (20 * GSPAN_MS);
   EXPECT_FALSE (gspan_feed_is_fresh (&listener.node));
 }
+
+/*
+ * The platform's store forgets its history and cuts all watches. The holder then lists the replicas
+ * and tells no change from before; a node that missed one reads the replicas, and nothing else.
+ */
+TEST_F (Feed, ChangesThatWereMissedCostNoCallsForWhatElseIsTold)
+{
+  start_nodes (16);
+  world.run (25 * GSPAN_SECOND);
+  world.call_counts.clear ();
+  for (unsigned i = 0; i < 5; i++)
+    {
+      world.compact ("servers");
+      world.compact ("config");
+      drain_replica ("d1", 1);
+      world.run (GSPAN_SECOND);
+    }
+  world.run (2 * GSPAN_SECOND);
+  unsigned others = world.call_counts["list config"] + world.call_counts["watch config"]
+                    + world.call_counts["list poison"] + world.call_counts["watch poison"]
+                    + world.call_counts["list nodes"] + world.call_counts["watch nodes"];
+  EXPECT_LE (others, 30U) << "of the holder alone";
+  for (auto &rig : world.rigs)
+    EXPECT_TRUE (sees_draining (*rig, "d1")) << rig->name;
+}
