catalog: the holder tells what a list of the replicas has changed

What callers paid: after the store had forgotten its history, all nodes listed the replicas, one call a node each time, since the holder that had to list them told no changes from before its list.

Cause: a list began the record of changes anew, though the holder knew both sides of it. Nodes that had heard all before it still missed what lay between.

Why the fix works: where a holder has told its changes up to the list, it notes what the list shows as new, changed or gone. A list of several pages begins anew as before, since its revision is told before its last page is read.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -149,9 +149,13 @@
     }
 }
 
-/* Tells of names that were known and that the whole list doesn't hold. */
+/*
+ * Tells of names that were known and that the whole list doesn't hold; the other nodes, too, if
+ * TELLS_DIFFERENCES.
+ */
 static void
-apply_missing (struct GspanNode *node, enum GspanFollowed which, struct GspanOutbox *outbox)
+apply_missing (struct GspanNode *node, enum GspanFollowed which, bool tells_differences,
+               struct GspanOutbox *outbox)
 {
   struct GspanFollower *follower = &node->catalog.followers[which];
   GList *names = g_hash_table_get_keys (follower->names);
@@ -164,30 +168,50 @@
         continue;
       gone.name = g_strdup (item->data);
       gone.removed = true;
+      if (tells_differences)
+        gspan_feed_note_change (node, &gone, follower->revision);
       apply (node, which, &gone, outbox);
       g_free (gone.name);
     }
   g_list_free (names);
 }
 
+/*
+ * True if the differences between REPLY, a list of the replicas in one page, and what is known go
+ * on from what this node has told the others, so that none of them has to read the list as well.
+ */
+static bool
+continues_feed (const struct GspanNode *node, enum GspanFollowed which,
+                const struct GspanStoreReply *reply)
+{
+  const struct GspanFollower *follower = &node->catalog.followers[which];
+
+  return which == GSPAN_FOLLOW_REPLICAS && follower->synced && follower->after == NULL
+         && !reply->has_more && node->catalog.feed.publishing && gspan_feed_publishes (node);
+}
+
 static void
 take_list (struct GspanNode *node, enum GspanFollowed which, const struct GspanStoreReply *reply,
            struct GspanOutbox *outbox)
 {
   struct GspanFollower *follower = &node->catalog.followers[which];
+  bool tells_differences = continues_feed (node, which, reply);
+  guint64 known_revision = follower->revision;
   const struct GspanStoreObject *last = NULL;
 
   if (follower->after == NULL)
     {
       g_hash_table_remove_all (follower->listed);
       follower->revision = reply->revision;
-      if (which == GSPAN_FOLLOW_REPLICAS)
+      if (which == GSPAN_FOLLOW_REPLICAS && !tells_differences)
         gspan_feed_reset (&node->catalog.feed, reply->revision);
     }
   for (guint i = 0; i < reply->objects->len; i++)
     {
       last = g_ptr_array_index (reply->objects, i);
       g_hash_table_add (follower->listed, g_strdup (last->name));
+      if (tells_differences && last->revision > known_revision)
+        gspan_feed_note_change (node, last, last->revision);
       apply (node, which, last, outbox);
     }
   g_clear_pointer (&follower->after, g_free);
@@ -196,7 +220,7 @@
       follower->after = g_strdup (last->name);
       return;
     }
-  apply_missing (node, which, outbox);
+  apply_missing (node, which, tells_differences, outbox);
   follower->synced = true;
   follower->watching = which != GSPAN_FOLLOW_JOBS;
   if (which == GSPAN_FOLLOW_NODES)
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -77,6 +77,19 @@
   feed->complete_from = revision;
 }
 
+void
+gspan_feed_note_change (struct GspanNode *node, const struct GspanStoreObject *object,
+                        guint64 revision)
+{
+  struct GspanFeedChange *change = g_new0 (struct GspanFeedChange, 1);
+
+  change->at = node->now;
+  change->revision = revision;
+  change->name = g_strdup (object->name);
+  change->spec = object->removed ? NULL : json_incref (object->spec);
+  g_ptr_array_add (node->catalog.feed.changes, change);
+}
+
 void
 gspan_feed_note (struct GspanNode *node, const struct GspanStoreReply *reply)
 {
@@ -88,16 +101,7 @@
       return;
     }
   for (guint i = 0; i < reply->objects->len; i++)
-    {
-      const struct GspanStoreObject *object = g_ptr_array_index (reply->objects, i);
-      struct GspanFeedChange *change = g_new0 (struct GspanFeedChange, 1);
-
-      change->at = node->now;
-      change->revision = reply->revision;
-      change->name = g_strdup (object->name);
-      change->spec = object->removed ? NULL : json_incref (object->spec);
-      g_ptr_array_add (feed->changes, change);
-    }
+    gspan_feed_note_change (node, g_ptr_array_index (reply->objects, i), reply->revision);
   trim (feed, node->now);
 }
 
--- a/catalog/feed.h
+++ b/catalog/feed.h
@@ -35,6 +35,10 @@
 /* Notes changes of replicas that this node has read. */
 void gspan_feed_note (struct GspanNode *node, const struct GspanStoreReply *reply);
 
+/* Notes one of them, or a difference between a whole list and what was known. */
+void gspan_feed_note_change (struct GspanNode *node, const struct GspanStoreObject *object,
+                             guint64 revision);
+
 /* Tells the other nodes where this one holds the lease. */
 void gspan_feed_tick (struct GspanNode *node, struct GspanOutbox *outbox);
 
--- a/test/feed_test.cc
+++ b/test/feed_test.cc
@@ -176,3 +176,27 @@
   for (auto &rig : world.rigs)
     EXPECT_TRUE (sees_draining (*rig, "d1")) << rig->name;
 }
+
+TEST_F (Feed, HolderThatListsTheReplicasAgainTellsTheDifferences)
+{
+  start_nodes (16);
+  world.run (25 * GSPAN_SECOND);
+  world.call_counts.clear ();
+  for (unsigned i = 0; i < 5; i++)
+    {
+      world.compact ("servers");
+      drain_replica ("d1", 1);
+      world.put ("servers", "x" + std::to_string (i), replica_spec ("desk", 100 + i, 0).c_str ());
+      if (i > 0)
+        world.remove ("servers", "x" + std::to_string (i - 1));
+      world.run (GSPAN_SECOND);
+    }
+  world.run (2 * GSPAN_SECOND);
+  EXPECT_GT (world.call_counts["list servers"], 0U) << "the holder's";
+  EXPECT_LE (world.call_counts["list servers"], 6U) << "the holder's alone";
+  for (auto &rig : world.rigs)
+    {
+      EXPECT_TRUE (sees_draining (*rig, "d1")) << rig->name;
+      EXPECT_EQ (g_hash_table_size (rig->node.catalog.replicas), 5U) << rig->name;
+    }
+}
