catalog: nodes wait for the one that tells before they follow the store themselves

Cause: a node began to watch all kinds right after its first lists, before the holder could be heard, and listed and watched configuration, nodes, verdicts and jobs anew as soon as the holder fell silent, though another one takes its place in seconds.

Why it is safe: configuration and replicas, which rules bind to a time, are followed as before once the holder is lost; after a start their first watch waits for 0.6 of the time in which a leaving replica has to be left alone, and goes on from the list. Nodes, verdicts and lost jobs may be learned five seconds later.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -25,6 +25,14 @@
 #define OUTAGE_LEAST_US (GSPAN_SECOND)
 #define LAPSE_GRACE_US (2 * GSPAN_SECOND)
 
+/*
+ * How long another node is waited for that tells what is new (catalog/feed.h), before this one asks
+ * for itself: at its start, a part of the time in which a leaving replica has to be left alone; for
+ * kinds that no rule binds to a time, longer than a new holder of the lease takes.
+ */
+#define FIRST_WATCH_PERCENT 60
+#define FEED_GONE_US (5 * GSPAN_SECOND)
+
 #define LIST_AGAIN_US (700 * GSPAN_MS) /* for what another node has read already */
 #define WATCH_LATE_US (250 * GSPAN_MS) /* so long after its time a watch's answer comes late */
 #define BACKOFF_FIRST_US (100 * GSPAN_MS)
@@ -221,6 +229,8 @@
       return;
     }
   apply_missing (node, which, tells_differences, outbox);
+  if (!follower->synced)
+    follower->synced_at = node->now;
   follower->synced = true;
   follower->watching = which != GSPAN_FOLLOW_JOBS;
   if (which == GSPAN_FOLLOW_NODES)
@@ -471,6 +481,32 @@
   return false;
 }
 
+/* True while another node that tells what is new of WHICH may still be heard, or be replaced. */
+static bool
+waits_for_feed (const struct GspanNode *node, enum GspanFollowed which)
+{
+  const struct GspanFollower *follower = &node->catalog.followers[which];
+  guint64 first_watch_us = node->limits.drain_notice_us * FIRST_WATCH_PERCENT / 100;
+
+  if (!follower->synced || gspan_feed_publishes (node))
+    return false;
+  switch (which)
+    {
+    case GSPAN_FOLLOW_CONFIG:
+    case GSPAN_FOLLOW_REPLICAS:
+      return node->now < follower->synced_at + first_watch_us;
+    case GSPAN_FOLLOW_JOBS:
+    case GSPAN_FOLLOW_NODES:
+    case GSPAN_FOLLOW_VERDICTS:
+      return node->now < MAX (follower->synced_at, node->catalog.feed.heard_until) + FEED_GONE_US;
+    case GSPAN_FOLLOW_RETIREMENTS:
+    case GSPAN_FOLLOW_WEIGHTS:
+    case GSPAN_FOLLOW_COUNT:
+      break;
+    }
+  return false;
+}
+
 static bool
 may_call (const struct GspanNode *node, enum GspanFollowed which)
 {
@@ -481,7 +517,8 @@
     return false;
   if (catalog->store_fails)
     return which == GSPAN_FOLLOW_CONFIG;
-  return !is_fed (node, which);
+  return !is_fed (node, which)
+         && (follower->newest < follower->fed_newest || !waits_for_feed (node, which));
 }
 
 static guint
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -31,6 +31,7 @@
   const char *kind;
   bool wanted;
   bool synced;             /* has read a whole list since the start */
+  guint64 synced_at;       /* the first one */
   bool watching;           /* the next call is a watch, else a list */
   guint64 call;            /* under way; 0 is none */
   guint64 called_at;       /* CALL was sent */
--- a/test/feed_test.cc
+++ b/test/feed_test.cc
@@ -200,3 +200,24 @@
       EXPECT_EQ (g_hash_table_size (rig->node.catalog.replicas), 5U) << rig->name;
     }
 }
+
+/* What a node asks at its start, and what all ask when the holder is gone, grows with the fleet. */
+TEST_F (Feed, StartAndLossOfTheHolderCostEachNodeFewCalls)
+{
+  const unsigned nodes = 30;
+
+  start_nodes (nodes);
+  unsigned start = 0;
+  for (const auto &count : world.call_counts)
+    start += count.second;
+  EXPECT_LE (start, 10 * nodes) << "five lists, the entry, reads of the lease, the nodes again";
+  world.run (25 * GSPAN_SECOND);
+  world.call_counts.clear ();
+  holder ().paused = true;
+  world.run (8 * GSPAN_SECOND);
+  unsigned loss = 0;
+  for (const auto &count : world.call_counts)
+    loss += count.second;
+  EXPECT_LE (loss, 5 * nodes + 40) << "two reads of the lease, three for what rules bind to a time,"
+                                      " and what the next holder asks in eight seconds";
+}
