jobs: a reader's node reads a job from the position that is wanted

What trainers saw on the large site: from the last result that a step needed to the end of the step passed 0.47 s on average, up to 1.3 s. A trainer reads each part of a step at another node.

Cause: a node that doesn't know a job listed all its segments for each read, two megabytes for the last few results, over 60 Mbit/s and 0.12 of a core.

Evidence: Jobs.ReaderAtAnotherNodeCostsOnlyTheSegmentsFromItsPositionOn failed before (the node read all). The property of committed results now reads from any position.

Why it is safe: the owner's reply is only a hint at which segment to begin with; the position comes from that segment itself, which says it.

--- a/jobs/job.c
+++ b/jobs/job.c
@@ -34,6 +34,7 @@
   gspan_groups_init (&job->groups);
   job->items_by_id = g_hash_table_new (g_str_hash, g_str_equal);
   job->committed_results = g_ptr_array_new_with_free_func (gspan_job_result_free);
+  job->segment_starts = g_array_new (FALSE, FALSE, sizeof (guint));
   job->ready_results = g_ptr_array_new_with_free_func (gspan_job_result_free);
   job->prompt_replicas = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   job->subscribers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -65,18 +66,45 @@
   gspan_job_document_finish (&job->document);
   gspan_job_document_init (&job->document);
   g_ptr_array_set_size (job->part_texts, 0);
-  g_ptr_array_set_size (job->committed_results, 0);
   g_ptr_array_set_size (job->ready_results, 0);
   g_hash_table_remove_all (job->prompt_replicas);
-  g_clear_pointer (&job->next_page_after, g_free);
-  job->segment_count = 0;
-  job->segments_up_to_date = false;
+  gspan_job_restart_cache (job, 0);
   job->content_loaded = false;
   job->append_call = 0;
-  job->list_call = 0;
   job->checkpoint_call = 0;
 }
 
+void
+gspan_job_restart_cache (struct GspanJob *job, guint segment)
+{
+  g_ptr_array_set_size (job->committed_results, 0);
+  g_array_set_size (job->segment_starts, 0);
+  g_clear_pointer (&job->next_page_after, g_free);
+  job->first_cached = 0;
+  job->cache_restarts++;
+  job->segment_count = segment;
+  job->segments_up_to_date = false;
+  job->list_call = 0;
+  job->next_list_at_us = 0;
+}
+
+guint
+gspan_job_committed_count (const struct GspanJob *job)
+{
+  return job->first_cached + job->committed_results->len;
+}
+
+guint
+gspan_job_segment_of (const struct GspanJob *job, guint64 position)
+{
+  guint number = 0;
+
+  while (number + 1 < job->segment_starts->len
+         && g_array_index (job->segment_starts, guint, number + 1) <= position)
+    number++;
+  return number;
+}
+
 void
 gspan_job_free (gpointer data)
 {
@@ -96,6 +124,7 @@
   g_hash_table_unref (job->items_by_id);
   g_hash_table_unref (job->prompt_replicas);
   g_ptr_array_unref (job->committed_results);
+  g_array_unref (job->segment_starts);
   g_ptr_array_unref (job->ready_results);
   g_hash_table_unref (job->subscribers);
   g_ptr_array_unref (job->readers);
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -84,8 +84,15 @@
   GHashTable *items_by_id; /* item id to struct GspanItem */
   struct GspanGroups groups;
 
-  GPtrArray *committed_results; /* struct GspanJobResult, by position */
-  guint segment_count;          /* segments read so far */
+  /*
+   * A node that only serves readers may cache the results from a later position on, and skip the
+   * segments before it; the owner has all.
+   */
+  GPtrArray *committed_results; /* struct GspanJobResult, by position from first_cached on */
+  guint first_cached;           /* position of the first one */
+  guint cache_restarts;         /* times that the cache was dropped to be read again */
+  guint segment_count;          /* number of the next segment to read */
+  GArray *segment_starts;       /* owner: guint, position of each segment's first result */
   bool segments_up_to_date;     /* all segments that existed at synced_at_us have been read */
   guint64 synced_at_us;         /* time of the store's state that the cache reflects */
   gint64 synced_wall_ms;        /* synced_at_us by the wall clock, which counts VM suspension */
@@ -165,6 +172,15 @@
  */
 void gspan_job_set_state (struct GspanJob *job, struct GspanItem *item, enum GspanItemState state);
 
+/* Committed results that are known here, counting those before the first cached one. */
+guint gspan_job_committed_count (const struct GspanJob *job);
+
+/* Number of the segment that holds the result at POSITION, or of the last one before it. */
+guint gspan_job_segment_of (const struct GspanJob *job, guint64 position);
+
+/* Drops the cached results, so that segments are read from number SEGMENT on. */
+void gspan_job_restart_cache (struct GspanJob *job, guint segment);
+
 /* Appends RESULT, of which it takes ownership, to the committed results. */
 void gspan_job_commit_result (struct GspanJob *job, struct GspanJobResult *result);
 
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -229,7 +229,7 @@
       if (job->readers->len > 0 || job->item_readers->len > 0)
         return true;
       if (job->is_owner && !job->ended
-          && (!job->content_loaded || job->committed_results->len < job->item_count))
+          && (!job->content_loaded || gspan_job_committed_count (job) < job->item_count))
         return true;
     }
   return false;
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -44,7 +44,7 @@
   gspan_line_cstr (&line, "job", job->id);
   gspan_line_cstr (&line, "owner", job->owner);
   gspan_line_u64 (&line, "revision", job->head_revision);
-  gspan_line_u64 (&line, "listed", job->committed_results->len);
+  gspan_line_u64 (&line, "listed", gspan_job_committed_count (job));
   gspan_line_u64 (&line, "total", job->item_count);
   gspan_outbox_log (outbox, "jobs", GSPAN_PRIORITY_NOTICE, &line);
 }
@@ -87,6 +87,8 @@
   job->owner_heartbeat_at_us = node->now;
   if (is_owner)
     {
+      if (job->first_cached > 0 || job->segment_count > job->segment_starts->len)
+        gspan_job_unload (job);
       gspan_segments_advance (node, job, outbox);
       return;
     }
@@ -147,7 +149,8 @@
 static bool
 is_over (const struct GspanJob *job)
 {
-  return job->ended || (job->segments_up_to_date && job->committed_results->len >= job->item_count);
+  return job->ended
+         || (job->segments_up_to_date && gspan_job_committed_count (job) >= job->item_count);
 }
 
 static void
--- a/jobs/progress.c
+++ b/jobs/progress.c
@@ -35,14 +35,23 @@
   return MAX (age_us, (guint64)MAX (0, wall_ms) * GSPAN_MS);
 }
 
+static json_t *
+progress_message (const struct GspanNode *node, const struct GspanJob *job)
+{
+  return json_pack ("{s:s, s:s, s:s, s:I, s:I}", "kind", "listed", "job", job->id, "from",
+                    node->self.name, "segments", (json_int_t)job->segment_count, "age_us",
+                    (json_int_t)sync_age_us (node, job));
+}
+
+/* Replies to a subscription of the node TO, whose callers want results from position AFTER on. */
 static void
-send_progress (struct GspanNode *node, const struct GspanJob *job, const char *to,
-               struct GspanOutbox *outbox)
+send_first_progress (struct GspanNode *node, const struct GspanJob *job, const char *to,
+                     guint64 after, struct GspanOutbox *outbox)
 {
-  json_t *message = json_pack ("{s:s, s:s, s:s, s:I, s:I}", "kind", "listed", "job", job->id,
-                               "from", node->self.name, "segments", (json_int_t)job->segment_count,
-                               "age_us", (json_int_t)sync_age_us (node, job));
+  json_t *message = progress_message (node, job);
 
+  json_object_set_new (message, "read_from",
+                       json_integer ((json_int_t)gspan_job_segment_of (job, after)));
   gspan_peers_send (node, to, message, outbox);
   json_decref (message);
 }
@@ -50,6 +59,7 @@
 void
 gspan_progress_publish (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
+  json_t *message = progress_message (node, job);
   GHashTableIter iter;
   gpointer name;
   gpointer until_us;
@@ -60,8 +70,28 @@
       if (*(const guint64 *)until_us < node->now)
         g_hash_table_iter_remove (&iter);
       else
-        send_progress (node, job, name, outbox);
+        gspan_peers_send (node, name, message, outbox);
     }
+  json_decref (message);
+}
+
+/* Position of the first result that callers here wait for. */
+static guint64
+first_wanted (const struct GspanJob *job)
+{
+  guint64 first = G_MAXUINT32;
+
+  for (guint i = 0; i < job->readers->len; i++)
+    first
+        = MIN (first, ((const struct GspanJobReader *)g_ptr_array_index (job->readers, i))->after);
+  return first;
+}
+
+/* True where nothing of JOB has been read here yet. */
+static bool
+is_cache_empty (const struct GspanJob *job)
+{
+  return !job->segments_up_to_date && job->segment_count == 0 && job->list_call == 0;
 }
 
 void
@@ -73,11 +103,21 @@
       || node->now < job->progress_requested_at_us + REQUEST_INTERVAL_US)
     return;
   job->progress_requested_at_us = node->now;
-  message = json_pack ("{s:s, s:s, s:s}", "kind", "reads", "job", job->id, "from", node->self.name);
+  message = json_pack ("{s:s, s:s, s:s, s:I}", "kind", "reads", "job", job->id, "from",
+                       node->self.name, "after", (json_int_t)first_wanted (job));
   gspan_peers_send (node, job->owner, message, outbox);
   json_decref (message);
 }
 
+bool
+gspan_progress_awaits_position (const struct GspanNode *node, const struct GspanJob *job)
+{
+  const struct GspanJobReader *first = g_ptr_array_index (job->readers, 0);
+
+  return is_cache_empty (job) && first_wanted (job) > 0 && job->owner[0] != '\0'
+         && node->now < first->arrived_at_us + FIRST_REPLY_MAX_US;
+}
+
 bool
 gspan_progress_needs_list (const struct GspanNode *node, const struct GspanJob *job)
 {
@@ -105,6 +145,10 @@
   guint segment_count = (guint)json_integer_value (json_object_get (message, "segments"));
   guint64 age_us = (guint64)json_integer_value (json_object_get (message, "age_us"));
 
+  json_t *read_from = json_object_get (message, "read_from");
+
+  if (json_integer_value (read_from) > 0 && is_cache_empty (job) && job->readers->len > 0)
+    gspan_job_restart_cache (job, (guint)json_integer_value (read_from));
   job->progress_received_at_us = node->now;
   job->owner_segment_count = MAX (job->owner_segment_count, segment_count);
   if (job->segments_up_to_date && segment_count <= job->segment_count)
@@ -124,6 +168,8 @@
   else if (strcmp (kind, "reads") == 0 && job->is_owner && job->segments_up_to_date)
     {
       add_subscriber (job, from, node->now);
-      send_progress (node, job, from, outbox);
+      send_first_progress (node, job, from,
+                           (guint64)json_integer_value (json_object_get (message, "after")),
+                           outbox);
     }
 }
--- a/jobs/progress.h
+++ b/jobs/progress.h
@@ -14,10 +14,20 @@
  * only time: without notifications the subscriber lists segments periodically.
  */
 
-/* Renews this node's subscription at the owner of JOB while callers wait for results here. */
+/*
+ * Renews this node's subscription at the owner of JOB while callers wait for results here. The
+ * first reply tells which segment holds the first result that they want, so that the segments
+ * before it aren't read here: a trainer reads each part of its results at another node.
+ */
 void gspan_progress_request (struct GspanNode *node, struct GspanJob *job,
                              struct GspanOutbox *outbox);
 
+/*
+ * True while the owner of JOB may still reply from which segment on this node has to read. JOB must
+ * have a reader.
+ */
+bool gspan_progress_awaits_position (const struct GspanNode *node, const struct GspanJob *job);
+
 /*
  * True if a list call might bring new results of JOB: the owner has notified of more segments, the
  * cache isn't up to date, or no notifications arrive. JOB must have a reader.
--- a/jobs/segments.c
+++ b/jobs/segments.c
@@ -69,10 +69,26 @@
   g_string_free (body, TRUE);
 }
 
+/*
+ * Takes the position of the first result in SEGMENT, the first one that is read, as that from which
+ * results are cached. False where the segment doesn't say.
+ */
+static bool
+begin_cache (struct GspanJob *job, json_t *segment)
+{
+  json_t *first = json_object_get (segment, "first");
+
+  if (!json_is_integer (first) || json_integer_value (first) < 0)
+    return false;
+  job->first_cached = (guint)json_integer_value (first);
+  return true;
+}
+
 /* Commits the results of segment NUMBER, if it is the next one; earlier ones are known already. */
 static void
 add_segment (struct GspanJob *job, json_t *segment, guint number)
 {
+  guint first = gspan_job_committed_count (job);
   json_t *value;
   size_t index;
 
@@ -83,6 +99,14 @@
       job->segments_up_to_date = false;
       return;
     }
+  if (number > 0 && job->segment_starts->len == 0 && job->committed_results->len == 0
+      && !begin_cache (job, segment))
+    {
+      gspan_job_restart_cache (job, 0);
+      return;
+    }
+  if (number == job->segment_starts->len)
+    g_array_append_val (job->segment_starts, first);
   json_array_foreach (json_object_get (segment, "results"), index, value)
   {
     struct GspanJobResult *result = gspan_job_result_decode (value);
@@ -152,7 +176,8 @@
         break;
       json_array_append_new (results, gspan_job_result_encode (result));
     }
-  return json_pack ("{s:o}", "results", results);
+  return json_pack ("{s:I, s:o}", "first", (json_int_t)gspan_job_committed_count (job), "results",
+                    results);
 }
 
 /* Time at which results of JOB are due; 0 if its route sets none. */
@@ -173,7 +198,7 @@
 is_append_due (const struct GspanNode *node, const struct GspanJob *job)
 {
   struct GspanCommitState state = { 0 };
-  guint finished_count = job->committed_results->len + job->ready_results->len;
+  guint finished_count = gspan_job_committed_count (job) + job->ready_results->len;
 
   if (!job->is_owner || job->ended || !job->segments_up_to_date || job->append_call != 0
       || job->ready_results->len == 0 || node->catalog.store_fails
@@ -222,7 +247,7 @@
   gspan_line_init (&line, "results-listed");
   gspan_line_cstr (&line, "job", job->id);
   gspan_line_u64 (&line, "segment", job->segment_count);
-  gspan_line_u64 (&line, "first", job->committed_results->len);
+  gspan_line_u64 (&line, "first", gspan_job_committed_count (job));
   gspan_line_u64 (&line, "count", job->append_result_count);
   gspan_line_cstr (&line, "store", gspan_store_result_name (reply->result));
   gspan_outbox_log (outbox, "jobs", GSPAN_PRIORITY_INFO, &line);
@@ -253,6 +278,7 @@
                           const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
 {
   const struct GspanStoreObject *last = NULL;
+  guint restarts = job->cache_restarts;
 
   job->list_call = 0;
   if (reply->result != GSPAN_STORE_OK)
@@ -267,6 +293,11 @@
       add_object (job, last);
     }
   load_if_complete (job, outbox);
+  if (job->cache_restarts != restarts)
+    {
+      gspan_segments_advance (node, job, outbox);
+      return;
+    }
   g_clear_pointer (&job->next_page_after, g_free);
   if (reply->has_more && last != NULL)
     job->next_page_after = g_strdup (last->name);
@@ -285,7 +316,7 @@
 {
   if (job->is_owner)
     return !job->segments_up_to_date || gspan_serve_needs_list (node, job);
-  if (job->readers->len == 0)
+  if (job->readers->len == 0 || gspan_progress_awaits_position (node, job))
     return false;
   return gspan_progress_needs_list (node, job) || gspan_serve_needs_list (node, job);
 }
--- a/jobs/serve.c
+++ b/jobs/serve.c
@@ -14,8 +14,7 @@
   RESPONSE_TEXT_MAX = 700000 /* bytes of result texts; keeps the JSON of a response below 1 MB */
 };
 
-/* Number of results from position FIRST on that fit into one response, at least 1 if any. */
-
+/* Number of cached results from FIRST on that fit into one response, at least 1 if any. */
 static guint
 page_result_count (const struct GspanJob *job, guint first)
 {
@@ -38,22 +37,23 @@
 static void
 send_results (struct GspanJob *job, guint64 request, guint64 after, struct GspanOutbox *outbox)
 {
-  guint first = (guint)MIN (after, job->committed_results->len);
+  guint position = (guint)MIN (after, gspan_job_committed_count (job));
+  guint first = position - job->first_cached; /* among those that are cached */
   struct GspanAction *action
       = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY, (struct GspanRef){ 0 });
 
   action->u.reply.request = request;
   action->u.reply.status = 200;
-  action->u.reply.body = gspan_wire_write_results (job->item_count, job->committed_results, first,
-                                                   page_result_count (job, first));
+  action->u.reply.body = gspan_wire_write_results (
+      job->item_count, position, job->committed_results, first, page_result_count (job, first));
   gspan_headers_add (&action->u.reply.headers, "Content-Type", GSPAN_STR ("application/json"));
 }
 
 static bool
 has_new_results (const struct GspanJob *job, const struct GspanJobReader *reader)
 {
-  return job->committed_results->len > reader->after
-         || job->committed_results->len >= job->item_count;
+  return gspan_job_committed_count (job) > reader->after
+         || gspan_job_committed_count (job) >= job->item_count;
 }
 
 /*
@@ -133,9 +133,25 @@
   return true;
 }
 
+/* True if a caller wants results before those that are cached here. */
+static bool
+wants_earlier_results (const struct GspanJob *job)
+{
+  for (guint i = 0; i < job->readers->len; i++)
+    {
+      const struct GspanJobReader *reader = g_ptr_array_index (job->readers, i);
+
+      if (reader->after < job->first_cached)
+        return true;
+    }
+  return false;
+}
+
 void
 gspan_serve_readers (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
+  if (wants_earlier_results (job))
+    gspan_job_restart_cache (job, 0);
   for (guint i = 0; i < job->readers->len; i++)
     {
       if (try_send_results (node, job, g_ptr_array_index (job->readers, i), outbox))
--- a/test/jobs_test.cc
+++ b/test/jobs_test.cc
@@ -425,6 +425,104 @@
   EXPECT_LE (lists, 1U);
 }
 
+/*
+ * A trainer reads each part of its results at another node. A node that had to read all segments
+ * for that would transfer a whole step for its last few results.
+ */
+TEST_F (Jobs, ReaderAtAnotherNodeCostsOnlyTheSegmentsFromItsPositionOn)
+{
+  Rig &rig = start_nodes (3);
+  Rig &other = *world.rigs[1];
+  Rig &third = *world.rigs[2];
+
+  submit_job (rig, 1, "j1", 8);
+  for (unsigned i = 0; i < 4; i++)
+    {
+      world.run (3 * GSPAN_SECOND); /* the pauses put each pair into a segment of its own */
+      auto runs = open_runs (rig);
+      ASSERT_GE (runs.size (), 2U);
+      finish_run (rig, runs[0], 2);
+      finish_run (rig, runs[1], 2);
+    }
+  world.run (3 * GSPAN_SECOND);
+  ASSERT_EQ (all_results (rig, "j1").size (), 8U);
+  auto all = result_ids (*response_to (rig, 900));
+
+  read_results (other, 901, "j1", 6);
+  world.run (100 * GSPAN_MS);
+  ASSERT_NE (response_to (other, 901), nullptr);
+  EXPECT_EQ (result_ids (*response_to (other, 901)),
+             std::vector<std::string> (all.begin () + 6, all.end ()));
+  EXPECT_NE (response_to (other, 901)->body.find ("\"next\":8"), std::string::npos);
+  GspanJob *job = gspan_jobs_find (&other.node.jobs, "j1");
+  EXPECT_EQ (job->first_cached, 6U) << "the segments before aren't read";
+
+  read_results (other, 902, "j1", 3);
+  world.run (300 * GSPAN_MS);
+  ASSERT_NE (response_to (other, 902), nullptr);
+  EXPECT_EQ (result_ids (*response_to (other, 902)),
+             std::vector<std::string> (all.begin () + 3, all.end ()))
+      << "an earlier position has them read after all";
+
+  read_results (third, 905, "j1", 7, 1000);
+  world.run (10 * GSPAN_MS); /* the owner's reply has come, the segment hasn't */
+  read_results (third, 906, "j1", 2, 1000);
+  world.run (300 * GSPAN_MS);
+  ASSERT_NE (response_to (third, 905), nullptr);
+  ASSERT_NE (response_to (third, 906), nullptr);
+  EXPECT_EQ (result_ids (*response_to (third, 905)), std::vector<std::string>{ all[7] });
+  EXPECT_EQ (result_ids (*response_to (third, 906)),
+             std::vector<std::string> (all.begin () + 2, all.end ()));
+
+  gspan_job_unload (gspan_jobs_find (&third.node.jobs, "j1"));
+  for (auto &object : world.objects["job-j1"])
+    json_object_del (object.second.spec, "first"); /* as a node of an earlier version writes them */
+  read_results (third, 907, "j1", 6, 1000);
+  world.run (300 * GSPAN_MS);
+  ASSERT_NE (response_to (third, 907), nullptr);
+  EXPECT_EQ (result_ids (*response_to (third, 907)),
+             std::vector<std::string> (all.begin () + 6, all.end ()));
+  EXPECT_EQ (gspan_jobs_find (&third.node.jobs, "j1")->first_cached, 0U);
+
+  gspan_job_unload (gspan_jobs_find (&third.node.jobs, "j1"));
+  world.lose_datagrams = true;
+  read_results (third, 903, "j1", 5);
+  world.run (500 * GSPAN_MS);
+  ASSERT_NE (response_to (third, 903), nullptr);
+  EXPECT_EQ (result_ids (*response_to (third, 903)),
+             std::vector<std::string> (all.begin () + 5, all.end ()))
+      << "without the owner's reply all are read";
+}
+
+/* Two positions at one node, and the job's owner dies: nothing moves. */
+TEST_F (Jobs, NodeThatCachesTheEndOfAJobReadsAllWhenItBecomesOwner)
+{
+  Rig &rig = start_nodes (2);
+  Rig &other = *world.rigs[1];
+
+  submit_job (rig, 1, "j1", 6);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      world.run (3 * GSPAN_SECOND);
+      auto runs = open_runs (rig);
+      finish_run (rig, runs[0], 2);
+      finish_run (rig, runs[1], 2);
+    }
+  world.run (3 * GSPAN_SECOND);
+  auto before = all_results (rig, "j1");
+  ASSERT_EQ (before.size (), 4U);
+  read_results (other, 901, "j1", 3);
+  world.run (200 * GSPAN_MS);
+  ASSERT_GT (gspan_jobs_find (&other.node.jobs, "j1")->first_cached, 0U);
+  rig.paused = true;
+  world.run (8 * GSPAN_SECOND);
+  serve_all (2);
+  auto after = all_results (other, "j1", 902);
+  ASSERT_EQ (after.size (), 6U);
+  EXPECT_EQ (std::vector<std::string> (after.begin (), after.begin () + 4), before);
+  EXPECT_EQ (std::set<std::string> (after.begin (), after.end ()).size (), 6U);
+}
+
 TEST_F (Jobs, ReaderAtAnotherNodeIsServedWithoutProgressNotifications)
 {
   Rig &rig = start_nodes (2);
@@ -835,7 +933,9 @@
   };
   auto check_results = [&] (Rig &rig) {
     guint64 request = id++;
-    rig.request (request, "GET", "/api/lots/j1?after=0", { "Host: a.example" }, "");
+    size_t after = item_at.size () * (request % 3) / 3;
+    rig.request (request, "GET", "/api/lots/j1?after=" + std::to_string (after),
+                 { "Host: a.example" }, "");
     world.run (1200 * GSPAN_MS);
     for (const auto &answer : rig.responses)
       {
@@ -847,11 +947,12 @@
         json_array_foreach (json_object_get (root, "results"), index, item)
         {
           std::string name = json_string_value (json_object_get (item, "id"));
-          if (item_at.count (index) != 0)
-            RC_ASSERT (item_at[index] == name);
+          size_t position = after + index;
+          if (item_at.count (position) != 0)
+            RC_ASSERT (item_at[position] == name);
           else
             RC_ASSERT (seen.insert (name).second);
-          item_at[index] = name;
+          item_at[position] = name;
         }
         json_decref (root);
       }
