--- a/jobs/checkpoint.c
+++ b/jobs/checkpoint.c
@@ -46,8 +46,7 @@
 static bool
 allows_checkpoint (const struct GspanNode *node, const struct GspanJob *job)
 {
-  const struct GspanConfigRoute *route = gspan_config_match (
-      &node->catalog.config, gspan_str_from (job->host), gspan_str_from (job->path));
+  const struct GspanConfigRoute *route = gspan_jobs_route_of (node, job);
 
   /* Few other replicas could resume a result that has to be of a single weight version. */
   return route != NULL && !route->single_version;
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -45,6 +45,13 @@
   return g_hash_table_lookup (jobs->by_id, id);
 }
 
+const struct GspanConfigRoute *
+gspan_jobs_route_of (const struct GspanNode *node, const struct GspanJob *job)
+{
+  return gspan_config_match (&node->catalog.config, gspan_str_from (job->host),
+                             gspan_str_from (job->path));
+}
+
 static gint
 compare_age (gconstpointer a, gconstpointer b)
 {
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -55,6 +55,10 @@
 /* Returns the job ID, or NULL if it isn't known here. */
 struct GspanJob *gspan_jobs_find (const struct GspanJobs *jobs, const char *id);
 
+/* The route of JOB in the configuration in force; NULL if there is none any more. */
+const struct GspanConfigRoute *gspan_jobs_route_of (const struct GspanNode *node,
+                                                    const struct GspanJob *job);
+
 /* All jobs, the oldest first. Release with g_list_free (). */
 GList *gspan_jobs_by_age (const struct GspanJobs *jobs);
 
--- a/jobs/placement.c
+++ b/jobs/placement.c
@@ -116,8 +116,7 @@
 static bool
 schedule_job (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
-  const struct GspanConfigRoute *route = gspan_config_match (
-      &node->catalog.config, gspan_str_from (job->host), gspan_str_from (job->path));
+  const struct GspanConfigRoute *route = gspan_jobs_route_of (node, job);
   GQueue held = G_QUEUE_INIT;
   bool has_room = true;
   const char *service;
--- a/jobs/rewards.c
+++ b/jobs/rewards.c
@@ -357,8 +357,7 @@
                    const struct GspanItem *item)
 {
   const struct GspanConfigRoute *of_call = route_of (node, item);
-  const struct GspanConfigRoute *of_job = gspan_config_match (
-      &node->catalog.config, gspan_str_from (job->host), gspan_str_from (job->path));
+  const struct GspanConfigRoute *of_job = gspan_jobs_route_of (node, job);
 
   return MAX (of_call != NULL ? of_call->attempts_max : 1,
               of_job != NULL ? of_job->attempts_max : 1);
--- a/jobs/run.c
+++ b/jobs/run.c
@@ -85,8 +85,7 @@
 gspan_run_abandon_if_late (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item,
                            struct GspanOutbox *outbox)
 {
-  const struct GspanConfigRoute *route = gspan_config_match (
-      &node->catalog.config, gspan_str_from (job->host), gspan_str_from (job->path));
+  const struct GspanConfigRoute *route = gspan_jobs_route_of (node, job);
   gint64 age_ms = node->wall_ms - job->received_ms;
 
   if (route == NULL || route->give_up_after_us == 0
@@ -117,8 +116,7 @@
 bool
 gspan_run_requires_single_version (const struct GspanNode *node, const struct GspanJob *job)
 {
-  const struct GspanConfigRoute *route = gspan_config_match (
-      &node->catalog.config, gspan_str_from (job->host), gspan_str_from (job->path));
+  const struct GspanConfigRoute *route = gspan_jobs_route_of (node, job);
 
   return route != NULL && route->single_version;
 }
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -140,8 +140,7 @@
 static guint
 attempts_max (const struct GspanNode *node, const struct GspanJob *job)
 {
-  const struct GspanConfigRoute *route = gspan_config_match (
-      &node->catalog.config, gspan_str_from (job->host), gspan_str_from (job->path));
+  const struct GspanConfigRoute *route = gspan_jobs_route_of (node, job);
 
   return route != NULL ? route->attempts_max : 1;
 }
--- a/jobs/segments.c
+++ b/jobs/segments.c
@@ -184,8 +184,7 @@
 static guint64
 results_due_at_us (const struct GspanNode *node, const struct GspanJob *job)
 {
-  const struct GspanConfigRoute *route = gspan_config_match (
-      &node->catalog.config, gspan_str_from (job->host), gspan_str_from (job->path));
+  const struct GspanConfigRoute *route = gspan_jobs_route_of (node, job);
   gint64 age_ms = node->wall_ms - job->received_ms;
 
   if (route == NULL || route->results_due_us == 0 || age_ms < 0)
