jobs, docs: reward calls fill two thirds of a replica's slots, as their page says

Three of six slots were filled, since the share was rounded down twice. A text that is read from a checkpoint counts as owed from then on, so that gspan_reward_seconds has no spans from the node's start.

--- a/catalog/pick.c
+++ b/catalog/pick.c
@@ -24,8 +24,7 @@
   if (query->open_max > 0 && replica->open >= query->open_max)
     return false;
   if (query->open_percent > 0
-      && (replica->open + 1) * 100 > MAX (1, replica->slots) * query->open_percent
-      && replica->open > 0)
+      && replica->open >= MAX (1, replica->slots * query->open_percent / 100))
     return false;
   if (query->is_suspect && replica->suspects > 0)
     return false;
--- a/catalog/pick.h
+++ b/catalog/pick.h
@@ -23,7 +23,7 @@
   const char *software;   /* version that a text can go on at; NULL is any */
   const char *preferred;  /* id of the replica that has the prompt; NULL is none */
   guint open_max;         /* of our own requests at one replica; 0 is no limit */
-  guint open_percent;     /* of a replica's slots, filled by our own requests; 0 is no limit */
+  guint open_percent;     /* of a replica's slots, one at least; as open_max; 0 is no limit */
   guint32 draw;           /* by lot */
   guint64 typical_us;     /* between two events; replicas far slower are passed over; 0 is none */
   bool is_suspect;        /* may crash it: not beside another such request, so that a crash tells
--- a/jobs/reward_plan.h
+++ b/jobs/reward_plan.h
@@ -12,15 +12,15 @@
  */
 
 /* Largest share of a replica's slots that one node fills with reward calls; people use the rest. */
-#define GSPAN_REWARD_SLOTS_PERCENT 66
+#define GSPAN_REWARD_SLOTS_PERCENT 67
 
 /* The reward call of one item. */
 struct GspanRewardState
 {
-  guint open_calls;    /* sent and not answered */
-  guint server_errors; /* responses with status 500, at all owners */
-  guint failures;      /* calls that brought no score, in a row */
-  guint64 owed_since_us;
+  guint open_calls;      /* sent and not answered */
+  guint server_errors;   /* responses with status 500, at all owners */
+  guint failures;        /* calls that brought no score, in a row */
+  guint64 owed_since_us; /* the text is whole, or was read from a checkpoint; 0 isn't yet */
   guint64 last_sent_at_us;
   guint64 next_at_us; /* if none is open, none is sent earlier */
 };
--- a/jobs/rewards.c
+++ b/jobs/rewards.c
@@ -318,6 +318,8 @@
 
       if (item->reward.open_calls == 0 && gspan_run_abandon_if_late (node, job, item, outbox))
         continue;
+      if (item->reward.owed_since_us == 0)
+        item->reward.owed_since_us = node->now;
       try_call (node, job, item, outbox);
     }
   g_array_unref (ranks);
