--- a/catalog/feed.h
+++ b/catalog/feed.h
@@ -45,7 +45,8 @@
 /* Takes in MESSAGE, which a holder has sent. */
 void gspan_feed_receive (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox);
 
-/* True where the revisions that were heard last are recent: of configuration, nodes and verdicts. */
+/* True where the revisions that were heard last are recent: of configuration, nodes and verdicts.
+ */
 bool gspan_feed_is_heard (const struct GspanNode *node);
 
 /* True where this node knows the replicas by what it has heard. */
