jobs: an item's age is not told by the time of day

Cause: the age was the difference of two readings of the time of day, one of them stored by the node that had accepted the job.

Evidence: Jobs.ClockThatJumpsAheadMakesNoItemTooOld failed before (both items abandoned a second after a jump of 60 s) and passes now, at the next owner, too.

Why the fix works: a node counts from when it first knew the job, by its steady clock. That is never earlier than the submission; abandoning later than allowed breaks nothing.

--- a/jobs/accept.c
+++ b/jobs/accept.c
@@ -137,6 +137,7 @@
   job->item_count = job->document.items->len;
   job->part_count = (guint)MAX (1, (body.len + part_size (node) - 1) / part_size (node));
   job->received_ms = node->wall_ms;
+  job->known_since_us = node->now;
   job->owner_heartbeat_at_us = node->now;
   job->last_active_us = node->now;
   return job;
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -74,7 +74,8 @@
   guint64 head_revision;
   guint part_count;
   guint item_count;
-  gint64 received_ms; /* Unix time at which the job was accepted */
+  gint64 received_ms;     /* Unix time at which the job was accepted */
+  guint64 known_since_us; /* this node has known the job since then */
   bool ended;
 
   bool content_loaded;   /* document, items, items_by_id and groups are filled */
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -112,6 +112,7 @@
   if (job == NULL)
     {
       job = gspan_job_new (object->name);
+      job->known_since_us = node->now;
       job->owner_heartbeat_at_us = node->now;
       job->last_active_us = node->now;
       g_hash_table_insert (node->jobs.by_id, job->id, job);
--- a/jobs/run.c
+++ b/jobs/run.c
@@ -86,10 +86,10 @@
                            struct GspanOutbox *outbox)
 {
   const struct GspanConfigRoute *route = gspan_jobs_route_of (node, job);
-  gint64 age_ms = node->wall_ms - job->received_ms;
 
+  /* not by the time of day, which may jump; a later owner abandons later, which harms nobody */
   if (route == NULL || route->give_up_after_us == 0
-      || age_ms < (gint64)(route->give_up_after_us / GSPAN_MS))
+      || node->now < job->known_since_us + route->give_up_after_us)
     return false;
   gspan_run_finish_item (node, job, item, false, outbox);
   return true;
--- a/test/jobs_test.cc
+++ b/test/jobs_test.cc
@@ -860,6 +860,25 @@
   EXPECT_EQ (kept, 3U);
 }
 
+/* An item may be abandoned 40 s after its submission, whatever a machine's time of day says. */
+TEST_F (Jobs, ClockThatJumpsAheadMakesNoItemTooOld)
+{
+  Rig &rig = start_nodes (2);
+
+  submit_job (rig, 1, "j1", 2);
+  world.run (GSPAN_SECOND);
+  world.wall_ms += 60000;
+  for (auto &run : open_runs (rig))
+    rig.http_done (run, GSPAN_HTTP_LOST, 0, {}, "");
+  world.run (GSPAN_SECOND);
+  EXPECT_EQ (rig.node.metrics.values[GSPAN_METRIC_ITEMS_ABANDONED], 0U);
+  rig.paused = true;
+  world.run (6 * GSPAN_SECOND);
+  EXPECT_EQ (world.rigs[1]->node.metrics.values[GSPAN_METRIC_ITEMS_ABANDONED], 0U)
+      << "nor at the next owner";
+  EXPECT_EQ (open_runs (*world.rigs[1]).size (), 2U);
+}
+
 TEST_F (Jobs, EndedJobIsRemovedFromTheStoreAfterItsRetentionTime)
 {
   Rig &rig = start_nodes ();
