links: what a node knows of its own links to the replicas, in lines and counters

The lines could not tell whether an attempt failed at the replica or on the node's own link: nothing said when any replica was last heard, and no line compared replicas.

An exchange that ends or stays without a byte puts a link in doubt; a connection without a request checks it, and some others if no replica was heard lately. Lines: link-down, link-up, links-cut, links-back; heard_us in call-attempt-failed and run-ended. Counters: gspan_link_checks_total, gspan_link_checks_failed_total, gspan_link_cuts_total; gauges gspan_links_cut, gspan_links_down.

--- a/board/board.c
+++ b/board/board.c
@@ -131,6 +131,7 @@
     case GSPAN_OWNER_REWARDS:
     case GSPAN_OWNER_WEIGHTS:
     case GSPAN_OWNER_VERDICTS:
+    case GSPAN_OWNER_LINKS:
       break;
     }
 }
--- a/catalog/permits.c
+++ b/catalog/permits.c
@@ -120,12 +120,13 @@
 }
 
 struct GspanActionHttp *
-gspan_permits_send (struct GspanNode *node, const struct GspanReplica *replica,
-                    enum GspanTraffic traffic, struct GspanRef ref, struct GspanOutbox *outbox)
+gspan_permits_send (struct GspanNode *node, struct GspanReplica *replica, enum GspanTraffic traffic,
+                    struct GspanRef ref, struct GspanOutbox *outbox)
 {
   struct GspanActionHttp *http = &gspan_outbox_add (outbox, GSPAN_ACTION_HTTP, ref)->u.http;
   struct GspanLimit *limit = gspan_limits_find (&node->rate_limits, replica);
 
+  gspan_exchanges_begin (node, replica, ref);
   if (limit == NULL)
     return http;
   /* a second sending by the HTTP client itself would have no permit */
--- a/catalog/permits.h
+++ b/catalog/permits.h
@@ -18,8 +18,7 @@
  * Starts a request of TRAFFIC to REPLICA: returns the action under REF for the caller to fill in,
  * and uses a permit where the replica has a limit.
  */
-struct GspanActionHttp *gspan_permits_send (struct GspanNode *node,
-                                            const struct GspanReplica *replica,
+struct GspanActionHttp *gspan_permits_send (struct GspanNode *node, struct GspanReplica *replica,
                                             enum GspanTraffic traffic, struct GspanRef ref,
                                             struct GspanOutbox *outbox);
 
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -49,6 +49,11 @@
   = { "gspan_reward_calls_failed_total", "reward calls that brought no score" },
   [GSPAN_METRIC_BEYOND_LIMIT]
   = { "gspan_requests_beyond_limit_total", "requests sent to an upstream beyond its limit" },
+  [GSPAN_METRIC_LINK_CHECKS] = { "gspan_link_checks_total", "checks of links to upstreams" },
+  [GSPAN_METRIC_LINK_CHECKS_FAILED]
+  = { "gspan_link_checks_failed_total", "checks of links to upstreams that didn't connect" },
+  [GSPAN_METRIC_LINK_CUTS]
+  = { "gspan_link_cuts_total", "times that this process held itself cut off from all upstreams" },
   [GSPAN_METRIC_LOG_LINES_DROPPED]
   = { "gspan_log_lines_dropped_total", "log lines left out since their reader was too slow" }
 };
@@ -69,6 +74,9 @@
   [GSPAN_GAUGE_UNSCORED_TEXTS] = { "gspan_unscored_texts", "whole texts without a score yet" },
   [GSPAN_GAUGE_LIMITED_UPSTREAMS]
   = { "gspan_limited_upstreams", "upstreams that limit the requests that they take" },
+  [GSPAN_GAUGE_LINKS_CUT]
+  = { "gspan_links_cut", "1 while this process holds itself cut off from all upstreams" },
+  [GSPAN_GAUGE_LINKS_DOWN] = { "gspan_links_down", "upstreams that the last check didn't reach" },
 };
 
 static const struct Description histograms[GSPAN_HISTOGRAM_COUNT] = {
--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -68,6 +68,7 @@
   gspan_line_int (&line, "status", answer->status);
   gspan_line_cstr (&line, "ran", not_run ? "no" : "maybe");
   gspan_line_u64 (&line, "elapsed_us", answer->elapsed_us);
+  gspan_line_u64 (&line, "heard_us", gspan_links_heard_age (node));
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
 }
 
--- a/http/client.c
+++ b/http/client.c
@@ -42,6 +42,7 @@
   bool once; /* never sent a second time */
   bool plain_framing;
   bool probe_silence;
+  bool connect_only;
   char *echo; /* header line that the answer's head must hold; NULL checks nothing */
   bool head_told;
   bool cancelled;
@@ -269,6 +270,8 @@
 static enum GspanHttpResult
 classify (struct Exchange *exchange, CURLcode code)
 {
+  if (exchange->connect_only)
+    return code == CURLE_OK ? GSPAN_HTTP_COMPLETE : GSPAN_HTTP_NOT_SENT;
   if (code == CURLE_OK && exchange->plain_framing)
     return GSPAN_HTTP_COMPLETE;
   if (code == CURLE_OK
@@ -523,7 +526,12 @@
   curl_easy_setopt (easy, CURLOPT_SOCKOPTDATA, exchange);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_send);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, exchange);
-  if (http->new_connection)
+  if (http->connect_only)
+    {
+      curl_easy_setopt (easy, CURLOPT_CONNECT_ONLY, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+  if (http->new_connection || http->connect_only)
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
@@ -539,6 +547,7 @@
   exchange->once = http->new_connection || http->send_once;
   exchange->plain_framing = http->http_framing_only;
   exchange->probe_silence = http->tcp_keepalive;
+  exchange->connect_only = http->connect_only;
   exchange->echo = g_strdup (http->required_header);
   exchange->silence_us = http->idle_timeout_us;
   gspan_framing_init (&exchange->framing, http->method);
--- a/http/client.h
+++ b/http/client.h
@@ -16,8 +16,9 @@
 /*
  * Starts an exchange under REF. HTTP_HEAD and HTTP_DATA events come for streamed exchanges only;
  * exactly one HTTP_DONE ends each exchange that is not cancelled; an answer whose head, or whose
- * body where it is collected, goes on beyond a bound is broken off as GSPAN_HTTP_TOO_LONG. No
- * callback from within this call.
+ * body where it is collected, goes on beyond a bound is broken off as GSPAN_HTTP_TOO_LONG. One that
+ * only connects ends as GSPAN_HTTP_COMPLETE or GSPAN_HTTP_NOT_SENT. No callback from within this
+ * call.
  */
 void gspan_http_client_start (struct GspanHttpClient *client, struct GspanRef ref,
                               const struct GspanActionHttp *http);
--- a/jobs/run.c
+++ b/jobs/run.c
@@ -47,6 +47,7 @@
   gspan_line_u64 (&line, "events", run->item->last_event_id);
   gspan_line_u64 (&line, "weights", run->weight_version);
   gspan_line_u64 (&line, "elapsed_us", run->node->now - run->started_at_us);
+  gspan_line_u64 (&line, "heard_us", gspan_links_heard_age (run->node));
   gspan_outbox_log (outbox, "runner", GSPAN_PRIORITY_INFO, &line);
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -27,6 +27,8 @@
   gspan_catalog_init (&node->catalog, config->self.keeps_disk);
   gspan_limits_init (&node->rate_limits, node->incarnation);
   gspan_peers_init (&node->peers);
+  gspan_links_init (&node->links);
+  gspan_exchanges_init (&node->exchanges);
   gspan_gateway_init (&node->gateway);
   gspan_streams_init (&node->streams);
   gspan_jobs_init (&node->jobs);
@@ -44,6 +46,8 @@
   gspan_jobs_finish (&node->jobs);
   gspan_streams_finish (&node->streams);
   gspan_gateway_finish (&node->gateway);
+  gspan_exchanges_finish (&node->exchanges);
+  gspan_links_finish (&node->links);
   gspan_peers_finish (&node->peers);
   gspan_limits_finish (&node->rate_limits);
   gspan_catalog_finish (&node->catalog);
@@ -109,6 +113,9 @@
     case GSPAN_OWNER_VERDICTS:
       gspan_verdicts_handle (node, event, outbox);
       break;
+    case GSPAN_OWNER_LINKS:
+      gspan_links_handle (node, event, outbox);
+      break;
     default: /* of the other daemons' controllers, which aren't here */
       break;
     }
@@ -119,6 +126,8 @@
 {
   gspan_catalog_handle (node, event, outbox);
   gspan_peers_handle (node, event, outbox);
+  gspan_exchanges_tick (node, outbox);
+  gspan_links_handle (node, event, outbox);
   gspan_limits_tick (node, outbox);
   gspan_permits_tick (node, outbox);
   gspan_streams_tick (node, outbox);
@@ -208,6 +217,7 @@
   node->now = MAX (node->now, now);
   node->wall_ms = wall_ms;
   note_store_result (node, event, outbox);
+  gspan_exchanges_note_event (node, event, outbox);
   switch (event->kind)
     {
     case GSPAN_EVENT_DRAIN:
@@ -229,6 +239,7 @@
       break;
     }
   stamp_store_calls (node, outbox);
+  gspan_exchanges_note_actions (node, outbox);
 }
 
 bool
@@ -259,4 +270,6 @@
   gspan_metrics_set (metrics, GSPAN_GAUGE_UNSCORED_TEXTS, gspan_rewards_count_unscored (node));
   gspan_metrics_set (metrics, GSPAN_GAUGE_LIMITED_UPSTREAMS,
                      gspan_limits_count (&node->rate_limits));
+  gspan_metrics_set (metrics, GSPAN_GAUGE_LINKS_CUT, node->links.cut);
+  gspan_metrics_set (metrics, GSPAN_GAUGE_LINKS_DOWN, g_hash_table_size (node->links.down));
 }
--- a/node/node.h
+++ b/node/node.h
@@ -13,6 +13,8 @@
 #include "jobs/jobs.h"
 #include "jobs/rewards.h"
 #include "jobs/runner.h"
+#include "links/exchanges.h"
+#include "links/links.h"
 #include "node/peers.h"
 #include "weights/weights.h"
 
@@ -57,6 +59,8 @@
   struct GspanCatalog catalog;
   struct GspanLimits rate_limits; /* of replicas */
   struct GspanPeers peers;
+  struct GspanLinks links;
+  struct GspanExchanges exchanges;
   struct GspanGateway gateway;
   struct GspanStreams streams;
   struct GspanJobs jobs;
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -90,6 +90,8 @@
   std::string name;
   bool paused = false;
   bool cut_from_store = false; /* from the store */
+  bool cut_from_replicas = false;
+  unsigned link_checks = 0; /* connections that carry no request; they stand unless it is cut */
   std::vector<Exchange> exchanges;
   std::vector<CallerResponse> responses;
   std::vector<std::string> log;
@@ -109,6 +111,7 @@
   void request (guint64 id, const char *method, const std::string &path,
                 const std::vector<std::string> &headers, const std::string &body);
   void drain ();
+  void end_old_checks ();
   void datagram (const std::string &text);
   void http_head (const Exchange &exchange, int status, const std::vector<std::string> &headers);
   void http_data (const Exchange &exchange, int status, const std::vector<std::string> &headers,
@@ -120,7 +123,10 @@
 private:
   std::string name_;
   std::string udp_;
+  std::vector<GspanRef> checks; /* under way */
+  guint64 oldest_check_at = 0;
   void perform_actions (GspanOutbox *out);
+  void finish_checks ();
 };
 
 struct PendingStoreCall
@@ -322,7 +328,10 @@
         complete_due_calls ();
         for (size_t i = 0; i < rigs.size (); i++)
           if (!rigs[i]->paused)
-            rigs[i]->tick ();
+            {
+              rigs[i]->end_old_checks ();
+              rigs[i]->tick ();
+            }
       }
   }
 
@@ -568,6 +577,29 @@
   gspan_node_handle (&node, &event, world.now, world.wall_ms, &out);
   perform_actions (&out);
   gspan_outbox_finish (&out);
+  if (!cut_from_replicas)
+    finish_checks ();
+}
+
+inline void
+Rig::finish_checks ()
+{
+  std::vector<GspanRef> done;
+
+  done.swap (checks);
+  for (const auto &ref : done)
+    {
+      GspanHeaders none;
+      GspanEvent event{};
+
+      gspan_headers_init (&none);
+      event.kind = GSPAN_EVENT_HTTP_DONE;
+      event.ref = ref;
+      event.u.http.result = cut_from_replicas ? GSPAN_HTTP_NOT_SENT : GSPAN_HTTP_COMPLETE;
+      event.u.http.headers = &none;
+      handle (event);
+      gspan_headers_finish (&none);
+    }
 }
 
 inline void
@@ -588,6 +620,14 @@
           log.push_back (action->u.log.text);
           break;
         case GSPAN_ACTION_HTTP:
+          if (action->u.http.connect_only)
+            {
+              link_checks++;
+              if (checks.empty ())
+                oldest_check_at = world.now;
+              checks.push_back (action->ref);
+              break;
+            }
           exchange.ref = action->ref;
           exchange.method = action->u.http.method;
           exchange.url = action->u.http.url;
@@ -655,6 +695,14 @@
     }
 }
 
+/* Checks that don't connect end by their timeout. */
+inline void
+Rig::end_old_checks ()
+{
+  if (!checks.empty () && world.now >= oldest_check_at + 250 * GSPAN_MS)
+    finish_checks ();
+}
+
 inline void
 Rig::tick ()
 {
