soak, test: nodes that lose their links to the replicas, and to nothing else

Real processes: the kernel drops what chosen nodes send to the replicas' sockets (a filter on sockets of the soak's own, no privileges), so that new connections hang and bytes on open ones are held up; or open ones are reset, or live on; the links of a node may also flap. Nodes are told apart by the address that their connections come from, for which listen.outgoing is new.

--- a/http/client.c
+++ b/http/client.c
@@ -75,6 +75,7 @@
   GPtrArray *doomed;     /* cancelled exchanges to free then */
   GspanHttpClientCallback callback;
   void *user;
+  char *source; /* address that connections come from, as libcurl writes it; NULL is any */
 };
 
 static guint
@@ -470,6 +471,13 @@
   return client;
 }
 
+void
+gspan_http_client_set_source (struct GspanHttpClient *client, const char *ip)
+{
+  g_free (client->source);
+  client->source = ip[0] != '\0' ? g_strdup_printf ("host!%s", ip) : NULL;
+}
+
 void
 gspan_http_client_free (struct GspanHttpClient *client)
 {
@@ -479,6 +487,7 @@
   curl_multi_cleanup (client->multi);
   ev_timer_stop (client->loop, &client->timer);
   ev_timer_stop (client->loop, &client->silence);
+  g_free (client->source);
   g_free (client);
 }
 
@@ -515,6 +524,8 @@
 {
   CURL *easy = exchange->easy;
 
+  if (exchange->client->source != NULL)
+    curl_easy_setopt (easy, CURLOPT_INTERFACE, exchange->client->source);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)MAX (1, http->timeout_us / GSPAN_MS));
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPALIVE, 1L);
--- a/http/client.h
+++ b/http/client.h
@@ -11,6 +11,9 @@
 
 struct GspanHttpClient *gspan_http_client_new (struct ev_loop *loop,
                                                GspanHttpClientCallback callback, void *user);
+
+/* Has connections come from the address IP from now on; empty is any. */
+void gspan_http_client_set_source (struct GspanHttpClient *client, const char *ip);
 void gspan_http_client_free (struct GspanHttpClient *client);
 
 /*
--- a/node/shell.c
+++ b/node/shell.c
@@ -497,6 +497,7 @@
   shell->loop = ev_default_loop (0);
   shell->store_calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, store_call_free);
   shell->client = gspan_http_client_new (shell->loop, on_exchange, shell);
+  gspan_http_client_set_source (shell->client, settings->outgoing);
   if (!open_listeners (shell, error))
     {
       gspan_node_shell_free (shell);
--- a/settings/fleet.h
+++ b/settings/fleet.h
@@ -12,6 +12,7 @@
   char *ready;
   char *metrics;
   char *peers;
+  char *outgoing;
   char *platform;
   char *log_level;
   gint64 keeps_disk;
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -54,6 +54,8 @@
   std::string body;
   std::vector<std::string> headers;
   guint64 sent_at_us;
+  bool new_connection;
+  guint64 connect_timeout_us;
 
   std::string
   header (const std::string &name) const
@@ -632,6 +634,8 @@
           exchange.method = action->u.http.method;
           exchange.url = action->u.http.url;
           exchange.sent_at_us = world.now;
+          exchange.new_connection = action->u.http.new_connection;
+          exchange.connect_timeout_us = GSPAN_SECOND;
           if (action->u.http.body != nullptr)
             {
               GspanStr body = gspan_str_from_bytes (action->u.http.body);
--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -12,6 +12,9 @@
 WINDOW_S = 4.0  # over which requests to a replica with a limit are counted
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
+SERVED_SHARE = 2 / 3  # of what other nodes serve, at nodes without links to the replicas
+FAILED_EXTRA = 10
+FAILED_ONE_IN = 50
 NOTICE_S = 0.5  # after which a node that has passed an answer on keeps what it says
 
 
@@ -36,6 +39,9 @@
         self.scores = defaultdict(list)  # item to (signature of a 2xx to its reward call, time of the call's arrival)
         self.score_errors = defaultdict(int)  # item to responses of 500 to its reward call
         self.texts_made = {}  # item to the time at which a replica first made its last event
+        self.cuts = []  # [from, until, names of the nodes that reached no replica]
+        self.cut_shares = []  # of first tries served at nodes without links, for each cut and kind
+        self.first_tries = []  # (kind of request, node, time sent, whether it was served)
         self.endless = 0  # answers without end
         self.memory_mb = 0  # the most that a node used
         self.most_of_limit = 0.0  # the largest share of what a limit allows that reached a replica
@@ -74,6 +80,16 @@
         if whole and len(events) != last:
             self.broken.append(f"ORDER {name}: ended as whole after {len(events)} of {last} events")
 
+    def first_tried(self, kind, node, sent, served):
+        """The first try of a client's request has ended."""
+        if not self.is_disturbed(node, sent) and not self.is_disturbed(node, self.now()):
+            self.first_tries.append((kind, node, sent, served))
+
+    def cut_begins(self, names):
+        cut = [self.now(), None, names]
+        self.cuts.append(cut)
+        return cut
+
     def text_made(self, item):
         self.texts_made.setdefault(item, self.now())
 
@@ -181,6 +197,35 @@
                 self.broken.append(f"LOST of {len(self.streams[True])} streams taken up {gone_on:.2f} go on, "
                                    f"of new ones {begun:.2f} begin")
 
+    def reaches_no_replica(self, node, since, until):
+        return any(node in names and start <= since and (end is None or until <= end)
+                   for start, end, names in self.cuts)
+
+    def check_served_during_cuts(self):
+        """Callers of nodes without links to the replicas are served as those of the others, for each kind of request."""
+        for start, end, names in self.cuts:
+            for kind in ["any kind", *sorted({kind for kind, _, _, _ in self.first_tries})]:
+                cut, whole = [], []
+                for other, node, sent, served in self.first_tries:
+                    if kind not in ("any kind", other) or not start + STABLE_S <= sent <= end:
+                        continue
+                    if self.reaches_no_replica(node, sent - STABLE_S, sent):
+                        cut.append(served)
+                    elif not any(node in others and begin <= sent and (stop is None or sent <= stop)
+                                 for begin, stop, others in self.cuts):
+                        whole.append(served)
+                self.compare_served(kind, names, cut, whole)
+
+    def compare_served(self, kind, names, cut, whole):
+        if not cut or not whole:
+            return
+        share = sum(cut) / len(cut)
+        failed = len(cut) - sum(cut)
+        self.cut_shares.append(share)
+        if share < SERVED_SHARE * sum(whole) / len(whole) and failed > FAILED_EXTRA + len(cut) / FAILED_ONE_IN:
+            self.broken.append(f"RECOVER {kind}: {', '.join(names)} reached no replica and served {sum(cut)} of "
+                               f"{len(cut)} first tries, the others {sum(whole)} of {len(whole)}")
+
     def check_limits(self):
         """All that reaches a replica counts, from whichever node, but for what a disturbed node may have sent."""
         for replica, spans in self.limits.items():
--- a/test/soak/replica.py
+++ b/test/soak/replica.py
@@ -33,6 +33,7 @@
         self.start_name = f"{name}#{self.born}"  # a replica may start again under the id that it had
         self.spec = None
         self.server = Server(self.serve)
+        self.server.refused, self.server.held_up = world.cut_addresses()
 
     async def start(self, state="ready"):
         await self.server.start()
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -57,15 +57,17 @@
 
 
 class Node:
-    def __init__(self, world, name, store_port):
+    def __init__(self, world, name, store_port, address):
         self.world = world
         self.name = name
+        self.address = address  # that its connections come from
         self.front = free_port("127.0.0.1")
         self.ready = free_port("127.0.0.1")
         self.file = os.path.join(world.folder, name + ".toml")
         self.popen = None
         lines = ["[node]", f'name = "{name}"', 'zone = "a"', "[listen]", f'callers = "127.0.0.1:{self.front}"',
                  f'ready = "127.0.0.1:{self.ready}"', f'peers = "127.0.0.1:{free_udp_port("127.0.0.1")}"',
+                 f'outgoing = "{address}"',
                  "[platform]", f'address = "127.0.0.1:{store_port}"', "[log]", "lines_per_s = 0", "[limits]",
                  f"drain_notice_ms = {books.DRAIN_S * 1000:.0f}"]
         with open(self.file, "w", encoding="utf-8") as file:
@@ -111,6 +113,7 @@
         self.nodes = []
         self.tasks = set()
         self.leaves_acknowledged = {}
+        self.cuts = []  # (nodes that reach no replica, whether their open connections live on)
         self.started_replicas = 0
         self.attempts = 0
         self.versions = 1
@@ -159,15 +162,18 @@
         """One request with its retries at other nodes, as the pages have clients do it."""
         end = self.now() + DEADLINE_S * (1 + RETRIES)
         tried = []
-        for _ in range(1 + RETRIES):
+        for number in range(1 + RETRIES):
             choice = node or self.random.choice([n for n in self.nodes if n not in tried] or self.nodes)
             tried.append(choice)
             self.attempts += 1
             attempt = f"a{self.attempts}"
             self.book.client_sends(attempt, choice.name)
+            sent = self.now()
             headers = {"Host": "a.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": int(DEADLINE_S * 1000)}
             answer = await wire.call(choice.front, "POST", path, headers, b"hello", timeout_s=DEADLINE_S + 3, kept=kept)
             self.book.client_has(attempt, choice.name, answer, path, DEADLINE_S)
+            if number == 0 and KILLER not in path:
+                self.book.first_tried(path.split("/")[1], choice.name, sent, answer is not None and answer[0] == 200)
             if answer is not None and answer[0] == 200:
                 return
             if path.startswith("/calls/") and (answer is None or answer[0] not in (429, 503)):
@@ -211,6 +217,8 @@
             most = self.random.choice([1, 2, EVENTS, EVENTS + 1])
             status, new, whole = await wire.stream(node.front, path, headers, most)
             self.book.stream_tried(node.name, sent, bool(events), bool(new))
+            if not events:
+                self.book.first_tried("text", node.name, sent, bool(new))
             if new and not events:
                 first = headers["X-Attempt-Id"]
             events += new
@@ -335,6 +343,43 @@
         await asyncio.sleep(3)
         replica.endless = False
 
+    def cut_addresses(self):
+        """Addresses of nodes whose new connections to replicas hang, and of those whose open ones do."""
+        refused = sorted({node.address for nodes, _ in self.cuts for node in nodes})
+        return refused, sorted({node.address for nodes, live_on in self.cuts if not live_on for node in nodes})
+
+    def apply_cuts(self):
+        refused, held_up = self.cut_addresses()
+        for server in self.servers:
+            server.cut_off(refused, held_up)
+
+    async def cut(self):
+        """Some nodes, at least one of them not, are partitioned from all replicas and from nothing else."""
+        nodes = self.random.sample(self.nodes, self.random.randint(1, len(self.nodes) - 1))
+        how = self.random.choice(["hang", "reset", "live on"])
+        entry = (nodes, how == "live on")
+        seen = self.book.cut_begins([node.name for node in nodes])
+        self.cuts.append(entry)
+        self.apply_cuts()
+        if how == "reset":
+            for server in self.servers:
+                server.break_connections([node.address for node in nodes])
+        await asyncio.sleep(self.random.uniform(5, 8))
+        seen[1] = self.now()
+        self.cuts.remove(entry)
+        self.apply_cuts()
+
+    async def flap(self):
+        """The links of one node come and go."""
+        node = self.random.choice(self.nodes)
+        for _ in range(4):
+            self.cuts.append(([node], False))
+            self.apply_cuts()
+            await asyncio.sleep(self.random.uniform(0.3, 1.2))
+            self.cuts.remove(([node], False))
+            self.apply_cuts()
+            await asyncio.sleep(self.random.uniform(0.1, 0.8))
+
     async def store_fault(self, nodes):
         fault = self.random.choice(["busy", "silent", "reset", "lost", "slow"])
         for_s = self.random.uniform(1, 6)
@@ -401,7 +446,7 @@
         kinds = {"leave": self.leave, "crash": self.crash, "lose": self.lose_answers, "store": self.store_away,
                  "some": self.store_turns_some_away, "forget": self.forget_history, "watches": self.cut_watches,
                  "kill": self.kill_node, "term": self.stop_node, "freeze": self.freeze_node, "limit": self.limit,
-                 "newer": self.newer, "burst": self.burst,
+                 "newer": self.newer, "burst": self.burst, "cut": self.cut, "flap": self.flap,
                  "endless": self.endless}
         chosen = [kinds[name] for name in self.options.faults.split(",") if name]
         await asyncio.sleep(START_S)
@@ -418,7 +463,7 @@
                 await self.add_replica(service)
         for index in range(self.options.nodes):
             name = f"vm-{index + 1}"
-            self.nodes.append(Node(self, name, await self.store.open_port(name)))
+            self.nodes.append(Node(self, name, await self.store.open_port(name), f"127.0.1.{index + 1}"))
             self.nodes[-1].start()
         for node in self.nodes:
             while not await node.is_ready():
@@ -440,6 +485,7 @@
         self.book.check_crashing_requests()
         self.book.check_limits()
         self.book.check_software()
+        self.book.check_served_during_cuts()
         for node in self.nodes:
             self.book.check_memory(node.name, node.peak_mb(), self.options.memory_mb)
 
@@ -509,7 +555,7 @@
     parser.add_argument("--killers", type=int, default=2, help="contents that end each replica that runs them")
     parser.add_argument("--silent", type=float, default=0.5, help="share of replicas that end without a reset")
     parser.add_argument("--pause", type=float, default=1.5, help="mean time between two faults, in seconds")
-    parser.add_argument("--faults", default="leave,crash,lose,store,some,forget,watches,kill,term,freeze,limit,newer,burst,endless")
+    parser.add_argument("--faults", default="leave,crash,lose,store,some,forget,watches,kill,term,freeze,limit,newer,burst,endless,cut,flap")
     parser.add_argument("--memory-mb", type=int, default=MEMORY_MB * (SANITIZER_FACTOR if "sanitize" in BUILD else 1),
                         help="memory that a node may use")
     parser.add_argument("--keep", help="folder for settings and logs")
@@ -526,7 +572,8 @@
     if not options.quiet:
         print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()},
               f"most of a limit {book.most_of_limit:.2f}, streams begun {len(book.streams[False])}, taken up "
-              f"{len(book.streams[True])} of which {sum(book.streams[True])} went on, endless answers {book.endless}, {book.memory_mb} MB")
+              f"{len(book.streams[True])} of which {sum(book.streams[True])} went on, endless answers {book.endless}, {book.memory_mb} MB, "
+              f"served at cut nodes {[round(share, 2) for share in book.cut_shares]}")
     for line in book.broken:
         print(line)
     print(f"{len(book.broken)} promises broken")
--- a/test/soak/wire.py
+++ b/test/soak/wire.py
@@ -6,6 +6,8 @@
 import urllib.parse
 from dataclasses import dataclass, field
 
+from partition import drop_from
+
 
 @dataclass
 class Request:
@@ -71,10 +73,25 @@
         self.server = None
         self.port = 0
         self.writers = set()
+        self.refused = []  # addresses whose new connections hang
+        self.held_up = []  # addresses whose open connections hang
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
         self.port = self.server.sockets[0].getsockname()[1]
+        self.cut_off(self.refused, self.held_up)
+
+    def cut_off(self, refused, held_up):
+        """Lets new connections from REFUSED hang, and open ones from HELD_UP."""
+        self.refused = refused
+        self.held_up = held_up
+        if self.server is None or not self.server.is_serving():
+            return
+        for sock in self.server.sockets:
+            drop_from(sock, refused)
+        for writer in self.writers:
+            if not writer.is_closing():
+                drop_from(writer.get_extra_info("socket"), held_up)
 
     def stop(self):
         """Closes the port and breaks all connections."""
@@ -82,12 +99,15 @@
             self.server.close()
         self.break_connections()
 
-    def break_connections(self):
+    def break_connections(self, addresses=None):
+        """Resets all connections, or those from ADDRESSES."""
         for writer in list(self.writers):
-            reset(writer)
+            if addresses is None or writer.get_extra_info("peername")[0] in addresses:
+                reset(writer)
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
+        drop_from(writer.get_extra_info("socket"), self.held_up)
         try:
             while (head := await read_head(reader)) is not None:
                 (method, target, _), headers = head
