links: requests go through another node where the own link to a replica is down

Cause: a node had one way to a replica, its own link, so that no choice of a replica could help it; what it lacked was not a better choice but a way.

A node whose links are down or in doubt asks some others by datagram; those that have heard a replica lately, or do after checking, offer to pass requests on. The sender decides all about the request as before; the other node is only the way, and refuses at once what it does not pass on, so that a refusal that says not run stays true. What fails between two nodes counts against no replica. Hedges and retries after which no replica was heard first learn whether the own links stand (30 ms), and go through another node if not. Connects end after 250 ms, an attempt that did not leave does not use up the attempts of its route, and exchanges that are silent on a link that is down end after 400 ms, so that they go elsewhere; those that may run once stay open. Orders always go over the own link.

--- a/board/board.c
+++ b/board/board.c
@@ -132,6 +132,7 @@
     case GSPAN_OWNER_WEIGHTS:
     case GSPAN_OWNER_VERDICTS:
     case GSPAN_OWNER_LINKS:
+    case GSPAN_OWNER_RELAY:
       break;
     }
 }
@@ -283,6 +284,9 @@
     case GSPAN_EVENT_STORE_DONE:
       dispatch_answer (board, event, outbox);
       break;
+    case GSPAN_EVENT_RELAY_REQUEST: /* of gspan-node, which isn't here */
+    case GSPAN_EVENT_RELAY_SENDER_GONE:
+      break;
     }
   add_request_ids (board, outbox, first);
 }
--- a/board/message.h
+++ b/board/message.h
@@ -30,7 +30,8 @@
   GSPAN_OWNER_REWARDS,
   GSPAN_OWNER_WEIGHTS,
   GSPAN_OWNER_VERDICTS,
-  GSPAN_OWNER_LINKS
+  GSPAN_OWNER_LINKS,
+  GSPAN_OWNER_RELAY
 };
 
 /* Names one operation: ID is chosen by OWNER and unique among its open operations. */
@@ -90,7 +91,9 @@
   GSPAN_EVENT_RPC_CALL,
   GSPAN_EVENT_RPC_DONE,
   GSPAN_EVENT_DATAGRAM,
-  GSPAN_EVENT_STORE_DONE
+  GSPAN_EVENT_STORE_DONE,
+  GSPAN_EVENT_RELAY_REQUEST,    /* of another node, for a replica that it can't reach */
+  GSPAN_EVENT_RELAY_SENDER_GONE /* that node has gone or given up */
 };
 
 /* A caller's whole request. */
@@ -111,8 +114,11 @@
   int status;
   const struct GspanHeaders *headers;
   GBytes *body;
-  guint64 elapsed_us; /* DONE only */
-  guint send_count;   /* DONE only: times that the request went out, libcurl's own repeat too */
+  guint64 elapsed_us;   /* DONE only */
+  guint send_count;     /* DONE only: times that the request went out, libcurl's own repeat too */
+  bool relayed;         /* it went through another node */
+  bool failed_at_relay; /* DONE only: at that node, or on the way to it; says nothing of the
+                           upstream */
 };
 
 struct GspanEventObject
@@ -151,7 +157,7 @@
   union
   {
     struct GspanEventRequest request;
-    guint64 disconnected_request; /* the request whose caller went away */
+    guint64 disconnected_request; /* the request whose caller, or sending node, went away */
     struct GspanEventHttp http;
     struct GspanEventObject object;
     struct GspanEventRpc rpc;
@@ -183,6 +189,7 @@
   int status;
   struct GspanHeaders headers;
   GBytes *body; /* may be NULL */
+  bool to_node; /* answers a request of another node, not a caller's */
 };
 
 struct GspanActionHttp
@@ -192,14 +199,16 @@
   struct GspanHeaders headers;
   GBytes *body; /* may be NULL */
   guint64 timeout_us;
-  guint64 start_deadline_us; /* not begun after this time of the board's clock; 0 is no limit */
-  guint64 idle_timeout_us;   /* longest pause between answer bytes; 0 is no limit */
-  bool new_connection;       /* never on a used connection: the request may not run twice */
-  bool send_once;            /* may take a used connection, but is never sent a second time */
-  bool stream;               /* HEAD and DATA events as they come */
-  bool http_framing_only;    /* whole by HTTP's own rules: no end mark is asked of a stream */
-  bool connect_only;         /* ends once the connection stands, without a request */
-  bool tcp_keepalive;        /* keep-alive probes every second find a connection that went silent */
+  guint64 connect_timeout_us; /* 0 is the client's own */
+  guint64 start_deadline_us;  /* not begun after this time of the board's clock; 0 is no limit */
+  guint64 idle_timeout_us;    /* longest pause between answer bytes; 0 is no limit */
+  bool new_connection;        /* never on a used connection: the request may not run twice */
+  bool close_after;           /* the connection isn't kept */
+  bool send_once;             /* may take a used connection, but is never sent a second time */
+  bool stream;                /* HEAD and DATA events as they come */
+  bool http_framing_only;     /* whole by HTTP's own rules: no end mark is asked of a stream */
+  bool connect_only;          /* ends once the connection stands, without a request */
+  bool tcp_keepalive;    /* keep-alive probes every second find a connection that went silent */
   char *required_header; /* "Name: value" that the answer's head must hold; NULL checks nothing */
 };
 
--- a/catalog/permits.c
+++ b/catalog/permits.c
@@ -126,7 +126,7 @@
   struct GspanActionHttp *http = &gspan_outbox_add (outbox, GSPAN_ACTION_HTTP, ref)->u.http;
   struct GspanLimit *limit = gspan_limits_find (&node->rate_limits, replica);
 
-  gspan_exchanges_begin (node, replica, ref);
+  gspan_exchanges_begin (node, replica, traffic, ref);
   if (limit == NULL)
     return http;
   /* a second sending by the HTTP client itself would have no permit */
--- a/catalog/pick.c
+++ b/catalog/pick.c
@@ -19,6 +19,8 @@
   if (strcmp (replica->service, query->service) != 0
       || !gspan_replica_usable (replica, query->last_resort ? G_MAXUINT64 : query->now))
     return false;
+  if (replica->reach == GSPAN_REACH_NONE && !query->last_resort)
+    return false;
   if (query->software != NULL && g_strcmp0 (replica->software, query->software) != 0)
     return false;
   if (query->open_max > 0 && replica->open >= query->open_max)
@@ -37,16 +39,17 @@
          && (query->weights_max == 0 || weights <= query->weights_max);
 }
 
-/* Lower is better: requests per slot first, then the zone, then the lot. */
+/* Lower is better: own links first, then requests per slot, then the zone, then the lot. */
 static guint64
 cost_of (const struct GspanReplica *replica, const struct GspanPickQuery *query)
 {
   guint64 slots = MAX (1, replica->slots);
   guint64 load = (guint64)replica->open * 1000 / slots;
   guint64 far = g_strcmp0 (replica->zone, query->zone) != 0;
+  guint64 indirect = replica->reach != GSPAN_REACH_DIRECT;
   guint64 lot = (g_str_hash (replica->id) ^ query->draw) * 2654435761U & 0xffff;
 
-  return load << 20 | far << 19 | lot;
+  return indirect << 56 | load << 20 | far << 19 | lot;
 }
 
 struct GspanReplica *
--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -14,6 +14,14 @@
   guint64 weights; /* version of the model's weights; only rises */
 };
 
+/* The way that requests of this node take to a replica (links/links.h). */
+enum GspanReach
+{
+  GSPAN_REACH_DIRECT,
+  GSPAN_REACH_BY_RELAY, /* the link is down, and another node passes requests on */
+  GSPAN_REACH_NONE      /* the link is down, and no node offers to */
+};
+
 struct GspanReplica
 {
   guint refs;
@@ -29,6 +37,7 @@
   GPtrArray *models; /* struct GspanReplicaModel */
 
   /* What this process knows by itself. */
+  enum GspanReach reach;
   bool leaving;        /* as it announced in a response (catalog/leaving.h) */
   guint open;          /* requests of ours that it has now */
   guint suspects;      /* of these, those that may crash it (desk/poison_requests.h) */
--- a/cmd/gspan-node.c
+++ b/cmd/gspan-node.c
@@ -1,5 +1,6 @@
 #include <signal.h>
 #include <stdio.h>
+#include <sys/random.h>
 
 #include "cmd/exit.h"
 #include "common/clock.h"
@@ -63,17 +64,43 @@
   return ok;
 }
 
+enum
+{
+  RELAY_KEY_BYTES = 16
+};
+
+/* Fills KEY with hex digits that nobody can guess. */
+static bool
+draw_relay_key (char key[2 * RELAY_KEY_BYTES + 1])
+{
+  unsigned char bytes[RELAY_KEY_BYTES];
+
+  if (getrandom (bytes, sizeof bytes, 0) != (ssize_t)sizeof bytes)
+    return false;
+  for (guint i = 0; i < RELAY_KEY_BYTES; i++)
+    g_snprintf (key + 2 * (gsize)i, 3, "%02x", bytes[i]);
+  return true;
+}
+
 static int
 serve (const struct GspanFleetSettings *settings, const char *file)
 {
   struct GspanNodeConfig config = { 0 };
   struct GspanError error = { 0 };
   struct GspanNodeShell *shell;
+  char relay_key[2 * RELAY_KEY_BYTES + 1];
   struct GspanNode node;
 
+  if (!draw_relay_key (relay_key))
+    {
+      fprintf (stderr, "gspan-node: the system gives no random numbers\n");
+      return GSPAN_EXIT_FAILURE;
+    }
   config.self.name = settings->name;
   config.self.zone = settings->zone;
   config.self.udp_address = settings->peers;
+  config.self.relay_address = settings->relay[0] != '\0' ? settings->relay : NULL;
+  config.self.relay_key = relay_key;
   config.self.takes_requests = settings->callers[0] != '\0';
   config.self.keeps_disk = settings->keeps_disk != 0;
   config.limits.lease_us = (guint64)(settings->lease_ms * (double)GSPAN_MS);
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -54,6 +54,16 @@
   = { "gspan_link_checks_failed_total", "checks of links to upstreams that didn't connect" },
   [GSPAN_METRIC_LINK_CUTS]
   = { "gspan_link_cuts_total", "times that this process held itself cut off from all upstreams" },
+  [GSPAN_METRIC_RELAYED]
+  = { "gspan_relayed_total", "requests sent to an upstream through another node" },
+  [GSPAN_METRIC_RELAYED_FAILED]
+  = { "gspan_relayed_failed_total", "of these, those that failed at that node" },
+  [GSPAN_METRIC_RELAYED_FOR_OTHERS]
+  = { "gspan_relayed_for_others_total", "requests of other nodes passed on to upstreams" },
+  [GSPAN_METRIC_RELAY_REFUSED]
+  = { "gspan_relay_refused_total", "requests of other nodes that were not passed on" },
+  [GSPAN_METRIC_RELAY_BYTES]
+  = { "gspan_relay_bytes_total", "bytes of bodies passed on for other nodes, both ways" },
   [GSPAN_METRIC_LOG_LINES_DROPPED]
   = { "gspan_log_lines_dropped_total", "log lines left out since their reader was too slow" }
 };
@@ -77,6 +87,8 @@
   [GSPAN_GAUGE_LINKS_CUT]
   = { "gspan_links_cut", "1 while this process holds itself cut off from all upstreams" },
   [GSPAN_GAUGE_LINKS_DOWN] = { "gspan_links_down", "upstreams that the last check didn't reach" },
+  [GSPAN_GAUGE_RELAYED_FOR_OTHERS]
+  = { "gspan_relaying_for_others", "requests of other nodes being passed on" },
 };
 
 static const struct Description histograms[GSPAN_HISTOGRAM_COUNT] = {
--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -7,6 +7,7 @@
 
 enum
 {
+  NOT_SENT_MAX = 4,       /* attempts of a call that may fail before they leave */
   KEPT_BODY_MAX = 1 << 20 /* bytes of a stream's answer that isn't passed on as it comes */
 };
 
@@ -69,6 +70,8 @@
   gspan_line_cstr (&line, "ran", not_run ? "no" : "maybe");
   gspan_line_u64 (&line, "elapsed_us", answer->elapsed_us);
   gspan_line_u64 (&line, "heard_us", gspan_links_heard_age (node));
+  gspan_line_u64 (&line, "relayed", answer->relayed);
+  gspan_line_u64 (&line, "failed_at_relay", answer->failed_at_relay);
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
 }
 
@@ -82,6 +85,8 @@
   guint64 content = attempt->call->fingerprint;
 
   replica->misdirected = replica->misdirected || wire->misdirected;
+  if (answer->failed_at_relay)
+    return;
   if (answer->result != GSPAN_HTTP_COMPLETE)
     gspan_replica_failed (replica, node->now);
   if (gspan_attempt_has_answer (attempt))
@@ -92,9 +97,27 @@
     gspan_crash_reports_note_silence (node, content, replica, node->now - attempt->sent, outbox);
 }
 
+/*
+ * The attempt at REPLICA never left this node: the replica may be tried again, another way, and the
+ * attempt isn't one of those that the route allows.
+ */
+static void
+take_back (struct GspanCall *call, const struct GspanReplica *replica)
+{
+  guint at;
+
+  if (call->not_sent++ >= NOT_SENT_MAX)
+    return;
+  call->state.attempts--;
+  if (g_ptr_array_find_with_equal_func (call->tried, replica->id, g_str_equal, &at))
+    g_ptr_array_remove_index (call->tried, at);
+}
+
 static const char *
 why_failed (const struct GspanEventHttp *answer, bool not_run)
 {
+  if (answer->result == GSPAN_HTTP_NOT_SENT)
+    return "no replica could be reached";
   if (not_run)
     return "every replica is busy";
   return answer->result == GSPAN_HTTP_TOO_LONG ? "the answer was too long" : "the answer was lost";
@@ -136,9 +159,11 @@
   blame (node, attempt, answer, &wire, outbox);
   log_failure (node, attempt, answer, not_run, outbox);
   call->may_have_run = call->may_have_run || !not_run;
+  if (answer->result == GSPAN_HTTP_NOT_SENT)
+    take_back (call, attempt->replica);
   gspan_call_forget_attempt (node, attempt);
   if ((!gspan_hedge_may_retry (&call->state, not_run)
-       || !gspan_attempts_try_next (node, call, outbox))
+       || !gspan_attempts_try_next (node, call, answer->result == GSPAN_HTTP_NOT_SENT, outbox))
       && call->open->len == 0)
     {
       if (whole && !good && !not_run && wire.signed_by_replica && !call->state.response_started)
--- a/gateway/attempts.c
+++ b/gateway/attempts.c
@@ -5,6 +5,9 @@
 #include "node/node.h"
 #include "platform/wire.h"
 
+#define OWN_CHECK_US (30 * GSPAN_MS)  /* a link that stands shows it by then */
+#define RELAY_WAIT_US (80 * GSPAN_MS) /* round trips to nodes that check their own links first */
+
 /* Replicas that lack only a permit are added to WITHOUT_PERMIT, unless it is NULL. */
 static struct GspanReplica *
 pick (struct GspanNode *node, const struct GspanCall *call, bool last_resort,
@@ -31,9 +34,18 @@
   return gspan_pick_replica (node->catalog.replicas, &query);
 }
 
+/* For log lines. */
+static const char *
+relay_of (const struct GspanNode *node, struct GspanRef ref)
+{
+  const char *name = gspan_exchanges_relay_of (node, ref.id);
+
+  return name != NULL ? name : "";
+}
+
 static void
 send_attempt (struct GspanNode *node, struct GspanCall *call, struct GspanReplica *replica,
-              struct GspanOutbox *outbox)
+              bool by_relay, struct GspanOutbox *outbox)
 {
   struct GspanAttempt *attempt = g_new0 (struct GspanAttempt, 1);
   struct GspanRef ref = { GSPAN_OWNER_GATEWAY, gspan_node_next_id (node) };
@@ -48,6 +60,8 @@
   attempt->sent = node->now;
   attempt->body = g_string_new (NULL);
   gspan_events_reset (&call->events);
+  if (by_relay)
+    gspan_exchanges_prefer_relay (node, ref);
   attempt->is_suspect = gspan_call_is_suspect (node, call);
   replica->open++;
   replica->suspects += attempt->is_suspect;
@@ -81,6 +95,7 @@
   gspan_line_u64 (&line, "open_there", replica->open);
   gspan_line_u64 (&line, "list_age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
   gspan_line_u64 (&line, "left_us", http->timeout_us);
+  gspan_line_cstr (&line, "relay", relay_of (node, ref));
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
 }
 
@@ -183,8 +198,42 @@
   return false;
 }
 
+/*
+ * True where earlier attempts of CALL have brought nothing, and no replica was heard since the last
+ * of them: this node's own links may be down.
+ */
+static bool
+is_in_doubt (const struct GspanNode *node, const struct GspanCall *call)
+{
+  return call->state.last_sent_at_us != 0
+         && !gspan_links_proven_since (&node->links, call->state.last_sent_at_us);
+}
+
+/*
+ * True while CALL, whose earlier attempts have brought nothing, waits to know whether the own links
+ * stand, or for a node that passes it on.
+ */
+static bool
+wait_for_way (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
+{
+  if (!is_in_doubt (node, call) || !gspan_relay_offers_possible (node))
+    return false;
+  if (call->doubted_at == 0)
+    {
+      call->doubted_at = node->now;
+      gspan_links_check_some (node, outbox);
+    }
+  gspan_relay_offers_want (node, outbox);
+  if (node->links.cut && gspan_relay_offers_any (node))
+    return false;
+  if (node->now < call->doubted_at + OWN_CHECK_US)
+    return true;
+  return !gspan_relay_offers_any (node) && node->now < call->doubted_at + RELAY_WAIT_US;
+}
+
 bool
-gspan_attempts_try_next (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
+gspan_attempts_try_next (struct GspanNode *node, struct GspanCall *call, bool may_wait,
+                         struct GspanOutbox *outbox)
 {
   GPtrArray *without_permit;
   struct GspanReplica *replica;
@@ -193,6 +242,9 @@
   call->retry_at = 0;
   if (gspan_call_refused_until (node, call) != 0)
     return false;
+  if (may_wait && wait_for_way (node, call, outbox))
+    return true;
+  call->doubted_at = 0;
   without_permit = g_ptr_array_new ();
   replica = pick (node, call, false, without_permit);
   if (replica == NULL)
@@ -201,6 +253,6 @@
   if (replica == NULL)
     replica = pick (node, call, !waits, NULL);
   if (replica != NULL)
-    send_attempt (node, call, replica, outbox);
+    send_attempt (node, call, replica, is_in_doubt (node, call), outbox);
   return replica != NULL || waits;
 }
--- a/gateway/calls.h
+++ b/gateway/calls.h
@@ -27,10 +27,12 @@
   guint64 fingerprint;
   guint64 started;
   struct GspanHedgeState state;
-  GPtrArray *tried; /* ids of replicas */
-  GPtrArray *open;  /* struct GspanAttempt */
-  char *waits_at;   /* id of the replica that it waits for a permit of; NULL is none */
-  guint64 retry_at; /* none is to be had in time before then; 0 is not known */
+  GPtrArray *tried;   /* ids of replicas */
+  GPtrArray *open;    /* struct GspanAttempt */
+  char *waits_at;     /* id of the replica that it waits for a permit of; NULL is none */
+  guint64 doubted_at; /* waits since then to know a way to a replica; 0 is not waiting */
+  guint not_sent;     /* attempts of which no byte left */
+  guint64 retry_at;   /* none is to be had in time before then; 0 is not known */
   bool may_have_run;
   bool stream;
   bool has_events;    /* of a stream: some have been passed on */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -68,16 +68,18 @@
 
 /* Why CALL, which no replica takes now, is refused. */
 static const char *
-why_refused (const struct GspanCall *call)
+why_refused (const struct GspanNode *node, const struct GspanCall *call)
 {
-  return call->retry_at != 0 ? "no replica has room within its limit" : "no replica is up";
+  if (call->retry_at != 0)
+    return "no replica has room within its limit";
+  return node->links.cut ? "this node reaches no replica" : "no replica is up";
 }
 
 static void
 start_first (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
-  if (!gspan_attempts_try_next (node, call, outbox))
-    gspan_call_give_up (node, call, why_refused (call), 502, outbox);
+  if (!gspan_attempts_try_next (node, call, false, outbox))
+    gspan_call_give_up (node, call, why_refused (node, call), 502, outbox);
 }
 
 static void
@@ -249,14 +251,14 @@
     resume_stream (node, call, outbox);
   else if (call->open->len == 0)
     {
-      if (!gspan_attempts_try_next (node, call, outbox))
-        gspan_call_give_up (node, call, why_refused (call), 502, outbox);
+      if (!gspan_attempts_try_next (node, call, true, outbox))
+        gspan_call_give_up (node, call, why_refused (node, call), 502, outbox);
     }
   else
     {
       gspan_call_note_long_silence (node, call, outbox);
       if (gspan_hedge_due (&call->state) && !may_crash (node, call))
-        gspan_attempts_try_next (node, call, outbox);
+        gspan_attempts_try_next (node, call, true, outbox);
     }
 }
 
--- a/http/client.c
+++ b/http/client.c
@@ -526,7 +526,9 @@
 
   if (exchange->client->source != NULL)
     curl_easy_setopt (easy, CURLOPT_INTERFACE, exchange->client->source);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    http->connect_timeout_us > 0 ? (long)(http->connect_timeout_us / GSPAN_MS)
+                                                 : (long)CONNECT_TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)MAX (1, http->timeout_us / GSPAN_MS));
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPALIVE, 1L);
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPIDLE,
@@ -538,10 +540,9 @@
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_send);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, exchange);
   if (http->connect_only)
-    {
-      curl_easy_setopt (easy, CURLOPT_CONNECT_ONLY, 1L);
-      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
-    }
+    curl_easy_setopt (easy, CURLOPT_CONNECT_ONLY, 1L);
+  if (http->close_after || http->connect_only)
+    curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
   if (http->new_connection || http->connect_only)
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
 }
--- a/jobs/rewards.c
+++ b/jobs/rewards.c
@@ -382,7 +382,7 @@
 /* Notes what OUTCOME shows of REPLICA. */
 static void
 note_replica (const struct GspanNode *node, struct GspanReplica *replica, enum Outcome outcome,
-              const struct GspanWireResponse *wire)
+              const struct GspanEventHttp *answer, const struct GspanWireResponse *wire)
 {
   switch (outcome)
     {
@@ -394,7 +394,8 @@
       replica->avoid_until = MAX (replica->avoid_until, node->now + BUSY_BACKOFF_US);
       break;
     case OUTCOME_LOST:
-      gspan_replica_failed (replica, node->now);
+      if (!answer->failed_at_relay)
+        gspan_replica_failed (replica, node->now);
       break;
     case OUTCOME_SERVER_ERROR:
     case OUTCOME_FAILED:
@@ -442,7 +443,7 @@
   gspan_limits_note_answer (node, call->replica, &wire, call->sent_at_us, outbox);
   outcome = outcome_of (answer, &wire);
   log_end (node, call, outcome, answer->status, outbox);
-  note_replica (node, call->replica, outcome, &wire);
+  note_replica (node, call->replica, outcome, answer, &wire);
   g_hash_table_remove (node->rewards.calls, &call->id);
   if (item->state != GSPAN_ITEM_UNSCORED)
     return;
--- a/jobs/run.c
+++ b/jobs/run.c
@@ -18,7 +18,7 @@
 }
 
 static void
-log_start (const struct GspanRun *run, struct GspanOutbox *outbox)
+log_start (const struct GspanRun *run, const char *relay, struct GspanOutbox *outbox)
 {
   struct GspanLine line;
 
@@ -29,6 +29,7 @@
   gspan_line_cstr (&line, "software", run->replica->software);
   gspan_line_u64 (&line, "events", run->item->last_event_id);
   gspan_line_u64 (&line, "open_there", run->replica->open);
+  gspan_line_cstr (&line, "relay", relay != NULL ? relay : "");
   gspan_outbox_log (outbox, "runner", GSPAN_PRIORITY_INFO, &line);
 }
 
@@ -183,5 +184,5 @@
   gspan_wire_write_run_headers (item->submitted, job->host, replica->id, item->last_event_id,
                                 &http->headers);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_RUNS, 1);
-  log_start (run, outbox);
+  log_start (run, gspan_exchanges_relay_of (node, ref.id), outbox);
 }
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -162,9 +162,10 @@
 }
 
 static void
-on_run_lost (struct GspanNode *node, struct GspanRun *run)
+on_run_lost (struct GspanNode *node, struct GspanRun *run, const struct GspanEventHttp *answer)
 {
-  gspan_replica_failed (run->replica, node->now);
+  if (!answer->failed_at_relay)
+    gspan_replica_failed (run->replica, node->now);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_RUNS_RESUMED, 1);
   gspan_run_requeue (node, run);
 }
@@ -206,7 +207,7 @@
       gspan_run_requeue (node, run);
     }
   else
-    on_run_lost (node, run);
+    on_run_lost (node, run, answer);
 }
 
 static void
--- a/links/links.c
+++ b/links/links.c
@@ -355,19 +355,33 @@
 }
 
 void
-gspan_links_handle (struct GspanNode *node, const struct GspanEvent *event,
-                    struct GspanOutbox *outbox)
+gspan_links_update_reach (struct GspanNode *node)
 {
-  struct GspanLinks *links = &node->links;
+  enum GspanReach other = gspan_relay_offers_any (node) ? GSPAN_REACH_BY_RELAY : GSPAN_REACH_NONE;
+  GHashTableIter iter;
+  gpointer value;
 
-  if (event->kind == GSPAN_EVENT_HTTP_DONE)
+  g_hash_table_iter_init (&iter, node->catalog.replicas);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      on_check_done (node, event, outbox);
-      return;
+      struct GspanReplica *replica = value;
+
+      replica->reach = gspan_links_is_down (&node->links, replica) ? other : GSPAN_REACH_DIRECT;
     }
-  drop_outdated (node);
-  if (node->now < links->checked_at + ROUND_INTERVAL_US
-      || (!links->cut && g_hash_table_size (links->down) == 0))
+}
+
+static bool
+is_whole (const struct GspanLinks *links)
+{
+  return !links->cut && g_hash_table_size (links->down) == 0;
+}
+
+static void
+check_again (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  struct GspanLinks *links = &node->links;
+
+  if (node->now < links->checked_at + ROUND_INTERVAL_US)
     return;
   links->checked_at = node->now;
   if (links->cut)
@@ -375,3 +389,21 @@
   else
     check_down (node, outbox);
 }
+
+void
+gspan_links_handle (struct GspanNode *node, const struct GspanEvent *event,
+                    struct GspanOutbox *outbox)
+{
+  struct GspanLinks *links = &node->links;
+
+  if (event->kind == GSPAN_EVENT_HTTP_DONE)
+    on_check_done (node, event, outbox);
+  else if (!is_whole (links))
+    {
+      drop_outdated (node);
+      check_again (node, outbox);
+    }
+  if (!is_whole (links))
+    gspan_relay_offers_want (node, outbox);
+  gspan_links_update_reach (node);
+}
--- a/links/links.h
+++ b/links/links.h
@@ -54,6 +54,9 @@
 /* True if the link to REPLICA is down, or all are. */
 bool gspan_links_is_down (const struct GspanLinks *links, const struct GspanReplica *replica);
 
+/* Sets the way that requests take to each replica, as far as it follows from the links. */
+void gspan_links_update_reach (struct GspanNode *node);
+
 /* Takes the results of checks, and ticks. */
 void gspan_links_handle (struct GspanNode *node, const struct GspanEvent *event,
                          struct GspanOutbox *outbox);
--- /dev/null
+++ b/links/relay_headers.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "common/headers.h"
+
+/*
+ * Headers of requests that one node passes on for another (links/relay_server.h). Requests bear
+ * the key of the node that is to pass them on, which nodes read in the store: nobody else knows it.
+ */
+
+struct GspanRelayRequest
+{
+  struct GspanStr key;
+  struct GspanStr upstream; /* id of the replica */
+  guint64 timeout_us;       /* until the sender gives up */
+  bool stream;              /* the answer is passed on as it comes */
+  bool new_connection;      /* never on a used connection: the request may not run twice */
+  bool send_once;
+};
+
+/* How a request that was passed on ended. */
+enum GspanRelayOutcome
+{
+  GSPAN_RELAY_ANSWERED, /* the answer is the replica's */
+  GSPAN_RELAY_REFUSED,  /* not passed on */
+  GSPAN_RELAY_NOT_SENT, /* the replica could not be reached */
+  GSPAN_RELAY_LOST,     /* sent, and no whole answer came */
+  GSPAN_RELAY_TIMEOUT,  /* as LOST, given up at the timeout */
+  GSPAN_RELAY_TOO_LONG  /* as LOST, broken off at a bound */
+};
+
+void gspan_relay_write_request (const struct GspanRelayRequest *request,
+                                struct GspanHeaders *headers);
+
+/* Strings of REQUEST are borrowed from HEADERS; empty where the headers don't hold them. */
+void gspan_relay_read_request (const struct GspanHeaders *headers,
+                               struct GspanRelayRequest *request);
+
+/* Adds OUTCOME, and WHY it was so, to the headers of an answer that isn't a replica's. */
+void gspan_relay_write_outcome (enum GspanRelayOutcome outcome, const char *why,
+                                struct GspanHeaders *headers);
+
+/* GSPAN_RELAY_ANSWERED where HEADERS name none. WHY is borrowed from them, and may be empty. */
+enum GspanRelayOutcome gspan_relay_read_outcome (const struct GspanHeaders *headers,
+                                                 struct GspanStr *why);
+
+/* True if LINE is a header of this module. */
+bool gspan_relay_is_header (const char *line);
--- a/node/node.c
+++ b/node/node.c
@@ -29,6 +29,8 @@
   gspan_peers_init (&node->peers);
   gspan_links_init (&node->links);
   gspan_exchanges_init (&node->exchanges);
+  gspan_relay_offers_init (&node->relay_offers);
+  gspan_relay_server_init (&node->relay_server);
   gspan_gateway_init (&node->gateway);
   gspan_streams_init (&node->streams);
   gspan_jobs_init (&node->jobs);
@@ -46,7 +48,9 @@
   gspan_jobs_finish (&node->jobs);
   gspan_streams_finish (&node->streams);
   gspan_gateway_finish (&node->gateway);
+  gspan_relay_server_finish (&node->relay_server);
   gspan_exchanges_finish (&node->exchanges);
+  gspan_relay_offers_finish (&node->relay_offers);
   gspan_links_finish (&node->links);
   gspan_peers_finish (&node->peers);
   gspan_limits_finish (&node->rate_limits);
@@ -115,12 +119,30 @@
       break;
     case GSPAN_OWNER_LINKS:
       gspan_links_handle (node, event, outbox);
+      gspan_relay_server_answer_asks (node, outbox);
+      gspan_gateway_send_waiting (node, outbox);
+      break;
+    case GSPAN_OWNER_RELAY:
+      gspan_relay_server_handle (node, event, outbox);
       break;
     default: /* of the other daemons' controllers, which aren't here */
       break;
     }
 }
 
+/* Exchanges that wait on links that are down end, so that their owners try another way. */
+static void
+end_hopeless (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  struct GspanEvent lost = { 0 };
+
+  lost.kind = GSPAN_EVENT_HTTP_DONE;
+  lost.u.http.result = GSPAN_HTTP_LOST;
+  lost.u.http.headers = &node->exchanges.nothing;
+  while (gspan_exchanges_take_hopeless (node, &lost.ref, outbox))
+    tell_owner (node, &lost, outbox);
+}
+
 static void
 tell_all (struct GspanNode *node, const struct GspanEvent *event, struct GspanOutbox *outbox)
 {
@@ -128,6 +150,9 @@
   gspan_peers_handle (node, event, outbox);
   gspan_exchanges_tick (node, outbox);
   gspan_links_handle (node, event, outbox);
+  gspan_relay_offers_tick (node, outbox);
+  gspan_relay_server_handle (node, event, outbox);
+  end_hopeless (node, outbox);
   gspan_limits_tick (node, outbox);
   gspan_permits_tick (node, outbox);
   gspan_streams_tick (node, outbox);
@@ -149,6 +174,17 @@
   gspan_rewards_schedule (node, outbox);
 }
 
+/* Calls and items that wait for a way to a replica may have one now. */
+static void
+take_relay_offer (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
+{
+  gspan_relay_offers_receive (node, message);
+  gspan_links_update_reach (node);
+  gspan_gateway_send_waiting (node, outbox);
+  gspan_placement_schedule (node, outbox);
+  gspan_rewards_schedule (node, outbox);
+}
+
 static void
 take_streams (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
 {
@@ -177,6 +213,10 @@
     take_streams (node, message, outbox);
   else if (g_strcmp0 (kind, "stream-ask") == 0)
     gspan_streams_receive_ask (node, message, outbox);
+  else if (g_strcmp0 (kind, "relay-ask") == 0)
+    gspan_relay_server_receive_ask (node, message, outbox);
+  else if (g_strcmp0 (kind, "relay-offer") == 0)
+    take_relay_offer (node, message, outbox);
   else
     gspan_owner_handle_datagram (node, message, outbox);
   json_decref (message);
@@ -210,14 +250,9 @@
     }
 }
 
-void
-gspan_node_handle (struct GspanNode *node, const struct GspanEvent *event, guint64 now,
-                   gint64 wall_ms, struct GspanOutbox *outbox)
+static void
+dispatch (struct GspanNode *node, const struct GspanEvent *event, struct GspanOutbox *outbox)
 {
-  node->now = MAX (node->now, now);
-  node->wall_ms = wall_ms;
-  note_store_result (node, event, outbox);
-  gspan_exchanges_note_event (node, event, outbox);
   switch (event->kind)
     {
     case GSPAN_EVENT_DRAIN:
@@ -231,6 +266,10 @@
     case GSPAN_EVENT_REQUEST:
       take_request (node, event, outbox);
       break;
+    case GSPAN_EVENT_RELAY_REQUEST:
+    case GSPAN_EVENT_RELAY_SENDER_GONE:
+      gspan_relay_server_handle (node, event, outbox);
+      break;
     case GSPAN_EVENT_DATAGRAM:
       take_datagram (node, event->u.datagram.payload, outbox);
       break;
@@ -238,8 +277,21 @@
       tell_owner (node, event, outbox);
       break;
     }
+}
+
+void
+gspan_node_handle (struct GspanNode *node, const struct GspanEvent *event, guint64 now,
+                   gint64 wall_ms, struct GspanOutbox *outbox)
+{
+  struct GspanEvent seen = *event;
+
+  node->now = MAX (node->now, now);
+  node->wall_ms = wall_ms;
+  note_store_result (node, event, outbox);
+  if (gspan_exchanges_take_event (node, &seen, outbox))
+    dispatch (node, &seen, outbox);
   stamp_store_calls (node, outbox);
-  gspan_exchanges_note_actions (node, outbox);
+  gspan_exchanges_route (node, outbox);
 }
 
 bool
@@ -251,7 +303,8 @@
 bool
 gspan_node_has_open_work (const struct GspanNode *node)
 {
-  return gspan_gateway_has_calls (&node->gateway) || gspan_jobs_is_busy (&node->jobs);
+  return gspan_gateway_has_calls (&node->gateway) || gspan_jobs_is_busy (&node->jobs)
+         || gspan_relay_server_open (&node->relay_server) > 0;
 }
 
 void
@@ -270,6 +323,8 @@
   gspan_metrics_set (metrics, GSPAN_GAUGE_UNSCORED_TEXTS, gspan_rewards_count_unscored (node));
   gspan_metrics_set (metrics, GSPAN_GAUGE_LIMITED_UPSTREAMS,
                      gspan_limits_count (&node->rate_limits));
+  gspan_metrics_set (metrics, GSPAN_GAUGE_RELAYED_FOR_OTHERS,
+                     gspan_relay_server_open (&node->relay_server));
   gspan_metrics_set (metrics, GSPAN_GAUGE_LINKS_CUT, node->links.cut);
   gspan_metrics_set (metrics, GSPAN_GAUGE_LINKS_DOWN, g_hash_table_size (node->links.down));
 }
--- a/node/node.h
+++ b/node/node.h
@@ -15,6 +15,8 @@
 #include "jobs/runner.h"
 #include "links/exchanges.h"
 #include "links/links.h"
+#include "links/relay_offers.h"
+#include "links/relay_server.h"
 #include "node/peers.h"
 #include "weights/weights.h"
 
@@ -26,6 +28,9 @@
   const char *udp_address; /* "IP:PORT" where other nodes reach it */
   bool takes_requests;     /* callers reach it; else it only helps the others */
   bool keeps_disk;         /* its VM may be asked to be emptied */
+  const char
+      *relay_address;    /* "IP:PORT" where other nodes send requests to pass on; NULL is none */
+  const char *relay_key; /* secret of this start that such requests have to bear */
 };
 
 /* Bounds from the settings, in microseconds but for the object's size. */
@@ -61,6 +66,8 @@
   struct GspanPeers peers;
   struct GspanLinks links;
   struct GspanExchanges exchanges;
+  struct GspanRelayOffers relay_offers;
+  struct GspanRelayServer relay_server;
   struct GspanGateway gateway;
   struct GspanStreams streams;
   struct GspanJobs jobs;
--- a/node/peers.c
+++ b/node/peers.c
@@ -17,6 +17,8 @@
   g_free (peer->name);
   g_free (peer->zone);
   g_free (peer->udp_address);
+  g_free (peer->relay_address);
+  g_free (peer->relay_key);
   g_free (peer);
 }
 
@@ -53,6 +55,8 @@
 {
   const char *udp = json_string_value (json_object_get (object->spec, "udp"));
   const char *zone = json_string_value (json_object_get (object->spec, "zone"));
+  const char *relay = json_string_value (json_object_get (object->spec, "relay"));
+  const char *relay_key = json_string_value (json_object_get (object->spec, "relay_key"));
   struct GspanPeer *peer;
 
   if (object->removed || udp == NULL)
@@ -68,6 +72,8 @@
   peer->name = g_strdup (object->name);
   peer->zone = g_strdup (zone);
   peer->udp_address = g_strdup (udp);
+  peer->relay_address = relay_key != NULL ? g_strdup (relay) : NULL;
+  peer->relay_key = g_strdup (relay_key);
   g_hash_table_replace (node->peers.items, peer->name, peer);
 }
 
@@ -97,6 +103,11 @@
       = gspan_outbox_store (outbox, ref, op, GSPAN_PEERS_KIND, node->self.name);
 
   call->value = json_pack ("{s:s, s:s}", "udp", node->self.udp_address, "zone", node->self.zone);
+  if (node->self.relay_address != NULL)
+    {
+      json_object_set_new (call->value, "relay", json_string (node->self.relay_address));
+      json_object_set_new (call->value, "relay_key", json_string (node->self.relay_key));
+    }
   node->peers.registration_call_id = ref.id;
 }
 
--- a/node/peers.h
+++ b/node/peers.h
@@ -15,7 +15,9 @@
 {
   char *name;
   char *zone;
-  char *udp_address; /* "IP:PORT" */
+  char *udp_address;   /* "IP:PORT" */
+  char *relay_address; /* "IP:PORT" where it passes requests on; NULL where it doesn't */
+  char *relay_key;     /* that such requests have to bear */
 };
 
 struct GspanPeers
--- a/node/shell.c
+++ b/node/shell.c
@@ -18,7 +18,9 @@
   CALLER_READ_TIMEOUT_MS = 60000,
   CALLER_STREAM_MAX = 1 << 20,
   SERVICE_CONNECTIONS = 64, /* of the balancer and of readers of metrics */
-  SERVICE_BODY_MAX = 1024
+  SERVICE_BODY_MAX = 1024,
+  RELAY_CONNECTIONS = 512,
+  RELAY_IDLE_TIMEOUT_S = 20 /* above the age at which the client takes a kept connection no more */
 };
 
 #define TICK_BUSY_S 0.02
@@ -34,6 +36,7 @@
   struct GspanLogRing log;
   struct ev_loop *loop;
   struct GspanHttpServer *callers; /* NULL where the node takes no requests */
+  struct GspanHttpServer *relay;   /* requests of other nodes; NULL where none are passed on */
   struct GspanHttpServer *ready;   /* NULL as above */
   struct GspanHttpServer *metrics; /* may be NULL */
   struct GspanHttpClient *client;
@@ -118,24 +121,24 @@
 do_action (struct GspanNodeShell *shell, struct GspanAction *action)
 {
   const struct GspanActionReply *reply = &action->u.reply;
+  struct GspanHttpServer *server = reply->to_node ? shell->relay : shell->callers;
 
   switch (action->kind)
     {
     case GSPAN_ACTION_REPLY:
-      gspan_http_server_reply (shell->callers, reply->request, reply->status, &reply->headers,
-                               reply->body);
+      gspan_http_server_reply (server, reply->request, reply->status, &reply->headers, reply->body);
       break;
     case GSPAN_ACTION_REPLY_BEGIN:
-      gspan_http_server_begin (shell->callers, reply->request, reply->status, &reply->headers);
+      gspan_http_server_begin (server, reply->request, reply->status, &reply->headers);
       break;
     case GSPAN_ACTION_REPLY_DATA:
-      gspan_http_server_data (shell->callers, reply->request, reply->body);
+      gspan_http_server_data (server, reply->request, reply->body);
       break;
     case GSPAN_ACTION_REPLY_END:
-      gspan_http_server_end (shell->callers, reply->request);
+      gspan_http_server_end (server, reply->request);
       break;
     case GSPAN_ACTION_REPLY_ABORT:
-      gspan_http_server_cut (shell->callers, reply->request);
+      gspan_http_server_cut (server, reply->request);
       break;
     case GSPAN_ACTION_HTTP:
       do_http (shell, action);
@@ -258,27 +261,52 @@
 }
 
 static void
-on_request (void *user, const struct GspanHttpIncoming *incoming)
+take_request (struct GspanNodeShell *shell, enum GspanEventKind kind,
+              const struct GspanHttpIncoming *incoming)
 {
   struct GspanEvent event = { 0 };
 
-  event.kind = GSPAN_EVENT_REQUEST;
+  event.kind = kind;
   event.u.request.request = incoming->id;
   event.u.request.method = incoming->method;
   event.u.request.path = incoming->path;
   event.u.request.headers = incoming->headers;
   event.u.request.body = incoming->body;
-  run_event (user, &event);
+  run_event (shell, &event);
 }
 
 static void
-on_gone (void *user, guint64 id)
+take_gone (struct GspanNodeShell *shell, enum GspanEventKind kind, guint64 id)
 {
   struct GspanEvent event = { 0 };
 
-  event.kind = GSPAN_EVENT_CALLER_DISCONNECTED;
+  event.kind = kind;
   event.u.disconnected_request = id;
-  run_event (user, &event);
+  run_event (shell, &event);
+}
+
+static void
+on_request (void *user, const struct GspanHttpIncoming *incoming)
+{
+  take_request (user, GSPAN_EVENT_REQUEST, incoming);
+}
+
+static void
+on_gone (void *user, guint64 id)
+{
+  take_gone (user, GSPAN_EVENT_CALLER_DISCONNECTED, id);
+}
+
+static void
+on_relay_request (void *user, const struct GspanHttpIncoming *incoming)
+{
+  take_request (user, GSPAN_EVENT_RELAY_REQUEST, incoming);
+}
+
+static void
+on_relay_gone (void *user, guint64 id)
+{
+  take_gone (user, GSPAN_EVENT_RELAY_SENDER_GONE, id);
 }
 
 static void
@@ -343,6 +371,8 @@
 {
   if (shell->callers != NULL && gspan_http_server_open_requests (shell->callers) > 0)
     return false;
+  if (shell->relay != NULL && gspan_http_server_open_requests (shell->relay) > 0)
+    return false;
   return !gspan_node_has_open_work (shell->node) && !shell->node->weights.lease.held;
 }
 
@@ -390,6 +420,8 @@
   shell->drain_started = gspan_clock_now ();
   if (shell->callers != NULL)
     gspan_http_server_close_after_answers (shell->callers);
+  if (shell->relay != NULL)
+    gspan_http_server_close_after_answers (shell->relay);
   event.kind = GSPAN_EVENT_DRAIN;
   run_event (shell, &event);
 }
@@ -465,6 +497,7 @@
 {
   const struct GspanFleetSettings *settings = shell->settings;
   struct GspanHttpHandler handler = { on_request, on_gone, shell };
+  struct GspanHttpHandler relay_handler = { on_relay_request, on_relay_gone, shell };
   struct GspanHttpLimits limits
       = { (size_t)settings->body_max, (guint)settings->connections, CALLER_IDLE_TIMEOUT_S,
           CALLER_READ_TIMEOUT_MS, CALLER_STREAM_MAX };
@@ -476,6 +509,15 @@
       if (shell->callers == NULL)
         return false;
     }
+  if (settings->relay[0] != '\0')
+    {
+      limits.connections = RELAY_CONNECTIONS;
+      limits.idle_timeout_s = RELAY_IDLE_TIMEOUT_S;
+      shell->relay
+          = gspan_http_server_new (shell->loop, settings->relay, &limits, &relay_handler, error);
+      if (shell->relay == NULL)
+        return false;
+    }
   if (!open_service (shell, settings->ready, on_ready_request, &shell->ready, error)
       || !open_service (shell, settings->metrics, on_metrics_request, &shell->metrics, error))
     return false;
@@ -520,6 +562,7 @@
   if (shell->udp != NULL)
     gspan_udp_free (shell->udp);
   server_free (shell->callers);
+  server_free (shell->relay);
   server_free (shell->ready);
   server_free (shell->metrics);
   gspan_http_client_free (shell->client);
--- a/rollout/rollout.c
+++ b/rollout/rollout.c
@@ -1042,6 +1042,8 @@
     case GSPAN_EVENT_RPC_DONE:
     case GSPAN_EVENT_DATAGRAM:
     case GSPAN_EVENT_STORE_DONE:
+    case GSPAN_EVENT_RELAY_REQUEST:
+    case GSPAN_EVENT_RELAY_SENDER_GONE:
       break;
     }
 }
--- a/settings/fleet.h
+++ b/settings/fleet.h
@@ -13,6 +13,7 @@
   char *metrics;
   char *peers;
   char *outgoing;
+  char *relay;
   char *platform;
   char *log_level;
   gint64 keeps_disk;
--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -204,6 +204,7 @@
     def check_served_during_cuts(self):
         """Callers of nodes without links to the replicas are served as those of the others, for each kind of request."""
         for start, end, names in self.cuts:
+            end = end or self.now()
             for kind in ["any kind", *sorted({kind for kind, _, _, _ in self.first_tries})]:
                 cut, whole = [], []
                 for other, node, sent, served in self.first_tries:
