weights: a holder of the lease of orders that reaches no replica gives it back

Cause: the lease is kept by the store, which the VM reached; that its orders could not leave was no reason to give it up. Orders can't go through another node: replicas and the platform count those as orders of two holders.

A node that holds itself cut off, and knows of one that is not, writes the lease back as a node that stops does, and takes none. With nobody to leave it to it keeps it. When its links return it does not take the lease again.

Weights.HolderThatReachesNoReplicaLeavesTheOrders... failed before, and HolderKeepsTheOrdersWhereNoNodeReachesReplicas holds the other side.

--- a/test/weights_test.cc
+++ b/test/weights_test.cc
@@ -45,6 +45,12 @@
     std::string address = exchange.url.substr (7, exchange.url.find ('/', 7) - 7);
     Engine &engine = engines[address];
 
+    if (rig.cut_from_replicas)
+      {
+        if (world.now >= exchange.sent_at_us + 250 * GSPAN_MS)
+          rig.http_done (exchange, GSPAN_HTTP_NOT_SENT, 0, {}, "");
+        return;
+      }
     if (address == dark)
       {
         if (world.now >= exchange.sent_at_us + 500 * GSPAN_MS)
@@ -209,6 +215,50 @@
   check_orders ();
 }
 
+/* Its lease is kept by the store, which it reaches; orders take the links that it has lost. */
+TEST_F (Weights, HolderThatReachesNoReplicaLeavesTheOrdersToANodeThatDoes)
+{
+  start_nodes (3);
+  run (4 * GSPAN_SECOND);
+  Rig *first = holder ();
+  ASSERT_NE (first, nullptr);
+  name_weights (2);
+  run (5 * GSPAN_SECOND);
+  first->cut_from_replicas = true;
+  name_weights (3);
+  run (8 * GSPAN_SECOND);
+  EXPECT_EQ (engines["10.0.0.3:80"].weights, 3U);
+  EXPECT_EQ (engines["10.0.0.4:80"].weights, 3U);
+  Rig *second = holder ();
+  ASSERT_NE (second, nullptr);
+  EXPECT_NE (second, first);
+  first->cut_from_replicas = false;
+  name_weights (4);
+  run (8 * GSPAN_SECOND);
+  EXPECT_EQ (engines["10.0.0.3:80"].weights, 4U);
+  EXPECT_EQ (holder (), second);
+  check_orders ();
+}
+
+/* With nobody to leave it to, it keeps the lease and what goes with it. */
+TEST_F (Weights, HolderKeepsTheOrdersWhereNoNodeReachesReplicas)
+{
+  start_nodes (3);
+  run (4 * GSPAN_SECOND);
+  Rig *first = holder ();
+  ASSERT_NE (first, nullptr);
+  for (auto &rig : world.rigs)
+    rig->cut_from_replicas = true;
+  name_weights (2);
+  run (6 * GSPAN_SECOND);
+  EXPECT_EQ (holder (), first);
+  for (auto &rig : world.rigs)
+    rig->cut_from_replicas = false;
+  run (8 * GSPAN_SECOND);
+  EXPECT_EQ (engines["10.0.0.3:80"].weights, 2U);
+  check_orders ();
+}
+
 TEST_F (Weights, NewHolderWaitsUntilTheLastOrderOfTheOneBeforeIsFarEnough)
 {
   start_nodes (3);
--- a/weights/order_lease.h
+++ b/weights/order_lease.h
@@ -10,7 +10,8 @@
  * length. Needs no common clock: the holder counts from the sending of a renewal, the others from
  * what they saw. Reads that may be old only delay a take-over, since the write is conditional. A
  * holder without orders to send says so, and sends none before the store has its word to the
- * contrary: whoever takes over from it needn't wait for orders that may be under way.
+ * contrary: whoever takes over from it needn't wait for orders that may be under way. A holder that
+ * reaches no replica (links/links.h), while others do, gives the lease back, as one that stops.
  */
 
 struct GspanOrderLease
