gateway: what fails on a node's own links is no evidence against requests

What callers saw: a request whose connections are reset as a node's links go counted as suspected at two replicas within a millisecond, which refuses its content for ten seconds at every node: a caller who tried the same again at a node that was whole got 503 "its content crashes replicas".

Cause: a request without an answer was taken as news of the request, at once and for the whole fleet, though the node did not know whether its links stood.

Evidence short of a crash is held back until a check of the links that was sent after it connects, a round trip in ordinary times, and is dropped if none does or the node holds itself cut off (request-evidence, evidence=dropped). A call whose next attempt would be one replica too many waits for that. For a request that goes through another node, that node keeps the evidence, since it sees the replica's end and knows its own links.

Links.RequestsThatFailedAtACutNodeAreServedElsewhere failed before (503 at the whole node), and passes; all of PoisonRequests hold unchanged.

--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -89,8 +89,8 @@
     return;
   if (answer->result != GSPAN_HTTP_COMPLETE)
     gspan_replica_failed (replica, node->now);
-  if (gspan_attempt_has_answer (attempt))
-    return;
+  if (gspan_attempt_has_answer (attempt) || answer->relayed)
+    return; /* the node that it went through knows whether its own links stand */
   if (answer->result == GSPAN_HTTP_LOST)
     gspan_crash_reports_note (node, content, replica, GSPAN_POISON_SUSPECTED, outbox);
   else if (answer->result == GSPAN_HTTP_TIMEOUT)
--- a/gateway/attempts.c
+++ b/gateway/attempts.c
@@ -231,6 +231,22 @@
   return !gspan_relay_offers_any (node) && node->now < call->doubted_at + RELAY_WAIT_US;
 }
 
+/*
+ * True while it isn't known whether CALL crashes replicas or this node's links are down, and one
+ * replica more would be too many.
+ */
+static bool
+waits_for_evidence (const struct GspanNode *node, const struct GspanCall *call)
+{
+  guint held = gspan_crash_reports_held (node, call->fingerprint);
+
+  return held > 0
+         && held
+                    + gspan_poison_requests_crash_count (&node->poison_requests, call->fingerprint,
+                                                         node->now)
+                >= GSPAN_POISON_CRASH_THRESHOLD;
+}
+
 bool
 gspan_attempts_try_next (struct GspanNode *node, struct GspanCall *call, bool may_wait,
                          struct GspanOutbox *outbox)
@@ -242,6 +258,8 @@
   call->retry_at = 0;
   if (gspan_call_refused_until (node, call) != 0)
     return false;
+  if (waits_for_evidence (node, call))
+    return true;
   if (may_wait && wait_for_way (node, call, outbox))
     return true;
   call->doubted_at = 0;
--- a/gateway/calls.c
+++ b/gateway/calls.c
@@ -99,7 +99,8 @@
     {
       const struct GspanAttempt *attempt = g_ptr_array_index (call->open, i);
 
-      if (!gspan_attempt_has_answer (attempt))
+      if (!gspan_attempt_has_answer (attempt)
+          && gspan_exchanges_relay_of (node, attempt->id) == NULL)
         gspan_crash_reports_note_silence (node, call->fingerprint, attempt->replica,
                                           node->now - attempt->sent, outbox);
     }
@@ -116,6 +117,7 @@
       struct GspanAttempt *attempt = g_ptr_array_index (call->open, i);
 
       if (attempt->is_silent || gspan_attempt_has_answer (attempt)
+          || gspan_exchanges_relay_of (node, attempt->id) != NULL
           || node->now < attempt->sent + limit)
         continue;
       attempt->is_silent = true;
--- a/gateway/calls.h
+++ b/gateway/calls.h
@@ -74,7 +74,10 @@
 void gspan_call_observe (struct GspanNode *node, const struct GspanCall *call,
                          enum GspanMetric metric);
 
-/* Reports the open attempts, which are about to be cancelled without an answer. */
+/*
+ * Reports the open attempts, which are about to be cancelled without an answer; the node that an
+ * attempt goes through reports it itself.
+ */
 void gspan_call_note_silence (struct GspanNode *node, const struct GspanCall *call,
                               struct GspanOutbox *outbox);
 
--- a/gateway/crash_reports.c
+++ b/gateway/crash_reports.c
@@ -8,6 +8,7 @@
 #define RESEND_FOR_US (GSPAN_SECOND) /* a report is repeated, since datagrams get lost */
 #define SEND_NEW_INTERVAL_US (20 * GSPAN_MS)
 #define RESEND_INTERVAL_US (300 * GSPAN_MS)
+#define HELD_MAX_US (500 * GSPAN_MS)    /* links that stand have shown it by then */
 #define SILENCE_MIN_US (400 * GSPAN_MS) /* healthy replicas have mostly answered by then */
 
 enum
@@ -28,6 +29,23 @@
   guint64 at;
 };
 
+struct Held
+{
+  guint64 fingerprint;
+  struct GspanReplica *replica;
+  enum GspanPoisonEvidence evidence;
+  guint64 at;
+};
+
+static void
+held_free (gpointer data)
+{
+  struct Held *held = data;
+
+  gspan_replica_unref (held->replica);
+  g_free (held);
+}
+
 static void
 report_free (gpointer data)
 {
@@ -42,11 +60,13 @@
 {
   *reports = (struct GspanCrashReports){ 0 };
   reports->recent = g_ptr_array_new_with_free_func (report_free);
+  reports->held = g_ptr_array_new_with_free_func (held_free);
 }
 
 void
 gspan_crash_reports_finish (struct GspanCrashReports *reports)
 {
+  g_ptr_array_unref (reports->held);
   g_ptr_array_unref (reports->recent);
 }
 
@@ -149,10 +169,9 @@
   reports->sent_at_us = node->now;
 }
 
-void
-gspan_crash_reports_note (struct GspanNode *node, guint64 fingerprint,
-                          const struct GspanReplica *replica, enum GspanPoisonEvidence evidence,
-                          struct GspanOutbox *outbox)
+static void
+record (struct GspanNode *node, guint64 fingerprint, const struct GspanReplica *replica,
+        enum GspanPoisonEvidence evidence, struct GspanOutbox *outbox)
 {
   char *upstream = incarnation_of (replica);
   int recorded = gspan_poison_requests_record (&node->poison_requests, fingerprint, upstream,
@@ -168,9 +187,74 @@
   g_free (upstream);
 }
 
+void
+gspan_crash_reports_note (struct GspanNode *node, guint64 fingerprint, struct GspanReplica *replica,
+                          enum GspanPoisonEvidence evidence, struct GspanOutbox *outbox)
+{
+  struct Held *held;
+
+  if (evidence == GSPAN_POISON_CRASHED)
+    {
+      record (node, fingerprint, replica, evidence, outbox);
+      return;
+    }
+  held = g_new0 (struct Held, 1);
+  held->fingerprint = fingerprint;
+  held->replica = gspan_replica_ref (replica);
+  held->evidence = evidence;
+  held->at = node->now;
+  g_ptr_array_add (node->crash_reports.held, held);
+  gspan_links_check_some (node, outbox);
+}
+
+void
+gspan_crash_reports_links_stand (struct GspanNode *node, guint64 since, struct GspanOutbox *outbox)
+{
+  GPtrArray *held = node->crash_reports.held;
+
+  while (held->len > 0 && ((const struct Held *)g_ptr_array_index (held, 0))->at <= since)
+    {
+      struct Held *first = g_ptr_array_steal_index (held, 0);
+
+      record (node, first->fingerprint, first->replica, first->evidence, outbox);
+      held_free (first);
+    }
+}
+
+guint
+gspan_crash_reports_held (const struct GspanNode *node, guint64 fingerprint)
+{
+  const GPtrArray *held = node->crash_reports.held;
+  guint count = 0;
+
+  for (guint i = 0; i < held->len; i++)
+    count += ((const struct Held *)g_ptr_array_index (held, i))->fingerprint == fingerprint;
+  return count;
+}
+
+/* Drops evidence for which no replica was heard in time: it was the links. */
+static void
+drop_held (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  GPtrArray *held = node->crash_reports.held;
+
+  while (held->len > 0)
+    {
+      const struct Held *oldest = g_ptr_array_index (held, 0);
+      char *upstream;
+
+      if (!node->links.cut && node->now < oldest->at + HELD_MAX_US)
+        return;
+      upstream = incarnation_of (oldest->replica);
+      log_report (node, oldest->fingerprint, upstream, "dropped", "own", outbox);
+      g_free (upstream);
+      g_ptr_array_remove_index (held, 0);
+    }
+}
+
 void
 gspan_crash_reports_note_silence (struct GspanNode *node, guint64 fingerprint,
-                                  const struct GspanReplica *replica, guint64 elapsed_us,
+                                  struct GspanReplica *replica, guint64 elapsed_us,
                                   struct GspanOutbox *outbox)
 {
   gspan_crash_reports_note (
@@ -270,6 +354,9 @@
 void
 gspan_crash_reports_handle (struct GspanNode *node, struct GspanOutbox *outbox)
 {
+  drop_held (node, outbox);
+  if (node->crash_reports.held->len > 0)
+    gspan_links_check_some (node, outbox);
   send_reports_if_due (node, outbox);
   if (node->catalog.store_fails)
     gspan_poison_requests_keep_unconfirmed (&node->poison_requests, node->now);
--- a/gateway/crash_reports.h
+++ b/gateway/crash_reports.h
@@ -14,11 +14,15 @@
  * answer, and when the same content was answered after all. Reports are sent at once and repeated
  * for a while. Each node evaluates the evidence by itself (desk/poison_requests.h); condemned
  * requests are also recorded in the store (gateway/verdicts.h).
+ *
+ * That a request got no answer may also be due to this node's own links (links/links.h). Such
+ * evidence is held back until a replica is heard again, and dropped where none is.
  */
 
 struct GspanCrashReports
 {
   GPtrArray *recent;  /* struct Report, sent and repeated for a while */
+  GPtrArray *held;    /* struct Held, until it is known whether the links stand */
   bool has_new;       /* one of them hasn't been sent yet */
   guint64 sent_at_us; /* time of the last datagrams */
 };
@@ -26,17 +30,20 @@
 void gspan_crash_reports_init (struct GspanCrashReports *reports);
 void gspan_crash_reports_finish (struct GspanCrashReports *reports);
 
-/* Records and reports EVIDENCE that the request FINGERPRINT crashes REPLICA. */
+/*
+ * Records and reports EVIDENCE that the request FINGERPRINT crashes REPLICA. Evidence short of a
+ * crash waits until the links of this node are known to stand.
+ */
 void gspan_crash_reports_note (struct GspanNode *node, guint64 fingerprint,
-                               const struct GspanReplica *replica,
-                               enum GspanPoisonEvidence evidence, struct GspanOutbox *outbox);
+                               struct GspanReplica *replica, enum GspanPoisonEvidence evidence,
+                               struct GspanOutbox *outbox);
 
 /*
  * As above, for a request that got no answer from REPLICA within ELAPSED_US and was then cancelled.
  * The evidence is GSPAN_POISON_SUSPECTED only if that was long enough for a healthy replica.
  */
 void gspan_crash_reports_note_silence (struct GspanNode *node, guint64 fingerprint,
-                                       const struct GspanReplica *replica, guint64 elapsed_us,
+                                       struct GspanReplica *replica, guint64 elapsed_us,
                                        struct GspanOutbox *outbox);
 
 /* REPLICA has answered the request FINGERPRINT, or its stream has produced several events. */
@@ -52,4 +59,11 @@
 void gspan_crash_reports_receive (struct GspanNode *node, json_t *message,
                                   struct GspanOutbox *outbox);
 
+/* The links stood at SINCE or later: evidence from before that counts. */
+void gspan_crash_reports_links_stand (struct GspanNode *node, guint64 since,
+                                      struct GspanOutbox *outbox);
+
+/* Evidence against FINGERPRINT that is held back. */
+guint gspan_crash_reports_held (const struct GspanNode *node, guint64 fingerprint);
+
 void gspan_crash_reports_handle (struct GspanNode *node, struct GspanOutbox *outbox);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -300,8 +300,8 @@
       const struct GspanAttempt *attempt = value;
 
       if (attempt->replica == replica && !gspan_attempt_has_answer (attempt))
-        gspan_crash_reports_note (node, attempt->call->fingerprint, replica, GSPAN_POISON_CRASHED,
-                                  outbox);
+        gspan_crash_reports_note (node, attempt->call->fingerprint, attempt->replica,
+                                  GSPAN_POISON_CRASHED, outbox);
     }
 }
 
--- a/links/links.c
+++ b/links/links.c
@@ -289,6 +289,7 @@
   struct GspanLinks *links = &node->links;
 
   gspan_links_note_heard (node);
+  gspan_crash_reports_links_stand (node, check->sent_at, outbox);
   set_up (node, check->replica, outbox);
   if (links->cut && --links->checks_to_back == 0)
     set_back (node, outbox);
--- a/links/relay_server.c
+++ b/links/relay_server.c
@@ -23,10 +23,12 @@
   guint64 request; /* of the sender */
   guint64 id;      /* of the exchange with the replica */
   char *caller_id;
-  char *upstream;
+  struct GspanReplica *replica;
+  guint64 fingerprint; /* of a request that may crash the replica; 0 is none
+                          (gateway/crash_reports.h) */
   guint64 started;
-  bool stream;
-  bool begun; /* the head of the answer has been passed on */
+  guint pieces; /* of the answer, received so far */
+  bool begun;   /* the head of the answer has been passed on */
 };
 
 static void
@@ -35,7 +37,7 @@
   struct GspanRelayed *relayed = data;
 
   g_free (relayed->caller_id);
-  g_free (relayed->upstream);
+  gspan_replica_unref (relayed->replica);
   g_free (relayed);
 }
 
@@ -129,7 +131,7 @@
 
   gspan_line_init (&line, event);
   gspan_line_cstr (&line, "id", relayed->caller_id);
-  gspan_line_cstr (&line, "upstream", relayed->upstream);
+  gspan_line_cstr (&line, "upstream", relayed->replica->id);
   gspan_line_cstr (&line, "outcome", outcome);
   gspan_line_int (&line, "status", status);
   gspan_line_u64 (&line, "open", gspan_relay_server_open (&node->relay_server));
@@ -243,6 +245,17 @@
   gspan_exchanges_begin_own (node, replica, ref);
 }
 
+static guint64
+fingerprint_of (const struct GspanReplica *replica, const struct GspanEventRequest *request)
+{
+  char *path = gspan_str_dup (request->path);
+  guint64 fingerprint = gspan_poison_requests_fingerprint (replica->service, path,
+                                                           gspan_str_from_bytes (request->body));
+
+  g_free (path);
+  return fingerprint;
+}
+
 static void
 on_request (struct GspanNode *node, const struct GspanEventRequest *request,
             struct GspanOutbox *outbox)
@@ -271,9 +284,9 @@
   relayed->request = request->request;
   relayed->id = gspan_node_next_id (node);
   relayed->caller_id = gspan_str_dup (wire.attempt_id);
-  relayed->upstream = g_strdup (replica->id);
+  relayed->replica = gspan_replica_ref (replica);
   relayed->started = node->now;
-  relayed->stream = relay.stream;
+  relayed->fingerprint = relay.may_crash ? fingerprint_of (replica, request) : 0;
   g_hash_table_insert (server->by_request, &relayed->request, relayed);
   g_hash_table_insert (server->by_id, &relayed->id, relayed);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_RELAYED_FOR_OTHERS, 1);
@@ -288,6 +301,35 @@
   g_hash_table_remove (server->by_request, &relayed->request);
 }
 
+/* The request has no answer so far, and is about to be cancelled. */
+static void
+note_silence (struct GspanNode *node, const struct GspanRelayed *relayed,
+              struct GspanOutbox *outbox)
+{
+  if (relayed->fingerprint != 0 && relayed->pieces <= 1)
+    gspan_crash_reports_note_silence (node, relayed->fingerprint, relayed->replica,
+                                      node->now - relayed->started, outbox);
+}
+
+/* Records what the end of the request shows of it. */
+static void
+note_end (struct GspanNode *node, const struct GspanRelayed *relayed,
+          const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
+{
+  struct GspanWireResponse wire;
+
+  if (relayed->fingerprint == 0)
+    return;
+  gspan_wire_read_response (answer->status, answer->headers, &wire);
+  if (answer->result == GSPAN_HTTP_COMPLETE && wire.signed_by_replica && !wire.not_run)
+    gspan_crash_reports_note_answer (node, relayed->fingerprint, relayed->replica, outbox);
+  else if (answer->result == GSPAN_HTTP_LOST && relayed->pieces <= 1)
+    gspan_crash_reports_note (node, relayed->fingerprint, relayed->replica, GSPAN_POISON_SUSPECTED,
+                              outbox);
+  else if (answer->result == GSPAN_HTTP_TIMEOUT)
+    note_silence (node, relayed, outbox);
+}
+
 static void
 on_sender_gone (struct GspanNode *node, guint64 request, struct GspanOutbox *outbox)
 {
@@ -297,6 +339,7 @@
   if (relayed == NULL)
     return;
   log_relayed (node, relayed, "relay-ended", "sender left", 0, outbox);
+  note_silence (node, relayed, outbox);
   ref.id = relayed->id;
   gspan_outbox_add (outbox, GSPAN_ACTION_HTTP_CANCEL, ref);
   forget (&node->relay_server, relayed);
@@ -324,6 +367,7 @@
 on_data (struct GspanNode *node, struct GspanRelayed *relayed, const struct GspanEventHttp *answer,
          struct GspanOutbox *outbox)
 {
+  relayed->pieces++;
   count_bytes (node, answer->body);
   add_reply (outbox, GSPAN_ACTION_REPLY_DATA, relayed->request)->body = g_bytes_ref (answer->body);
 }
@@ -378,6 +422,7 @@
   else
     reply_outcome (relayed->request, STATUS_FAILED, outcome_of (answer->result), "", outbox);
   log_relayed (node, relayed, "relay-ended", results[answer->result], answer->status, outbox);
+  note_end (node, relayed, answer, outbox);
   forget (&node->relay_server, relayed);
 }
 
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -102,6 +102,27 @@
   EXPECT_GE (served ({ world.rigs[0].get () }, 10), 9U);
 }
 
+/* Connections that are reset as the links go say nothing against what they carried. */
+TEST_F (Links, RequestsThatFailedAtACutNodeAreServedElsewhere)
+{
+  start (4);
+  for (guint64 id = 1; id <= 3; id++)
+    {
+      world.rigs[0]->cut_from_replicas = true;
+      send_desk_request (*world.rigs[0], id, "a" + std::to_string (id));
+      for (int i = 0; i < 2 && !world.rigs[0]->exchanges.empty (); i++)
+        world.rigs[0]->http_done (Exchange (world.rigs[0]->exchanges[0]), GSPAN_HTTP_LOST, 0, {},
+                                  "");
+      send_desk_request (*world.rigs[2], 10 + id, "b" + std::to_string (id));
+      play (200 * GSPAN_MS);
+      ASSERT_NE (response_to (*world.rigs[2], 10 + id), nullptr);
+      EXPECT_EQ (response_to (*world.rigs[2], 10 + id)->status, 200);
+      world.rigs[0]->cut_from_replicas = false;
+      play (3 * GSPAN_SECOND);
+    }
+  EXPECT_FALSE (world.rigs[2]->logged ("request-evidence"));
+}
+
 TEST_F (Links, ItemsAreCompletedWhoseOwnerHasNoLinks)
 {
   start (3);
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -130,7 +130,7 @@
   std::string udp_;
   std::string relay_;
   std::string relay_key_;
-  std::vector<GspanRef> checks; /* under way */
+  std::vector<std::pair<GspanRef, bool>> checks; /* under way, and whether they connect */
   guint64 oldest_check_at = 0;
   void perform_actions (GspanOutbox *out);
   void finish_checks ();
@@ -752,25 +752,25 @@
   gspan_node_handle (&node, &event, world.now, world.wall_ms, &out);
   perform_actions (&out);
   gspan_outbox_finish (&out);
-  if (!cut_from_replicas)
+  if (!checks.empty () && checks.back ().second)
     finish_checks ();
 }
 
 inline void
 Rig::finish_checks ()
 {
-  std::vector<GspanRef> done;
+  std::vector<std::pair<GspanRef, bool>> done;
 
   done.swap (checks);
-  for (const auto &ref : done)
+  for (const auto &check : done)
     {
       GspanHeaders none;
       GspanEvent event{};
 
       gspan_headers_init (&none);
       event.kind = GSPAN_EVENT_HTTP_DONE;
-      event.ref = ref;
-      event.u.http.result = cut_from_replicas ? GSPAN_HTTP_NOT_SENT : GSPAN_HTTP_COMPLETE;
+      event.ref = check.first;
+      event.u.http.result = check.second ? GSPAN_HTTP_COMPLETE : GSPAN_HTTP_NOT_SENT;
       event.u.http.headers = &none;
       handle (event);
       gspan_headers_finish (&none);
@@ -800,7 +800,7 @@
               link_checks++;
               if (checks.empty ())
                 oldest_check_at = world.now;
-              checks.push_back (action->ref);
+              checks.push_back ({ action->ref, !cut_from_replicas });
               break;
             }
           exchange.ref = action->ref;
