links: calls learn first whether the own links stand, and are refused soon where none do

What callers saw, in tests: with all nodes cut off a call tried one connect after the other and was answered after more than a second; on a quiet node a replica that ended had its retry go through another node, though the node's own links stood.

Cause: a call that had got nothing went through another node as soon as one offered that, and a node known to reach nothing still tried.

Offers are asked for by the node itself only where it is cut off or no replica of some service is reached over its own links, so that one replica that is down costs the fleet no datagrams.

Links.CallsAreRefusedSoon... and ReplicasThatEndPutNoRequestOnTheWay... failed before. Further tests of what goes through another node: key, one hop, bound, a caller that leaves, an answer lost between two nodes, a node that freezes or stops, streams, contents that end replicas, part of the replicas out of reach, links that come and go, no checks without requests.

--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -163,7 +163,7 @@
     take_back (call, attempt->replica);
   gspan_call_forget_attempt (node, attempt);
   if ((!gspan_hedge_may_retry (&call->state, not_run)
-       || !gspan_attempts_try_next (node, call, answer->result == GSPAN_HTTP_NOT_SENT, outbox))
+       || !gspan_attempts_try_next (node, call, outbox))
       && call->open->len == 0)
     {
       if (whole && !good && !not_run && wire.signed_by_replica && !call->state.response_started)
--- a/gateway/attempts.c
+++ b/gateway/attempts.c
@@ -209,25 +209,32 @@
          && !gspan_links_proven_since (&node->links, call->state.last_sent_at_us);
 }
 
+/* True where this node is known to reach no replica, and no other passes requests on. */
+static bool
+reaches_nothing (const struct GspanNode *node)
+{
+  return node->links.cut && !gspan_relay_offers_any (node);
+}
+
 /*
- * True while CALL, whose earlier attempts have brought nothing, waits to know whether the own links
- * stand, or for a node that passes it on.
+ * True while CALL waits to know whether the own links stand, or for a node that passes it on. It
+ * does where its earlier attempts have brought nothing, and where the links are known to be down.
  */
 static bool
 wait_for_way (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
-  if (!is_in_doubt (node, call) || !gspan_relay_offers_possible (node))
+  if (!gspan_relay_offers_possible (node) || (!reaches_nothing (node) && !is_in_doubt (node, call)))
     return false;
   if (call->doubted_at == 0)
     {
       call->doubted_at = node->now;
       gspan_links_check_some (node, outbox);
     }
-  gspan_relay_offers_want (node, outbox);
   if (node->links.cut && gspan_relay_offers_any (node))
     return false;
-  if (node->now < call->doubted_at + OWN_CHECK_US)
+  if (!node->links.cut && node->now < call->doubted_at + OWN_CHECK_US)
     return true;
+  gspan_relay_offers_want (node, outbox);
   return !gspan_relay_offers_any (node) && node->now < call->doubted_at + RELAY_WAIT_US;
 }
 
@@ -248,21 +255,24 @@
 }
 
 bool
-gspan_attempts_try_next (struct GspanNode *node, struct GspanCall *call, bool may_wait,
-                         struct GspanOutbox *outbox)
+gspan_attempts_try_next (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
   GPtrArray *without_permit;
   struct GspanReplica *replica;
   bool waits = false;
+  bool by_relay;
 
   call->retry_at = 0;
   if (gspan_call_refused_until (node, call) != 0)
     return false;
   if (waits_for_evidence (node, call))
     return true;
-  if (may_wait && wait_for_way (node, call, outbox))
+  if (wait_for_way (node, call, outbox))
     return true;
+  by_relay = call->doubted_at != 0 && is_in_doubt (node, call);
   call->doubted_at = 0;
+  if (reaches_nothing (node))
+    return false;
   without_permit = g_ptr_array_new ();
   replica = pick (node, call, false, without_permit);
   if (replica == NULL)
@@ -271,6 +281,6 @@
   if (replica == NULL)
     replica = pick (node, call, !waits, NULL);
   if (replica != NULL)
-    send_attempt (node, call, replica, is_in_doubt (node, call), outbox);
+    send_attempt (node, call, replica, by_relay, outbox);
   return replica != NULL || waits;
 }
--- a/gateway/attempts.h
+++ b/gateway/attempts.h
@@ -5,9 +5,10 @@
 /* Where a call is sent next, and what it waits for before that. */
 
 /*
- * Starts another attempt, or has the call wait for the time that a replica's limit leaves for it;
- * if MAY_WAIT, also a moment to learn whether this node's own links brought the last attempt
- * nothing, so that the next one takes another way. False where there is no replica for it.
+ * Starts another attempt, or has the call wait: for the time that a replica's limit leaves for it,
+ * or, where the last attempt brought nothing, a moment to learn whether this node's own links are
+ * the cause, so that the next one goes through another node. False where there is no replica for
+ * it.
  */
-bool gspan_attempts_try_next (struct GspanNode *node, struct GspanCall *call, bool may_wait,
+bool gspan_attempts_try_next (struct GspanNode *node, struct GspanCall *call,
                               struct GspanOutbox *outbox);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -78,7 +78,7 @@
 static void
 start_first (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
-  if (!gspan_attempts_try_next (node, call, false, outbox))
+  if (!gspan_attempts_try_next (node, call, outbox))
     gspan_call_give_up (node, call, why_refused (node, call), 502, outbox);
 }
 
@@ -251,14 +251,14 @@
     resume_stream (node, call, outbox);
   else if (call->open->len == 0)
     {
-      if (!gspan_attempts_try_next (node, call, true, outbox))
+      if (!gspan_attempts_try_next (node, call, outbox))
         gspan_call_give_up (node, call, why_refused (node, call), 502, outbox);
     }
   else
     {
       gspan_call_note_long_silence (node, call, outbox);
       if (gspan_hedge_due (&call->state) && !may_crash (node, call))
-        gspan_attempts_try_next (node, call, true, outbox);
+        gspan_attempts_try_next (node, call, outbox);
     }
 }
 
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -220,8 +220,10 @@
       struct GspanRun *run = entry->data;
       guint64 limit_us = run->event_count > 0 ? EVENT_TIMEOUT_US : FIRST_EVENT_TIMEOUT_US;
 
-      if (node->now - run->last_active_us > limit_us)
-        abort_run (node, run, "silent", outbox);
+      if (node->now - run->last_active_us <= limit_us)
+        continue;
+      gspan_exchanges_note_silence (node, run->id);
+      abort_run (node, run, "silent", outbox);
     }
   g_list_free (runs);
 }
--- a/links/exchanges.c
+++ b/links/exchanges.c
@@ -106,6 +106,15 @@
   return exchange != NULL ? exchange->relay : NULL;
 }
 
+void
+gspan_exchanges_note_silence (struct GspanNode *node, guint64 id)
+{
+  const char *relay = gspan_exchanges_relay_of (node, id);
+
+  if (relay != NULL)
+    gspan_relay_offers_avoid (node, relay, LOST_PAUSE_US);
+}
+
 /* Events of an exchange over this node's own link. */
 static void
 note_own (struct GspanNode *node, struct GspanExchange *exchange, const struct GspanEvent *event,
@@ -340,6 +349,8 @@
   GHashTableIter iter;
   gpointer value;
 
+  if (node->links.reach_is_direct)
+    return false;
   g_hash_table_iter_init (&iter, node->exchanges.items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/links/exchanges.h
+++ b/links/exchanges.h
@@ -37,6 +37,9 @@
 /* Name of the node that the open exchange ID goes through; NULL where it goes directly. */
 const char *gspan_exchanges_relay_of (const struct GspanNode *node, guint64 id);
 
+/* The owner of the open exchange ID gives it up since nothing comes. */
+void gspan_exchanges_note_silence (struct GspanNode *node, guint64 id);
+
 /*
  * Takes note of EVENT before the owner of its exchange gets it, and turns it into what the owner
  * would have seen without another node in between. False if the owner isn't to get it.
--- a/links/links.c
+++ b/links/links.c
@@ -239,6 +239,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     forget_failures (value);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_LINK_CUTS, 1);
+  gspan_relay_offers_want (node, outbox);
   log_links (node, "links-cut", NULL, outbox);
 }
 
@@ -355,13 +356,23 @@
     }
 }
 
+static bool
+is_whole (const struct GspanLinks *links)
+{
+  return !links->cut && g_hash_table_size (links->down) == 0;
+}
+
 void
 gspan_links_update_reach (struct GspanNode *node)
 {
+  bool whole = is_whole (&node->links);
   enum GspanReach other = gspan_relay_offers_any (node) ? GSPAN_REACH_BY_RELAY : GSPAN_REACH_NONE;
   GHashTableIter iter;
   gpointer value;
 
+  if (whole && node->links.reach_is_direct)
+    return;
+  node->links.reach_is_direct = whole;
   g_hash_table_iter_init (&iter, node->catalog.replicas);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -371,10 +382,29 @@
     }
 }
 
+/* True if no replica of some service is reached over a link of this node. */
 static bool
-is_whole (const struct GspanLinks *links)
+lacks_a_service (const struct GspanNode *node)
 {
-  return !links->cut && g_hash_table_size (links->down) == 0;
+  GHashTable *reached = g_hash_table_new (g_str_hash, g_str_equal); /* service to whether one is */
+  bool lacks = false;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->catalog.replicas);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct GspanReplica *replica = value;
+      bool direct = !gspan_links_is_down (&node->links, replica);
+
+      if (direct || !g_hash_table_contains (reached, replica->service))
+        g_hash_table_replace (reached, replica->service, GINT_TO_POINTER (direct));
+    }
+  g_hash_table_iter_init (&iter, reached);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    lacks = lacks || !GPOINTER_TO_INT (value);
+  g_hash_table_unref (reached);
+  return lacks;
 }
 
 static void
@@ -385,6 +415,8 @@
   if (node->now < links->checked_at + ROUND_INTERVAL_US)
     return;
   links->checked_at = node->now;
+  if (links->cut || lacks_a_service (node))
+    gspan_relay_offers_want (node, outbox);
   if (links->cut)
     check_by_lot (node, ROUND_CHECKS, outbox);
   else
@@ -404,7 +436,5 @@
       drop_outdated (node);
       check_again (node, outbox);
     }
-  if (!is_whole (links))
-    gspan_relay_offers_want (node, outbox);
   gspan_links_update_reach (node);
 }
--- a/links/links.h
+++ b/links/links.h
@@ -30,6 +30,7 @@
   guint checks_to_back; /* CUT: that have to succeed in a row */
   bool cut;             /* no link to any replica stands, as far as is known */
   guint64 cut_at;
+  bool reach_is_direct; /* of all replicas, as last set */
 };
 
 void gspan_links_init (struct GspanLinks *links);
--- a/node/node.c
+++ b/node/node.c
@@ -139,8 +139,10 @@
   lost.kind = GSPAN_EVENT_HTTP_DONE;
   lost.u.http.result = GSPAN_HTTP_LOST;
   lost.u.http.headers = &node->exchanges.nothing;
+  lost.u.http.body = g_bytes_new (NULL, 0);
   while (gspan_exchanges_take_hopeless (node, &lost.ref, outbox))
     tell_owner (node, &lost, outbox);
+  g_bytes_unref (lost.u.http.body);
 }
 
 static void
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -43,9 +43,9 @@
 
         if (exchange.url.find ("http://10.0.0.") != 0)
           continue;
-        if (!rig.cut_from_replicas && age_us >= 20 * GSPAN_MS)
+        if (rig.reaches (exchange.url) && age_us >= 20 * GSPAN_MS)
           answer (rig, exchange);
-        else if (rig.cut_from_replicas && exchange.new_connection
+        else if (!rig.reaches (exchange.url) && exchange.new_connection
                  && age_us >= exchange.connect_timeout_us)
           rig.http_done (exchange, GSPAN_HTTP_NOT_SENT, 0, {}, "");
       }
@@ -134,3 +134,282 @@
   ASSERT_NE (response_to (*world.rigs[2], 2), nullptr);
   EXPECT_EQ (result_ids (*response_to (*world.rigs[2], 2)).size (), 8U);
 }
+
+/* Between two nodes. */
+
+/* Only nodes know the key, and each start has its own. */
+TEST_F (Links, RequestsWithoutTheKeyOfTheNodeAreNotPassedOn)
+{
+  start (2);
+  Rig &rig = *world.rigs[0];
+
+  for (const char *key : { "", "key of vm-2", "key of vm-11" })
+    {
+      Exchange exchange{};
+      exchange.ref = { GSPAN_OWNER_GATEWAY, 1 << 20 };
+      exchange.method = "POST";
+      exchange.url = std::string ("http://") + rig.node.self.relay_address + "/desk/x";
+      exchange.timeout_us = GSPAN_SECOND;
+      exchange.headers = { std::string ("Gspan-Relay-Key: ") + key, "Gspan-Relay-Upstream: d1" };
+      start_hop (world, *world.rigs[1], exchange);
+    }
+  play (100 * GSPAN_MS);
+  EXPECT_TRUE (rig.exchanges.empty ());
+  EXPECT_TRUE (rig.logged ("relay-refused"));
+  EXPECT_EQ (rig.node.metrics.values[GSPAN_METRIC_RELAY_REFUSED], 3U);
+}
+
+/* A node that is cut off itself refuses what it is sent, and sends nothing on to a third. */
+TEST_F (Links, RequestsGoThroughOneNodeAtMost)
+{
+  start (4);
+  for (int i = 0; i < 3; i++)
+    world.rigs[(size_t)i]->cut_from_replicas = true;
+  std::vector<Rig *> cut = { world.rigs[0].get (), world.rigs[1].get (), world.rigs[2].get () };
+  EXPECT_GE (served (cut, 10), 28U);
+  for (const auto &hop : world.hop_log)
+    EXPECT_NE (hop.find (world.rigs[3]->node.self.relay_address), std::string::npos)
+        << "through a node that reaches no replica: " << hop;
+  EXPECT_LE (world.hop_log.size (), 36U);
+}
+
+/* Where all are cut off, calls are refused soon with a time to come back, and nothing circles. */
+TEST_F (Links, CallsAreRefusedSoonWhereNoNodeReachesAReplica)
+{
+  start (3);
+  for (auto &rig : world.rigs)
+    rig->cut_from_replicas = true;
+  served ({ world.rigs[0].get () }, 2);
+  send_desk_request (*world.rigs[0], 1, "a1");
+  play (400 * GSPAN_MS);
+  ASSERT_NE (response_to (*world.rigs[0], 1), nullptr);
+  EXPECT_EQ (response_to (*world.rigs[0], 1)->status, 503);
+  EXPECT_TRUE (response_to (*world.rigs[0], 1)->has ("Retry-After"));
+  EXPECT_LE (world.hop_log.size (), 6U);
+}
+
+/* The answer of the node between is lost after the request has gone on: it may have run. */
+TEST_F (Links, RequestThatMayRunOnceIsNotRepeatedAfterAnAnswerLostBetweenNodes)
+{
+  start (2, "non_idempotent");
+  Rig &rig = *world.rigs[0];
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  world.rigs[1]->exchanges.clear ();
+  send_desk_request (rig, 1, "once");
+  world.run (10 * GSPAN_MS);
+  ASSERT_EQ (world.hops.size (), 1U);
+  Hop hop = world.hops[0];
+  end_hop (world, hop.request);
+  rig.http_done (hop.exchange, GSPAN_HTTP_LOST, 0, {}, "");
+  ASSERT_NE (response_to (rig, 1), nullptr);
+  EXPECT_EQ (response_to (rig, 1)->status, 502);
+  play (GSPAN_SECOND);
+  EXPECT_TRUE (world.hops.empty ());
+}
+
+TEST_F (Links, RequestEndsAtTheReplicaWhenItsCallerLeaves)
+{
+  start (2);
+  Rig &rig = *world.rigs[0];
+  GspanEvent gone{};
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  send_desk_request (rig, 1, "leaves");
+  world.run (10 * GSPAN_MS);
+  ASSERT_EQ (world.rigs[1]->exchanges.size (), 1U);
+  gone.kind = GSPAN_EVENT_CALLER_DISCONNECTED;
+  gone.u.disconnected_request = 1;
+  rig.handle (gone);
+  world.run (10 * GSPAN_MS);
+  EXPECT_TRUE (world.rigs[1]->exchanges.empty ());
+  EXPECT_EQ (gspan_relay_server_open (&world.rigs[1]->node.relay_server), 0U);
+}
+
+TEST_F (Links, WhatOneNodePassesOnIsBounded)
+{
+  start (2);
+  Rig &rig = *world.rigs[0];
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  for (guint64 id = 1; id <= 150; id++)
+    send_desk_request (rig, id, "a" + std::to_string (id));
+  world.run (10 * GSPAN_MS);
+  EXPECT_LE (world.rigs[1]->exchanges.size (), 96U);
+  EXPECT_GE (world.rigs[1]->exchanges.size (), 90U);
+  play (900 * GSPAN_MS);
+  for (guint64 id = 1; id <= 150; id++)
+    {
+      ASSERT_NE (response_to (rig, id), nullptr) << id;
+      EXPECT_TRUE (response_to (rig, id)->status == 200 || response_to (rig, id)->status == 503);
+    }
+}
+
+/* It neither answers nor refuses; its offer stands for a while. */
+TEST_F (Links, NodeThatFreezesWithRequestsOfOthersKeepsThemFromBeingServedOnce)
+{
+  start (4);
+  Rig &rig = *world.rigs[0];
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  world.rigs[1]->paused = true;
+  EXPECT_GE (served ({ &rig }, 6), 5U);
+}
+
+TEST_F (Links, StopOfANodeThatPassesRequestsOnIsNotSeenByCallers)
+{
+  start (4);
+  Rig &rig = *world.rigs[0];
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  world.rigs[1]->drain ();
+  world.rigs[2]->drain ();
+  EXPECT_EQ (served ({ &rig }, 6), 6U);
+}
+
+/* What is known of links. */
+
+TEST_F (Links, ReplicasThatEndPutNoRequestOnTheWayThroughOthers)
+{
+  start (4);
+  world.rigs[0]->http_done (Exchange{}, GSPAN_HTTP_LOST, 0, {}, "");
+  for (guint64 id = 1; id <= 6; id++)
+    {
+      send_desk_request (*world.rigs[0], id, "a" + std::to_string (id));
+      world.rigs[0]->http_done (Exchange (world.rigs[0]->exchanges[0]),
+                                id % 2 == 0 ? GSPAN_HTTP_LOST : GSPAN_HTTP_NOT_SENT, 0, {}, "");
+      play (500 * GSPAN_MS);
+      EXPECT_EQ (response_to (*world.rigs[0], id)->status, 200);
+    }
+  EXPECT_TRUE (world.hop_log.empty ());
+  EXPECT_FALSE (world.rigs[0]->node.links.cut);
+}
+
+TEST_F (Links, NodesWithoutRequestsCheckNoLinks)
+{
+  start (3);
+  unsigned checks = 0;
+  for (auto &rig : world.rigs)
+    checks += rig->link_checks;
+  play (20 * GSPAN_SECOND);
+  unsigned later = 0;
+  for (auto &rig : world.rigs)
+    later += rig->link_checks;
+  EXPECT_EQ (later, checks);
+}
+
+TEST_F (Links, LinksThatComeAndGoLeaveTheNodeInOneState)
+{
+  start (3);
+  Rig &rig = *world.rigs[0];
+
+  for (int i = 0; i < 10; i++)
+    {
+      rig.cut_from_replicas = true;
+      served ({ &rig }, 1);
+      rig.cut_from_replicas = false;
+      play (300 * GSPAN_MS);
+    }
+  EXPECT_LE (rig.node.metrics.values[GSPAN_METRIC_LINK_CUTS], 2U);
+  play (3 * GSPAN_SECOND);
+  EXPECT_FALSE (rig.node.links.cut);
+  size_t hops = world.hop_log.size ();
+  EXPECT_EQ (served ({ &rig }, 3), 3U);
+  EXPECT_EQ (world.hop_log.size (), hops);
+}
+
+/* All replicas of one service are out of its reach, those of others aren't. */
+TEST_F (Links, ServiceWhoseReplicasANodeDoesNotReachIsServedThroughOthers)
+{
+  start (3);
+  Rig &rig = *world.rigs[0];
+
+  rig.unreachable = { "http://10.0.0.1:80", "http://10.0.0.2:80", "http://10.0.0.5:80" };
+  EXPECT_GE (served ({ &rig }, 10), 9U);
+  EXPECT_FALSE (rig.node.links.cut);
+  submit_job (rig, 1, "job-1", 4);
+  play (3 * GSPAN_SECOND);
+  read_results (rig, 2, "job-1", 0);
+  play (500 * GSPAN_MS);
+  EXPECT_EQ (result_ids (*response_to (rig, 2)).size (), 4U);
+  for (const auto &hop : world.hop_log)
+    EXPECT_EQ (hop.find ("/batch/"), std::string::npos) << "has a link of its own: " << hop;
+}
+
+/* One of three replicas is out of reach: the others serve without anybody's help. */
+TEST_F (Links, ReplicaThatANodeDoesNotReachIsPassedOver)
+{
+  start (3);
+  Rig &rig = *world.rigs[0];
+
+  rig.unreachable = { "http://10.0.0.1:80" };
+  EXPECT_GE (served ({ &rig }, 10), 9U);
+  size_t hops = world.hop_log.size ();
+  EXPECT_EQ (served ({ &rig }, 10), 10U);
+  EXPECT_EQ (world.hop_log.size (), hops);
+}
+
+/* A stream goes on through another node as it would directly, and in order. */
+TEST_F (Links, StreamsGoThroughOtherNodes)
+{
+  start (2, "streaming");
+  Rig &rig = *world.rigs[0];
+
+  rig.cut_from_replicas = true;
+  submit_job (rig, 900, "job-warm", 2);
+  play (3 * GSPAN_SECOND);
+  ASSERT_TRUE (rig.node.links.cut);
+  send_desk_request (rig, 1, "stream");
+  world.run (10 * GSPAN_MS);
+  ASSERT_EQ (world.rigs[1]->exchanges.size (), 1U);
+  Exchange exchange = world.rigs[1]->exchanges[0];
+  EXPECT_EQ (exchange.header ("X-Attempt-Id"), "stream");
+  world.rigs[1]->http_head (exchange, 200, stream_head (1));
+  for (unsigned id = 1; id <= 3; id++)
+    world.rigs[1]->http_data (exchange, 200, stream_head (1), sse (id));
+  world.run (20 * GSPAN_MS);
+  EXPECT_EQ (rig.streamed_bytes, sse (1) + sse (2) + sse (3));
+  world.rigs[1]->http_done (exchange, GSPAN_HTTP_LOST, 200, stream_head (1), "");
+  world.run (20 * GSPAN_MS);
+  ASSERT_EQ (world.rigs[1]->exchanges.size (), 1U) << "goes on at another replica";
+  exchange = world.rigs[1]->exchanges[0];
+  EXPECT_EQ (exchange.header ("Last-Event-Id"), "3");
+  world.rigs[1]->http_head (exchange, 200, stream_head (1));
+  world.rigs[1]->http_data (exchange, 200, stream_head (1), sse (4));
+  world.rigs[1]->http_done (exchange, GSPAN_HTTP_COMPLETE, 200, stream_head (1), "");
+  world.run (20 * GSPAN_MS);
+  EXPECT_EQ (rig.streamed_bytes, sse (1) + sse (2) + sse (3) + sse (4));
+  EXPECT_EQ (rig.responses.back ().status, 0) << "ended as whole";
+}
+
+/* Content that ends replicas reaches few of them, whichever way its tries take. */
+TEST_F (Links, RequestThatEndsReplicasIsKnownAlsoWhereItWentThroughOthers)
+{
+  start (3);
+  Rig &rig = *world.rigs[0];
+  unsigned reached = 0;
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  for (guint64 id = 1; id <= 8; id++)
+    {
+      send_desk_request (rig, id, "k" + std::to_string (id));
+      for (int i = 0; i < 30; i++)
+        {
+          world.run (10 * GSPAN_MS);
+          for (size_t n = 1; n < 3; n++)
+            for (const Exchange &exchange : std::vector<Exchange> (world.rigs[n]->exchanges))
+              {
+                reached++;
+                world.rigs[n]->http_done (exchange, GSPAN_HTTP_LOST, 0, {}, "");
+              }
+        }
+    }
+  EXPECT_GE (reached, 2U);
+  EXPECT_LE (reached, 4U);
+}
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -95,6 +95,17 @@
   bool paused = false;
   bool cut_from_store = false; /* from the store */
   bool cut_from_replicas = false;
+  std::vector<std::string> unreachable; /* "http://IP:PORT" of replicas that it doesn't reach */
+
+  bool
+  reaches (const std::string &url) const
+  {
+    return !cut_from_replicas
+           && std::none_of (
+               unreachable.begin (), unreachable.end (),
+               [&] (const std::string &replica) { return url.find (replica + "/") == 0; });
+  }
+
   unsigned link_checks = 0; /* connections that carry no request; they stand unless it is cut */
   std::vector<Exchange> exchanges;
   std::vector<CallerResponse> responses;
@@ -133,7 +144,7 @@
   std::vector<std::pair<GspanRef, bool>> checks; /* under way, and whether they connect */
   guint64 oldest_check_at = 0;
   void perform_actions (GspanOutbox *out);
-  void finish_checks ();
+  void finish_checks (bool timed_out);
 };
 
 struct PendingStoreCall
@@ -752,16 +763,25 @@
   gspan_node_handle (&node, &event, world.now, world.wall_ms, &out);
   perform_actions (&out);
   gspan_outbox_finish (&out);
-  if (!checks.empty () && checks.back ().second)
-    finish_checks ();
+  finish_checks (false);
 }
 
+/* Checks over links that stand end at once, the others by their timeout. */
 inline void
-Rig::finish_checks ()
+Rig::finish_checks (bool timed_out)
 {
   std::vector<std::pair<GspanRef, bool>> done;
 
-  done.swap (checks);
+  for (size_t i = 0; i < checks.size ();)
+    {
+      if (!checks[i].second && !timed_out)
+        {
+          i++;
+          continue;
+        }
+      done.push_back (checks[i]);
+      checks.erase (checks.begin () + (long)i);
+    }
   for (const auto &check : done)
     {
       GspanHeaders none;
@@ -800,7 +820,7 @@
               link_checks++;
               if (checks.empty ())
                 oldest_check_at = world.now;
-              checks.push_back ({ action->ref, !cut_from_replicas });
+              checks.push_back ({ action->ref, reaches (action->u.http.url) });
               break;
             }
           exchange.ref = action->ref;
@@ -891,7 +911,7 @@
 Rig::end_old_checks ()
 {
   if (!checks.empty () && world.now >= oldest_check_at + 250 * GSPAN_MS)
-    finish_checks ();
+    finish_checks (true);
 }
 
 inline void
