http: probes of a silent connection give up after two, as they were meant to

A TCP_USER_TIMEOUT that is set decides when keep-alive probes give up, whatever their count: of connections that are probed every second and were to end after two probes, at 3 s, the 4 s of TCP_USER_TIMEOUT was in force instead, and TCP_KEEPCNT had no effect.

What the libraries set by themselves was looked at (strace of http-test and rpc-test): libcurl 7.88.1 sets TCP_KEEPIDLE, TCP_KEEPINTVL and TCP_NODELAY, libmicrohttpd and libtirpc no timeout or probes of their own.

Client.ProbesGiveUpAfterTwo failed before (4,000 ms for 3,000). Beside it tests of connects that carry no request, and of connections that are not kept.

--- a/http/client.c
+++ b/http/client.c
@@ -12,12 +12,13 @@
 {
   CONNECT_TIMEOUT_MS = 1000,
   KEEPALIVE_IDLE_S = 2,
-  PROBE_IDLE_S = 1, /* as above, for exchanges that ask for probes of silence */
-  PROBE_COUNT = 2,
+  PROBE_IDLE_S = 1,   /* as above, for exchanges that ask for probes of silence */
+  PROBE_COUNT = 2,    /* that may stay without an answer */
   TIMER_SLACK_MS = 1, /* libcurl's clock and the loop's may differ by their rounding */
   KEEPALIVE_INTERVAL_S = 1,
   UNACKNOWLEDGED_MAX_MS = 4000, /* sent bytes without an acknowledgement end the connection */
-  SENDS_MAX = 2,                /* of a request that may run twice: libcurl repeats it once */
+  PROBED_MAX_MS = 1000 * (PROBE_IDLE_S + PROBE_COUNT * KEEPALIVE_INTERVAL_S),
+  SENDS_MAX = 2, /* of a request that may run twice: libcurl repeats it once */
   CONNECTIONS_KEPT = 512,
   IDLE_AGE_MAX_S = 12,    /* a connection idle for longer isn't used again */
   HEAD_MAX = 64 << 10,    /* bytes of an answer's heads and trailers */
@@ -244,17 +245,17 @@
   return CURL_PREREQFUNC_OK;
 }
 
-/* Ends a connection whose peer no longer acknowledges anything. */
+/*
+ * Ends a connection whose peer no longer acknowledges anything. TCP_USER_TIMEOUT also decides when
+ * probes give up, and TCP_KEEPCNT doesn't then.
+ */
 static int
 on_socket_created (void *user, curl_socket_t fd, curlsocktype purpose)
 {
-  const unsigned timeout_ms = UNACKNOWLEDGED_MAX_MS;
   const struct Exchange *exchange = user;
-  const int probes = PROBE_COUNT;
+  const unsigned timeout_ms = exchange->probe_silence ? PROBED_MAX_MS : UNACKNOWLEDGED_MAX_MS;
 
   (void)purpose;
-  if (exchange->probe_silence)
-    setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
   return CURL_SOCKOPT_OK;
 }
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -34,6 +34,9 @@
   GspanHttpResult result{};
   unsigned sends = 0;
   std::string data;
+  bool probes = false; /* of the next calls, as the fields of the action */
+  bool connect_only = false;
+  bool close_after = false;
 
   void
   SetUp () override
@@ -77,6 +80,9 @@
     http.new_connection = fresh;
     http.stream = stream;
     http.idle_timeout_us = silence_us;
+    http.tcp_keepalive = probes;
+    http.connect_only = connect_only;
+    http.close_after = close_after;
     gspan_http_client_start (client, { GSPAN_OWNER_DESK, done + 1 }, &http);
     gspan_headers_finish (&http.headers);
     g_bytes_unref (http.body);
@@ -215,6 +221,53 @@
   EXPECT_EQ (server.connections, 2U);
 }
 
+TEST_F (Client, CheckOfALinkConnectsAndSendsNothing)
+{
+  connect_only = true;
+  EXPECT_EQ (call (false), GSPAN_HTTP_COMPLETE);
+  EXPECT_EQ (call (false, false, 0, "127.0.0.1:1"), GSPAN_HTTP_NOT_SENT);
+  EXPECT_EQ (server.requests, 0U);
+}
+
+TEST_F (Client, ConnectionThatIsNotKeptIsNotUsedAgain)
+{
+  server.script = { { whole, false }, { whole, false } };
+  close_after = true;
+  EXPECT_EQ (call (true), GSPAN_HTTP_COMPLETE);
+  close_after = false;
+  EXPECT_EQ (call (false), GSPAN_HTTP_COMPLETE);
+  EXPECT_EQ (server.connections, 2U);
+}
+
+/* A TCP_USER_TIMEOUT decides when probes give up, whatever their count. */
+TEST_F (Client, ProbesGiveUpAfterTwo)
+{
+  unsigned found = 0;
+
+  server.script = { { whole, false } };
+  probes = true;
+  call (false);
+  for (int fd = 0; fd < 1024; fd++)
+    {
+      sockaddr_in peer{};
+      socklen_t len = sizeof peer;
+      unsigned timeout_ms = 0;
+      int idle_s = 0;
+      int interval_s = 0;
+      socklen_t size = sizeof idle_s;
+
+      if (getpeername (fd, reinterpret_cast<sockaddr *> (&peer), &len) != 0
+          || "127.0.0.1:" + std::to_string (ntohs (peer.sin_port)) != server.address)
+        continue;
+      getsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, &size);
+      getsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, &size);
+      getsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, &size);
+      EXPECT_EQ (timeout_ms, (unsigned)(idle_s + 2 * interval_s) * 1000U);
+      found++;
+    }
+  EXPECT_EQ (found, 1U);
+}
+
 TEST_F (Client, ConnectionEndsWhereThePeerAcknowledgesNothing)
 {
   unsigned found = 0;
