links: the bodies that a node passes on for others are bounded together

Requests were bounded by their number, 96, and each body by limits.body_max, 32 MB: more than a VM has. What is beyond 16 MB together is refused as not passed on. Links.BodiesThatOneNodePassesOnAreBounded: 4 of 4 bodies of 9 MB went on before, 2 now.

--- a/links/relay_server.c
+++ b/links/relay_server.c
@@ -12,7 +12,8 @@
 
 enum
 {
-  REQUESTS_MAX = 96, /* passed on at once */
+  REQUESTS_MAX = 96,     /* passed on at once */
+  BODIES_MAX = 16 << 20, /* bytes of their bodies */
   ASKERS_MAX = 64,
   STATUS_REFUSED = 503,
   STATUS_FAILED = 502
@@ -27,6 +28,7 @@
   guint64 fingerprint; /* of a request that may crash the replica; 0 is none
                           (gateway/crash_reports.h) */
   guint64 started;
+  size_t body_bytes;
   guint pieces; /* of the answer, received so far */
   bool begun;   /* the head of the answer has been passed on */
 };
@@ -44,6 +46,7 @@
 void
 gspan_relay_server_init (struct GspanRelayServer *server)
 {
+  *server = (struct GspanRelayServer){ 0 };
   server->by_request = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, relayed_free);
   server->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   server->askers = g_ptr_array_new_with_free_func (g_free);
@@ -71,7 +74,8 @@
     return "this node is draining";
   if (node->links.cut)
     return "this node reaches no replica itself";
-  if (gspan_relay_server_open (&node->relay_server) >= REQUESTS_MAX)
+  if (gspan_relay_server_open (&node->relay_server) >= REQUESTS_MAX
+      || node->relay_server.body_bytes >= BODIES_MAX)
     return "this node passes on as much as it can";
   return NULL;
 }
@@ -286,6 +290,8 @@
   relayed->caller_id = gspan_str_dup (wire.attempt_id);
   relayed->replica = gspan_replica_ref (replica);
   relayed->started = node->now;
+  relayed->body_bytes = g_bytes_get_size (request->body);
+  server->body_bytes += relayed->body_bytes;
   relayed->fingerprint = relay.may_crash ? fingerprint_of (replica, request) : 0;
   g_hash_table_insert (server->by_request, &relayed->request, relayed);
   g_hash_table_insert (server->by_id, &relayed->id, relayed);
@@ -297,6 +303,7 @@
 static void
 forget (struct GspanRelayServer *server, struct GspanRelayed *relayed)
 {
+  server->body_bytes -= relayed->body_bytes;
   g_hash_table_remove (server->by_id, &relayed->id);
   g_hash_table_remove (server->by_request, &relayed->request);
 }
--- a/links/relay_server.h
+++ b/links/relay_server.h
@@ -19,6 +19,7 @@
 {
   GHashTable *by_request; /* request of the sender to struct GspanRelayed, owns them */
   GHashTable *by_id;      /* id of the exchange with the replica to struct GspanRelayed */
+  size_t body_bytes;      /* of the requests that are being passed on */
   GPtrArray *askers;      /* names of nodes that wait until this one knows its own links */
 };
 
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -248,6 +248,21 @@
     }
 }
 
+TEST_F (Links, BodiesThatOneNodePassesOnAreBounded)
+{
+  start (2);
+  Rig &rig = *world.rigs[0];
+  std::string body (9 << 20, 'x');
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  for (guint64 id = 1; id <= 4; id++)
+    rig.request (id, "POST", "/desk/large",
+                 { "Host: a.example", "X-Attempt-Id: l" + std::to_string (id) }, body);
+  world.run (10 * GSPAN_MS);
+  EXPECT_EQ (world.rigs[1]->exchanges.size (), 2U);
+}
+
 /* It neither answers nor refuses; its offer stands for a while. */
 TEST_F (Links, NodeThatFreezesWithRequestsOfOthersKeepsThemFromBeingServedOnce)
 {
