links: one check that fails ends no exchange, and dead replicas don't hold a return back

Found by reading. A replica whose queue of new connections is full drops the opening packet, which looks like a link that is down: exchanges with it that wait for a first event would have been ended after 400 ms. They end now only where a second check fails too, 600 ms later, or the node is cut off. And a return wanted four checks in a row: with half of the replicas dead that takes long, while one that fails now only adds one to those that are still wanted.

--- a/links/exchanges.c
+++ b/links/exchanges.c
@@ -7,7 +7,7 @@
 #include "node/node.h"
 
 #define SILENCE_US (300 * GSPAN_MS)         /* without a byte of any replica puts links in doubt */
-#define HOPELESS_US (400 * GSPAN_MS)        /* without a byte over a link that is down */
+#define STALLED_US (400 * GSPAN_MS)         /* without a byte over a link that is down */
 #define CONNECT_TIMEOUT_US (250 * GSPAN_MS) /* leaves callers time for another way */
 #define UNREACHABLE_PAUSE_US (2 * GSPAN_SECOND) /* of a node that can't be reached */
 #define REFUSED_PAUSE_US (500 * GSPAN_MS)
@@ -43,6 +43,7 @@
 void
 gspan_exchanges_init (struct GspanExchanges *exchanges)
 {
+  *exchanges = (struct GspanExchanges){ 0 };
   exchanges->items = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, exchange_free);
   gspan_headers_init (&exchanges->nothing);
 }
@@ -335,16 +336,16 @@
 }
 
 static bool
-is_hopeless (const struct GspanNode *node, const struct GspanExchange *exchange)
+is_stalled (const struct GspanNode *node, const struct GspanExchange *exchange)
 {
   return exchange->relay == NULL && !exchange->runs_once
-         && gspan_links_is_down (&node->links, exchange->replica)
-         && node->now >= MAX (exchange->sent_at, exchange->heard_at) + HOPELESS_US;
+         && gspan_links_is_surely_down (node, exchange->replica)
+         && node->now >= MAX (exchange->sent_at, exchange->heard_at) + STALLED_US;
 }
 
 bool
-gspan_exchanges_take_hopeless (struct GspanNode *node, struct GspanRef *ref,
-                               struct GspanOutbox *outbox)
+gspan_exchanges_take_stalled (struct GspanNode *node, struct GspanRef *ref,
+                              struct GspanOutbox *outbox)
 {
   GHashTableIter iter;
   gpointer value;
@@ -356,7 +357,7 @@
     {
       struct GspanExchange *exchange = value;
 
-      if (!is_hopeless (node, exchange))
+      if (!is_stalled (node, exchange))
         continue;
       *ref = exchange->ref;
       gspan_outbox_add (outbox, GSPAN_ACTION_HTTP_CANCEL, *ref);
--- a/links/exchanges.h
+++ b/links/exchanges.h
@@ -53,8 +53,9 @@
 void gspan_exchanges_tick (struct GspanNode *node, struct GspanOutbox *outbox);
 
 /*
- * Takes an exchange out that has been silent on a link that is down, and that may be repeated, and
- * cancels it. False if there is none; else its owner, named in REF, has to be told that it is lost.
+ * Takes an exchange out that has been silent on a link that is surely down, and that may be
+ * repeated, and cancels it. False if there is none; else its owner, named in REF, has to be told
+ * that it is lost.
  */
-bool gspan_exchanges_take_hopeless (struct GspanNode *node, struct GspanRef *ref,
-                                    struct GspanOutbox *outbox);
+bool gspan_exchanges_take_stalled (struct GspanNode *node, struct GspanRef *ref,
+                                   struct GspanOutbox *outbox);
--- a/links/links.c
+++ b/links/links.c
@@ -6,6 +6,7 @@
 #define CHECK_TIMEOUT_US (250 * GSPAN_MS)  /* several round trips between availability zones */
 #define ROUND_INTERVAL_US (400 * GSPAN_MS) /* between two rounds of checks */
 #define DOUBT_INTERVAL_US (150 * GSPAN_MS) /* between two checks of one link for doubts */
+#define CONFIRMED_US (600 * GSPAN_MS)      /* the next round has checked a link again by then */
 #define PROOF_LASTS_US (200 * GSPAN_MS)    /* a replica heard before that says nothing of now */
 
 enum
@@ -81,6 +82,14 @@
   return links->cut || g_hash_table_contains (links->down, replica->id);
 }
 
+bool
+gspan_links_is_surely_down (const struct GspanNode *node, const struct GspanReplica *replica)
+{
+  const struct GspanLink *link = g_hash_table_lookup (node->links.down, replica->id);
+
+  return node->links.cut || (link != NULL && node->now >= link->since + CONFIRMED_US);
+}
+
 static void
 log_links (const struct GspanNode *node, const char *event, const struct GspanReplica *replica,
            struct GspanOutbox *outbox)
@@ -271,7 +280,7 @@
 
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_LINK_CHECKS_FAILED, 1);
   set_down (node, check->replica, outbox);
-  links->checks_to_back = CHECKS_TO_BACK;
+  links->checks_to_back = MIN (links->checks_to_back + 1, CHECKS_TO_BACK);
   if (links->cut || gspan_links_proven_since (links, check->sent_at))
     return;
   if (links->doubted_at == 0)
--- a/links/links.h
+++ b/links/links.h
@@ -27,7 +27,7 @@
   guint64 checked_at;   /* last round of checks while some links are down */
   guint64 doubted_at;   /* the oldest check that failed without a replica heard since; 0 is none */
   guint failed_checks;  /* since then */
-  guint checks_to_back; /* CUT: that have to succeed in a row */
+  guint checks_to_back; /* CUT: that have to succeed yet; one that fails adds one */
   bool cut;             /* no link to any replica stands, as far as is known */
   guint64 cut_at;
   bool reach_is_direct; /* of all replicas, as last set */
@@ -55,6 +55,9 @@
 /* True if the link to REPLICA is down, or all are. */
 bool gspan_links_is_down (const struct GspanLinks *links, const struct GspanReplica *replica);
 
+/* As above, and that was confirmed: by several links, or by a second check of the one. */
+bool gspan_links_is_surely_down (const struct GspanNode *node, const struct GspanReplica *replica);
+
 /* Sets the way that requests take to each replica, as far as it follows from the links. */
 void gspan_links_update_reach (struct GspanNode *node);
 
--- a/node/node.c
+++ b/node/node.c
@@ -132,7 +132,7 @@
 
 /* Exchanges that wait on links that are down end, so that their owners try another way. */
 static void
-end_hopeless (struct GspanNode *node, struct GspanOutbox *outbox)
+end_stalled (struct GspanNode *node, struct GspanOutbox *outbox)
 {
   struct GspanEvent lost = { 0 };
 
@@ -140,7 +140,7 @@
   lost.u.http.result = GSPAN_HTTP_LOST;
   lost.u.http.headers = &node->exchanges.nothing;
   lost.u.http.body = g_bytes_new (NULL, 0);
-  while (gspan_exchanges_take_hopeless (node, &lost.ref, outbox))
+  while (gspan_exchanges_take_stalled (node, &lost.ref, outbox))
     tell_owner (node, &lost, outbox);
   g_bytes_unref (lost.u.http.body);
 }
@@ -154,7 +154,7 @@
   gspan_links_handle (node, event, outbox);
   gspan_relay_offers_tick (node, outbox);
   gspan_relay_server_handle (node, event, outbox);
-  end_hopeless (node, outbox);
+  end_stalled (node, outbox);
   gspan_limits_tick (node, outbox);
   gspan_permits_tick (node, outbox);
   gspan_streams_tick (node, outbox);
