links: a replica that is silent is not taken for a node that is

What callers saw, in a test: a request through another node whose replica never answered ended at the sender by its own timeout, before the other node could say so; that node was then avoided for a second, and where it was the only one all requests were refused meanwhile.

The other node now gives up a tenth of the time earlier, 50 ms at most, and tells how it ended. Links.NodeThatPassesOnToASilentReplicaIsNotBlamed failed before.

--- a/links/exchanges.c
+++ b/links/exchanges.c
@@ -9,6 +9,7 @@
 #define SILENCE_US (300 * GSPAN_MS)         /* without a byte of any replica puts links in doubt */
 #define STALLED_US (400 * GSPAN_MS)         /* without a byte over a link that is down */
 #define CONNECT_TIMEOUT_US (250 * GSPAN_MS) /* leaves callers time for another way */
+#define OUTCOME_MARGIN_US (50 * GSPAN_MS)   /* the other node gives up before this one does */
 #define UNREACHABLE_PAUSE_US (2 * GSPAN_SECOND) /* of a node that can't be reached */
 #define REFUSED_PAUSE_US (500 * GSPAN_MS)
 #define LOST_PAUSE_US (GSPAN_SECOND)
@@ -268,7 +269,7 @@
   http->close_after = http->new_connection; /* else they pile up at the other node */
   request.key = gspan_str_from (exchange->relay_key);
   request.upstream = gspan_str_from (exchange->replica->id);
-  request.timeout_us = http->timeout_us;
+  request.timeout_us = http->timeout_us - MIN (http->timeout_us / 10, OUTCOME_MARGIN_US);
   request.stream = http->stream;
   request.new_connection = http->new_connection;
   request.send_once = http->send_once;
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -263,6 +263,29 @@
   EXPECT_EQ (world.rigs[1]->exchanges.size (), 2U);
 }
 
+/* The replica is silent, not the node between: that one goes on getting requests. */
+TEST_F (Links, NodeThatPassesOnToASilentReplicaIsNotBlamed)
+{
+  start (2);
+  Rig &rig = *world.rigs[0];
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  rig.request (1, "POST", "/desk/silent",
+               { "Host: a.example", "X-Attempt-Id: silent", "X-Deadline-Ms: 800" }, "");
+  for (int i = 0; i < 90; i++)
+    {
+      world.run (10 * GSPAN_MS);
+      for (const Exchange &exchange : std::vector<Exchange> (world.rigs[1]->exchanges))
+        if (world.now >= exchange.sent_at_us + exchange.timeout_us)
+          world.rigs[1]->http_done (exchange, GSPAN_HTTP_TIMEOUT, 0, {}, "");
+    }
+  ASSERT_NE (response_to (rig, 1), nullptr);
+  EXPECT_NE (response_to (rig, 1)->status, 200);
+  EXPECT_FALSE (rig.logged ("relay-failed"));
+  EXPECT_EQ (served ({ &rig }, 1), 1U);
+}
+
 /* It neither answers nor refuses; its offer stands for a while. */
 TEST_F (Links, NodeThatFreezesWithRequestsOfOthersKeepsThemFromBeingServedOnce)
 {
