--- a/links/relay_offers.c
+++ b/links/relay_offers.c
@@ -71,26 +71,33 @@
   json_decref (message);
 }
 
-/* Asks nodes by lot, beginning at one and going round. */
-static void
-ask_by_lot (struct GspanNode *node, struct GspanOutbox *outbox)
+/* Names of the other nodes that could pass requests on, borrowed. Release with g_ptr_array_unref
+ * (). */
+static GPtrArray *
+candidates (const struct GspanNode *node)
 {
-  GList *names = g_hash_table_get_keys (node->peers.items);
-  guint total = g_list_length (names);
-  guint first = total > 0 ? g_rand_int (node->random) % total : 0;
-  guint left = ASKED;
+  GPtrArray *names = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
 
-  names = g_list_sort (names, (GCompareFunc)strcmp);
-  for (guint i = 0; i < total && left > 0; i++)
+  g_hash_table_iter_init (&iter, node->peers.items);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
     {
-      const char *name = g_list_nth_data (names, (first + i * (total / ASKED + 1)) % total);
-
-      if (strcmp (name, node->self.name) == 0 || peer_of (node, name) == NULL)
-        continue;
-      ask (node, name, outbox);
-      left--;
+      if (strcmp (key, node->self.name) != 0 && peer_of (node, key) != NULL)
+        g_ptr_array_add (names, key);
     }
-  g_list_free (names);
+  return names;
+}
+
+static void
+ask_by_lot (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  GPtrArray *names = candidates (node);
+
+  for (guint i = 0; i < ASKED && names->len > 0; i++)
+    ask (node, g_ptr_array_steal_index_fast (names, g_rand_int (node->random) % names->len),
+         outbox);
+  g_ptr_array_unref (names);
 }
 
 static void
@@ -156,16 +163,11 @@
 bool
 gspan_relay_offers_possible (const struct GspanNode *node)
 {
-  GHashTableIter iter;
-  gpointer key;
+  GPtrArray *names = candidates (node);
+  bool possible = names->len > 0;
 
-  g_hash_table_iter_init (&iter, node->peers.items);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      if (strcmp (key, node->self.name) != 0 && peer_of (node, key) != NULL)
-        return true;
-    }
-  return false;
+  g_ptr_array_unref (names);
+  return possible;
 }
 
 bool
