links: a node that wakes from a freeze does not hold itself cut off

Checks of links that were under way end by their timeout as it wakes, whatever the links are; four of them made the node hold itself cut off. One that ends far later than its timeout now shows nothing. Links.NodeThatWasFrozenDoesNotHoldItselfCutOff failed before.

--- a/links/links.c
+++ b/links/links.c
@@ -4,6 +4,7 @@
 #include "node/node.h"
 
 #define CHECK_TIMEOUT_US (250 * GSPAN_MS)  /* several round trips between availability zones */
+#define PAUSE_LEAST_US (200 * GSPAN_MS)    /* by which an event loop that runs is never late */
 #define ROUND_INTERVAL_US (400 * GSPAN_MS) /* between two rounds of checks */
 #define DOUBT_INTERVAL_US (150 * GSPAN_MS) /* between two checks of one link for doubts */
 #define CONFIRMED_US (600 * GSPAN_MS)      /* the next round has checked a link again by then */
@@ -292,6 +293,13 @@
     check_by_lot (node, SAMPLE, outbox);
 }
 
+/* True if CHECK ended far later than its timeout: the process was paused, not the link down. */
+static bool
+is_inconclusive (const struct GspanNode *node, const struct GspanLinkCheck *check)
+{
+  return node->now > check->sent_at + CHECK_TIMEOUT_US + PAUSE_LEAST_US;
+}
+
 static void
 on_check_passed (struct GspanNode *node, const struct GspanLinkCheck *check,
                  struct GspanOutbox *outbox)
@@ -315,7 +323,7 @@
   g_hash_table_steal (node->links.checks, &event->ref.id);
   if (event->u.http.result == GSPAN_HTTP_COMPLETE)
     on_check_passed (node, check, outbox);
-  else
+  else if (!is_inconclusive (node, check))
     on_check_failed (node, check, outbox);
   check_free (check);
 }
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -286,6 +286,26 @@
   EXPECT_EQ (served ({ &rig }, 1), 1U);
 }
 
+/* It is the only one that offers, and may well answer the next. */
+TEST_F (Links, NodeThatLostARequestIsStillUsedWhereNoOtherOffers)
+{
+  start (2);
+  Rig &rig = *world.rigs[0];
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  rig.request (1, "POST", "/desk/lost",
+               { "Host: a.example", "X-Attempt-Id: lost", "X-Deadline-Ms: 800" }, "");
+  ASSERT_EQ (world.hops.size (), 1U);
+  Hop hop = world.hops[0];
+  end_hop (world, hop.request);
+  rig.http_done (hop.exchange, GSPAN_HTTP_LOST, 0, {}, "");
+  EXPECT_TRUE (rig.logged ("relay-failed"));
+  EXPECT_EQ (served ({ &rig }, 1), 1U);
+  ASSERT_NE (response_to (rig, 1), nullptr);
+  EXPECT_EQ (response_to (rig, 1)->status, 200);
+}
+
 /* It neither answers nor refuses; its offer stands for a while. */
 TEST_F (Links, NodeThatFreezesWithRequestsOfOthersKeepsThemFromBeingServedOnce)
 {
@@ -341,6 +361,26 @@
   EXPECT_EQ (later, checks);
 }
 
+/* Its checks end by their timeout as it wakes, whatever its links were. */
+TEST_F (Links, NodeThatWasFrozenDoesNotHoldItselfCutOff)
+{
+  start (3);
+  Rig &rig = *world.rigs[0];
+
+  rig.cut_from_replicas = true;
+  send_desk_request (rig, 1, "a1");
+  for (int i = 0; i < 100 && rig.link_checks < 5; i++)
+    world.run (10 * GSPAN_MS);
+  ASSERT_GE (rig.link_checks, 5U);
+  rig.paused = true;
+  world.run (2 * GSPAN_SECOND);
+  rig.cut_from_replicas = false;
+  rig.paused = false;
+  play (GSPAN_SECOND);
+  EXPECT_EQ (rig.node.metrics.values[GSPAN_METRIC_LINK_CUTS], 0U);
+  EXPECT_EQ (served ({ &rig }, 2), 2U);
+}
+
 TEST_F (Links, LinksThatComeAndGoLeaveTheNodeInOneState)
 {
   start (3);
