links: the only node that offers is used, also after a request of which nothing came

A node of which nothing came is now only passed over while another offers; one that refused, or can't be reached, is asked for a new offer at once. Links.NodeThatLostARequestIsStillUsedWhereNoOtherOffers failed before.

--- a/links/exchanges.c
+++ b/links/exchanges.c
@@ -10,9 +10,6 @@
 #define STALLED_US (400 * GSPAN_MS)         /* without a byte over a link that is down */
 #define CONNECT_TIMEOUT_US (250 * GSPAN_MS) /* leaves callers time for another way */
 #define OUTCOME_MARGIN_US (50 * GSPAN_MS)   /* the other node gives up before this one does */
-#define UNREACHABLE_PAUSE_US (2 * GSPAN_SECOND) /* of a node that can't be reached */
-#define REFUSED_PAUSE_US (500 * GSPAN_MS)
-#define LOST_PAUSE_US (GSPAN_SECOND)
 
 static const char url_scheme[] = "http://";
 
@@ -114,7 +111,7 @@
   const char *relay = gspan_exchanges_relay_of (node, id);
 
   if (relay != NULL)
-    gspan_relay_offers_avoid (node, relay, LOST_PAUSE_US);
+    gspan_relay_offers_avoid (node, relay);
 }
 
 /* Events of an exchange over this node's own link. */
@@ -151,12 +148,14 @@
 /* The other node, or the way to it, failed: that says nothing of the replica. */
 static void
 set_relay_failure (struct GspanNode *node, struct GspanExchange *exchange,
-                   struct GspanEventHttp *answer, const char *why, guint64 pause_us,
-                   struct GspanOutbox *outbox)
+                   struct GspanEventHttp *answer, const char *why, struct GspanOutbox *outbox)
 {
   answer->failed_at_relay = true;
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_RELAYED_FAILED, 1);
-  gspan_relay_offers_avoid (node, exchange->relay, pause_us);
+  if (answer->result == GSPAN_HTTP_LOST || answer->result == GSPAN_HTTP_TIMEOUT)
+    gspan_relay_offers_avoid (node, exchange->relay);
+  else
+    gspan_relay_offers_withdraw (node, exchange->relay);
   log_relay_failure (node, exchange, why, outbox);
 }
 
@@ -184,7 +183,7 @@
       break;
     case GSPAN_RELAY_REFUSED:
       text = gspan_str_dup (why);
-      set_relay_failure (node, exchange, answer, text, REFUSED_PAUSE_US, outbox);
+      set_relay_failure (node, exchange, answer, text, outbox);
       g_free (text);
       set_result (node, answer, GSPAN_HTTP_NOT_SENT);
       break;
@@ -228,9 +227,9 @@
   if (answer->result == GSPAN_HTTP_COMPLETE)
     read_outcome (node, exchange, answer, outbox);
   else if (answer->result == GSPAN_HTTP_NOT_SENT)
-    set_relay_failure (node, exchange, answer, "can't be reached", UNREACHABLE_PAUSE_US, outbox);
+    set_relay_failure (node, exchange, answer, "can't be reached", outbox);
   else if (exchange->heard_at == 0 && answer->result != GSPAN_HTTP_TOO_LONG)
-    set_relay_failure (node, exchange, answer, "no answer", LOST_PAUSE_US, outbox);
+    set_relay_failure (node, exchange, answer, "no answer", outbox);
   return true;
 }
 
--- a/links/relay_offers.c
+++ b/links/relay_offers.c
@@ -8,6 +8,7 @@
 #define OFFER_LASTS_US (2 * GSPAN_SECOND)
 #define ASK_INTERVAL_US (400 * GSPAN_MS)      /* while there are offers */
 #define ASK_AGAIN_INTERVAL_US (60 * GSPAN_MS) /* while there is none */
+#define AVOIDED_US (GSPAN_SECOND)             /* after a request of which nothing came */
 #define WANTED_US (3 * GSPAN_SECOND)          /* after the last need */
 
 enum
@@ -59,7 +60,7 @@
 stands (const struct GspanNode *node, const struct GspanRelayOffer *offer)
 {
   return offer->offered_at != 0 && node->now < offer->offered_at + OFFER_LASTS_US
-         && node->now >= offer->avoid_until && peer_of (node, offer->name) != NULL;
+         && peer_of (node, offer->name) != NULL;
 }
 
 static void
@@ -185,14 +186,16 @@
   return false;
 }
 
-/* Lower is better: requests that the node has, then its zone, then the lot. */
+/* Lower is better: those that answer first, then requests that the node has, its zone, the lot. */
 static guint64
 cost_of (const struct GspanNode *node, const struct GspanRelayOffer *offer, guint32 draw)
 {
   guint64 load = MAX (offer->load, offer->open);
   guint64 far = g_strcmp0 (peer_of (node, offer->name)->zone, node->self.zone) != 0;
+  guint64 avoided = node->now < offer->avoid_until;
 
-  return load << 20 | far << 19 | ((g_str_hash (offer->name) ^ draw) * 2654435761U & 0xffff);
+  return avoided << 56 | load << 20 | far << 19
+         | ((g_str_hash (offer->name) ^ draw) * 2654435761U & 0xffff);
 }
 
 const struct GspanPeer *
@@ -225,9 +228,15 @@
 }
 
 void
-gspan_relay_offers_avoid (struct GspanNode *node, const char *name, guint64 pause_us)
+gspan_relay_offers_withdraw (struct GspanNode *node, const char *name)
 {
-  offer_of (node, name)->avoid_until = node->now + pause_us;
+  offer_of (node, name)->offered_at = 0;
+}
+
+void
+gspan_relay_offers_avoid (struct GspanNode *node, const char *name)
+{
+  offer_of (node, name)->avoid_until = node->now + AVOIDED_US;
 }
 
 /* Drops offers of nodes that are gone, once none of their requests is open. */
--- a/links/relay_offers.h
+++ b/links/relay_offers.h
@@ -44,7 +44,10 @@
 /* Counts the requests of this node that the node NAME has: DELTA more. */
 void gspan_relay_offers_count (struct GspanNode *node, const char *name, int delta);
 
-/* The node NAME did not pass a request on: it gets none for PAUSE_US. */
-void gspan_relay_offers_avoid (struct GspanNode *node, const char *name, guint64 pause_us);
+/* The node NAME can't be reached, or refused a request: it gets none before it offers again. */
+void gspan_relay_offers_withdraw (struct GspanNode *node, const char *name);
+
+/* Nothing came of a request to the node NAME: others that offer go before it for a while. */
+void gspan_relay_offers_avoid (struct GspanNode *node, const char *name);
 
 void gspan_relay_offers_tick (struct GspanNode *node, struct GspanOutbox *outbox);
