links: a node that passes answers on learns what replicas say of themselves in them

That a replica leaves, or limits what it takes, stands in its answers; the node between passed it on and went on sending requests of its own there. Links.ReplicaThatLeavesIsKnownToTheNodeThatPassedItsAnswerOn failed before.

--- a/links/relay_offers.c
+++ b/links/relay_offers.c
@@ -72,8 +72,7 @@
   json_decref (message);
 }
 
-/* Names of the other nodes that could pass requests on, borrowed. Release with g_ptr_array_unref
- * (). */
+/* Names of the other nodes that could pass requests on; the caller releases the array only. */
 static GPtrArray *
 candidates (const struct GspanNode *node)
 {
--- a/links/relay_server.c
+++ b/links/relay_server.c
@@ -225,9 +225,9 @@
 }
 
 static void
-send (struct GspanNode *node, struct GspanRelayed *relayed, const struct GspanEventRequest *request,
-      const struct GspanRelayRequest *relay, struct GspanReplica *replica,
-      struct GspanOutbox *outbox)
+pass_on (struct GspanNode *node, struct GspanRelayed *relayed,
+         const struct GspanEventRequest *request, const struct GspanRelayRequest *relay,
+         struct GspanReplica *replica, struct GspanOutbox *outbox)
 {
   struct GspanRef ref = { GSPAN_OWNER_RELAY, relayed->id };
   struct GspanActionHttp *http = &gspan_outbox_add (outbox, GSPAN_ACTION_HTTP, ref)->u.http;
@@ -297,7 +297,7 @@
   g_hash_table_insert (server->by_id, &relayed->id, relayed);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_RELAYED_FOR_OTHERS, 1);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_RELAY_BYTES, g_bytes_get_size (request->body));
-  send (node, relayed, request, &relay, replica, outbox);
+  pass_on (node, relayed, request, &relay, replica, outbox);
 }
 
 static void
@@ -318,6 +318,18 @@
                                       node->now - relayed->started, outbox);
 }
 
+/* What the replica says of itself in ANSWER, its head or the whole, holds for this node too. */
+static void
+note_replica (struct GspanNode *node, const struct GspanRelayed *relayed,
+              const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
+{
+  struct GspanWireResponse wire;
+
+  gspan_wire_read_response (answer->status, answer->headers, &wire);
+  gspan_leaving_note_answer (node, relayed->replica, &wire, outbox);
+  gspan_limits_note_answer (node, relayed->replica, &wire, relayed->started, outbox);
+}
+
 /* Records what the end of the request shows of it. */
 static void
 note_end (struct GspanNode *node, const struct GspanRelayed *relayed,
@@ -360,11 +372,12 @@
 }
 
 static void
-on_head (struct GspanRelayed *relayed, const struct GspanEventHttp *answer,
+on_head (struct GspanNode *node, struct GspanRelayed *relayed, const struct GspanEventHttp *answer,
          struct GspanOutbox *outbox)
 {
   struct GspanActionReply *reply = add_reply (outbox, GSPAN_ACTION_REPLY_BEGIN, relayed->request);
 
+  note_replica (node, relayed, answer, outbox);
   relayed->begun = true;
   reply->status = answer->status;
   copy_headers (answer->headers, &reply->headers);
@@ -429,6 +442,8 @@
   else
     reply_outcome (relayed->request, STATUS_FAILED, outcome_of (answer->result), "", outbox);
   log_relayed (node, relayed, "relay-ended", results[answer->result], answer->status, outbox);
+  if (!relayed->begun)
+    note_replica (node, relayed, answer, outbox);
   note_end (node, relayed, answer, outbox);
   forget (&node->relay_server, relayed);
 }
@@ -451,7 +466,7 @@
       if (relayed == NULL)
         return;
       if (event->kind == GSPAN_EVENT_HTTP_HEAD)
-        on_head (relayed, &event->u.http, outbox);
+        on_head (node, relayed, &event->u.http, outbox);
       else if (event->kind == GSPAN_EVENT_HTTP_DATA)
         on_data (node, relayed, &event->u.http, outbox);
       else if (event->kind == GSPAN_EVENT_HTTP_DONE)
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -286,6 +286,26 @@
   EXPECT_EQ (served ({ &rig }, 1), 1U);
 }
 
+TEST_F (Links, ReplicaThatLeavesIsKnownToTheNodeThatPassedItsAnswerOn)
+{
+  start (2);
+  Rig &rig = *world.rigs[0];
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  send_desk_request (rig, 1, "leaving");
+  world.run (10 * GSPAN_MS);
+  ASSERT_EQ (world.rigs[1]->exchanges.size (), 1U);
+  Exchange exchange = world.rigs[1]->exchanges[0];
+  world.rigs[1]->http_done (exchange, GSPAN_HTTP_COMPLETE, 200,
+                            { "X-Server-Stamp: s", "Server-Leaving: 1" }, "good");
+  world.run (10 * GSPAN_MS);
+  EXPECT_EQ (response_to (rig, 1)->status, 200);
+  for (auto &node : world.rigs)
+    EXPECT_TRUE (
+        node->logged ("event=upstream-leaving upstream=" + exchange.header ("X-Expect-Instance")));
+}
+
 /* It is the only one that offers, and may well answer the next. */
 TEST_F (Links, NodeThatLostARequestIsStillUsedWhereNoOtherOffers)
 {
