--- a/gateway/attempts.c
+++ b/gateway/attempts.c
@@ -211,7 +211,7 @@
 
 /* True where this node is known to reach no replica, and no other passes requests on. */
 static bool
-reaches_nothing (const struct GspanNode *node)
+is_cut_off (const struct GspanNode *node)
 {
   return node->links.cut && !gspan_relay_offers_any (node);
 }
@@ -223,7 +223,7 @@
 static bool
 wait_for_way (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
-  if (!gspan_relay_offers_possible (node) || (!reaches_nothing (node) && !is_in_doubt (node, call)))
+  if (!gspan_relay_offers_possible (node) || (!is_cut_off (node) && !is_in_doubt (node, call)))
     return false;
   if (call->doubted_at == 0)
     {
@@ -271,7 +271,7 @@
     return true;
   by_relay = call->doubted_at != 0 && is_in_doubt (node, call);
   call->doubted_at = 0;
-  if (reaches_nothing (node))
+  if (is_cut_off (node))
     return false;
   without_permit = g_ptr_array_new ();
   replica = pick (node, call, false, without_permit);
--- a/links/links.c
+++ b/links/links.c
@@ -254,7 +254,7 @@
 }
 
 static void
-set_back (struct GspanNode *node, struct GspanOutbox *outbox)
+set_restored (struct GspanNode *node, struct GspanOutbox *outbox)
 {
   struct GspanLinks *links = &node->links;
 
@@ -310,7 +310,7 @@
   gspan_crash_reports_links_stand (node, check->sent_at, outbox);
   set_up (node, check->replica, outbox);
   if (links->cut && --links->checks_to_back == 0)
-    set_back (node, outbox);
+    set_restored (node, outbox);
 }
 
 static void
@@ -374,7 +374,7 @@
 }
 
 static bool
-is_whole (const struct GspanLinks *links)
+all_links_up (const struct GspanLinks *links)
 {
   return !links->cut && g_hash_table_size (links->down) == 0;
 }
@@ -382,14 +382,14 @@
 void
 gspan_links_update_reach (struct GspanNode *node)
 {
-  bool whole = is_whole (&node->links);
+  bool all_up = all_links_up (&node->links);
   enum GspanReach other = gspan_relay_offers_any (node) ? GSPAN_REACH_BY_RELAY : GSPAN_REACH_NONE;
   GHashTableIter iter;
   gpointer value;
 
-  if (whole && node->links.reach_is_direct)
+  if (all_up && node->links.reach_is_direct)
     return;
-  node->links.reach_is_direct = whole;
+  node->links.reach_is_direct = all_up;
   g_hash_table_iter_init (&iter, node->catalog.replicas);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -401,10 +401,10 @@
 
 /* True if no replica of some service is reached over a link of this node. */
 static bool
-lacks_a_service (const struct GspanNode *node)
+misses_a_service (const struct GspanNode *node)
 {
   GHashTable *reached = g_hash_table_new (g_str_hash, g_str_equal); /* service to whether one is */
-  bool lacks = false;
+  bool misses = false;
   GHashTableIter iter;
   gpointer value;
 
@@ -419,9 +419,9 @@
     }
   g_hash_table_iter_init (&iter, reached);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    lacks = lacks || !GPOINTER_TO_INT (value);
+    misses = misses || !GPOINTER_TO_INT (value);
   g_hash_table_unref (reached);
-  return lacks;
+  return misses;
 }
 
 static void
@@ -432,7 +432,7 @@
   if (node->now < links->checked_at + ROUND_INTERVAL_US)
     return;
   links->checked_at = node->now;
-  if (links->cut || lacks_a_service (node))
+  if (links->cut || misses_a_service (node))
     gspan_relay_offers_want (node, outbox);
   if (links->cut)
     check_by_lot (node, ROUND_CHECKS, outbox);
@@ -448,7 +448,7 @@
 
   if (event->kind == GSPAN_EVENT_HTTP_DONE)
     on_check_done (node, event, outbox);
-  else if (!is_whole (links))
+  else if (!all_links_up (links))
     {
       drop_outdated (node);
       check_again (node, outbox);
--- a/links/relay_offers.c
+++ b/links/relay_offers.c
@@ -57,7 +57,7 @@
 }
 
 static bool
-stands (const struct GspanNode *node, const struct GspanRelayOffer *offer)
+is_valid (const struct GspanNode *node, const struct GspanRelayOffer *offer)
 {
   return offer->offered_at != 0 && node->now < offer->offered_at + OFFER_LASTS_US
          && peer_of (node, offer->name) != NULL;
@@ -113,7 +113,7 @@
     {
       const struct GspanRelayOffer *offer = value;
 
-      if (!stands (node, offer))
+      if (!is_valid (node, offer))
         continue;
       ask (node, offer->name, outbox);
       left--;
@@ -179,7 +179,7 @@
   g_hash_table_iter_init (&iter, node->relay_offers.items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (stands (node, value))
+      if (is_valid (node, value))
         return true;
     }
   return false;
@@ -210,7 +210,7 @@
     {
       const struct GspanRelayOffer *offer = value;
 
-      if (!stands (node, offer))
+      if (!is_valid (node, offer))
         continue;
       if (best == NULL || cost_of (node, offer, draw) < cost_of (node, best, draw))
         best = offer;
--- a/links/relay_server.c
+++ b/links/relay_server.c
@@ -68,7 +68,7 @@
 
 /* Why no request can be passed on now; NULL where one can. */
 static const char *
-why_closed (const struct GspanNode *node)
+why_unavailable (const struct GspanNode *node)
 {
   if (node->draining)
     return "this node is draining";
@@ -91,7 +91,7 @@
 }
 
 static bool
-knows_its_links (const struct GspanNode *node)
+has_checked_links (const struct GspanNode *node)
 {
   return gspan_links_proven_since (&node->links, node->now - MIN (node->now, LINKS_KNOWN_US));
 }
@@ -102,9 +102,9 @@
   GPtrArray *askers = node->relay_server.askers;
   const char *from = json_string_value (json_object_get (message, "from"));
 
-  if (from == NULL || why_closed (node) != NULL)
+  if (from == NULL || why_unavailable (node) != NULL)
     return;
-  if (knows_its_links (node))
+  if (has_checked_links (node))
     {
       offer (node, from, outbox);
       return;
@@ -120,9 +120,9 @@
 {
   GPtrArray *askers = node->relay_server.askers;
 
-  if (askers->len == 0 || (!knows_its_links (node) && why_closed (node) == NULL))
+  if (askers->len == 0 || (!has_checked_links (node) && why_unavailable (node) == NULL))
     return;
-  for (guint i = 0; i < askers->len && why_closed (node) == NULL; i++)
+  for (guint i = 0; i < askers->len && why_unavailable (node) == NULL; i++)
     offer (node, g_ptr_array_index (askers, i), outbox);
   g_ptr_array_set_size (askers, 0);
 }
@@ -278,7 +278,7 @@
       return;
     }
   replica = find_replica (node, &relay, &why);
-  if (replica == NULL || (why = why_closed (node)) != NULL)
+  if (replica == NULL || (why = why_unavailable (node)) != NULL)
     {
       refuse (node, request, why, outbox);
       return;
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -228,7 +228,7 @@
   EXPECT_EQ (gspan_relay_server_open (&world.rigs[1]->node.relay_server), 0U);
 }
 
-TEST_F (Links, WhatOneNodePassesOnIsBounded)
+TEST_F (Links, RequestsPassedOnForOthersAreBounded)
 {
   start (2);
   Rig &rig = *world.rigs[0];
@@ -248,7 +248,7 @@
     }
 }
 
-TEST_F (Links, BodiesThatOneNodePassesOnAreBounded)
+TEST_F (Links, BodiesPassedOnForOthersAreBounded)
 {
   start (2);
   Rig &rig = *world.rigs[0];
@@ -327,7 +327,7 @@
 }
 
 /* It neither answers nor refuses; its offer stands for a while. */
-TEST_F (Links, NodeThatFreezesWithRequestsOfOthersKeepsThemFromBeingServedOnce)
+TEST_F (Links, FrozenNodeInBetweenCostsOneRequestAtMost)
 {
   start (4);
   Rig &rig = *world.rigs[0];
--- a/weights/order_lease.c
+++ b/weights/order_lease.c
@@ -228,7 +228,7 @@
 
 /* True where another node is to have the lease: orders take links that this one may have lost. */
 static bool
-leaves_it (const struct GspanNode *node)
+gives_lease_up (const struct GspanNode *node)
 {
   return node->draining || (node->links.cut && gspan_relay_offers_any (node));
 }
@@ -259,7 +259,7 @@
     case GSPAN_STORE_MISSING:
       if (wrote)
         lease->revision = 0;
-      else if (!leaves_it (node) && lease->missed)
+      else if (!gives_lease_up (node) && lease->missed)
         start_write (node, GSPAN_STORE_CREATE, node->self.name, 1, outbox);
       else
         lease->next_at = node->now + RANK_US * MIN (RANKS, rank_of (node));
@@ -291,7 +291,7 @@
 {
   const struct GspanOrderLease *lease = &node->weights.lease;
 
-  if (lease->revision == 0 || leaves_it (node))
+  if (lease->revision == 0 || gives_lease_up (node))
     return false;
   return lease->holder[0] == '\0' || strcmp (lease->holder, node->self.name) == 0
          || node->now - lease->seen_at >= patience_of (node);
@@ -303,8 +303,8 @@
   struct GspanOrderLease *lease = &node->weights.lease;
 
   if (lease->held && !lease->must_read)
-    start_write (node, GSPAN_STORE_REPLACE, leaves_it (node) ? "" : node->self.name, lease->fence,
-                 outbox);
+    start_write (node, GSPAN_STORE_REPLACE, gives_lease_up (node) ? "" : node->self.name,
+                 lease->fence, outbox);
   else if (!lease->must_read && may_take_over (node))
     start_write (node, GSPAN_STORE_REPLACE, node->self.name, lease->fence + 1, outbox);
   else if (lease->must_read || !node->draining)
