--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <unistd.h>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -17,7 +18,7 @@
 static std::string
 load (const std::string &text)
 {
-  std::string path = testing::TempDir () + "settings.toml";
+  std::string path = testing::TempDir () + "settings-" + std::to_string (getpid ()) + ".toml";
   GspanNodeSettings settings{};
   GspanFindings findings{};
 
@@ -38,7 +39,7 @@
 static std::string
 load_fleet (const std::string &more, GspanFleetSettings *settings)
 {
-  std::string path = testing::TempDir () + "fleet.toml";
+  std::string path = testing::TempDir () + "fleet-" + std::to_string (getpid ()) + ".toml";
   GspanFindings findings{};
 
   std::ofstream (path) << "[node]\nname=\"a\"\nzone=\"c\"\n[listen]\npeers=\"127.0.0.1:1\"\n"
