links: links that stand are checked less often

A silent exchange has its own link checked, and others only once that failed; the silence is 500 ms in place of 300; a replica heard within 100 ms before an attempt shows that the links stood. A link that is down while others stand would be missed so where hedges win: after two exchanges in a row that were cancelled without a byte it is checked too (Links.ReplicaThatANodeDoesNotReachIsPassedOver failed without that).

--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -38,13 +38,14 @@
 
   /* What this process knows by itself. */
   enum GspanReach reach;
-  bool leaving;        /* as it announced in a response (catalog/leaving.h) */
-  guint open;          /* requests of ours that it has now */
-  guint suspects;      /* of these, those that may crash it (desk/poison_requests.h) */
-  guint failures;      /* in a row */
-  guint64 avoid_until; /* after failures */
-  guint64 remove_at;   /* its removal, seen beside an outage of the store, counts then; 0 none */
-  bool orders_known;   /* ORDERS_ACCEPTED is */
+  guint silent_exchanges; /* over the own link, cancelled in a row without a byte in answer */
+  bool leaving;           /* as it announced in a response (catalog/leaving.h) */
+  guint open;             /* requests of ours that it has now */
+  guint suspects;         /* of these, those that may crash it (desk/poison_requests.h) */
+  guint failures;         /* in a row */
+  guint64 avoid_until;    /* after failures */
+  guint64 remove_at;      /* its removal, seen beside an outage of the store, counts then; 0 none */
+  bool orders_known;      /* ORDERS_ACCEPTED is */
   guint64 orders_accepted; /* since its start */
   bool misdirected;        /* somebody else answers at its address */
   guint64 loading_until;   /* takes new weights and refuses requests for about so long */
--- a/gateway/attempts.c
+++ b/gateway/attempts.c
@@ -5,7 +5,8 @@
 #include "node/node.h"
 #include "platform/wire.h"
 
-#define OWN_CHECK_US (30 * GSPAN_MS)  /* a link that stands shows it by then */
+#define OWN_CHECK_US (30 * GSPAN_MS) /* a link that stands shows it by then */
+#define JUST_BEFORE_US (100 * GSPAN_MS)
 #define RELAY_WAIT_US (80 * GSPAN_MS) /* round trips to nodes that check their own links first */
 
 /* Replicas that lack only a permit are added to WITHOUT_PERMIT, unless it is NULL. */
@@ -200,13 +201,15 @@
 
 /*
  * True where earlier attempts of CALL have brought nothing, and no replica was heard since the last
- * of them: this node's own links may be down.
+ * of them or just before it: this node's own links may be down.
  */
 static bool
 is_in_doubt (const struct GspanNode *node, const struct GspanCall *call)
 {
-  return call->state.last_sent_at_us != 0
-         && !gspan_links_proven_since (&node->links, call->state.last_sent_at_us);
+  guint64 sent_at = call->state.last_sent_at_us;
+
+  return sent_at != 0
+         && !gspan_links_proven_since (&node->links, sent_at - MIN (sent_at, JUST_BEFORE_US));
 }
 
 /* True where this node is known to reach no replica, and no other passes requests on. */
@@ -228,7 +231,7 @@
   if (call->doubted_at == 0)
     {
       call->doubted_at = node->now;
-      gspan_links_check_some (node, outbox);
+      gspan_links_check_one (node, outbox);
     }
   if (node->links.cut && gspan_relay_offers_any (node))
     return false;
--- a/gateway/crash_reports.c
+++ b/gateway/crash_reports.c
@@ -204,7 +204,7 @@
   held->evidence = evidence;
   held->at = node->now;
   g_ptr_array_add (node->crash_reports.held, held);
-  gspan_links_check_some (node, outbox);
+  gspan_links_check_one (node, outbox);
 }
 
 void
@@ -356,7 +356,7 @@
 {
   drop_held (node, outbox);
   if (node->crash_reports.held->len > 0)
-    gspan_links_check_some (node, outbox);
+    gspan_links_check_one (node, outbox);
   send_reports_if_due (node, outbox);
   if (node->catalog.store_fails)
     gspan_poison_requests_keep_unconfirmed (&node->poison_requests, node->now);
--- a/links/exchanges.c
+++ b/links/exchanges.c
@@ -6,11 +6,18 @@
 #include "links/relay_headers.h"
 #include "node/node.h"
 
-#define SILENCE_US (300 * GSPAN_MS)         /* without a byte of any replica puts links in doubt */
+#define SILENCE_US (500 * GSPAN_MS)         /* without a byte of any replica puts links in doubt */
 #define STALLED_US (400 * GSPAN_MS)         /* without a byte over a link that is down */
 #define CONNECT_TIMEOUT_US (250 * GSPAN_MS) /* leaves callers time for another way */
 #define OUTCOME_MARGIN_US (50 * GSPAN_MS)   /* the other node gives up before this one does */
 
+#define CANCELLED_SILENT_US (50 * GSPAN_MS) /* an exchange cancelled sooner shows nothing */
+
+enum
+{
+  SILENT_EXCHANGES = 2 /* in a row: a single one is common beside a hedge */
+};
+
 static const char url_scheme[] = "http://";
 
 struct GspanExchange
@@ -125,10 +132,11 @@
       || answer->status != 0)
     {
       exchange->heard_at = node->now;
+      exchange->replica->silent_exchanges = 0;
       gspan_links_note_heard (node);
     }
   else if (exchange->heard_at == 0)
-    gspan_links_note_doubt (node, exchange->replica, outbox);
+    gspan_links_note_failure (node, exchange->replica, outbox);
 }
 
 static void
@@ -287,6 +295,22 @@
     http->new_connection = true; /* fails soon, where a kept one would hang */
 }
 
+/*
+ * An own exchange is cancelled, mostly since another replica was faster. Where that happens again
+ * and again, the link to its replica may be down while others stand.
+ */
+static void
+note_cancelled (struct GspanNode *node, const struct GspanExchange *exchange,
+                struct GspanOutbox *outbox)
+{
+  if (exchange->relay != NULL || exchange->heard_at != 0
+      || node->now < exchange->sent_at + CANCELLED_SILENT_US)
+    return;
+  exchange->replica->silent_exchanges++;
+  if (exchange->replica->silent_exchanges >= SILENT_EXCHANGES)
+    gspan_links_note_silence (node, exchange->replica, outbox);
+}
+
 void
 gspan_exchanges_route (struct GspanNode *node, struct GspanOutbox *outbox)
 {
@@ -303,7 +327,10 @@
       if (action->kind == GSPAN_ACTION_HTTP)
         route (node, exchange, &action->u.http);
       else
-        forget (node, exchange);
+        {
+          note_cancelled (node, exchange, outbox);
+          forget (node, exchange);
+        }
     }
 }
 
@@ -332,7 +359,7 @@
   struct GspanExchange *silent = find_silent (node);
 
   if (silent != NULL)
-    gspan_links_note_doubt (node, silent->replica, outbox);
+    gspan_links_note_silence (node, silent->replica, outbox);
 }
 
 static bool
--- a/links/links.c
+++ b/links/links.c
@@ -169,10 +169,10 @@
 }
 
 void
-gspan_links_check_some (struct GspanNode *node, struct GspanOutbox *outbox)
+gspan_links_check_one (struct GspanNode *node, struct GspanOutbox *outbox)
 {
   if (g_hash_table_size (node->links.checks) == 0)
-    check_by_lot (node, 2, outbox);
+    check_by_lot (node, 1, outbox);
 }
 
 void
@@ -188,8 +188,8 @@
 }
 
 void
-gspan_links_note_doubt (struct GspanNode *node, struct GspanReplica *replica,
-                        struct GspanOutbox *outbox)
+gspan_links_note_silence (struct GspanNode *node, struct GspanReplica *replica,
+                          struct GspanOutbox *outbox)
 {
   const struct GspanLink *link = g_hash_table_lookup (node->links.down, replica->id);
 
@@ -197,7 +197,15 @@
       || (link != NULL && node->now < link->checked_at + DOUBT_INTERVAL_US))
     return;
   start_check (node, replica, outbox);
-  if (!gspan_links_proven_since (&node->links, node->now - MIN (node->now, PROOF_LASTS_US)))
+}
+
+void
+gspan_links_note_failure (struct GspanNode *node, struct GspanReplica *replica,
+                          struct GspanOutbox *outbox)
+{
+  gspan_links_note_silence (node, replica, outbox);
+  if (!node->links.cut
+      && !gspan_links_proven_since (&node->links, node->now - MIN (node->now, PROOF_LASTS_US)))
     check_by_lot (node, SAMPLE - 1, outbox);
 }
 
--- a/links/links.h
+++ b/links/links.h
@@ -39,12 +39,16 @@
 /* Bytes of REPLICA came over a link of this node. */
 void gspan_links_note_heard (struct GspanNode *node);
 
-/* A request over the link to REPLICA got no byte in answer, or none for long. */
-void gspan_links_note_doubt (struct GspanNode *node, struct GspanReplica *replica,
-                             struct GspanOutbox *outbox);
+/* A request over the link to REPLICA has ended without a byte in answer. */
+void gspan_links_note_failure (struct GspanNode *node, struct GspanReplica *replica,
+                               struct GspanOutbox *outbox);
 
-/* Checks links to some replicas, drawn by lot, to know whether this node reaches any. */
-void gspan_links_check_some (struct GspanNode *node, struct GspanOutbox *outbox);
+/* A request over the link to REPLICA has had no byte in answer for long, and nor has any other. */
+void gspan_links_note_silence (struct GspanNode *node, struct GspanReplica *replica,
+                               struct GspanOutbox *outbox);
+
+/* Checks the link to a replica drawn by lot, to know whether this node reaches any. */
+void gspan_links_check_one (struct GspanNode *node, struct GspanOutbox *outbox);
 
 /* True if a replica was heard over a link of this node at SINCE or later. */
 bool gspan_links_proven_since (const struct GspanLinks *links, guint64 since);
--- a/links/relay_server.c
+++ b/links/relay_server.c
@@ -112,7 +112,7 @@
   if (askers->len < ASKERS_MAX
       && !g_ptr_array_find_with_equal_func (askers, from, g_str_equal, NULL))
     g_ptr_array_add (askers, g_strdup (from));
-  gspan_links_check_some (node, outbox);
+  gspan_links_check_one (node, outbox);
 }
 
 void
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -447,6 +447,7 @@
 
   rig.unreachable = { "http://10.0.0.1:80" };
   EXPECT_GE (served ({ &rig }, 10), 9U);
+  ASSERT_TRUE (rig.logged ("event=link-down upstream=d1"));
   size_t hops = world.hop_log.size ();
   EXPECT_EQ (served ({ &rig }, 10), 10U);
   EXPECT_EQ (world.hop_log.size (), hops);
