--- a/test/access_test.cc
+++ b/test/access_test.cc
@@ -1,5 +1,6 @@
 #include "test/bench.h"
 
+#include <unistd.h>
 #include <fstream>
 #include <functional>
 #include <sys/stat.h>
@@ -161,7 +162,7 @@
 static std::string
 read_callers (const std::string &text, mode_t mode, guint *count)
 {
-  std::string path = testing::TempDir () + "callers";
+  std::string path = testing::TempDir () + "callers-" + std::to_string (getpid ());
   GspanNodeSettings settings{};
   GspanFindings findings{};
   GspanAccess access{};
--- a/test/decoder_test.cc
+++ b/test/decoder_test.cc
@@ -1,5 +1,6 @@
 #include "test/bench.h"
 
+#include <unistd.h>
 #include <cstring>
 #include <fstream>
 
@@ -270,7 +271,7 @@
 static std::string
 write_file (const std::string &text)
 {
-  std::string path = testing::TempDir () + "decoder.toml";
+  std::string path = testing::TempDir () + "decoder-" + std::to_string (getpid ()) + ".toml";
 
   std::ofstream (path, std::ios::binary) << text;
   return path;
