links: a node that drains passes callers' requests on for a while

Cause: a node that drains refused at once what it was to pass on, though it reached the replicas for 2.5 s more, and no other node did.

It now takes callers' requests of other nodes for 1.5 s after the SIGTERM, which leaves time to end them, and says in its offers that it drains, so that it is chosen last. Runs of items go elsewhere at once, since they may take long.

While the only whole node is down for good nothing can be served, as before.

--- a/links/exchanges.c
+++ b/links/exchanges.c
@@ -280,7 +280,7 @@
   request.stream = http->stream;
   request.new_connection = http->new_connection;
   request.send_once = http->send_once;
-  request.may_crash = exchange->ref.owner == GSPAN_OWNER_GATEWAY;
+  request.of_caller = exchange->ref.owner == GSPAN_OWNER_GATEWAY;
   gspan_relay_write_request (&request, &http->headers);
 }
 
--- a/links/relay_headers.c
+++ b/links/relay_headers.c
@@ -9,7 +9,7 @@
 static const char header_stream[] = "Gspan-Relay-Stream";
 static const char header_new_connection[] = "Gspan-Relay-New-Connection";
 static const char header_send_once[] = "Gspan-Relay-Send-Once";
-static const char header_may_crash[] = "Gspan-Relay-May-Crash";
+static const char header_of_caller[] = "Gspan-Relay-Of-Caller";
 static const char header_outcome[] = "Gspan-Relay-Outcome";
 static const char header_why[] = "Gspan-Relay-Why";
 
@@ -38,7 +38,7 @@
   write_flag (headers, header_stream, request->stream);
   write_flag (headers, header_new_connection, request->new_connection);
   write_flag (headers, header_send_once, request->send_once);
-  write_flag (headers, header_may_crash, request->may_crash);
+  write_flag (headers, header_of_caller, request->of_caller);
 }
 
 void
@@ -54,7 +54,7 @@
   request->stream = read_flag (headers, header_stream);
   request->new_connection = read_flag (headers, header_new_connection);
   request->send_once = read_flag (headers, header_send_once);
-  request->may_crash = read_flag (headers, header_may_crash);
+  request->of_caller = read_flag (headers, header_of_caller);
 }
 
 void
--- a/links/relay_headers.h
+++ b/links/relay_headers.h
@@ -15,7 +15,7 @@
   bool stream;              /* the answer is passed on as it comes */
   bool new_connection;      /* never on a used connection: the request may not run twice */
   bool send_once;
-  bool may_crash; /* of a caller, who tries again at any node: evidence against it is kept */
+  bool of_caller; /* who tries again at any node: evidence against the request is kept */
 };
 
 /* How a request that was passed on ended. */
--- a/links/relay_offers.c
+++ b/links/relay_offers.c
@@ -22,6 +22,7 @@
   char *name;
   guint64 offered_at;
   guint64 avoid_until;
+  bool draining;
   guint load; /* requests that it passed on for all nodes at OFFERED_AT */
   guint open; /* requests of this node that it has */
 };
@@ -157,6 +158,7 @@
     return;
   offer = offer_of (node, from);
   offer->offered_at = node->now;
+  offer->draining = json_is_true (json_object_get (message, "draining"));
   offer->load = (guint)json_integer_value (json_object_get (message, "load"));
 }
 
@@ -185,15 +187,17 @@
   return false;
 }
 
-/* Lower is better: those that answer first, then requests that the node has, its zone, the lot. */
+/* Lower is better: those that stay, then those that answer, then requests that the node has, its
+ * zone, the lot. */
 static guint64
 cost_of (const struct GspanNode *node, const struct GspanRelayOffer *offer, guint32 draw)
 {
   guint64 load = MAX (offer->load, offer->open);
   guint64 far = g_strcmp0 (peer_of (node, offer->name)->zone, node->self.zone) != 0;
   guint64 avoided = node->now < offer->avoid_until;
+  guint64 draining = offer->draining;
 
-  return avoided << 56 | load << 20 | far << 19
+  return draining << 57 | avoided << 56 | load << 20 | far << 19
          | ((g_str_hash (offer->name) ^ draw) * 2654435761U & 0xffff);
 }
 
--- a/links/relay_server.c
+++ b/links/relay_server.c
@@ -7,7 +7,8 @@
 #include "node/node.h"
 #include "platform/wire.h"
 
-#define LINKS_KNOWN_US (GSPAN_SECOND) /* a replica heard so lately shows that the links stand */
+#define LINKS_KNOWN_US (GSPAN_SECOND)     /* a replica heard so lately shows that the links stand */
+#define DRAINING_MAX_US (1500 * GSPAN_MS) /* leaves time to end what was taken until then */
 #define TIMEOUT_MAX_US (60 * GSPAN_SECOND)
 
 enum
@@ -70,7 +71,7 @@
 static const char *
 why_unavailable (const struct GspanNode *node)
 {
-  if (node->draining)
+  if (node->draining && node->now >= node->draining_since + DRAINING_MAX_US)
     return "this node is draining";
   if (node->links.cut)
     return "this node reaches no replica itself";
@@ -80,11 +81,21 @@
   return NULL;
 }
 
+/* Runs of items, which may take long, are not begun on a node that is about to end. */
+static const char *
+why_refused (const struct GspanNode *node, const struct GspanRelayRequest *relay)
+{
+  if (node->draining && !relay->of_caller)
+    return "this node is draining";
+  return why_unavailable (node);
+}
+
 static void
 offer (struct GspanNode *node, const char *to, struct GspanOutbox *outbox)
 {
-  json_t *message = json_pack ("{s:s, s:s, s:i}", "kind", "relay-offer", "from", node->self.name,
-                               "load", (int)gspan_relay_server_open (&node->relay_server));
+  json_t *message = json_pack ("{s:s, s:s, s:b, s:i}", "kind", "relay-offer", "from",
+                               node->self.name, "draining", (int)node->draining, "load",
+                               (int)gspan_relay_server_open (&node->relay_server));
 
   gspan_peers_send (node, to, message, outbox);
   json_decref (message);
@@ -278,7 +289,9 @@
       return;
     }
   replica = find_replica (node, &relay, &why);
-  if (replica == NULL || (why = why_unavailable (node)) != NULL)
+  if (replica != NULL)
+    why = why_refused (node, &relay);
+  if (why != NULL)
     {
       refuse (node, request, why, outbox);
       return;
@@ -292,7 +305,7 @@
   relayed->started = node->now;
   relayed->body_bytes = g_bytes_get_size (request->body);
   server->body_bytes += relayed->body_bytes;
-  relayed->fingerprint = relay.may_crash ? fingerprint_of (replica, request) : 0;
+  relayed->fingerprint = relay.of_caller ? fingerprint_of (replica, request) : 0;
   g_hash_table_insert (server->by_request, &relayed->request, relayed);
   g_hash_table_insert (server->by_id, &relayed->id, relayed);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_RELAYED_FOR_OTHERS, 1);
--- a/node/node.c
+++ b/node/node.c
@@ -259,6 +259,7 @@
     {
     case GSPAN_EVENT_DRAIN:
       node->draining = true;
+      node->draining_since = node->now;
       tell_all (node, event, outbox);
       break;
     case GSPAN_EVENT_TICK:
--- a/node/node.h
+++ b/node/node.h
@@ -56,6 +56,7 @@
   struct GspanNodeSelf self;
   struct GspanNodeLimits limits;
   bool draining;
+  guint64 draining_since;
   guint64 next_id;
   struct GspanMetrics metrics;
   struct GspanPoisonRequests poison_requests;
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -286,6 +286,46 @@
   EXPECT_EQ (served ({ &rig }, 1), 1U);
 }
 
+/* The only node that is whole is stopped: it can still pass on for a while, and no other does. */
+TEST_F (Links, NodeThatDrainsPassesCallersRequestsOnWhereNoOtherOffers)
+{
+  start (2);
+  Rig &rig = *world.rigs[0];
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  world.rigs[1]->drain ();
+  EXPECT_EQ (served ({ &rig }, 1), 1U);
+  play (GSPAN_SECOND);
+  send_desk_request (rig, 1, "late");
+  play (400 * GSPAN_MS);
+  ASSERT_NE (response_to (rig, 1), nullptr);
+  EXPECT_EQ (response_to (rig, 1)->status, 503) << "it has to come to its end";
+}
+
+/* Where another node offers too, a node that drains gets none. */
+TEST_F (Links, NodeThatDrainsIsTheLastToBeChosen)
+{
+  start (3);
+  Rig &rig = *world.rigs[0];
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  world.rigs[1]->drain ();
+  play (500 * GSPAN_MS);
+  size_t before = world.hop_log.size ();
+  for (guint64 id = 1; id <= 8; id++)
+    {
+      rig.request (id, "POST", "/desk/" + std::to_string (id),
+                   { "Host: a.example", "X-Attempt-Id: d" + std::to_string (id) }, "");
+      play (50 * GSPAN_MS);
+      ASSERT_NE (response_to (rig, id), nullptr);
+      EXPECT_EQ (response_to (rig, id)->status, 200);
+    }
+  for (size_t i = before; i < world.hop_log.size (); i++)
+    EXPECT_EQ (world.hop_log[i].find ("vm-1 vm-2"), std::string::npos) << world.hop_log[i];
+}
+
 TEST_F (Links, ReplicaThatLeavesIsKnownToTheNodeThatPassedItsAnswerOn)
 {
   start (2);
