test: a node that is cut off passes nothing on to a third

Taking the refusal out (a mutation) failed no test before: cut nodes make no offers, so none was ever sent a request in the tests. This one fails then.

--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -173,6 +173,32 @@
   EXPECT_LE (world.hop_log.size (), 36U);
 }
 
+/* Sent in good faith to a node that is cut off itself, and that knows others which offer. */
+TEST_F (Links, NodeThatIsCutOffPassesNothingOnToAThird)
+{
+  start (3);
+  Rig &sender = *world.rigs[0];
+  Rig &between = *world.rigs[1];
+  Exchange exchange{};
+
+  between.cut_from_replicas = true;
+  served ({ &between }, 2);
+  ASSERT_TRUE (between.node.links.cut);
+  ASSERT_TRUE (gspan_relay_offers_any (&between.node));
+  size_t hops = world.hop_log.size ();
+  exchange.ref = { GSPAN_OWNER_GATEWAY, 1 << 20 };
+  exchange.method = "POST";
+  exchange.url = std::string ("http://") + between.node.self.relay_address + "/desk/x";
+  exchange.timeout_us = GSPAN_SECOND;
+  exchange.headers = { std::string ("Gspan-Relay-Key: ") + between.node.self.relay_key,
+                       "Gspan-Relay-Upstream: d1" };
+  start_hop (world, sender, exchange);
+  world.run (50 * GSPAN_MS);
+  EXPECT_EQ (world.hop_log.size (), hops + 1) << "the one that was sent here";
+  EXPECT_TRUE (between.exchanges.empty ());
+  EXPECT_TRUE (between.logged ("event=relay-refused"));
+}
+
 /* Where all are cut off, calls are refused soon with a time to come back, and nothing circles. */
 TEST_F (Links, CallsAreRefusedSoonWhereNoNodeReachesAReplica)
 {
