jobs: the line of a reward call says through whom it went

On-call could not tell from reward-call-started which way a call took; the postmortem had said they could. Links.RewardCallsGoThroughOtherNodes failed on the line before; that such calls go through other nodes had no test of its own, only the soak, and passed. Beside it a test that a node whose own link to the replica is down passes nothing on to a third.

--- a/jobs/rewards.c
+++ b/jobs/rewards.c
@@ -87,7 +87,7 @@
 }
 
 static void
-log_start (const struct GspanRewardCall *call, struct GspanOutbox *outbox)
+log_start (const struct GspanRewardCall *call, const char *relay, struct GspanOutbox *outbox)
 {
   struct GspanLine line;
 
@@ -96,6 +96,7 @@
   gspan_line_u64 (&line, "failures", call->item->reward.failures);
   gspan_line_u64 (&line, "open", call->item->reward.open_calls);
   gspan_line_u64 (&line, "open_there", call->replica->open);
+  gspan_line_cstr (&line, "relay", relay != NULL ? relay : "");
   gspan_outbox_log (outbox, "rewards", GSPAN_PRIORITY_INFO, &line);
 }
 
@@ -196,7 +197,7 @@
   http->required_header = gspan_wire_attempt_id_line (gspan_str_from (reward->id));
   gspan_wire_write_reward_headers (reward, replica->id, timeout_us, &http->headers);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_REWARD_CALLS, 1);
-  log_start (call, outbox);
+  log_start (call, gspan_exchanges_relay_of (node, ref.id), outbox);
 }
 
 /* Ids of the replicas that have a call of ITEM. Release with g_ptr_array_unref (). */
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -102,6 +102,33 @@
   EXPECT_GE (served ({ world.rigs[0].get () }, 10), 9U);
 }
 
+TEST_F (Links, RewardCallsGoThroughOtherNodes)
+{
+  start (3);
+  Rig &rig = *world.rigs[0];
+  std::string body = "{\"step\":1,\"model\":\"m0\",\"minVersion\":0,\"desiredCount\":1,\"items\":[{"
+                     "\"id\":\"i0\","
+                     "\"path\":\"/batch/"
+                     "x\",\"headers\":{\"X-Model\":\"m0\"},\"body\":\"aGk=\",\"tokenCount\":10,"
+                     "\"group\":\"g0\",\"scorer\":{\"id\":\"i0-score\",\"host\":\"a.example\","
+                     "\"path\":\"/desk/score/i0\",\"body\":\"aGk=\"}}]}";
+
+  rig.cut_from_replicas = true;
+  rig.request (1, "POST", "/batch/job-1", { "Host: a.example", "X-Attempt-Id: job-1" }, body);
+  play (6 * GSPAN_SECOND);
+  read_results (*world.rigs[2], 2, "job-1", 0);
+  play (GSPAN_SECOND);
+  ASSERT_NE (response_to (*world.rigs[2], 2), nullptr);
+  EXPECT_EQ (result_ids (*response_to (*world.rigs[2], 2)).size (), 1U);
+  EXPECT_TRUE (std::any_of (world.hop_log.begin (), world.hop_log.end (), [] (const auto &hop) {
+    return hop.find ("/desk/score/i0") != std::string::npos;
+  }));
+  EXPECT_TRUE (std::any_of (rig.log.begin (), rig.log.end (), [] (const auto &line) {
+    return line.find ("event=reward-call-started") != std::string::npos
+           && line.find ("relay=vm-") != std::string::npos;
+  })) << "its line says through whom it went";
+}
+
 /* Connections that are reset as the links go say nothing against what they carried. */
 TEST_F (Links, RequestsThatFailedAtACutNodeAreServedElsewhere)
 {
@@ -173,7 +200,7 @@
   EXPECT_LE (world.hop_log.size (), 36U);
 }
 
-/* Sent in good faith to a node that is cut off itself, and that knows others which offer. */
+/* It gets a request although it is cut off itself, and a third node offers to pass requests on. */
 TEST_F (Links, NodeThatIsCutOffPassesNothingOnToAThird)
 {
   start (3);
@@ -199,6 +226,32 @@
   EXPECT_TRUE (between.logged ("event=relay-refused"));
 }
 
+/* Its link to the replica is down, those to others stand, and a third node offers. */
+TEST_F (Links, NodeThatMissesTheReplicaPassesNothingOnToAThird)
+{
+  start (3);
+  Rig &sender = *world.rigs[0];
+  Rig &between = *world.rigs[1];
+  Exchange exchange{};
+
+  between.unreachable = { "http://10.0.0.1:80", "http://10.0.0.2:80", "http://10.0.0.5:80" };
+  served ({ &between }, 6);
+  ASSERT_FALSE (between.node.links.cut);
+  ASSERT_TRUE (between.logged ("event=link-down upstream=d1"));
+  ASSERT_TRUE (gspan_relay_offers_any (&between.node));
+  size_t hops = world.hop_log.size ();
+  exchange.ref = { GSPAN_OWNER_GATEWAY, 1 << 20 };
+  exchange.method = "POST";
+  exchange.url = std::string ("http://") + between.node.self.relay_address + "/desk/x";
+  exchange.timeout_us = GSPAN_SECOND;
+  exchange.headers = { std::string ("Gspan-Relay-Key: ") + between.node.self.relay_key,
+                       "Gspan-Relay-Upstream: d1" };
+  start_hop (world, sender, exchange);
+  play (600 * GSPAN_MS);
+  EXPECT_EQ (world.hop_log.size (), hops + 1) << "the one that was sent here";
+  EXPECT_TRUE (between.logged ("event=relay-ended"));
+}
+
 /* Where all are cut off, calls are refused soon with a time to come back, and nothing circles. */
 TEST_F (Links, CallsAreRefusedSoonWhereNoNodeReachesAReplica)
 {
