http, gateway, jobs: lines say what an answer looked like on its connection

call-attempt-failed, call-answered and run-ended now have how often the request was sent, whether the connection had been used before, whether the head ended, what framed the body, the bytes announced and received, and whether the request's id was echoed; job-submitted has the sendings and the parts that stand in the store; call-resumes says whether several versions are known. Three counters: gspan_platform_writes_repeated_total, gspan_answers_cut_total, gspan_answers_foreign_total. No decision changes; the unit tests of the parts touched pass.

--- a/board/message.c
+++ b/board/message.c
@@ -144,3 +144,19 @@
   action->u.log.priority = priority;
   action->u.log.text = gspan_line_steal (line);
 }
+
+void
+gspan_answer_log (const struct GspanEventHttp *answer, struct GspanLine *line)
+{
+  static const char *const framings[] = { "none", "length", "chunked", "close" };
+  static const char *const echoes[] = { "not-asked", "same", "missing", "other" };
+  const struct GspanAnswerTrace *trace = &answer->trace;
+
+  gspan_line_u64 (line, "sends", answer->send_count);
+  gspan_line_u64 (line, "used_connection", trace->used_connection);
+  gspan_line_u64 (line, "head_ended", trace->head_ended);
+  gspan_line_cstr (line, "framing", framings[trace->framing]);
+  gspan_line_u64 (line, "declared_bytes", trace->declared_bytes);
+  gspan_line_u64 (line, "body_bytes", trace->body_bytes);
+  gspan_line_cstr (line, "echo", echoes[trace->echo]);
+}
--- a/board/message.h
+++ b/board/message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/headers.h"
+#include "common/line.h"
 #include "common/log.h"
 #include "store/store.h"
 
@@ -107,6 +108,35 @@
   const char *firm; /* that the caller's token names; NULL where callers aren't checked */
 };
 
+/* What says where the body of an answer ends. */
+enum GspanBodyFraming
+{
+  GSPAN_BODY_FRAMING_NONE, /* no head, or an answer without a body */
+  GSPAN_BODY_FRAMING_LENGTH,
+  GSPAN_BODY_FRAMING_CHUNKED,
+  GSPAN_BODY_FRAMING_CLOSE /* the end of the connection */
+};
+
+/* Whether an answer names the request that it belongs to. */
+enum GspanEcho
+{
+  GSPAN_ECHO_NOT_ASKED,
+  GSPAN_ECHO_SAME,
+  GSPAN_ECHO_MISSING,
+  GSPAN_ECHO_OTHER
+};
+
+/* What came in on the connection of an exchange; for log lines. */
+struct GspanAnswerTrace
+{
+  bool used_connection; /* it had carried other requests before */
+  bool head_ended;      /* the empty line after the head came */
+  enum GspanBodyFraming framing;
+  guint64 declared_bytes; /* LENGTH only */
+  guint64 body_bytes;     /* received */
+  enum GspanEcho echo;
+};
+
 /* STATUS is 0 where no status line came. BODY is empty for a streamed exchange. */
 struct GspanEventHttp
 {
@@ -114,9 +144,10 @@
   int status;
   const struct GspanHeaders *headers;
   GBytes *body;
-  guint64 elapsed_us;   /* DONE only */
-  guint send_count;     /* DONE only: times that the request went out, libcurl's own repeat too */
-  bool relayed;         /* it went through another node */
+  guint64 elapsed_us; /* DONE only */
+  guint send_count;   /* DONE only: times that the request went out, libcurl's own repeat too */
+  struct GspanAnswerTrace trace; /* DONE only */
+  bool relayed;                  /* it went through another node */
   bool failed_at_relay; /* DONE only: at that node, or on the way to it; says nothing of the
                            upstream */
 };
@@ -166,6 +197,9 @@
   } u;
 };
 
+/* Adds what ANSWER looked like on its connection to LINE. */
+void gspan_answer_log (const struct GspanEventHttp *answer, struct GspanLine *line);
+
 enum GspanActionKind
 {
   GSPAN_ACTION_REPLY,       /* whole answer to a caller */
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -27,6 +27,8 @@
   [GSPAN_METRIC_PLATFORM_WRITES] = { "gspan_platform_writes_total", "writes to the platform" },
   [GSPAN_METRIC_PLATFORM_FAILURES]
   = { "gspan_platform_failures_total", "calls of the platform without a good answer" },
+  [GSPAN_METRIC_PLATFORM_WRITES_REPEATED]
+  = { "gspan_platform_writes_repeated_total", "writes to the platform that went out twice" },
   [GSPAN_METRIC_LEASES_TAKEN] = { "gspan_leases_taken_total", "leases acquired" },
   [GSPAN_METRIC_LEASES_LOST]
   = { "gspan_leases_lost_total", "leases that ran out or were taken over" },
@@ -64,6 +66,10 @@
   = { "gspan_relay_refused_total", "requests of other nodes that were not passed on" },
   [GSPAN_METRIC_RELAY_BYTES]
   = { "gspan_relay_bytes_total", "bytes of bodies passed on for other nodes, both ways" },
+  [GSPAN_METRIC_ANSWERS_CUT]
+  = { "gspan_answers_cut_total", "answers of upstreams of which less came than was announced" },
+  [GSPAN_METRIC_ANSWERS_FOREIGN]
+  = { "gspan_answers_foreign_total", "answers of upstreams without the id of their request" },
   [GSPAN_METRIC_LOG_LINES_DROPPED]
   = { "gspan_log_lines_dropped_total", "log lines left out since their reader was too slow" }
 };
--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -36,27 +36,28 @@
   action->u.reply.status = answer->status;
   action->u.reply.body = g_bytes_ref (body);
   copy_answer_headers (answer->headers, &action->u.reply.headers);
-  gspan_call_log (node, call, "call-answered", good ? "complete" : "failed", answer->status,
-                  outbox);
+  gspan_call_log_answer (node, call, good ? "complete" : "failed", answer, outbox);
   gspan_call_observe (node, call, good ? GSPAN_METRIC_DESK_COMPLETE : GSPAN_METRIC_DESK_FAILED);
   gspan_call_forget (node, call, outbox);
 }
 
 static void
-end_stream (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
+end_stream (struct GspanNode *node, struct GspanCall *call, const struct GspanEventHttp *answer,
+            struct GspanOutbox *outbox)
 {
   struct GspanAction *action
       = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_END, (struct GspanRef){ 0 });
 
   action->u.reply.request = call->request;
-  gspan_call_log (node, call, "call-answered", "complete", 200, outbox);
+  gspan_call_log_answer (node, call, "complete", answer, outbox);
   gspan_call_observe (node, call, GSPAN_METRIC_DESK_COMPLETE);
   gspan_call_forget (node, call, outbox);
 }
 
 static void
 log_failure (const struct GspanNode *node, const struct GspanAttempt *attempt,
-             const struct GspanEventHttp *answer, bool not_run, struct GspanOutbox *outbox)
+             const struct GspanEventHttp *answer, bool not_run, bool signed_by_replica,
+             struct GspanOutbox *outbox)
 {
   static const char *const results[] = { "whole", "not-sent", "lost", "timeout", "too-long" };
   struct GspanLine line;
@@ -72,6 +73,8 @@
   gspan_line_u64 (&line, "heard_us", gspan_links_heard_age (node));
   gspan_line_u64 (&line, "relayed", answer->relayed);
   gspan_line_u64 (&line, "failed_at_relay", answer->failed_at_relay);
+  gspan_line_u64 (&line, "signed", signed_by_replica);
+  gspan_answer_log (answer, &line);
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
 }
 
@@ -144,7 +147,7 @@
     gspan_crash_reports_note_answer (node, call->fingerprint, attempt->replica, outbox);
   if (good && call->state.response_started)
     {
-      end_stream (node, call, outbox);
+      end_stream (node, call, answer, outbox);
       return;
     }
   body = call->stream ? g_bytes_new (attempt->body->str, attempt->body->len)
@@ -157,7 +160,7 @@
       return;
     }
   blame (node, attempt, answer, &wire, outbox);
-  log_failure (node, attempt, answer, not_run, outbox);
+  log_failure (node, attempt, answer, not_run, wire.signed_by_replica, outbox);
   call->may_have_run = call->may_have_run || !not_run;
   if (answer->result == GSPAN_HTTP_NOT_SENT)
     take_back (call, attempt->replica);
--- a/gateway/calls.c
+++ b/gateway/calls.c
@@ -58,23 +58,43 @@
   g_free (content);
 }
 
+static void
+begin_line (const struct GspanNode *node, const struct GspanCall *call, const char *event,
+            const char *outcome, int status, struct GspanLine *line)
+{
+  gspan_line_init (line, event);
+  gspan_line_cstr (line, "id", call->caller_id);
+  gspan_line_cstr (line, "route", call->route);
+  gspan_line_cstr (line, "service", call->service);
+  gspan_line_cstr (line, "outcome", outcome);
+  gspan_line_int (line, "status", status);
+  gspan_line_u64 (line, "attempts", call->state.attempts);
+  gspan_line_u64 (line, "open", call->open->len);
+  gspan_call_log_content (node, call, line);
+  gspan_line_u64 (line, "elapsed_us", node->now - call->started);
+  gspan_line_u64 (line, "config", node->catalog.config.number);
+}
+
 void
 gspan_call_log (const struct GspanNode *node, const struct GspanCall *call, const char *event,
                 const char *outcome, int status, struct GspanOutbox *outbox)
 {
   struct GspanLine line;
 
-  gspan_line_init (&line, event);
-  gspan_line_cstr (&line, "id", call->caller_id);
-  gspan_line_cstr (&line, "route", call->route);
-  gspan_line_cstr (&line, "service", call->service);
-  gspan_line_cstr (&line, "outcome", outcome);
-  gspan_line_int (&line, "status", status);
-  gspan_line_u64 (&line, "attempts", call->state.attempts);
-  gspan_line_u64 (&line, "open", call->open->len);
-  gspan_call_log_content (node, call, &line);
-  gspan_line_u64 (&line, "elapsed_us", node->now - call->started);
-  gspan_line_u64 (&line, "config", node->catalog.config.number);
+  begin_line (node, call, event, outcome, status, &line);
+  gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
+}
+
+void
+gspan_call_log_answer (const struct GspanNode *node, const struct GspanCall *call,
+                       const char *outcome, const struct GspanEventHttp *answer,
+                       struct GspanOutbox *outbox)
+{
+  struct GspanLine line;
+
+  begin_line (node, call, "call-answered", outcome, answer->status, &line);
+  gspan_line_u64 (&line, "last_event", call->last_event);
+  gspan_answer_log (answer, &line);
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
 }
 
--- a/gateway/calls.h
+++ b/gateway/calls.h
@@ -70,6 +70,11 @@
 void gspan_call_log (const struct GspanNode *node, const struct GspanCall *call, const char *event,
                      const char *outcome, int status, struct GspanOutbox *outbox);
 
+/* Logs that the call was answered with ANSWER. */
+void gspan_call_log_answer (const struct GspanNode *node, const struct GspanCall *call,
+                            const char *outcome, const struct GspanEventHttp *answer,
+                            struct GspanOutbox *outbox);
+
 /* Counts the call as METRIC, with its duration. */
 void gspan_call_observe (struct GspanNode *node, const struct GspanCall *call,
                          enum GspanMetric metric);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -102,6 +102,7 @@
   gspan_line_cstr (&line, "resumes", call->resumes);
   gspan_line_cstr (&line, "service", call->service);
   gspan_line_cstr (&line, "software", software != NULL ? software : "");
+  gspan_line_u64 (&line, "several_versions", gspan_streams_is_mixed (node, call->service));
   gspan_line_u64 (&line, "last_event", call->last_event);
   gspan_line_u64 (&line, "asked", call->origin_until != 0);
   gspan_line_u64 (&line, "elapsed_us", node->now - call->started);
--- a/http/client.c
+++ b/http/client.c
@@ -45,6 +45,7 @@
   bool probe_silence;
   bool connect_only;
   char *echo; /* header line that the answer's head must hold; NULL checks nothing */
+  struct GspanAnswerTrace trace;
   bool head_told;
   bool cancelled;
   bool too_long;     /* broken off at a bound */
@@ -124,6 +125,32 @@
   return (int)status;
 }
 
+/* What says where the body of an answer with HEADERS ends. */
+static enum GspanBodyFraming
+framing_of (const struct GspanHeaders *headers)
+{
+  if (gspan_headers_get (headers, "Transfer-Encoding").data != NULL)
+    return GSPAN_BODY_FRAMING_CHUNKED;
+  if (gspan_headers_get (headers, "Content-Length").data != NULL)
+    return GSPAN_BODY_FRAMING_LENGTH;
+  return GSPAN_BODY_FRAMING_CLOSE;
+}
+
+static struct GspanAnswerTrace
+trace_of (const struct Exchange *exchange)
+{
+  struct GspanAnswerTrace trace = exchange->trace;
+  long connects = 0;
+
+  curl_easy_getinfo (exchange->easy, CURLINFO_NUM_CONNECTS, &connects);
+  trace.used_connection = exchange->sends > 0 && connects == 0;
+  if (trace.head_ended && !exchange->framing.no_body)
+    trace.framing = framing_of (&exchange->headers);
+  if (trace.framing == GSPAN_BODY_FRAMING_LENGTH)
+    gspan_headers_get_u64 (&exchange->headers, "Content-Length", &trace.declared_bytes);
+  return trace;
+}
+
 static void
 tell (struct Exchange *exchange, enum GspanEventKind kind, enum GspanHttpResult result,
       GBytes *body)
@@ -141,24 +168,37 @@
   event.u.http.body = body;
   event.u.http.elapsed_us = gspan_clock_now () - exchange->started;
   event.u.http.send_count = exchange->sends;
+  if (kind == GSPAN_EVENT_HTTP_DONE)
+    event.u.http.trace = trace_of (exchange);
   client->callback (client->user, &event);
 }
 
-/* True where the head that has come in names the request that was sent, or none at all. */
-static bool
-echoes_request (const struct Exchange *exchange)
+/* Whether the head that has come in names the request that was sent. */
+static enum GspanEcho
+echo_of (const struct Exchange *exchange)
 {
   const char *colon;
   struct GspanStr got;
   char *name;
 
   if (exchange->echo == NULL)
-    return true;
+    return GSPAN_ECHO_NOT_ASKED;
   colon = strchr (exchange->echo, ':');
   name = g_strndup (exchange->echo, (gsize)(colon - exchange->echo));
   got = gspan_headers_get (&exchange->headers, name);
   g_free (name);
-  return got.data == NULL || gspan_str_equal (got, gspan_str_from (colon + 2));
+  if (got.data == NULL)
+    return GSPAN_ECHO_MISSING;
+  return gspan_str_equal (got, gspan_str_from (colon + 2)) ? GSPAN_ECHO_SAME : GSPAN_ECHO_OTHER;
+}
+
+/* Takes in the empty line after a head. False where the head belongs to another request. */
+static bool
+end_head (struct Exchange *exchange)
+{
+  exchange->trace.head_ended = true;
+  exchange->trace.echo = echo_of (exchange);
+  return exchange->trace.echo != GSPAN_ECHO_OTHER;
 }
 
 /*
@@ -177,8 +217,11 @@
   if (exchange->too_long)
     return 0;
   if (gspan_str_has_prefix (line, GSPAN_STR ("HTTP/")))
-    gspan_headers_clear (&exchange->headers);
-  else if (line.len <= 2 && !echoes_request (exchange))
+    {
+      gspan_headers_clear (&exchange->headers);
+      exchange->trace.head_ended = false;
+    }
+  else if (line.len <= 2 && !end_head (exchange))
     return 0;
   else
     gspan_headers_add_line (&exchange->headers, line);
@@ -209,6 +252,7 @@
   if (exchange->cancelled)
     return 0;
   exchange->heard_at = gspan_clock_now ();
+  exchange->trace.body_bytes += len;
   gspan_framing_data (&exchange->framing, (struct GspanStr){ data, len });
   if (!exchange->stream)
     {
--- a/jobs/accept.c
+++ b/jobs/accept.c
@@ -60,17 +60,23 @@
 }
 
 static void
-log_submission (const struct GspanNode *node, const struct GspanJob *job, const char *outcome,
-                enum GspanStoreResult result, guint64 started_at_us, struct GspanOutbox *outbox)
+log_submission (const struct GspanNode *node, const struct GspanSubmission *submission,
+                const char *outcome, const struct GspanStoreReply *reply,
+                struct GspanOutbox *outbox)
 {
+  const struct GspanJob *job = submission->job;
   struct GspanLine line;
 
   gspan_line_init (&line, "job-submitted");
   gspan_line_cstr (&line, "job", job->id);
   gspan_line_cstr (&line, "outcome", outcome);
-  gspan_line_cstr (&line, "store", gspan_store_result_name (result));
+  gspan_line_cstr (&line, "store", gspan_store_result_name (reply->result));
+  gspan_line_u64 (&line, "sends", reply->send_count);
+  gspan_line_u64 (&line, "parts", submission->part_number);
+  gspan_line_u64 (&line, "of_parts", job->part_count);
+  gspan_line_u64 (&line, "requests", submission->requests->len);
   gspan_line_u64 (&line, "items", job->item_count);
-  gspan_line_u64 (&line, "elapsed_us", node->now - started_at_us);
+  gspan_line_u64 (&line, "elapsed_us", node->now - submission->started_at_us);
   gspan_outbox_log (outbox, "jobs", GSPAN_PRIORITY_NOTICE, &line);
 }
 
@@ -199,7 +205,7 @@
   struct GspanJob *job = submission->job;
   struct GspanJob *known = gspan_jobs_find (&node->jobs, job->id);
 
-  log_submission (node, job, "accepted", reply->result, submission->started_at_us, outbox);
+  log_submission (node, submission, "accepted", reply, outbox);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_JOBS_ACCEPTED, 1);
   reply_all (submission, STATUS_ACCEPTED, "accepted", outbox);
   /* A head that the watch has brought already, or that another node created, is only applied. */
@@ -248,14 +254,12 @@
     finish_accepted (node, submission, reply, outbox);
   else if (call->op == GSPAN_JOB_CONFIRM_HEAD)
     {
-      log_submission (node, submission->job, "unknown", reply->result, submission->started_at_us,
-                      outbox);
+      log_submission (node, submission, "unknown", reply, outbox);
       reply_all (submission, 502, "it isn't known whether the store took the job", outbox);
     }
   else
     {
-      log_submission (node, submission->job, "refused", reply->result, submission->started_at_us,
-                      outbox);
+      log_submission (node, submission, "refused", reply, outbox);
       refuse_all (node, submission, "the platform's store did not take the job", outbox);
     }
   g_hash_table_remove (node->jobs.submissions, call->job_id);
--- a/jobs/run.c
+++ b/jobs/run.c
@@ -33,22 +33,43 @@
   gspan_outbox_log (outbox, "runner", GSPAN_PRIORITY_INFO, &line);
 }
 
+static void
+begin_line (const struct GspanRun *run, const char *event, const char *outcome, int status,
+            struct GspanLine *line)
+{
+  gspan_line_init (line, event);
+  gspan_line_cstr (line, "job", run->job->id);
+  gspan_line_cstr (line, "item", run->item->submitted->id);
+  gspan_line_cstr (line, "upstream", run->replica->id);
+  gspan_line_cstr (line, "outcome", outcome);
+  gspan_line_int (line, "status", status);
+  gspan_line_u64 (line, "events", run->item->last_event_id);
+  gspan_line_u64 (line, "events_here", run->event_count);
+  gspan_line_u64 (line, "weights", run->weight_version);
+  gspan_line_u64 (line, "elapsed_us", run->node->now - run->started_at_us);
+  gspan_line_u64 (line, "heard_us", gspan_links_heard_age (run->node));
+}
+
 void
 gspan_run_log (const struct GspanRun *run, const char *event, const char *outcome, int status,
                struct GspanOutbox *outbox)
 {
   struct GspanLine line;
 
-  gspan_line_init (&line, event);
-  gspan_line_cstr (&line, "job", run->job->id);
-  gspan_line_cstr (&line, "item", run->item->submitted->id);
-  gspan_line_cstr (&line, "upstream", run->replica->id);
-  gspan_line_cstr (&line, "outcome", outcome);
-  gspan_line_int (&line, "status", status);
-  gspan_line_u64 (&line, "events", run->item->last_event_id);
-  gspan_line_u64 (&line, "weights", run->weight_version);
-  gspan_line_u64 (&line, "elapsed_us", run->node->now - run->started_at_us);
-  gspan_line_u64 (&line, "heard_us", gspan_links_heard_age (run->node));
+  begin_line (run, event, outcome, status, &line);
+  gspan_outbox_log (outbox, "runner", GSPAN_PRIORITY_INFO, &line);
+}
+
+void
+gspan_run_log_end (const struct GspanRun *run, const char *outcome,
+                   const struct GspanEventHttp *answer, bool signed_by_replica,
+                   struct GspanOutbox *outbox)
+{
+  struct GspanLine line;
+
+  begin_line (run, "run-ended", outcome, answer->status, &line);
+  gspan_line_u64 (&line, "signed", signed_by_replica);
+  gspan_answer_log (answer, &line);
   gspan_outbox_log (outbox, "runner", GSPAN_PRIORITY_INFO, &line);
 }
 
--- a/jobs/run.h
+++ b/jobs/run.h
@@ -36,6 +36,11 @@
 void gspan_run_log (const struct GspanRun *run, const char *event, const char *outcome, int status,
                     struct GspanOutbox *outbox);
 
+/* Logs the end of RUN with what ANSWER looked like on its connection. */
+void gspan_run_log_end (const struct GspanRun *run, const char *outcome,
+                        const struct GspanEventHttp *answer, bool signed_by_replica,
+                        struct GspanOutbox *outbox);
+
 /* Ends the exchange of RUN without waiting for an answer. */
 void gspan_run_cancel (struct GspanRun *run, struct GspanOutbox *outbox);
 
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -184,7 +184,7 @@
   gspan_leaving_note_answer (node, run->replica, &wire, outbox);
   if (!run->has_head)
     gspan_limits_note_answer (node, run->replica, &wire, run->started_at_us, outbox);
-  gspan_run_log (run, "run-ended", outcomes[answer->result], answer->status, outbox);
+  gspan_run_log_end (run, outcomes[answer->result], answer, wire.signed_by_replica, outbox);
   if (whole && run->is_streaming && run->events.pending->len == 0 && item->last_event_id > 0)
     {
       gspan_replica_worked (run->replica);
--- a/node/shell.c
+++ b/node/shell.c
@@ -207,6 +207,7 @@
   gspan_line_int (&line, "status", answer->status);
   gspan_line_u64 (&line, "objects", reply->objects->len);
   gspan_line_u64 (&line, "revision", reply->revision);
+  gspan_line_u64 (&line, "sends", reply->send_count);
   gspan_line_u64 (&line, "elapsed_us", answer->elapsed_us);
   log_line (shell, GSPAN_PRIORITY_DEBUG, &line);
 }
@@ -224,6 +225,8 @@
   if (error.code != GSPAN_ERROR_NONE)
     log_unreadable (shell, call, &error);
   log_store_call (shell, call, &reply, &answer->u.http);
+  if (gspan_store_op_is_write (call->op) && reply.send_count > 1)
+    gspan_metrics_add (&shell->node->metrics, GSPAN_METRIC_PLATFORM_WRITES_REPEATED, 1);
   if (reply.result == GSPAN_STORE_UNAVAILABLE || reply.result == GSPAN_STORE_UNKNOWN)
     gspan_metrics_add (&shell->node->metrics, GSPAN_METRIC_PLATFORM_FAILURES, 1);
   event.kind = GSPAN_EVENT_STORE_DONE;
@@ -234,6 +237,21 @@
   gspan_store_reply_finish (&reply);
 }
 
+/* Counts what is wrong with the answer of an upstream. */
+static void
+count_answer (struct GspanNodeShell *shell, const struct GspanEvent *event)
+{
+  const struct GspanAnswerTrace *trace = &event->u.http.trace;
+  struct GspanMetrics *metrics = &shell->node->metrics;
+
+  if (event->kind != GSPAN_EVENT_HTTP_DONE || event->u.http.status == 0)
+    return;
+  if (!trace->head_ended || trace->body_bytes < trace->declared_bytes)
+    gspan_metrics_add (metrics, GSPAN_METRIC_ANSWERS_CUT, 1);
+  if (trace->echo == GSPAN_ECHO_MISSING || trace->echo == GSPAN_ECHO_OTHER)
+    gspan_metrics_add (metrics, GSPAN_METRIC_ANSWERS_FOREIGN, 1);
+}
+
 static void
 on_exchange (void *user, const struct GspanEvent *event)
 {
@@ -243,6 +261,7 @@
 
   if (call == NULL)
     {
+      count_answer (shell, event);
       run_event (shell, event);
       return;
     }
--- a/store/store.h
+++ b/store/store.h
@@ -59,6 +59,7 @@
   GPtrArray *objects; /* struct GspanStoreObject, owned; for GET and writes at most one */
   guint64 revision;   /* LIST and WATCH: of the store; the next watch begins there */
   bool has_more;      /* LIST: go on after the last name */
+  guint send_count;   /* times that the call went out */
 };
 
 void gspan_store_call_finish (struct GspanStoreCall *call);
