test: cut heads taken for whole, and repeated writes taken for refused

A create that the HTTP library sent twice and that is answered 503 the second time is decoded as not done at all.

--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -37,6 +37,7 @@
   bool probes = false; /* of the next calls, as the fields of the action */
   bool connect_only = false;
   bool close_after = false;
+  bool http_framing_only = false;
 
   void
   SetUp () override
@@ -83,6 +84,7 @@
     http.tcp_keepalive = probes;
     http.connect_only = connect_only;
     http.close_after = close_after;
+    http.http_framing_only = http_framing_only;
     gspan_http_client_start (client, { GSPAN_OWNER_DESK, done + 1 }, &http);
     gspan_headers_finish (&http.headers);
     g_bytes_unref (http.body);
@@ -120,6 +122,19 @@
       }
 }
 
+TEST_F (Client, AnswerThatEndsInItsHeadIsNotWhole)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n";
+
+  http_framing_only = true;
+  for (size_t sent = 0; sent < head.size (); sent++)
+    for (bool stream : { false, true })
+      {
+        server.script = { { head.substr (0, sent), true } };
+        EXPECT_EQ (call (true, stream), GSPAN_HTTP_LOST) << sent << stream;
+      }
+}
+
 /* Bytes that are no answer may come without end; they may not fill the memory meanwhile. */
 TEST_F (Client, AnswerWithoutEndIsBrokenOffAtABound)
 {
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -61,6 +61,8 @@
     return std::string (http.method) + " " + (http.url + strlen ("http://10.0.0.1:80"));
   }
 
+  unsigned sends = 1;
+
   GspanStoreResult
   decode (GspanStoreOp op, GspanHttpResult result, int status, const std::string &body)
   {
@@ -69,6 +71,7 @@
     call.op = op;
     answer.result = result;
     answer.status = status;
+    answer.send_count = sends;
     answer.body = g_bytes_new (body.data (), body.size ());
     gspan_store_reply_finish (&reply);
     gspan_store_reply_init (&reply);
@@ -110,6 +113,14 @@
   EXPECT_EQ (decode (GSPAN_STORE_WATCH, GSPAN_HTTP_COMPLETE, 410, ""), GSPAN_STORE_GAP);
 }
 
+TEST_F (Objects, RefusedRepeatOfAWriteDoesNotSayThatTheFirstSendingWasNotDone)
+{
+  sends = 2;
+  for (auto op : { GSPAN_STORE_CREATE, GSPAN_STORE_REPLACE, GSPAN_STORE_REMOVE })
+    for (int status : { 429, 503 })
+      EXPECT_EQ (decode (op, GSPAN_HTTP_COMPLETE, status, ""), GSPAN_STORE_UNKNOWN) << status;
+}
+
 TEST_F (Objects, ConflictBringsTheObjectAsItIs)
 {
   EXPECT_EQ (decode (GSPAN_STORE_CREATE, GSPAN_HTTP_COMPLETE, 409,
