http: an answer is whole only where its head has ended

Cause: the client asked only the HTTP library whether an answer is whole. The library makes a success of a connection that ends anywhere between the status line and the empty line after the head, with an empty body; of a length that it can't read or of lengths that differ; and of a coding that it ignores. An empty body then went to a caller with a length of 0, and a run that went on with a text and whose head was cut counted as its whole rest.

The framing of each answer is followed here now: it is whole where its head has ended and the announced bytes, the chunks or the end of the connection say so. All exchanges of all nodes go through this, relayed ones and the store too.

--- a/http/client.c
+++ b/http/client.c
@@ -45,7 +45,7 @@
   bool probe_silence;
   bool connect_only;
   char *echo; /* header line that the answer's head must hold; NULL checks nothing */
-  struct GspanAnswerTrace trace;
+  enum GspanEcho echo_got;
   bool head_told;
   bool cancelled;
   bool too_long;     /* broken off at a bound */
@@ -125,29 +125,20 @@
   return (int)status;
 }
 
-/* What says where the body of an answer with HEADERS ends. */
-static enum GspanBodyFraming
-framing_of (const struct GspanHeaders *headers)
-{
-  if (gspan_headers_get (headers, "Transfer-Encoding").data != NULL)
-    return GSPAN_BODY_FRAMING_CHUNKED;
-  if (gspan_headers_get (headers, "Content-Length").data != NULL)
-    return GSPAN_BODY_FRAMING_LENGTH;
-  return GSPAN_BODY_FRAMING_CLOSE;
-}
-
 static struct GspanAnswerTrace
 trace_of (const struct Exchange *exchange)
 {
-  struct GspanAnswerTrace trace = exchange->trace;
+  const struct GspanFraming *framing = &exchange->framing;
+  struct GspanAnswerTrace trace = { 0 };
   long connects = 0;
 
   curl_easy_getinfo (exchange->easy, CURLINFO_NUM_CONNECTS, &connects);
   trace.used_connection = exchange->sends > 0 && connects == 0;
-  if (trace.head_ended && !exchange->framing.no_body)
-    trace.framing = framing_of (&exchange->headers);
-  if (trace.framing == GSPAN_BODY_FRAMING_LENGTH)
-    gspan_headers_get_u64 (&exchange->headers, "Content-Length", &trace.declared_bytes);
+  trace.head_ended = framing->head_ended;
+  trace.framing = framing->body;
+  trace.declared_bytes = framing->declared_bytes;
+  trace.body_bytes = framing->body_bytes;
+  trace.echo = exchange->echo_got;
   return trace;
 }
 
@@ -196,9 +187,9 @@
 static bool
 end_head (struct Exchange *exchange)
 {
-  exchange->trace.head_ended = true;
-  exchange->trace.echo = echo_of (exchange);
-  return exchange->trace.echo != GSPAN_ECHO_OTHER;
+  gspan_framing_end_head (&exchange->framing, answer_status (exchange), &exchange->headers);
+  exchange->echo_got = echo_of (exchange);
+  return exchange->echo_got != GSPAN_ECHO_OTHER;
 }
 
 /*
@@ -219,7 +210,7 @@
   if (gspan_str_has_prefix (line, GSPAN_STR ("HTTP/")))
     {
       gspan_headers_clear (&exchange->headers);
-      exchange->trace.head_ended = false;
+      gspan_framing_begin_head (&exchange->framing);
     }
   else if (line.len <= 2 && !end_head (exchange))
     return 0;
@@ -252,7 +243,6 @@
   if (exchange->cancelled)
     return 0;
   exchange->heard_at = gspan_clock_now ();
-  exchange->trace.body_bytes += len;
   gspan_framing_data (&exchange->framing, (struct GspanStr){ data, len });
   if (!exchange->stream)
     {
@@ -318,9 +308,11 @@
 {
   if (exchange->connect_only)
     return code == CURLE_OK ? GSPAN_HTTP_COMPLETE : GSPAN_HTTP_NOT_SENT;
-  if (code == CURLE_OK && exchange->plain_framing)
+  if (code == CURLE_OK && exchange->plain_framing
+      && gspan_framing_whole_by_http (&exchange->framing))
     return GSPAN_HTTP_COMPLETE;
-  if (code == CURLE_OK
+  if (code == CURLE_OK && !exchange->plain_framing
+      && gspan_framing_whole_by_http (&exchange->framing)
       && gspan_framing_whole (&exchange->framing, answer_status (exchange), &exchange->headers))
     return GSPAN_HTTP_COMPLETE;
   /* libcurl gives up by itself on a line of a head that doesn't end */
