--- a/http/client.c
+++ b/http/client.c
@@ -45,6 +45,7 @@
   bool probe_silence;
   bool connect_only;
   char *echo; /* header line that the answer's head must hold; NULL checks nothing */
+  enum GspanEcho echo_got;
   bool head_told;
   bool cancelled;
   bool too_long;     /* broken off at a bound */
@@ -124,6 +125,23 @@
   return (int)status;
 }
 
+static struct GspanAnswerTrace
+trace_of (const struct Exchange *exchange)
+{
+  const struct GspanFraming *framing = &exchange->framing;
+  struct GspanAnswerTrace trace = { 0 };
+  long connects = 0;
+
+  curl_easy_getinfo (exchange->easy, CURLINFO_NUM_CONNECTS, &connects);
+  trace.used_connection = exchange->sends > 0 && connects == 0;
+  trace.head_ended = framing->head_ended;
+  trace.framing = framing->body;
+  trace.declared_bytes = framing->declared_bytes;
+  trace.body_bytes = framing->body_bytes;
+  trace.echo = exchange->echo_got;
+  return trace;
+}
+
 static void
 tell (struct Exchange *exchange, enum GspanEventKind kind, enum GspanHttpResult result,
       GBytes *body)
@@ -141,24 +159,37 @@
   event.u.http.body = body;
   event.u.http.elapsed_us = gspan_clock_now () - exchange->started;
   event.u.http.send_count = exchange->sends;
+  if (kind == GSPAN_EVENT_HTTP_DONE)
+    event.u.http.trace = trace_of (exchange);
   client->callback (client->user, &event);
 }
 
-/* True where the head that has come in names the request that was sent, or none at all. */
-static bool
-echoes_request (const struct Exchange *exchange)
+/* Whether the head that has come in names the request that was sent. */
+static enum GspanEcho
+echo_of (const struct Exchange *exchange)
 {
   const char *colon;
   struct GspanStr got;
   char *name;
 
   if (exchange->echo == NULL)
-    return true;
+    return GSPAN_ECHO_NOT_ASKED;
   colon = strchr (exchange->echo, ':');
   name = g_strndup (exchange->echo, (gsize)(colon - exchange->echo));
   got = gspan_headers_get (&exchange->headers, name);
   g_free (name);
-  return got.data == NULL || gspan_str_equal (got, gspan_str_from (colon + 2));
+  if (got.data == NULL)
+    return GSPAN_ECHO_MISSING;
+  return gspan_str_equal (got, gspan_str_from (colon + 2)) ? GSPAN_ECHO_SAME : GSPAN_ECHO_OTHER;
+}
+
+/* Takes in the empty line after a head. False where the head belongs to another request. */
+static bool
+end_head (struct Exchange *exchange)
+{
+  gspan_framing_end_head (&exchange->framing, answer_status (exchange), &exchange->headers);
+  exchange->echo_got = echo_of (exchange);
+  return exchange->echo_got != GSPAN_ECHO_OTHER;
 }
 
 /*
@@ -177,8 +208,11 @@
   if (exchange->too_long)
     return 0;
   if (gspan_str_has_prefix (line, GSPAN_STR ("HTTP/")))
-    gspan_headers_clear (&exchange->headers);
-  else if (line.len <= 2 && !echoes_request (exchange))
+    {
+      gspan_headers_clear (&exchange->headers);
+      gspan_framing_begin_head (&exchange->framing);
+    }
+  else if (line.len <= 2 && !end_head (exchange))
     return 0;
   else
     gspan_headers_add_line (&exchange->headers, line);
@@ -274,9 +308,11 @@
 {
   if (exchange->connect_only)
     return code == CURLE_OK ? GSPAN_HTTP_COMPLETE : GSPAN_HTTP_NOT_SENT;
-  if (code == CURLE_OK && exchange->plain_framing)
+  if (code == CURLE_OK && exchange->plain_framing
+      && gspan_framing_whole_by_http (&exchange->framing))
     return GSPAN_HTTP_COMPLETE;
-  if (code == CURLE_OK
+  if (code == CURLE_OK && !exchange->plain_framing
+      && gspan_framing_whole_by_http (&exchange->framing)
       && gspan_framing_whole (&exchange->framing, answer_status (exchange), &exchange->headers))
     return GSPAN_HTTP_COMPLETE;
   /* libcurl gives up by itself on a line of a head that doesn't end */
