test: writes that the HTTP library sends again, on real sockets

The store reads a write on a kept connection, may do it, and the connection ends: the HTTP client sends the write again by itself, and what the store says to that (503, 429, 409, 404) is all that the node hears.

--- a/test/wire.h
+++ b/test/wire.h
@@ -45,6 +45,7 @@
 {
   std::string bytes;
   bool close;
+  bool reset = false; /* closed by a reset */
 };
 
 /* Server that reads whole requests and answers them by a script, wherever they come in. */
@@ -54,6 +55,7 @@
   std::vector<WireStep> script; /* by request; the last one is repeated */
   unsigned requests = 0;
   unsigned connections = 0;
+  bool accepts_once = false; /* refuses all connections after the first one */
   std::string address;
 
   explicit WireServer (Wire &wire) : wire_ (wire)
@@ -109,6 +111,8 @@
     if (fd < 0)
       return;
     self->connections++;
+    if (self->accepts_once)
+      self->drop (io->fd);
     self->watch (fd, on_readable);
   }
 
@@ -125,8 +129,12 @@
   }
 
   void
-  drop (int fd)
+  drop (int fd, bool reset = false)
   {
+    const linger at_once = { 1, 0 };
+
+    if (reset)
+      setsockopt (fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
     ev_io_stop (wire_.loop, watchers_[fd].get ());
     watchers_.erase (fd);
     input_.erase (fd);
@@ -155,7 +163,7 @@
     if (!step.bytes.empty () && write (fd, step.bytes.data (), step.bytes.size ()) < 0)
       perror ("write");
     if (step.close)
-      self->drop (fd);
+      self->drop (fd, step.reset);
   }
 };
 
