platform: a write to the store is sent once

Cause: on a kept connection that ends before the answer, the HTTP library sends a request again by itself. The store had done the first create; the second one was answered 503 or 429, which the node took for "nothing was done", and refused the job. The head stood in the store, the watch brought it to all nodes, and the items ran.

Writes are sent once now, as watches are, so that a result speaks of one sending: without an answer it is unknown, at once, and whoever sent the write decides what follows. No connection is made for a repetition that may not be. A sending that failed before its first byte (a kept connection that had been reset) doesn't count, so a write on one still succeeds at once.

--- a/http/client.c
+++ b/http/client.c
@@ -260,9 +260,27 @@
   return len;
 }
 
+/* True where a byte of the request has left. */
+static bool
+was_sent (struct Exchange *exchange)
+{
+  long request_bytes = 0;
+
+  curl_easy_getinfo (exchange->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  return exchange->sends > 1 || (exchange->sends == 1 && request_bytes > 0);
+}
+
+/* False where EXCHANGE has gone out as often as it may. */
+static bool
+may_send (struct Exchange *exchange)
+{
+  return !was_sent (exchange) || exchange->sends < (exchange->once ? 1 : SENDS_MAX);
+}
+
 /*
  * Called before each sending, the ones that libcurl repeats by itself too. A request that may not
- * run twice is never sent a second time, whatever libcurl's reason.
+ * run twice is never sent a second time, whatever libcurl's reason. A sending that failed before
+ * its first byte, on a kept connection that had been reset, doesn't count.
  */
 static int
 on_send (void *user, char *peer_ip, char *local_ip, int peer_port, int local_port)
@@ -273,36 +291,31 @@
   (void)local_ip;
   (void)peer_port;
   (void)local_port;
-  if (exchange->sends >= (exchange->once ? 1 : SENDS_MAX))
+  if (!may_send (exchange))
     return CURL_PREREQFUNC_ABORT;
-  exchange->sends++;
+  if (exchange->sends == 0 || was_sent (exchange))
+    exchange->sends++;
   return CURL_PREREQFUNC_OK;
 }
 
 /*
  * Ends a connection whose peer no longer acknowledges anything. TCP_USER_TIMEOUT also decides when
- * probes give up, and TCP_KEEPCNT doesn't then.
+ * probes give up, and TCP_KEEPCNT doesn't then. No connection is made for a sending that may not
+ * be.
  */
 static int
 on_socket_created (void *user, curl_socket_t fd, curlsocktype purpose)
 {
-  const struct Exchange *exchange = user;
+  struct Exchange *exchange = user;
   const unsigned timeout_ms = exchange->probe_silence ? PROBED_MAX_MS : UNACKNOWLEDGED_MAX_MS;
 
   (void)purpose;
+  if (!may_send (exchange))
+    return CURL_SOCKOPT_ERROR;
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
   return CURL_SOCKOPT_OK;
 }
 
-static bool
-was_sent (struct Exchange *exchange)
-{
-  long request_bytes = 0;
-
-  curl_easy_getinfo (exchange->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-  return exchange->sends > 1 || (exchange->sends == 1 && request_bytes > 0);
-}
-
 static enum GspanHttpResult
 classify (struct Exchange *exchange, CURLcode code)
 {
--- a/store/store.h
+++ b/store/store.h
@@ -27,7 +27,7 @@
   GSPAN_STORE_CONFLICT,    /* exists already, or has another revision */
   GSPAN_STORE_MISSING,     /* no such object */
   GSPAN_STORE_GAP,         /* the history from the asked revision on is gone */
-  GSPAN_STORE_UNAVAILABLE, /* refused or never sent: nothing was done */
+  GSPAN_STORE_UNAVAILABLE, /* refused or never sent: this call did nothing and never will */
   GSPAN_STORE_UNKNOWN      /* sent, no answer: may have been done, or may still be */
 };
 
@@ -59,7 +59,7 @@
   GPtrArray *objects; /* struct GspanStoreObject, owned; for GET and writes at most one */
   guint64 revision;   /* LIST and WATCH: of the store; the next watch begins there */
   bool has_more;      /* LIST: go on after the last name */
-  guint send_count;   /* times that the call went out */
+  guint send_count;   /* times that the call went out; a write at most once */
 };
 
 void gspan_store_call_finish (struct GspanStoreCall *call);
