--- a/test/node_world.h
+++ b/test/node_world.h
@@ -176,6 +176,7 @@
   gint64 wall_ms = 1700000000000;
   guint64 revision = 8;
   StoreFault fault = StoreFault::None;
+  std::function<StoreFault (const Rig &, const GspanStoreCall &)> fault_of; /* instead, by call */
   guint64 latency_us = 4 * GSPAN_MS;
   size_t page_size = 500;
   bool lose_datagrams = false;
@@ -388,23 +389,25 @@
     GspanStoreReply reply;
     GspanEvent event{};
     bool writes = gspan_store_op_is_write (item.call.op);
+    StoreFault now_at_fault = fault_of ? fault_of (*item.rig, item.call) : fault;
     auto was_cut = std::find (cut_watches.begin (), cut_watches.end (), item.ref.id);
 
     gspan_store_reply_init (&reply);
-    if (item.lost || item.silent || !can_reach_store (*item.rig) || was_cut != cut_watches.end ())
+    if (item.lost || item.silent || !can_reach_store (*item.rig)
+        || now_at_fault == StoreFault::Unreachable || was_cut != cut_watches.end ())
       reply.result = writes ? GSPAN_STORE_UNKNOWN : GSPAN_STORE_UNAVAILABLE;
-    else if (fault == StoreFault::Busy)
+    else if (now_at_fault == StoreFault::Busy)
       reply.result = GSPAN_STORE_UNAVAILABLE;
-    else if (writes && fault == StoreFault::LostBefore)
+    else if (writes && now_at_fault == StoreFault::LostBefore)
       reply.result = GSPAN_STORE_UNKNOWN;
-    else if (writes && fault == StoreFault::AppliedLate)
+    else if (writes && now_at_fault == StoreFault::AppliedLate)
       {
         reply.result = GSPAN_STORE_UNKNOWN;
         apply_later (item.call);
       }
     else
       perform (item.call, &reply);
-    if (writes && fault == StoreFault::LostAfter)
+    if (writes && now_at_fault == StoreFault::LostAfter)
       {
         gspan_store_reply_finish (&reply);
         gspan_store_reply_init (&reply);
