jobs: a job is refused only where no create of its head may stand

Cause: a submission looked only at its own last call to the store. A node that had answered 502 for a job since a create of its head stayed without an answer refused the same job a moment later, with the store busy, while draining, or while away, though that create could still be done; and it refused a job that it knew by then.

Each create of a head with unknown outcome is now remembered for 30 s, by job: no submission of that job is refused meanwhile. It is settled by creating the head again, up to three times (at once, then after 30 and 60 ms): 201 and 409 both mean that the job stands, where a read that finds nothing proves nothing. Else the answer is 502. A resubmission goes on with the head, since all parts are stored. A job that became known meanwhile is answered 202.

--- a/jobs/accept.c
+++ b/jobs/accept.c
@@ -7,18 +7,28 @@
 
 /*
  * Accepts submitted jobs. The parts of the content are created first; creating the head, only if
- * absent, accepts the job. If it stays unknown whether the head was created, the response is 502,
- * which says neither that the job runs nor that it doesn't.
+ * absent, accepts the job.
+ *
+ * A refusal (503) promises that the job doesn't run and never will. A create of the head without an
+ * answer may have been done, or may be seconds later, also where another call's answer says that
+ * the head is absent, or that the store is busy. So each such create is remembered, for all
+ * submissions of the job at this node: the head is then created again, which says that it stands
+ * where that succeeds or conflicts, and the response is 502 where nothing settles it.
  */
 
-#define RETRY_AFTER_US (500 * GSPAN_MS) /* Retry-After while the store is unavailable */
+#define RETRY_AFTER_US (500 * GSPAN_MS)  /* Retry-After while the store is unavailable */
+#define UNSETTLED_US (30 * GSPAN_SECOND) /* a create isn't done that long after it was sent */
+#define SETTLE_PAUSE_US (30 * GSPAN_MS)  /* before the head is created once more; then doubled */
 
 enum
 {
   PART_MAX_PERCENT = 60, /* of the store's largest value; base64 adds a third to the content */
+  SETTLE_TRIES_MAX = 3,  /* creates of a head after one of unknown outcome */
   STATUS_ACCEPTED = 202
 };
 
+static const char unsettled_text[] = "it isn't known whether the store took the job";
+
 struct GspanSubmission
 {
   struct GspanJob *job;
@@ -26,6 +36,9 @@
   GArray *requests;  /* guint64: requests that wait for the response */
   guint part_number; /* part being created */
   guint64 started_at_us;
+  guint64 call;           /* id of the store call in flight; 0 is none */
+  guint64 next_put_at_us; /* without a call in flight: when the head is created once more */
+  guint settle_tries;
   bool part_retried; /* the create call of this part was repeated after an unknown outcome */
 };
 
@@ -70,8 +83,9 @@
   gspan_line_init (&line, "job-submitted");
   gspan_line_cstr (&line, "job", job->id);
   gspan_line_cstr (&line, "outcome", outcome);
-  gspan_line_cstr (&line, "store", gspan_store_result_name (reply->result));
-  gspan_line_u64 (&line, "sends", reply->send_count);
+  gspan_line_cstr (&line, "store", reply != NULL ? gspan_store_result_name (reply->result) : "");
+  gspan_line_u64 (&line, "sends", reply != NULL ? reply->send_count : 0);
+  gspan_line_u64 (&line, "settle_tries", submission->settle_tries);
   gspan_line_u64 (&line, "parts", submission->part_number);
   gspan_line_u64 (&line, "of_parts", job->part_count);
   gspan_line_u64 (&line, "requests", submission->requests->len);
@@ -87,40 +101,60 @@
 }
 
 static void
-put_part (struct GspanNode *node, const struct GspanSubmission *submission,
-          struct GspanOutbox *outbox)
+put_part (struct GspanNode *node, struct GspanSubmission *submission, struct GspanOutbox *outbox)
 {
   struct GspanStr body = gspan_str_from_bytes (submission->body);
   size_t start = part_size (node) * submission->part_number;
   size_t len = MIN (part_size (node), body.len - start);
   char *name = gspan_job_part_name (submission->part_number);
   char *text = g_base64_encode ((const guchar *)body.data + start, len);
+  struct GspanJobCall *job_call;
   struct GspanStoreCall *call
       = gspan_jobs_start_call (node, GSPAN_JOB_PUT_PART, submission->job->id, GSPAN_STORE_CREATE,
-                               submission->job->content_kind, name, outbox, NULL);
+                               submission->job->content_kind, name, outbox, &job_call);
 
   call->value = json_pack ("{s:s}", "content", text);
+  submission->call = job_call->id;
   g_free (text);
   g_free (name);
 }
 
 static void
-put_head (struct GspanNode *node, const struct GspanSubmission *submission,
-          struct GspanOutbox *outbox)
+put_head (struct GspanNode *node, struct GspanSubmission *submission, struct GspanOutbox *outbox)
 {
+  struct GspanJobCall *job_call;
   struct GspanStoreCall *call
       = gspan_jobs_start_call (node, GSPAN_JOB_PUT_HEAD, submission->job->id, GSPAN_STORE_CREATE,
-                               GSPAN_JOBS_KIND, submission->job->id, outbox, NULL);
+                               GSPAN_JOBS_KIND, submission->job->id, outbox, &job_call);
 
   call->value = gspan_job_encode_head (submission->job, node->self.name);
+  submission->call = job_call->id;
+  submission->next_put_at_us = 0;
 }
 
 static void
-confirm_head (struct GspanNode *node, const struct GspanSubmission *submission,
-              struct GspanOutbox *outbox)
+note_unsettled (struct GspanNode *node, const char *id)
+{
+  guint64 until = node->now + UNSETTLED_US;
+
+  g_hash_table_replace (node->jobs.unsettled_heads, g_strdup (id),
+                        g_memdup2 (&until, sizeof until));
+}
+
+/* True where the head of the job ID may stand, or may yet, by a create that this node has sent. */
+static bool
+is_unsettled (const struct GspanNode *node, const char *id)
 {
-  gspan_jobs_start_call (node, GSPAN_JOB_CONFIRM_HEAD, submission->job->id, GSPAN_STORE_GET,
-                         GSPAN_JOBS_KIND, submission->job->id, outbox, NULL);
+  const guint64 *until = g_hash_table_lookup (node->jobs.unsettled_heads, id);
+
+  return until != NULL && node->now < *until;
+}
+
+static gboolean
+is_settled (gpointer id, gpointer until, gpointer node)
+{
+  (void)until;
+  return !is_unsettled (node, id);
 }
 
 /* Returns the job that REQUEST submits, or NULL after a response of 400 if it isn't valid. */
@@ -151,7 +185,8 @@
 
 static void
 start_submission (struct GspanNode *node, const struct GspanEventRequest *request, const char *id,
-                  const struct GspanWireRequest *wire, struct GspanOutbox *outbox)
+                  const struct GspanWireRequest *wire, const struct GspanConfigRoute *route,
+                  struct GspanOutbox *outbox)
 {
   struct GspanJob *job = parse_submission (node, request, id, wire, outbox);
   struct GspanSubmission *submission;
@@ -163,9 +198,28 @@
   submission->body = g_bytes_ref (request->body);
   submission->requests = g_array_new (FALSE, FALSE, sizeof (guint64));
   submission->started_at_us = node->now;
+  (void)route;
   g_array_append_val (submission->requests, request->request);
   g_hash_table_insert (node->jobs.submissions, job->id, submission);
-  put_part (node, submission, outbox);
+  if (!is_unsettled (node, job->id))
+    {
+      put_part (node, submission, outbox);
+      return;
+    }
+  /* all parts were stored before the create of the head */
+  submission->part_number = job->part_count;
+  put_head (node, submission, outbox);
+}
+
+/* Answers a submission that isn't begun here. */
+static void
+decline (struct GspanNode *node, guint64 request, const char *id, const char *why,
+         guint64 retry_after_us, struct GspanOutbox *outbox)
+{
+  if (is_unsettled (node, id))
+    gspan_gateway_reply_error (request, 502, unsettled_text, outbox);
+  else
+    gspan_gateway_refuse (node, request, why, retry_after_us, outbox);
 }
 
 void
@@ -176,7 +230,6 @@
   char *id = gspan_str_dup (wire->attempt_id);
   struct GspanSubmission *submission = g_hash_table_lookup (node->jobs.submissions, id);
 
-  (void)route;
   if (!gspan_str_equal (request->method, GSPAN_STR ("POST")))
     gspan_gateway_reply_error (request->request, 405, "a batch job is submitted by POST", outbox);
   else if (!gspan_job_id_is_valid (id))
@@ -187,29 +240,33 @@
   else if (submission != NULL)
     g_array_append_val (submission->requests, request->request);
   else if (node->draining)
-    gspan_gateway_refuse (node, request->request, "this node is shutting down", 0, outbox);
+    decline (node, request->request, id, "this node is shutting down", 0, outbox);
   else if (node->catalog.store_fails)
-    gspan_gateway_refuse (node, request->request, "the platform's store is away", RETRY_AFTER_US,
-                          outbox);
+    decline (node, request->request, id, "the platform's store is away", RETRY_AFTER_US, outbox);
   else
-    start_submission (node, request, id, wire, outbox);
+    start_submission (node, request, id, wire, route, outbox);
   g_free (id);
 }
 
-/* Sends 202 once the head is in the store, and runs the job here if this node created the head. */
+/*
+ * Sends 202 and ends SUBMISSION. REPLY is that of the create, which makes this node run the job;
+ * NULL where the head became known here otherwise.
+ */
 static void
 finish_accepted (struct GspanNode *node, struct GspanSubmission *submission,
                  const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
 {
-  const struct GspanStoreObject *head = gspan_store_reply_first (reply);
+  const struct GspanStoreObject *head = reply != NULL ? gspan_store_reply_first (reply) : NULL;
   struct GspanJob *job = submission->job;
   struct GspanJob *known = gspan_jobs_find (&node->jobs, job->id);
 
   log_submission (node, submission, "accepted", reply, outbox);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_JOBS_ACCEPTED, 1);
   reply_all (submission, STATUS_ACCEPTED, "accepted", outbox);
+  g_hash_table_remove (node->jobs.unsettled_heads, job->id);
+  g_hash_table_steal (node->jobs.submissions, job->id);
   /* A head that the watch has brought already, or that another node created, is only applied. */
-  if (known == NULL && reply->result == GSPAN_STORE_OK && head != NULL)
+  if (known == NULL && head != NULL && reply->result == GSPAN_STORE_OK)
     {
       submission->job = NULL;
       g_hash_table_insert (node->jobs.by_id, job->id, job);
@@ -217,18 +274,37 @@
     }
   if (head != NULL)
     gspan_jobs_apply_head (node, head, outbox);
+  gspan_submission_free (submission);
 }
 
-void
-gspan_accept_call_done (struct GspanNode *node, const struct GspanJobCall *call,
-                        const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
+/* Ends SUBMISSION without the job in the store, as far as this node knows. */
+static void
+give_up (struct GspanNode *node, struct GspanSubmission *submission,
+         const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
 {
-  struct GspanSubmission *submission = g_hash_table_lookup (node->jobs.submissions, call->job_id);
-  bool exists = reply->result == GSPAN_STORE_OK || reply->result == GSPAN_STORE_CONFLICT;
+  if (gspan_jobs_find (&node->jobs, submission->job->id) != NULL)
+    {
+      finish_accepted (node, submission, NULL, outbox);
+      return;
+    }
+  if (is_unsettled (node, submission->job->id))
+    {
+      log_submission (node, submission, "unknown", reply, outbox);
+      reply_all (submission, 502, unsettled_text, outbox);
+    }
+  else
+    {
+      log_submission (node, submission, "refused", reply, outbox);
+      refuse_all (node, submission, "the platform's store did not take the job", outbox);
+    }
+  g_hash_table_remove (node->jobs.submissions, submission->job->id);
+}
 
-  if (submission == NULL)
-    return;
-  if (call->op == GSPAN_JOB_PUT_PART && exists)
+static void
+on_part_done (struct GspanNode *node, struct GspanSubmission *submission,
+              const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
+{
+  if (reply->result == GSPAN_STORE_OK || reply->result == GSPAN_STORE_CONFLICT)
     {
       submission->part_number++;
       submission->part_retried = false;
@@ -236,33 +312,71 @@
         put_part (node, submission, outbox);
       else
         put_head (node, submission, outbox);
-      return;
     }
-  if (call->op == GSPAN_JOB_PUT_PART && !submission->part_retried
-      && reply->result == GSPAN_STORE_UNKNOWN)
+  else if (reply->result == GSPAN_STORE_UNKNOWN && !submission->part_retried)
     {
       submission->part_retried = true;
       put_part (node, submission, outbox);
-      return;
     }
-  if (call->op == GSPAN_JOB_PUT_HEAD && reply->result == GSPAN_STORE_UNKNOWN)
+  else
+    give_up (node, submission, reply, outbox);
+}
+
+/* The first create of a head after one of unknown outcome follows at once. */
+static void
+on_head_failed (struct GspanNode *node, struct GspanSubmission *submission,
+                const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
+{
+  guint tries = submission->settle_tries;
+
+  if (!is_unsettled (node, submission->job->id) || tries == SETTLE_TRIES_MAX)
     {
-      confirm_head (node, submission, outbox);
+      give_up (node, submission, reply, outbox);
       return;
     }
-  if (call->op != GSPAN_JOB_PUT_PART && exists)
+  submission->settle_tries++;
+  if (tries == 0)
+    put_head (node, submission, outbox);
+  else
+    submission->next_put_at_us = node->now + (SETTLE_PAUSE_US << (tries - 1));
+}
+
+void
+gspan_accept_call_done (struct GspanNode *node, const struct GspanJobCall *call,
+                        const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
+{
+  struct GspanSubmission *submission = g_hash_table_lookup (node->jobs.submissions, call->job_id);
+
+  if (call->op == GSPAN_JOB_PUT_HEAD && reply->result == GSPAN_STORE_UNKNOWN)
+    note_unsettled (node, call->job_id);
+  if (submission == NULL || submission->call != call->id)
+    return;
+  submission->call = 0;
+  if (call->op == GSPAN_JOB_PUT_PART)
+    on_part_done (node, submission, reply, outbox);
+  else if (reply->result == GSPAN_STORE_OK || reply->result == GSPAN_STORE_CONFLICT)
     finish_accepted (node, submission, reply, outbox);
-  else if (call->op == GSPAN_JOB_CONFIRM_HEAD)
-    {
-      log_submission (node, submission, "unknown", reply, outbox);
-      reply_all (submission, 502, "it isn't known whether the store took the job", outbox);
-    }
   else
-    {
-      log_submission (node, submission, "refused", reply, outbox);
-      refuse_all (node, submission, "the platform's store did not take the job", outbox);
-    }
-  g_hash_table_remove (node->jobs.submissions, call->job_id);
+    on_head_failed (node, submission, reply, outbox);
+}
+
+static void
+check_submission (struct GspanNode *node, struct GspanSubmission *submission,
+                  struct GspanOutbox *outbox)
+{
+  if (submission->call == 0 && node->now >= submission->next_put_at_us)
+    put_head (node, submission, outbox);
+}
+
+void
+gspan_accept_tick (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  GList *submissions = g_hash_table_get_values (node->jobs.submissions);
+
+  for (GList *entry = submissions; entry != NULL; entry = entry->next)
+    check_submission (node, entry->data, outbox);
+  g_list_free (submissions);
+  g_hash_table_foreach_remove (node->jobs.unsettled_heads, is_settled, node);
 }
 
 void
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -26,6 +26,7 @@
   *jobs = (struct GspanJobs){ 0 };
   jobs->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, gspan_job_free);
   jobs->submissions = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, gspan_submission_free);
+  jobs->unsettled_heads = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gspan_expiry_init (&jobs->expiry);
   jobs->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, call_free);
 }
@@ -36,6 +37,7 @@
   gspan_expiry_finish (&jobs->expiry);
   g_hash_table_unref (jobs->calls);
   g_hash_table_unref (jobs->submissions);
+  g_hash_table_unref (jobs->unsettled_heads);
   g_hash_table_unref (jobs->by_id);
 }
 
@@ -149,7 +151,6 @@
     {
     case GSPAN_JOB_PUT_PART:
     case GSPAN_JOB_PUT_HEAD:
-    case GSPAN_JOB_CONFIRM_HEAD:
       gspan_accept_call_done (node, call, reply, outbox);
       break;
     case GSPAN_JOB_READ_HEAD:
@@ -203,6 +204,7 @@
         gspan_job_unload (job);
     }
   g_list_free (jobs);
+  gspan_accept_tick (node, outbox);
   gspan_expiry_tick (node, outbox);
 }
 
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -19,7 +19,6 @@
 {
   GSPAN_JOB_PUT_PART,         /* creates a part of a submitted job */
   GSPAN_JOB_PUT_HEAD,         /* creates the head, which accepts the job */
-  GSPAN_JOB_CONFIRM_HEAD,     /* reads the head after a PUT_HEAD with unknown outcome */
   GSPAN_JOB_READ_HEAD,        /* reads the head of a job that a caller names, unknown here */
   GSPAN_JOB_LIST_CONTENT,     /* lists the checkpoint, parts and segments */
   GSPAN_JOB_APPEND_SEGMENT,   /* creates the next segment */
@@ -43,9 +42,10 @@
 
 struct GspanJobs
 {
-  GHashTable *by_id;       /* id to struct GspanJob */
-  GHashTable *submissions; /* id to struct GspanSubmission */
-  GHashTable *calls;       /* id to struct GspanJobCall */
+  GHashTable *by_id;           /* id to struct GspanJob */
+  GHashTable *submissions;     /* id to struct GspanSubmission */
+  GHashTable *unsettled_heads; /* id to guint64: until when a create of the head may be done */
+  GHashTable *calls;           /* id to struct GspanJobCall */
   struct GspanExpiry expiry;
 };
 
@@ -87,8 +87,9 @@
 void gspan_submission_free (gpointer submission);
 
 /*
- * Handles the submission of a job. The response is sent once the store has the job or surely
- * doesn't; if neither can be told, it is 502.
+ * Handles the submission of a job. The response is sent once the store has the job (202) or surely
+ * doesn't and never will by this node (503); if neither can be told in the caller's time, it is
+ * 502.
  */
 void gspan_jobs_submit (struct GspanNode *node, const struct GspanEventRequest *request,
                         const struct GspanWireRequest *wire, const struct GspanConfigRoute *route,
@@ -96,6 +97,9 @@
 void gspan_accept_call_done (struct GspanNode *node, const struct GspanJobCall *call,
                              const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
 
+/* Creates heads of unknown fate once more, and answers callers whose time is nearly up. */
+void gspan_accept_tick (struct GspanNode *node, struct GspanOutbox *outbox);
+
 /* Forgets REQUEST, whose caller has closed the connection. */
 void gspan_accept_caller_disconnected (struct GspanNode *node, guint64 request);
 
--- a/test/submission_test.cc
+++ b/test/submission_test.cc
@@ -96,6 +96,7 @@
   EXPECT_EQ (submit (rig, 3), 502);
   part_fault = StoreFault::Unreachable;
   EXPECT_EQ (submit (rig, 4), 502);
+  head_faults.clear ();
   world.run (2 * GSPAN_SECOND);
   EXPECT_EQ (world.objects["jobs"].size (), 1U);
   EXPECT_EQ (submit (rig, 5), 202);
