jobs: a submission is answered before its caller's time is up

A submission waited for the store as long as its calls took (1.5 s each, each part twice), beyond the caller's X-Deadline-Ms and the route's timeout; the caller left and came again elsewhere, and the job was created here all the same.

It is answered 100 ms before the earlier of the two now: 503 where no create of the head was sent, which then never is, else 502. An answer of the store that comes later than that is applied to the job alone.

Submission.CallerIsAnsweredBeforeItsTimeIsUp failed before and passes; the property of refused jobs (4500 cases) and jobs-test pass.

--- a/jobs/accept.c
+++ b/jobs/accept.c
@@ -16,9 +16,10 @@
  * where that succeeds or conflicts, and the response is 502 where nothing settles it.
  */
 
-#define RETRY_AFTER_US (500 * GSPAN_MS)  /* Retry-After while the store is unavailable */
-#define UNSETTLED_US (30 * GSPAN_SECOND) /* a create isn't done that long after it was sent */
-#define SETTLE_PAUSE_US (30 * GSPAN_MS)  /* before the head is created once more; then doubled */
+#define RETRY_AFTER_US (500 * GSPAN_MS)   /* Retry-After while the store is unavailable */
+#define UNSETTLED_US (30 * GSPAN_SECOND)  /* a create isn't done that long after it was sent */
+#define ANSWER_MARGIN_US (100 * GSPAN_MS) /* before the caller's time is up */
+#define SETTLE_PAUSE_US (30 * GSPAN_MS)   /* before the head is created once more; then doubled */
 
 enum
 {
@@ -36,6 +37,7 @@
   GArray *requests;  /* guint64: requests that wait for the response */
   guint part_number; /* part being created */
   guint64 started_at_us;
+  guint64 answer_by_us;   /* the caller's time is nearly up then */
   guint64 call;           /* id of the store call in flight; 0 is none */
   guint64 next_put_at_us; /* without a call in flight: when the head is created once more */
   guint settle_tries;
@@ -183,6 +185,19 @@
   return job;
 }
 
+static guint64
+answer_by (const struct GspanNode *node, const struct GspanWireRequest *wire,
+           const struct GspanConfigRoute *route)
+{
+  guint64 wait_us = G_MAXUINT32 * GSPAN_MS;
+
+  if (wire->timeout_us > 0)
+    wait_us = MIN (wait_us, wire->timeout_us);
+  if (route->timeout_us > 0)
+    wait_us = MIN (wait_us, route->timeout_us);
+  return node->now + wait_us - MIN (wait_us / 2, ANSWER_MARGIN_US);
+}
+
 static void
 start_submission (struct GspanNode *node, const struct GspanEventRequest *request, const char *id,
                   const struct GspanWireRequest *wire, const struct GspanConfigRoute *route,
@@ -198,7 +213,7 @@
   submission->body = g_bytes_ref (request->body);
   submission->requests = g_array_new (FALSE, FALSE, sizeof (guint64));
   submission->started_at_us = node->now;
-  (void)route;
+  submission->answer_by_us = answer_by (node, wire, route);
   g_array_append_val (submission->requests, request->request);
   g_hash_table_insert (node->jobs.submissions, job->id, submission);
   if (!is_unsettled (node, job->id))
@@ -341,6 +356,19 @@
     submission->next_put_at_us = node->now + (SETTLE_PAUSE_US << (tries - 1));
 }
 
+/* The caller's time was up before this REPLY. */
+static void
+apply_late_head (struct GspanNode *node, const struct GspanJobCall *call,
+                 const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
+{
+  const struct GspanStoreObject *head = gspan_store_reply_first (reply);
+
+  if (call->op != GSPAN_JOB_PUT_HEAD || head == NULL)
+    return;
+  g_hash_table_remove (node->jobs.unsettled_heads, call->job_id);
+  gspan_jobs_apply_head (node, head, outbox);
+}
+
 void
 gspan_accept_call_done (struct GspanNode *node, const struct GspanJobCall *call,
                         const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
@@ -350,7 +378,10 @@
   if (call->op == GSPAN_JOB_PUT_HEAD && reply->result == GSPAN_STORE_UNKNOWN)
     note_unsettled (node, call->job_id);
   if (submission == NULL || submission->call != call->id)
-    return;
+    {
+      apply_late_head (node, call, reply, outbox);
+      return;
+    }
   submission->call = 0;
   if (call->op == GSPAN_JOB_PUT_PART)
     on_part_done (node, submission, reply, outbox);
@@ -364,7 +395,14 @@
 check_submission (struct GspanNode *node, struct GspanSubmission *submission,
                   struct GspanOutbox *outbox)
 {
-  if (submission->call == 0 && node->now >= submission->next_put_at_us)
+  if (node->now >= submission->answer_by_us)
+    {
+      /* the create of the head that is under way may be done */
+      if (submission->call != 0 && submission->part_number == submission->job->part_count)
+        note_unsettled (node, submission->job->id);
+      give_up (node, submission, NULL, outbox);
+    }
+  else if (submission->call == 0 && node->now >= submission->next_put_at_us)
     put_head (node, submission, outbox);
 }
 
