gateway, links: a caller is told that nothing ran only if no sending may have run

Three ways: the HTTP client sent a request again by itself on a kept connection that had ended, and the replica's "not run" to that was taken for both sendings, at this node, or by the node in between; or that node's own refusal was; and a replica's 503, 429 or 408 that doesn't say "not run" was passed on as it came, also where an earlier attempt had been lost.

Such a word counts now only where the request went out once (answers), on the way to the node in between (exchanges) and from there (relay server, which reports it as lost, as older nodes understand it). Statuses that promise that nothing ran are never a replica's, unless it says so: the caller gets 502.

--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -116,6 +116,24 @@
     g_ptr_array_remove_index (call->tried, at);
 }
 
+/* The replica says so; it speaks of the last sending only. */
+static bool
+is_rejected (const struct GspanEventHttp *answer, const struct GspanWireResponse *wire, bool good)
+{
+  return answer->result == GSPAN_HTTP_COMPLETE && wire->not_run && !good;
+}
+
+/*
+ * Whether ANSWER, a replica's failure, may be the caller's. One whose status promises that nothing
+ * ran, without the replica's word for that, may not.
+ */
+static bool
+may_pass_failure (const struct GspanCall *call, const struct GspanEventHttp *answer)
+{
+  return answer->result == GSPAN_HTTP_COMPLETE && !call->state.response_started
+         && !gspan_wire_promises_not_run (answer->status);
+}
+
 static const char *
 why_failed (const struct GspanEventHttp *answer, bool not_run)
 {
@@ -134,6 +152,7 @@
   bool whole = answer->result == GSPAN_HTTP_COMPLETE;
   bool good = whole && answer->status >= 200 && answer->status < 300;
   struct GspanWireResponse wire;
+  bool rejected;
   bool not_run;
   GBytes *body;
 
@@ -141,9 +160,10 @@
   gspan_leaving_note_answer (node, attempt->replica, &wire, outbox);
   if (!attempt->has_head)
     gspan_limits_note_answer (node, attempt->replica, &wire, attempt->sent, outbox);
-  not_run = answer->result == GSPAN_HTTP_NOT_SENT || (whole && wire.not_run && !good);
+  rejected = is_rejected (answer, &wire, good);
+  not_run = answer->result == GSPAN_HTTP_NOT_SENT || (rejected && answer->send_count <= 1);
   call->state.now = node->now;
-  if (whole && wire.signed_by_replica && !not_run)
+  if (whole && wire.signed_by_replica && !rejected)
     gspan_crash_reports_note_answer (node, call->fingerprint, attempt->replica, outbox);
   if (good && call->state.response_started)
     {
@@ -169,7 +189,7 @@
        || !gspan_attempts_try_next (node, call, outbox))
       && call->open->len == 0)
     {
-      if (whole && !good && !not_run && wire.signed_by_replica && !call->state.response_started)
+      if (!good && !rejected && wire.signed_by_replica && may_pass_failure (call, answer))
         pass_answer (node, call, answer, body, outbox);
       else
         gspan_call_give_up (node, call, why_failed (answer, not_run), 502, outbox);
--- a/links/exchanges.c
+++ b/links/exchanges.c
@@ -177,11 +177,15 @@
   answer->headers = &node->exchanges.nothing;
 }
 
-/* The other node's own answer in place of a replica's. */
+/*
+ * The other node's own answer in place of a replica's. That it didn't pass the request on says
+ * nothing of a sending before, which it may have passed on.
+ */
 static void
 read_outcome (struct GspanNode *node, struct GspanExchange *exchange, struct GspanEventHttp *answer,
               struct GspanOutbox *outbox)
 {
+  enum GspanHttpResult not_sent = answer->send_count > 1 ? GSPAN_HTTP_LOST : GSPAN_HTTP_NOT_SENT;
   struct GspanStr why;
   char *text;
 
@@ -193,10 +197,10 @@
       text = gspan_str_dup (why);
       set_relay_failure (node, exchange, answer, text, outbox);
       g_free (text);
-      set_result (node, answer, GSPAN_HTTP_NOT_SENT);
+      set_result (node, answer, not_sent);
       break;
     case GSPAN_RELAY_NOT_SENT:
-      set_result (node, answer, GSPAN_HTTP_NOT_SENT);
+      set_result (node, answer, not_sent);
       break;
     case GSPAN_RELAY_LOST:
       set_result (node, answer, GSPAN_HTTP_LOST);
--- a/links/relay_server.c
+++ b/links/relay_server.c
@@ -442,19 +442,32 @@
   return GSPAN_RELAY_LOST;
 }
 
+/* A replica's word that it didn't run the request is no answer to a sending before. */
+static enum GspanHttpResult
+result_of (const struct GspanEventHttp *answer)
+{
+  struct GspanWireResponse wire;
+
+  gspan_wire_read_response (answer->status, answer->headers, &wire);
+  if (answer->result == GSPAN_HTTP_COMPLETE && wire.not_run && answer->send_count > 1)
+    return GSPAN_HTTP_LOST;
+  return answer->result;
+}
+
 static void
 on_done (struct GspanNode *node, struct GspanRelayed *relayed, const struct GspanEventHttp *answer,
          struct GspanOutbox *outbox)
 {
   static const char *const results[] = { "whole", "not-sent", "lost", "timeout", "too-long" };
+  enum GspanHttpResult result = result_of (answer);
 
-  if (answer->result == GSPAN_HTTP_COMPLETE)
+  if (result == GSPAN_HTTP_COMPLETE)
     pass_answer (node, relayed, answer, outbox);
   else if (relayed->begun)
     add_reply (outbox, GSPAN_ACTION_REPLY_ABORT, relayed->request);
   else
-    reply_outcome (relayed->request, STATUS_FAILED, outcome_of (answer->result), "", outbox);
-  log_relayed (node, relayed, "relay-ended", results[answer->result], answer->status, outbox);
+    reply_outcome (relayed->request, STATUS_FAILED, outcome_of (result), "", outbox);
+  log_relayed (node, relayed, "relay-ended", results[result], answer->status, outbox);
   if (!relayed->begun)
     note_replica (node, relayed, answer, outbox);
   note_end (node, relayed, answer, outbox);
--- a/test/repeats_test.cc
+++ b/test/repeats_test.cc
@@ -113,8 +113,23 @@
         ASSERT_EQ (rig.exchanges.size (), 1U);
         rig.http_done (rig.exchanges[0], GSPAN_HTTP_LOST, 0, {}, "");
         EXPECT_EQ (rig.exchanges.size (), 1U) << "the second attempt";
-        play (5 * GSPAN_SECOND);
+        play (GSPAN_SECOND);
         EXPECT_EQ (status_of (rig, last_id), 502) << status;
+        play (20 * GSPAN_SECOND);
+      }
+}
+
+TEST_F (Repeats, StatusOfAReplicaThatDoesNotSayThatNothingRanIsNoRefusal)
+{
+  Rig &rig = start_nodes ();
+
+  replica_head = signed_head;
+  for (const char *type : { "idempotent", "non_idempotent", "streaming" })
+    for (int status : { 503, 429, 408 })
+      {
+        set_type (type);
+        replica_status = status;
+        EXPECT_EQ (ask (rig), 502) << type << status;
       }
 }
 
