weights: a renewal without an answer is repeated as soon as its fate is read

The holder of the order lease sent no orders for a fifth of a second after a renewal whose answer was lost: it read the lease, and then waited for the next renewal as if this one had succeeded, past the third of the lease for which it had been sure. Since writes are sent once, that would follow each connection that ends on a renewal.

It renews as soon as the read shows what stands. The lease itself was sound: each write is bound to the revision read before, so a late one is refused.

--- a/weights/order_lease.c
+++ b/weights/order_lease.c
@@ -239,6 +239,7 @@
   struct GspanOrderLease *lease = &node->weights.lease;
   const struct GspanStoreObject *object = gspan_store_reply_first (reply);
   bool wrote = lease->call_renews;
+  bool settles = lease->must_read;
 
   lease->call = 0;
   lease->next_at = node->now + RETRY_US;
@@ -250,7 +251,8 @@
         written (node, object, outbox);
       else if (object != NULL)
         see (node, object, outbox);
-      lease->next_at = next_call (node);
+      /* a renewal whose fate wasn't known may be overdue */
+      lease->next_at = settles && lease->held ? node->now : next_call (node);
       break;
     case GSPAN_STORE_CONFLICT:
       if (object != NULL)
