jobs: a takeover without an answer is known at once

A job whose takeover the store had done, without an answer, was run by nobody for 1.7 s: the new owner waited out the heartbeats again, wrote again, and learned of its own first write from the conflict. It didn't tell the former owner then, so one that is cut off from the store ran on.

The head is read as soon as a write of it has no answer, and a former owner is told by whichever answer shows that this node has taken the job over.

--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -125,25 +125,41 @@
   json_decref (message);
 }
 
+static void
+read_head (struct GspanNode *node, const char *id, struct GspanOutbox *outbox)
+{
+  gspan_jobs_start_call (node, GSPAN_JOB_CHECK_HEAD, id, GSPAN_STORE_GET, GSPAN_JOBS_KIND, id,
+                         outbox, NULL);
+}
+
+/* Applies HEAD. It may show an earlier write of this node that had no answer to have been done. */
+static void
+apply_read_head (struct GspanNode *node, const struct GspanStoreObject *head,
+                 struct GspanOutbox *outbox)
+{
+  const struct GspanJob *job = gspan_jobs_find (&node->jobs, head->name);
+  char *former_owner = g_strdup (job != NULL ? job->owner : "");
+
+  gspan_jobs_apply_head (node, head, outbox);
+  job = gspan_jobs_find (&node->jobs, head->name); /* freed if its head is invalid */
+  if (job != NULL && job->is_owner && strcmp (former_owner, node->self.name) != 0)
+    notify_former_owner (node, job, former_owner, outbox);
+  g_free (former_owner);
+}
+
 void
 gspan_owner_write_done (struct GspanNode *node, struct GspanJob *job,
                         const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
 {
   const struct GspanStoreObject *head = gspan_store_reply_first (reply);
-  char *former_owner = g_strdup (job->owner);
 
   job->head_write_call = 0;
   job->owner_heartbeat_at_us = node->now;
   job->owner_stuck = false;
   if (head != NULL)
-    {
-      gspan_jobs_apply_head (node, head, outbox);
-      job = gspan_jobs_find (&node->jobs, head->name); /* freed if its head is invalid */
-    }
-  if (reply->result == GSPAN_STORE_OK && job != NULL && job->is_owner
-      && strcmp (former_owner, node->self.name) != 0)
-    notify_former_owner (node, job, former_owner, outbox);
-  g_free (former_owner);
+    apply_read_head (node, head, outbox);
+  else if (reply->result == GSPAN_STORE_UNKNOWN)
+    read_head (node, job->id, outbox); /* this node may be the owner */
 }
 
 static bool
@@ -164,13 +180,6 @@
   json_decref (message);
 }
 
-static void
-read_head (struct GspanNode *node, const char *id, struct GspanOutbox *outbox)
-{
-  gspan_jobs_start_call (node, GSPAN_JOB_CHECK_HEAD, id, GSPAN_STORE_GET, GSPAN_JOBS_KIND, id,
-                         outbox, NULL);
-}
-
 void
 gspan_owner_read_done (struct GspanNode *node, const char *job_id,
                        const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
@@ -180,7 +189,7 @@
   struct GspanJob *job;
 
   if (reply->result == GSPAN_STORE_OK && head != NULL)
-    gspan_jobs_apply_head (node, head, outbox);
+    apply_read_head (node, head, outbox);
   job = gspan_jobs_find (&node->jobs, job_id);
   if (reply->result == GSPAN_STORE_OK && job != NULL)
     job->head_read_at_us = node->now;
--- a/test/late_writes_test.cc
+++ b/test/late_writes_test.cc
@@ -71,6 +71,23 @@
   EXPECT_LE (world.now - done_at, 100 * GSPAN_MS);
 }
 
+/* The former owner, which doesn't reach the store, hears of it by datagram. */
+TEST_F (LateWrites, TakeoverWithoutAnAnswerIsToldToTheFormerOwner)
+{
+  start_nodes (2);
+  Rig &owner = *world.rigs[0];
+
+  submit_job (owner, 1, "j1", 4);
+  world.run (500 * GSPAN_MS);
+  fail_next (GSPAN_STORE_REPLACE, "jobs", StoreFault::LostAfter);
+  owner.cut_from_store = true;
+  finish_run (owner, open_runs (owner)[0], 2);
+  world.run (2500 * GSPAN_MS);
+  EXPECT_EQ (faults, 1U);
+  EXPECT_FALSE (open_runs (*world.rigs[1]).empty ());
+  EXPECT_TRUE (open_runs (owner).empty ());
+}
+
 /* A process that ended before its registration was done doesn't replace that of its successor. */
 TEST_F (LateWrites, RegistrationOfAnEarlierProcessDoesNotReplaceThatOfTheLater)
 {
