node: a registration done late doesn't replace that of a later process

A node's entry could name the addresses and the key of a process that had ended: its registration, a replacement without a revision, had no answer and was done by the store a second after that of the process that followed. Other nodes then sent datagrams to the wrong address, and what they passed on was refused for its key, until the next start.

The replacement is bound to the revision that the conflict of the create has shown.

LateWrites.RegistrationOfAnEarlierProcess... failed before and passes; node-test passes.

--- a/node/peers.c
+++ b/node/peers.c
@@ -95,13 +95,16 @@
   node->peers.retirement_vm = g_strdup (object->name);
 }
 
+/* REVISION is that of the entry that is replaced: what has replaced it meanwhile stays. */
 static void
-register_self (struct GspanNode *node, enum GspanStoreOp op, struct GspanOutbox *outbox)
+register_self (struct GspanNode *node, enum GspanStoreOp op, guint64 revision,
+               struct GspanOutbox *outbox)
 {
   struct GspanRef ref = { GSPAN_OWNER_CATALOG, gspan_node_next_id (node) };
   struct GspanStoreCall *call
       = gspan_outbox_store (outbox, ref, op, GSPAN_PEERS_KIND, node->self.name);
 
+  call->revision = revision;
   call->value = json_pack ("{s:s, s:s}", "udp", node->self.udp_address, "zone", node->self.zone);
   if (node->self.relay_address != NULL)
     {
@@ -115,13 +118,14 @@
 on_registered (struct GspanNode *node, const struct GspanEventStore *store,
                struct GspanOutbox *outbox)
 {
+  const struct GspanStoreObject *entry = gspan_store_reply_first (store->reply);
   struct GspanPeers *peers = &node->peers;
 
   peers->registration_call_id = 0;
   if (store->reply->result == GSPAN_STORE_OK)
     peers->registered = true;
   else if (store->reply->result == GSPAN_STORE_CONFLICT)
-    register_self (node, GSPAN_STORE_REPLACE, outbox);
+    register_self (node, GSPAN_STORE_REPLACE, entry != NULL ? entry->revision : 0, outbox);
   else
     peers->retry_at_us = node->now + RETRY_US;
 }
@@ -160,7 +164,7 @@
   if (node->now < peers->retry_at_us || node->catalog.store_fails)
     return;
   if (!peers->registered && peers->registration_call_id == 0)
-    register_self (node, GSPAN_STORE_CREATE, outbox);
+    register_self (node, GSPAN_STORE_CREATE, 0, outbox);
   if (peers->retirement_vm != NULL && peers->retirement_call_id == 0)
     report_retirement (node, outbox);
 }
