gateway: removing an expired verdict doesn't remove the one that followed

A request that crashes replicas could be let through again: the removal of its expired verdict had no answer, and the store did it after the next verdict on the same request stood.

The removal is bound to the revision of the verdict that has expired. Where another expired one stands there instead, that is removed.

--- a/gateway/verdicts.c
+++ b/gateway/verdicts.c
@@ -10,8 +10,9 @@
 struct Verdict
 {
   bool stored;
-  guint64 write_at_us; /* earliest time of the write, unless stored */
-  guint64 revision;    /* of an expired verdict in the store, to be replaced; 0 is none */
+  guint64 write_at_us;     /* earliest time of the write, unless stored */
+  guint64 revision;        /* of an expired verdict in the store, to be replaced; 0 is none */
+  guint64 stored_revision; /* as last seen in the store; 0 is not known */
 };
 
 void
@@ -72,6 +73,7 @@
 {
   gint64 until_ms = json_integer_value (json_object_get (object->spec, "until_ms"));
   gint64 life_ms = until_ms - node->wall_ms;
+  struct Verdict *verdict;
   guint64 fingerprint;
 
   if (!gspan_poison_fingerprint_parse (object->name, &fingerprint))
@@ -82,7 +84,9 @@
       gspan_poison_requests_clear (&node->poison_requests, fingerprint);
       return;
     }
-  add_verdict (node, fingerprint)->stored = true;
+  verdict = add_verdict (node, fingerprint);
+  verdict->stored = true;
+  verdict->stored_revision = object->revision;
   if (life_ms <= 0)
     return;
   gspan_poison_requests_merge (&node->poison_requests, fingerprint, (guint64)life_ms * GSPAN_MS,
@@ -121,6 +125,16 @@
   call->value = json_pack ("{s:I, s:s}", "until_ms", (json_int_t)until_ms, "by", node->self.name);
 }
 
+/* A verdict that has followed meanwhile stays, also where the store does this late. */
+static void
+remove_verdict (struct GspanNode *node, guint64 fingerprint, const struct Verdict *verdict,
+                struct GspanOutbox *outbox)
+{
+  struct GspanStoreCall *call = start_call (node, GSPAN_STORE_REMOVE, fingerprint, outbox);
+
+  call->revision = verdict->stored_revision;
+}
+
 /* Starts the next write: creates a verdict that isn't stored, or removes an expired one. */
 static void
 sync_verdicts (struct GspanNode *node, struct GspanOutbox *outbox)
@@ -142,7 +156,7 @@
       if (until == 0 && !verdict->stored)
         g_hash_table_iter_remove (&iter);
       else if (until == 0 && cleans_up)
-        start_call (node, GSPAN_STORE_REMOVE, fingerprint, outbox);
+        remove_verdict (node, fingerprint, verdict, outbox);
       else if (until != 0 && !verdict->stored && node->now >= verdict->write_at_us)
         write_verdict (node, fingerprint, verdict, until, outbox);
     }
@@ -155,8 +169,11 @@
 {
   json_t *until_ms = object != NULL ? json_object_get (object->spec, "until_ms") : NULL;
 
+  verdict->stored_revision = object != NULL ? object->revision : 0;
+  if (node->verdicts.removes)
+    return;
   verdict->stored = object == NULL || json_integer_value (until_ms) > node->wall_ms;
-  verdict->revision = object != NULL ? object->revision : 0;
+  verdict->revision = verdict->stored_revision;
 }
 
 static void
@@ -164,6 +181,7 @@
 {
   struct GspanVerdicts *verdicts = &node->verdicts;
   struct Verdict *verdict = g_hash_table_lookup (verdicts->items, &verdicts->fingerprint);
+  const struct GspanStoreObject *object = gspan_store_reply_first (reply);
 
   verdicts->call = 0;
   if (verdict == NULL)
@@ -174,10 +192,13 @@
       if (verdicts->removes)
         g_hash_table_remove (verdicts->items, &verdicts->fingerprint);
       else
-        verdict->stored = true;
+        {
+          verdict->stored = true;
+          verdict->stored_revision = object != NULL ? object->revision : 0;
+        }
       break;
     case GSPAN_STORE_CONFLICT:
-      on_conflict (node, verdict, gspan_store_reply_first (reply));
+      on_conflict (node, verdict, object);
       break;
     case GSPAN_STORE_MISSING: /* another node has removed it */
       g_hash_table_remove (verdicts->items, &verdicts->fingerprint);
--- a/test/late_writes_test.cc
+++ b/test/late_writes_test.cc
@@ -122,3 +122,17 @@
   EXPECT_TRUE (rig.logged ("event=request-condemned"));
   g_free (name);
 }
+
+TEST_F (LateWrites, ExpiredVerdictThatWasReplacedUnseenIsRemoved)
+{
+  start_nodes ();
+  char *name = gspan_poison_fingerprint_format (77);
+  std::string spec = "{\"until_ms\":" + std::to_string (world.wall_ms + 1000) + ",\"by\":\"vm-1\"}";
+
+  world.put (GSPAN_VERDICTS_KIND, name, spec.c_str ());
+  world.run (500 * GSPAN_MS);
+  world.objects[GSPAN_VERDICTS_KIND][name].revision = ++world.revision;
+  world.run (3 * GSPAN_SECOND);
+  EXPECT_EQ (world.objects[GSPAN_VERDICTS_KIND].count (name), 0U);
+  g_free (name);
+}
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -545,6 +545,11 @@
       case GSPAN_STORE_REMOVE:
         if (found == kind.end ())
           reply->result = GSPAN_STORE_MISSING;
+        else if (call.revision != 0 && call.revision != found->second.revision)
+          {
+            reply->result = GSPAN_STORE_CONFLICT;
+            fill (reply, found->first, &found->second);
+          }
         else
           remove (call.kind, call.name);
         break;
