gateway: a stream goes on only with a signed stream of its next events

Callers of streams that had broken off found in them what the next replica answered: events of an answer without a stamp or of another type, an error's text or head, events that came twice or left others out; or their stream ended as whole after an empty 200 of anything, or within an event.

Cause: a call whose answer had begun took any 2xx for its continuation, passed on each event whose id was not below the last one, or that had none, and took any 2xx that was whole for the stream's end. What was left of an event was dropped silently. A success that is no stream was split into events all the same, so that nothing of it arrived.

An answer now goes on with a stream where it is a 200 with a stamp, of type text/event-stream, and each of its events is the next one; it ends the stream where it is whole and no event is under way. Else the attempt is given up and another one goes on, if the route allows it, or the caller's answer is broken off, so that the caller can take the stream up. An answer that begins a stream is passed on as its replica wrote it; one whose events have no ids isn't resumed, since they would come twice. The failure's line says why (fault=).

--- a/common/events.c
+++ b/common/events.c
@@ -25,6 +25,51 @@
   events->is_too_long = false;
 }
 
+bool
+gspan_events_is_stream (const struct GspanHeaders *headers)
+{
+  static const char name[] = "text/event-stream";
+  struct GspanStr type = gspan_headers_get (headers, "Content-Type");
+  size_t len = strlen (name);
+
+  if (type.len == 0)
+    return true;
+  return type.len >= len && g_ascii_strncasecmp (type.data, name, len) == 0
+         && (type.len == len || strchr ("; \t", type.data[len]) != NULL);
+}
+
+/* True where TEXT has only empty lines and comments. */
+static bool
+has_no_field (const char *text, size_t len)
+{
+  bool at_start = true;
+
+  for (size_t i = 0; i < len; i++)
+    {
+      bool line_end = text[i] == '\n' || text[i] == '\r';
+
+      if (at_start && text[i] == ':')
+        at_start = false;
+      else if (line_end)
+        at_start = true;
+      else if (at_start)
+        return false;
+    }
+  return true;
+}
+
+bool
+gspan_events_is_between (const struct GspanEvents *events)
+{
+  return has_no_field (events->pending->str, events->pending->len);
+}
+
+bool
+gspan_events_is_comment (const struct GspanStreamEvent *event)
+{
+  return has_no_field (event->raw.data, event->raw.len);
+}
+
 /* Value of LINE where it is called NAME; the empty view with no data elsewhere. */
 static struct GspanStr
 value_of (struct GspanStr line, const char *name)
--- a/common/events.h
+++ b/common/events.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/headers.h"
 #include "common/str.h"
 
 /* Splits a body of server-sent events (text/event-stream) into its events, in any pieces. */
@@ -32,6 +33,15 @@
 void gspan_events_init (struct GspanEvents *events, const char *mark);
 void gspan_events_finish (struct GspanEvents *events);
 
+/* True where an answer with HEADERS may be a stream of events: its type is that, or isn't said. */
+bool gspan_events_is_stream (const struct GspanHeaders *headers);
+
+/* True where no event is under way: a stream that ends here ends with its last event. */
+bool gspan_events_is_between (const struct GspanEvents *events);
+
+/* True for an event that holds nothing but comments. */
+bool gspan_events_is_comment (const struct GspanStreamEvent *event);
+
 /* Drops what has come of an event that isn't whole. */
 void gspan_events_reset (struct GspanEvents *events);
 
--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -7,6 +7,7 @@
 
 enum
 {
+  STATUS_OK = 200,
   NOT_SENT_MAX = 4,       /* attempts of a call that may fail before they leave */
   KEPT_BODY_MAX = 1 << 20 /* bytes of a stream's answer that isn't passed on as it comes */
 };
@@ -41,13 +42,26 @@
   gspan_call_forget (node, call, outbox);
 }
 
+static void
+pass_bytes (const struct GspanCall *call, struct GspanStr bytes, struct GspanOutbox *outbox)
+{
+  struct GspanAction *action
+      = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_DATA, (struct GspanRef){ 0 });
+
+  action->u.reply.request = call->request;
+  action->u.reply.body = g_bytes_new (bytes.data, bytes.len);
+}
+
 static void
 end_stream (struct GspanNode *node, struct GspanCall *call, const struct GspanEventHttp *answer,
             struct GspanOutbox *outbox)
 {
-  struct GspanAction *action
-      = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_END, (struct GspanRef){ 0 });
+  const GString *rest = call->events.pending;
+  struct GspanAction *action;
 
+  if (rest->len > 0) /* empty lines and comments */
+    pass_bytes (call, (struct GspanStr){ rest->str, rest->len }, outbox);
+  action = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_END, (struct GspanRef){ 0 });
   action->u.reply.request = call->request;
   gspan_call_log_answer (node, call, "complete", answer, outbox);
   gspan_call_observe (node, call, GSPAN_METRIC_DESK_COMPLETE);
@@ -74,6 +88,7 @@
   gspan_line_u64 (&line, "relayed", answer->relayed);
   gspan_line_u64 (&line, "failed_at_relay", answer->failed_at_relay);
   gspan_line_u64 (&line, "signed", signed_by_replica);
+  gspan_line_cstr (&line, "fault", attempt->fault != NULL ? attempt->fault : "");
   gspan_answer_log (answer, &line);
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
 }
@@ -90,7 +105,7 @@
   replica->misdirected = replica->misdirected || wire->misdirected;
   if (answer->failed_at_relay)
     return;
-  if (answer->result != GSPAN_HTTP_COMPLETE)
+  if (answer->result != GSPAN_HTTP_COMPLETE || attempt->fault != NULL)
     gspan_replica_failed (replica, node->now);
   if (gspan_attempt_has_answer (attempt) || answer->relayed)
     return; /* the node that it went through knows whether its own links stand */
@@ -117,8 +132,10 @@
 }
 
 static const char *
-why_failed (const struct GspanEventHttp *answer, bool not_run)
+why_failed (const struct GspanAttempt *attempt, const struct GspanEventHttp *answer, bool not_run)
 {
+  if (attempt->fault != NULL)
+    return attempt->fault;
   if (answer->result == GSPAN_HTTP_NOT_SENT)
     return "no replica could be reached";
   if (not_run)
@@ -126,6 +143,31 @@
   return answer->result == GSPAN_HTTP_TOO_LONG ? "the answer was too long" : "the answer was lost";
 }
 
+/* True where another attempt may go on with what the caller has got so far. */
+static bool
+may_go_on (const struct GspanCall *call)
+{
+  return !call->state.response_started || (call->is_events && !call->is_unnumbered);
+}
+
+/* Ends the answer that has begun where ATTEMPT has brought its end. False if it hasn't. */
+static bool
+end_if_whole (struct GspanNode *node, struct GspanAttempt *attempt,
+              const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
+{
+  struct GspanCall *call = attempt->call;
+
+  if (!attempt->passes_on || attempt->fault != NULL || answer->result != GSPAN_HTTP_COMPLETE)
+    return false;
+  if (call->is_events && !gspan_events_is_between (&call->events))
+    {
+      attempt->fault = "the stream ended within an event";
+      return false;
+    }
+  end_stream (node, call, answer, outbox);
+  return true;
+}
+
 void
 gspan_answers_handle_done (struct GspanNode *node, struct GspanAttempt *attempt,
                            const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
@@ -134,6 +176,7 @@
   bool whole = answer->result == GSPAN_HTTP_COMPLETE;
   bool good = whole && answer->status >= 200 && answer->status < 300;
   struct GspanWireResponse wire;
+  const char *why;
   bool not_run;
   GBytes *body;
 
@@ -145,14 +188,11 @@
   call->state.now = node->now;
   if (whole && wire.signed_by_replica && !not_run)
     gspan_crash_reports_note_answer (node, call->fingerprint, attempt->replica, outbox);
-  if (good && call->state.response_started)
-    {
-      end_stream (node, call, answer, outbox);
-      return;
-    }
+  if (end_if_whole (node, attempt, answer, outbox))
+    return;
   body = call->stream ? g_bytes_new (attempt->body->str, attempt->body->len)
                       : g_bytes_ref (answer->body);
-  if (good && wire.signed_by_replica)
+  if (good && wire.signed_by_replica && !call->state.response_started)
     {
       gspan_replica_worked (attempt->replica);
       pass_answer (node, call, answer, body, outbox);
@@ -164,15 +204,16 @@
   call->may_have_run = call->may_have_run || !not_run;
   if (answer->result == GSPAN_HTTP_NOT_SENT)
     take_back (call, attempt->replica);
+  why = why_failed (attempt, answer, not_run);
   gspan_call_forget_attempt (node, attempt);
-  if ((!gspan_hedge_may_retry (&call->state, not_run)
+  if ((!may_go_on (call) || !gspan_hedge_may_retry (&call->state, not_run)
        || !gspan_attempts_try_next (node, call, outbox))
       && call->open->len == 0)
     {
       if (whole && !good && !not_run && wire.signed_by_replica && !call->state.response_started)
         pass_answer (node, call, answer, body, outbox);
       else
-        gspan_call_give_up (node, call, why_failed (answer, not_run), 502, outbox);
+        gspan_call_give_up (node, call, why, 502, outbox);
     }
   g_bytes_unref (body);
 }
@@ -189,9 +230,17 @@
   gspan_leaving_note_answer (node, attempt->replica, &wire, outbox);
   gspan_limits_note_answer (node, attempt->replica, &wire, attempt->sent, outbox);
   attempt->has_head = true;
-  if (call->state.response_started || answer->status < 200 || answer->status >= 300
-      || !wire.signed_by_replica)
+  if (answer->status < 200 || answer->status >= 300 || !wire.signed_by_replica)
     return;
+  if (call->state.response_started)
+    {
+      attempt->passes_on = answer->status == STATUS_OK && call->is_events
+                           && gspan_events_is_stream (answer->headers);
+      return;
+    }
+  attempt->passes_on = true;
+  call->is_events
+      = call->state.repeat == GSPAN_REPEAT_RESUMED && gspan_events_is_stream (answer->headers);
   call->state.response_started = true;
   action = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_BEGIN, (struct GspanRef){ 0 });
   action->u.reply.request = call->request;
@@ -219,32 +268,46 @@
   call->has_events = true;
 }
 
-static void
-pass_bytes (const struct GspanCall *call, struct GspanStr bytes, struct GspanOutbox *outbox)
+/*
+ * Why EVENT can't follow what the caller has got; NULL where it can. An answer that goes on after
+ * an event has to do so without a gap; what another one holds besides is its replica's own.
+ */
+static const char *
+why_foreign (const struct GspanAttempt *attempt, const struct GspanStreamEvent *event)
 {
-  struct GspanAction *action
-      = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_DATA, (struct GspanRef){ 0 });
+  guint64 last = attempt->call->last_event;
 
-  action->u.reply.request = call->request;
-  action->u.reply.body = g_bytes_new (bytes.data, bytes.len);
+  if (!event->has_id)
+    return attempt->after > 0 && !gspan_events_is_comment (event) ? "an event without an id" : NULL;
+  if (attempt->after > 0 ? event->id != last + 1 : attempt->has_ids && event->id <= last)
+    return "an event out of order";
+  return NULL;
 }
 
 static void
 pass_event (void *user, const struct GspanStreamEvent *event)
 {
   struct PassOn *to = user;
-  struct GspanCall *call = to->attempt->call;
+  struct GspanAttempt *attempt = to->attempt;
+  struct GspanCall *call = attempt->call;
 
-  if (event->has_id && event->id <= call->last_event)
+  if (attempt->fault == NULL)
+    attempt->fault = why_foreign (attempt, event);
+  if (attempt->fault != NULL)
     return;
   if (event->has_id)
-    call->last_event = event->id;
+    {
+      attempt->has_ids = true;
+      call->last_event = event->id;
+    }
+  if (event->has_id ? event->id == 0 : event->data.len > 0)
+    call->is_unnumbered = true;
   if (!call->has_events)
     note_software (to);
   pass_bytes (call, event->raw, to->outbox);
 }
 
-/* Ends an attempt whose answer goes on without end. */
+/* Ends an attempt whose answer goes on without end, or with what can't be passed on. */
 static void
 break_off (struct GspanNode *node, struct GspanAttempt *attempt,
            const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
@@ -253,7 +316,7 @@
   struct GspanEventHttp ended = *answer;
 
   gspan_outbox_add (outbox, GSPAN_ACTION_HTTP_CANCEL, ref);
-  ended.result = GSPAN_HTTP_TOO_LONG;
+  ended.result = attempt->fault != NULL ? GSPAN_HTTP_COMPLETE : GSPAN_HTTP_TOO_LONG;
   ended.elapsed_us = node->now - attempt->sent;
   gspan_answers_handle_done (node, attempt, &ended, outbox);
 }
@@ -267,12 +330,14 @@
   struct PassOn to = { node, attempt, outbox };
 
   attempt->pieces++;
-  if (!call->state.response_started || answer->status < 200 || answer->status >= 300)
+  if (!attempt->has_head)
+    gspan_answers_handle_head (node, attempt, answer, outbox);
+  if (!attempt->passes_on)
     g_string_append_len (attempt->body, bytes.data, (gssize)bytes.len);
-  else if (call->state.repeat == GSPAN_REPEAT_RESUMED)
+  else if (call->is_events)
     gspan_events_feed (&call->events, bytes, pass_event, &to);
   else
     pass_bytes (call, bytes, outbox);
-  if (call->events.is_too_long || attempt->body->len > KEPT_BODY_MAX)
+  if (attempt->fault != NULL || call->events.is_too_long || attempt->body->len > KEPT_BODY_MAX)
     break_off (node, attempt, answer, outbox);
 }
--- a/gateway/attempts.c
+++ b/gateway/attempts.c
@@ -59,6 +59,7 @@
   attempt->call = call;
   attempt->replica = gspan_replica_ref (replica);
   attempt->sent = node->now;
+  attempt->after = call->last_event;
   attempt->body = g_string_new (NULL);
   gspan_events_reset (&call->events);
   if (by_relay)
--- a/gateway/calls.h
+++ b/gateway/calls.h
@@ -35,7 +35,9 @@
   guint64 retry_at;   /* none is to be had in time before then; 0 is not known */
   bool may_have_run;
   bool stream;
+  bool is_events;     /* its answer, which has begun, is a stream of events */
   bool has_events;    /* of a stream: some have been passed on */
+  bool is_unnumbered; /* one had no id to go on after */
   guint64 last_event; /* passed on to the caller, of a stream */
   struct GspanEvents events;
   char *software; /* version that the stream goes on at; NULL is any */
@@ -49,11 +51,15 @@
   struct GspanCall *call;
   struct GspanReplica *replica;
   guint64 sent;
-  bool is_suspect; /* the request may crash the replica */
-  GString *body;   /* of a stream's answer that isn't passed on as it comes */
-  guint pieces;    /* of a stream's answer, received so far */
-  bool has_head;   /* the answer's head has come */
-  bool is_silent;  /* reported as silent (gateway/crash_reports.h) */
+  bool is_suspect;   /* the request may crash the replica */
+  GString *body;     /* of a stream's answer that isn't passed on as it comes */
+  guint pieces;      /* of a stream's answer, received so far */
+  guint64 after;     /* event that the answer has to go on after; 0 is none */
+  bool has_head;     /* the answer's head has come */
+  bool passes_on;    /* the answer is the caller's, or goes on with it */
+  bool has_ids;      /* some of its events had one */
+  const char *fault; /* why nothing more of it may be passed on; static, NULL is none */
+  bool is_silent;    /* reported as silent (gateway/crash_reports.h) */
 };
 
 void gspan_call_free (gpointer call);
--- a/test/broken_streams_test.cc
+++ b/test/broken_streams_test.cc
@@ -150,15 +150,16 @@
     world.run (20 * GSPAN_MS);
   }
 
-  static const CallerResponse &
-  last_of (const Rig &rig, guint64 id)
+  /* Of the last part of the answer to the request ID: 0 is its whole end, -1 a break. */
+  static int
+  last_status (const Rig &rig, guint64 id)
   {
-    const CallerResponse *last = nullptr;
+    int status = -2;
 
     for (const auto &answer : rig.responses)
       if (answer.request == id)
-        last = &answer;
-    return *last;
+        status = answer.status;
+    return status;
   }
 
   static std::string
@@ -191,7 +192,7 @@
             play (server, exchange, row, step);
         world.run (1500 * GSPAN_MS);
         EXPECT_EQ (rig.streamed_bytes, events (1, 2 + row.events));
-        EXPECT_EQ (last_of (rig, id).status, row.whole ? 0 : -1);
+        EXPECT_EQ (last_status (rig, id), row.whole ? 0 : -1);
         EXPECT_FALSE (take_exchange (server, &exchange));
         world.run (4 * GSPAN_SECOND);
       }
@@ -247,7 +248,7 @@
           play (rig, exchange, row, 0);
         }
       world.run (1500 * GSPAN_MS);
-      int status = last_of (rig, id).status;
+      int status = last_status (rig, id);
       if (is_stream && row.status == 200)
         {
           EXPECT_EQ (rig.streamed_bytes, events (3, 2 + row.events));
@@ -277,7 +278,7 @@
   ASSERT_TRUE (take_exchange (rig, &exchange));
   break_off (rig, exchange);
   EXPECT_FALSE (take_exchange (rig, &exchange));
-  EXPECT_EQ (last_of (rig, id).status, -1);
+  EXPECT_EQ (last_status (rig, id), -1);
   EXPECT_EQ (rig.streamed_bytes, sse (1) + sse (2) + "id: 3\nda");
 
   id = send_stream (rig);
@@ -285,7 +286,7 @@
   rig.http_head (exchange, 200, { "Content-Type: text/event-stream" });
   rig.http_data (exchange, 200, { "Content-Type: text/event-stream" }, sse (1));
   rig.http_done (exchange, GSPAN_HTTP_COMPLETE, 200, { "Content-Type: text/event-stream" }, "");
-  EXPECT_EQ (last_of (rig, id).status, 502);
+  EXPECT_EQ (last_status (rig, id), 502);
   EXPECT_EQ (rig.streamed_bytes, "");
 }
 
@@ -306,7 +307,7 @@
   rig.http_head (exchange, 200, stream_head (1));
   rig.http_data (exchange, 200, stream_head (1), sse (3));
   rig.http_done (exchange, GSPAN_HTTP_COMPLETE, 200, stream_head (1), "");
-  EXPECT_EQ (last_of (rig, id).status, 0);
+  EXPECT_EQ (last_status (rig, id), 0);
   EXPECT_EQ (rig.streamed_bytes, events (1, 3));
 }
 
@@ -315,7 +316,7 @@
 {
   Rig &rig = start ();
   std::string text = ": ping\n\nid: 10\ndata: a\n\nid: 20\ndata: b\n\ndata: no id\n\nid: 30\n"
-                     "data: c\n\n";
+                     "data: c\n\n\n: end";
   guint64 id = send_stream (rig);
   Exchange exchange;
 
@@ -323,7 +324,7 @@
   rig.http_head (exchange, 200, stream_head (1));
   rig.http_data (exchange, 200, stream_head (1), text);
   rig.http_done (exchange, GSPAN_HTTP_COMPLETE, 200, stream_head (1), "");
-  EXPECT_EQ (last_of (rig, id).status, 0);
+  EXPECT_EQ (last_status (rig, id), 0);
   EXPECT_EQ (rig.streamed_bytes, text);
 }
 
@@ -344,7 +345,7 @@
       rig.http_data (exchange, 200, json, whole ? "1}" : "");
       rig.http_done (exchange, whole ? GSPAN_HTTP_COMPLETE : GSPAN_HTTP_LOST, 200, json, "");
       EXPECT_FALSE (take_exchange (rig, &exchange));
-      EXPECT_EQ (last_of (rig, id).status, whole ? 0 : -1);
+      EXPECT_EQ (last_status (rig, id), whole ? 0 : -1);
       EXPECT_EQ (rig.streamed_bytes, whole ? "{\"a\":1}" : "{\"a\":");
     }
 }
