test: streams taken up after all nodes died at once

Callers whose streams broke off when all VMs were killed took them up again and got the rest from another software version than the first part.

The tests play it in virtual time: two versions in service, or the old one's replicas gone just before or while the nodes were dead, a second death soon after, the store away when the question comes. A stream may go on at the version that began it or be refused with a time; at least half have to go on where their version is there. Two tests bound what it may cost in calls to the store.

--- a/test/node_world.h
+++ b/test/node_world.h
@@ -215,7 +215,15 @@
   {
     std::string name = rigs[index]->name;
     drop_pending_calls (rigs[index].get ());
-    rigs[index] = std::make_unique<Rig> (*this, name, (guint32)(now % 100000));
+    rigs[index] = std::make_unique<Rig> (*this, name, (guint32)(now % 100000 + index + 100));
+  }
+
+  /* All VMs lose power at once, and are back. */
+  void
+  restart_all ()
+  {
+    for (size_t i = 0; i < rigs.size (); i++)
+      restart (i);
   }
 
   void
--- /dev/null
+++ b/test/rejoined_streams_test.cc
@@ -0,0 +1,297 @@
+#include "test/node_world.h"
+
+/*
+ * All nodes die at once and come back; callers take their streams up. A stream goes on at the
+ * software version that began it, or is refused; it is never joined from two.
+ */
+class RejoinedStreams : public NodeTest
+{
+protected:
+  std::map<std::string, std::string> began; /* attempt to the version of its replica */
+  guint64 next_request = 100;
+  unsigned joined = 0;
+  unsigned gone_on = 0;
+  unsigned refused = 0;
+
+  /* Replica d1 of the desk's service runs v1, replica d2 what SECOND says; nothing is no replica.
+   */
+  void
+  start (unsigned nodes, const char *second = "v2", const char *type = "streaming")
+  {
+    start_nodes (nodes);
+    world.put ("config", "main", config_spec (4, type).c_str ());
+    world.run (2 * GSPAN_SECOND);
+    put_second (second);
+  }
+
+  void
+  put_second (const char *software)
+  {
+    std::string spec = replica_spec ("desk", 2, 0);
+
+    spec.replace (spec.find ("\"v1\""), 4, std::string ("\"") + software + "\"");
+    spec.replace (spec.find ("\"born\":1"), 8, "\"born\":" + std::to_string (world.now));
+    if (software[0] == '\0')
+      world.remove ("servers", "d2");
+    else
+      world.put ("servers", "d2", spec.c_str ());
+    world.run (2 * GSPAN_SECOND);
+  }
+
+  std::string
+  version_at (const Exchange &exchange) const
+  {
+    const char *name = exchange.url.find ("10.0.0.1:80") != std::string::npos ? "d1" : "d2";
+    auto entry = world.objects.at ("servers").find (name);
+
+    if (entry == world.objects.at ("servers").end ())
+      return "gone";
+    return json_string_value (json_object_get (entry->second.spec, "version"));
+  }
+
+  guint64
+  send_stream (Rig &rig, const std::string &attempt, unsigned last_event = 0,
+               const std::string &resumes = "")
+  {
+    std::vector<std::string> headers
+        = { "Host: a.example", "X-Attempt-Id: " + attempt, "X-Deadline-Ms: 800" };
+
+    if (last_event > 0)
+      headers.push_back ("Last-Event-Id: " + std::to_string (last_event));
+    if (!resumes.empty ())
+      headers.push_back ("Resumes: " + resumes);
+    rig.request (next_request, "POST", "/desk/s", headers, "hello " + attempt);
+    return next_request++;
+  }
+
+  void
+  begin_streams (unsigned count, guint64 pause_us = 30 * GSPAN_MS)
+  {
+    for (unsigned i = 0; i < count; i++)
+      {
+        Rig &rig = *world.rigs[i % world.rigs.size ()];
+        std::string attempt = "a" + std::to_string (began.size ());
+        send_stream (rig, attempt);
+        ASSERT_FALSE (rig.exchanges.empty ());
+        Exchange exchange = rig.exchanges.back ();
+        began[attempt] = version_at (exchange);
+        rig.http_head (exchange, 200, stream_head (1));
+        rig.http_data (exchange, 200, stream_head (1), sse (1));
+        rig.http_data (exchange, 200, stream_head (1), sse (2));
+        world.run (pause_us);
+      }
+  }
+
+  /* Takes all streams up, each at some node, and counts what becomes of them. */
+  void
+  take_up ()
+  {
+    for (const auto &stream : began)
+      {
+        Rig &rig = *world.rigs[next_request % world.rigs.size ()];
+        size_t open = rig.exchanges.size ();
+        guint64 id = send_stream (rig, "b" + std::to_string (next_request), 2, stream.first);
+        for (unsigned i = 0;
+             i < 70 && response_to (rig, id) == nullptr && rig.exchanges.size () == open; i++)
+          world.run (10 * GSPAN_MS);
+        if (response_to (rig, id) != nullptr)
+          {
+            EXPECT_EQ (response_to (rig, id)->status, 503) << stream.first;
+            EXPECT_TRUE (response_to (rig, id)->has ("Retry-After"));
+            refused++;
+            continue;
+          }
+        ASSERT_GT (rig.exchanges.size (), open) << stream.first;
+        Exchange exchange = rig.exchanges.back ();
+        EXPECT_EQ (exchange.header ("Last-Event-Id"), "2");
+        joined += version_at (exchange) != stream.second;
+        gone_on += version_at (exchange) == stream.second;
+        rig.http_head (exchange, 200, stream_head (1));
+        rig.http_done (exchange, GSPAN_HTTP_COMPLETE, 200, stream_head (1), "");
+      }
+  }
+
+  unsigned
+  count_calls (const std::string &kind) const
+  {
+    unsigned count = 0;
+
+    for (const auto &calls : world.call_counts)
+      if (g_str_has_suffix (calls.first.c_str (), (" " + kind).c_str ()))
+        count += calls.second;
+    return count;
+  }
+};
+
+TEST_F (RejoinedStreams, StreamsOfTwoVersionsStayApart)
+{
+  start (6);
+  begin_streams (40);
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 20U);
+}
+
+/* They are told, and kept, as soon as the second version comes. */
+TEST_F (RejoinedStreams, StreamsBegunBeforeTheSecondVersionCame)
+{
+  start (6, "v1");
+  begin_streams (40);
+  put_second ("v2");
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 20U);
+}
+
+TEST_F (RejoinedStreams, VersionThatLeftJustBefore)
+{
+  start (6);
+  begin_streams (40);
+  world.remove ("servers", "d1");
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 10U) << "those of the version that stays";
+}
+
+/* Nobody has ever seen the two side by side. */
+TEST_F (RejoinedStreams, VersionReplacedWhileAllNodesWereDead)
+{
+  start (6, "");
+  begin_streams (20);
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  for (auto &rig : world.rigs)
+    rig->paused = true;
+  put_second ("v2");
+  world.remove ("servers", "d1");
+  world.run (GSPAN_SECOND);
+  for (auto &rig : world.rigs)
+    rig->paused = false;
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_EQ (refused, 20U);
+}
+
+TEST_F (RejoinedStreams, StreamsOfOneVersionGoOn)
+{
+  start (6, "v1");
+  begin_streams (20);
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_EQ (gone_on, 20U);
+}
+
+/* What was kept outlasts a second death soon after the first. */
+TEST_F (RejoinedStreams, AllNodesDieTwice)
+{
+  start (6);
+  begin_streams (40);
+  world.run (GSPAN_SECOND);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      world.restart_all ();
+      world.run (2 * GSPAN_SECOND);
+      begin_streams (2);
+    }
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 22U);
+}
+
+TEST_F (RejoinedStreams, StoreAwayAtTheQuestionIsNoReasonToGuess)
+{
+  start (6, "");
+  begin_streams (20);
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  for (auto &rig : world.rigs)
+    rig->paused = true;
+  put_second ("v2");
+  world.remove ("servers", "d1");
+  for (auto &rig : world.rigs)
+    rig->paused = false;
+  for (unsigned i = 0; i < 300 && !gspan_node_ready (&world.rigs.back ()->node); i++)
+    world.run (10 * GSPAN_MS);
+  world.fault = StoreFault::Unreachable;
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_EQ (refused, 20U);
+}
+
+TEST_F (RejoinedStreams, StoreAwayForAMomentLetsStreamsGoOnLater)
+{
+  start (6);
+  begin_streams (20);
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  world.run (500 * GSPAN_MS);
+  world.fault = StoreFault::Unreachable;
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  world.fault = StoreFault::None;
+  world.run (4 * GSPAN_SECOND);
+  gone_on = 0;
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 10U);
+}
+
+/* One version is left, and those before it are long gone. */
+TEST_F (RejoinedStreams, VersionThatLeftLongAgoRefusesNothing)
+{
+  start (4);
+  world.remove ("servers", "d1");
+  world.run (130 * GSPAN_SECOND);
+  begin_streams (10);
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_EQ (gone_on, 10U);
+}
+
+/* Each call to the store costs. */
+TEST_F (RejoinedStreams, NothingIsKeptWhereNoStreamMayBeResumed)
+{
+  start (4, "v2", "idempotent");
+  for (guint64 id = 1; id < 10; id++)
+    {
+      send_desk_request (*world.rigs[id % 4], id, "a" + std::to_string (id));
+      world.run (100 * GSPAN_MS);
+    }
+  world.run (10 * GSPAN_SECOND);
+  world.restart_all ();
+  world.run (10 * GSPAN_SECOND);
+  EXPECT_EQ (count_calls ("streams"), 0U);
+  EXPECT_EQ (count_calls ("software"), 0U);
+}
+
+TEST_F (RejoinedStreams, FewCallsToTheStore)
+{
+  start (40, "v1");
+  begin_streams (80, 10 * GSPAN_MS);
+  world.run (20 * GSPAN_SECOND);
+  EXPECT_EQ (count_calls ("streams"), 0U) << "one version";
+  EXPECT_LE (count_calls ("software"), 12U);
+  put_second ("v2");
+  begin_streams (400, 10 * GSPAN_MS);
+  world.run (2 * GSPAN_SECOND);
+  EXPECT_LE (count_calls ("streams"), 4U * 2 * 8 + 4) << "four nodes, twice a second";
+  EXPECT_LE (count_calls ("software"), 24U);
+}
