--- a/store/store.c
+++ b/store/store.c
@@ -16,6 +16,7 @@
   g_free (object->name);
   json_decref (object->spec);
   json_decref (object->status);
+  g_free (object->problem);
   g_free (object);
 }
 
--- a/store/store.h
+++ b/store/store.h
@@ -51,6 +51,7 @@
   bool removed;
   json_t *spec;   /* may be NULL */
   json_t *status; /* may be NULL */
+  char *problem;  /* what can't be read of it, and then SPEC and STATUS are NULL; else NULL */
 };
 
 struct GspanStoreReply
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -18,6 +18,7 @@
 {
 #include "common/clock.h"
 #include "node/node.h"
+#include "platform/objects.h"
 }
 
 /*
@@ -41,6 +42,7 @@
   guint64 revision;
   json_t *spec;
   json_t *status;
+  std::string raw; /* text of a spec that may be unreadable; empty where SPEC is it */
 };
 
 struct World;
@@ -243,11 +245,20 @@
     StoredObject &object = objects[kind][name];
     json_decref (object.spec);
     object.spec = value;
+    object.raw.clear ();
     object.revision = ++revision;
     history.push_back ({ revision, { kind, name } });
     wake (kind);
   }
 
+  /* Writes the spec TEXT, which need not be JSON, as another writer may. */
+  void
+  put_raw (const std::string &kind, const std::string &name, const std::string &text)
+  {
+    put (kind, name, "{}");
+    objects[kind][name].raw = text;
+  }
+
   /* Takes an object away without a word to those who watch. */
   void
   remove_without_event (const std::string &kind, const std::string &name)
@@ -403,7 +414,10 @@
         apply_later (item.call);
       }
     else
-      perform (item.call, &reply);
+      {
+        perform (item.call, &reply);
+        send_through_codec (item.call, &reply);
+      }
     if (writes && fault == StoreFault::LostAfter)
       {
         gspan_store_reply_finish (&reply);
@@ -485,6 +499,68 @@
     item->status = object->status != nullptr ? json_deep_copy (object->status) : nullptr;
   }
 
+  /* The object named in REPLY as the store writes it. */
+  std::string
+  object_text (const char *kind, const GspanStoreObject *object)
+  {
+    const std::string &raw = objects[kind][object->name].raw;
+    char *spec = json_dumps (object->spec, JSON_COMPACT);
+    char *status = json_dumps (object->status, JSON_COMPACT);
+    json_t *name = json_string (object->name);
+    char *quoted = json_dumps (name, JSON_ENCODE_ANY);
+    std::string text = std::string ("{\"metadata\":{\"name\":") + quoted
+                       + ",\"revision\":" + std::to_string (object->revision) + "}";
+
+    if (!raw.empty () || spec != nullptr)
+      text += ",\"spec\":" + (raw.empty () ? std::string (spec) : raw);
+    if (status != nullptr)
+      text += std::string (",\"status\":") + status;
+    json_decref (name);
+    free (quoted);
+    free (spec);
+    free (status);
+    return text + "}";
+  }
+
+  /* Makes of REPLY what the codec reads of its text, where it holds an object with a raw spec. */
+  void
+  send_through_codec (const GspanStoreCall &call, GspanStoreReply *reply)
+  {
+    bool list = call.op == GSPAN_STORE_LIST;
+    bool watch = call.op == GSPAN_STORE_WATCH;
+    bool is_raw = false;
+    std::string text;
+    GspanEventHttp answer{};
+    GspanError error{};
+
+    for (guint i = 0; i < reply->objects->len; i++)
+      {
+        auto *object = static_cast<GspanStoreObject *> (g_ptr_array_index (reply->objects, i));
+        std::string one = object->removed
+                              ? std::string ("{\"metadata\":{\"name\":\"") + object->name + "\"}}"
+                              : object_text (call.kind, object);
+
+        is_raw = is_raw || (!object->removed && !objects[call.kind][object->name].raw.empty ());
+        if (watch)
+          one = "{\"object\":" + one + (object->removed ? ",\"deleted\":true}" : "}");
+        text += (i > 0 ? "," : "") + one;
+      }
+    if (!is_raw)
+      return;
+    if (list || watch)
+      text = std::string (list ? "{\"items\":[" : "{\"events\":[") + text
+             + "],\"hasMore\":" + (reply->has_more ? "true" : "false")
+             + ",\"currentRev\":" + std::to_string (reply->revision) + "}";
+    answer.result = GSPAN_HTTP_COMPLETE;
+    answer.status = reply->result == GSPAN_STORE_CONFLICT ? 409 : 200;
+    answer.send_count = 1;
+    answer.body = g_bytes_new (text.data (), text.size ());
+    gspan_store_reply_finish (reply);
+    gspan_store_reply_init (reply);
+    gspan_objects_decode (&call, &answer, reply, &error);
+    g_bytes_unref (answer.body);
+  }
+
   void
   perform (const GspanStoreCall &call, GspanStoreReply *reply)
   {
@@ -554,6 +630,8 @@
 
     json_decref (field);
     field = json_deep_copy (call.value);
+    if (spec)
+      object.raw.clear ();
     object.revision = ++revision;
     history.push_back ({ revision, { call.kind, call.name } });
     fill (reply, call.name, &object);
