node: a message that no JSON can hold isn't sent, and ends nobody

What was seen: a node that got a stream to go on with (Resumes) under an id that is no UTF-8 ended by a segmentation fault. Cause: the question for the stream's origin couldn't be built, and its missing text was measured with strlen. Evidence: OddEntries.RequestWithBytesThatAreNoUtf8EndsNoNode ended by signal 11 before; the stack led from the request to the question. Fix: the one place that all datagrams leave through sends nothing where there is no message. The caller waits as for nodes that don't answer. Result: the test passes.

--- a/node/peers.c
+++ b/node/peers.c
@@ -227,12 +227,13 @@
   action->u.datagram.payload = g_bytes_ref (payload);
 }
 
+/* NULL where MESSAGE couldn't be built: what a caller sent, such as an id, may be no UTF-8. */
 static GBytes *
 encode (json_t *message)
 {
   char *text = json_dumps (message, JSON_COMPACT);
 
-  return g_bytes_new_with_free_func (text, strlen (text), free, text);
+  return text != NULL ? g_bytes_new_with_free_func (text, strlen (text), free, text) : NULL;
 }
 
 void
@@ -242,6 +243,8 @@
   GHashTableIter iter;
   gpointer value;
 
+  if (payload == NULL)
+    return;
   g_hash_table_iter_init (&iter, node->peers.items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -258,6 +261,8 @@
 {
   GBytes *payload = encode (message);
 
+  if (payload == NULL)
+    return;
   send_datagram (udp_address, payload, outbox);
   g_bytes_unref (payload);
 }
