platform: an object that can't be decoded costs itself only

What was seen: one entry that is nested 3,000 deep, holds an integer of 30 digits, 1e999, an escaped NUL or bytes that are no UTF-8, and no node read the list that holds it any more: store-answer-unreadable again and again, not ready after a start, no change followed later. The process didn't end. Cause: a list or a watch's answer was decoded as one text. Fix: a scanner steps over the members of the answer, counts brackets and looks at no number, escape or encoding; each object is decoded by itself. One that can't be has its name and revision from its metadata, and says what is wrong.

--- a/test/decoder_test.cc
+++ b/test/decoder_test.cc
@@ -8,6 +8,8 @@
 {
 #include "common/line.h"
 #include "desk/parse.h"
+#include "platform/json_scan.h"
+#include "platform/object_list.h"
 #include "records/file.h"
 #include "rollout/cursor.h"
 #include "rollout/sample.h"
@@ -347,3 +349,188 @@
   EXPECT_FALSE (gspan_cursor_parse (&cursor, "t", view (text), nullptr));
   gspan_cursor_finish (&cursor);
 }
+
+/* JSON text of at most DEPTH levels, with blanks, escapes, numbers and words. */
+static std::string
+any_json (int depth)
+{
+  static const char *const scalars[] = { "null",
+                                         "true",
+                                         "false",
+                                         "0",
+                                         "-1.5e-7",
+                                         "9007199254740993",
+                                         "\"\"",
+                                         "\"a\\\"]\"",
+                                         "\"\\u007b}\\\\\"",
+                                         "\"\xc3\xa9[\"",
+                                         "\"{\"",
+                                         "1e300" };
+  static const char *const blanks[] = { "", "", "", " ", "\n\t", "\r " };
+  auto blank = [] { return std::string (blanks[*rc::gen::inRange (0, 6)]); };
+  int kind = depth > 0 ? *rc::gen::inRange (0, 4) : 0;
+
+  if (kind < 2)
+    return scalars[*rc::gen::inRange (0, 12)];
+  bool is_object = kind == 3;
+  std::string text = is_object ? "{" : "[";
+  int count = *rc::gen::inRange (0, 5);
+  for (int i = 0; i < count; i++)
+    {
+      text += (i > 0 ? "," : "") + blank ();
+      if (is_object)
+        text += "\"k\\u007" + std::to_string (i) + "]{\"" + blank () + ":" + blank ();
+      text += any_json (depth - 1) + blank ();
+    }
+  return text + (count == 0 ? blank () : "") + (is_object ? "}" : "]");
+}
+
+static json_t *
+load (GspanStr text)
+{
+  return json_loadb (text.data, text.len, JSON_DECODE_ANY, nullptr);
+}
+
+/* Decodes TEXT member by member, as deep as it goes. */
+static json_t *
+load_piecewise (GspanStr text)
+{
+  GspanJsonScan scan;
+
+  gspan_json_scan_init (&scan, text);
+  if (scan.failed)
+    return load (text);
+  json_t *whole = text.data[0] == '{' ? json_object () : json_array ();
+  while (gspan_json_scan_next (&scan))
+    {
+      json_t *member = load_piecewise (scan.value);
+      RC_ASSERT (member != nullptr);
+      if (json_is_array (whole))
+        json_array_append_new (whole, member);
+      else
+        {
+          json_t *key = load (scan.key);
+          RC_ASSERT (gspan_json_scan_key_is (&scan, json_string_value (key)));
+          json_object_set_new (whole, json_string_value (key), member);
+          json_decref (key);
+        }
+    }
+  RC_ASSERT (!scan.failed);
+  return whole;
+}
+
+RC_GTEST_PROP (JsonScan, DocumentInPiecesIsTheWholeDocument, ())
+{
+  std::string text = "[" + any_json (4) + "," + any_json (5) + "," + any_json (5) + "]";
+  json_t *whole = load (view (text));
+  json_t *pieces = load_piecewise (view (text));
+
+  RC_ASSERT (whole != nullptr);
+  RC_ASSERT (json_equal (whole, pieces) == 1);
+  json_decref (whole);
+  json_decref (pieces);
+}
+
+/* What a decoder takes, the scanner takes; where it finds an end, all that it found is in the text.
+ */
+RC_GTEST_PROP (JsonScan, DamagedDocumentIsScannedWithinItsBytes, ())
+{
+  std::string text = damage ("[" + any_json (4) + "," + any_json (4) + "]");
+  json_t *whole = json_loadb (text.data (), text.size (), 0, nullptr);
+  GspanJsonScan scan;
+  size_t members = 0;
+
+  gspan_json_scan_init (&scan, view (text));
+  while (gspan_json_scan_next (&scan))
+    {
+      members++;
+      RC_ASSERT (scan.value.data >= text.data ());
+      RC_ASSERT (scan.value.data + scan.value.len <= text.data () + text.size ());
+      RC_ASSERT (scan.value.len > 0U);
+    }
+  RC_ASSERT (!gspan_json_scan_next (&scan));
+  if (json_is_array (whole))
+    RC_ASSERT (!scan.failed && members == json_array_size (whole));
+  json_decref (whole);
+}
+
+RC_GTEST_PROP (JsonScan, AnyBytesAreScannedToAnEnd, (const std::string &text))
+{
+  GspanJsonScan scan;
+
+  gspan_json_scan_init (&scan, view (text));
+  while (gspan_json_scan_next (&scan))
+    RC_ASSERT (scan.value.data + scan.value.len <= text.data () + text.size ());
+}
+
+static std::string
+any_object (int index)
+{
+  return "{\"metadata\":{\"name\":\"n" + std::to_string (index)
+         + "\",\"revision\":" + std::to_string (index + 1) + "},\"spec\":" + any_json (3)
+         + ",\"status\":" + any_json (2) + "}";
+}
+
+/* An odd object among sound ones leaves these as they are. */
+RC_GTEST_PROP (ObjectList, SoundObjectsAreReadAsIfTheOddOnesWereNotThere, ())
+{
+  static const char *const odd[]
+      = { "1e999",  "123456789012345678901234567890", "\"\\u0000\"", "\"\xff\"", "nil", "[}",
+          "\"\\q\"" };
+  std::string text = "{\"items\":[";
+  std::vector<std::string> sound;
+  int count = *rc::gen::inRange (1, 8);
+
+  for (int i = 0; i < count; i++)
+    {
+      bool is_odd = *rc::gen::arbitrary<bool> ();
+      std::string object = any_object (i);
+
+      if (is_odd)
+        object.insert (object.size () - 1, std::string (",\"x\":") + odd[*rc::gen::inRange (0, 7)]);
+      sound.push_back (is_odd ? "" : object);
+      text += (i > 0 ? "," : "") + object;
+    }
+  text += "],\"hasMore\":true,\"currentRev\":99}";
+  GspanStoreReply reply{};
+  GspanError error{};
+  gspan_store_reply_init (&reply);
+  RC_ASSERT (gspan_object_list_read (view (text), &reply, &error));
+  RC_ASSERT (reply.objects->len == guint (count));
+  RC_ASSERT (reply.has_more && reply.revision == 99U);
+  for (int i = 0; i < count; i++)
+    {
+      auto *object = static_cast<GspanStoreObject *> (g_ptr_array_index (reply.objects, i));
+
+      RC_ASSERT (object->name == "n" + std::to_string (i) && object->revision == guint64 (i + 1));
+      RC_ASSERT ((object->problem != nullptr) == sound[i].empty ());
+      json_t *whole = load (view (sound[i]));
+      RC_ASSERT (sound[i].empty () || json_equal (object->spec, json_object_get (whole, "spec")));
+      RC_ASSERT (sound[i].empty ()
+                 || json_equal (object->status, json_object_get (whole, "status")));
+      json_decref (whole);
+    }
+  gspan_store_reply_finish (&reply);
+}
+
+RC_GTEST_PROP (ObjectList, DamagedAnswersAreReadOrRefusedWithAReason, ())
+{
+  std::string text = damage ("{\"items\":[" + any_object (1) + "," + any_object (2)
+                             + "],\"events\":[{\"object\":" + any_object (3)
+                             + ",\"deleted\":true}],\"hasMore\":true,\"currentRev\":9}");
+  GspanStoreReply reply{};
+  GspanError error{};
+
+  for (auto *read :
+       { gspan_object_list_read, gspan_object_list_read_events, gspan_object_list_read_one })
+    {
+      gspan_store_reply_init (&reply);
+      error = {};
+      if (!read (view (text), &reply, &error))
+        RC_ASSERT (reply.objects->len == 0U && error.message[0] != '\0');
+      for (guint i = 0; i < reply.objects->len; i++)
+        RC_ASSERT (static_cast<GspanStoreObject *> (g_ptr_array_index (reply.objects, i))->name
+                   != nullptr);
+      gspan_store_reply_finish (&reply);
+    }
+}
