soak: writes that are done though no answer says so, and jobs that are given up

Callers saw batch jobs that were answered 429 or 503 at every try and whose items ran. The soak couldn't show it: its store had faults per node and for a time only, its trainer submitted each job until it was accepted, and no check looked at refused jobs.

New faults: "repeat" (a write is done, its connection reset, the next sendings of the same call refused with 503 or 429) and "late" (a write is done 1 to 6 s later where its condition still holds; reset or silence). A second trainer submits small jobs while the store has faults, and gives each up after two to four tries. New check, REFUSED: items of a job that was refused at every try and reached a replica, also after the last answer; and calls that may run once, answered 408, 421, 429 or 503, that ran before or after.

The run's own tasks end before its nodes do, so that none starts a node again afterwards.

--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -45,6 +45,10 @@
         self.endless = 0  # answers without end
         self.memory_mb = 0  # the most that a node used
         self.most_of_limit = 0.0  # the largest share of what a limit allows that reached a replica
+        self.jobs = defaultdict(list)  # batch job to the statuses of its tries, 0 where no answer came
+        self.refused_calls = {}  # attempt of a call that may run once to the status that promised it doesn't
+        self.writes_unheard = 0
+        self.jobs_refused = 0  # at every try
         self.broken = []
 
     # What is seen.
@@ -93,6 +97,9 @@
     def text_made(self, item):
         self.texts_made.setdefault(item, self.now())
 
+    def job_answered(self, job, status):
+        self.jobs[job].append(status)
+
     def client_sends(self, attempt, node):
         self.sent[attempt] = (node, self.now())
 
@@ -116,6 +123,8 @@
             self.left.setdefault((node, headers["x-server-stamp"]), self.now())
         if status == 200 and (body != path.encode() or not headers.get("x-server-stamp")):
             self.broken.append(f"MIXED {attempt} at {node}: the answer isn't the replica's")
+        if status in (408, 421, 429, 503) and path.startswith("/calls/"):
+            self.refused_calls[attempt] = status
         if status in (429, 503) and headers.get("x-server-stamp") is None:
             if attempt in self.runs:
                 self.broken.append(f"REFUSED {attempt} at {node}: answered {status} and had run")
@@ -188,6 +197,21 @@
         if peak_mb > most_mb:
             self.broken.append(f"MEMORY {node}: {peak_mb} MB at its peak, a VM has {most_mb}")
 
+    def check_refused(self):
+        """What was refused has not run and never does: calls by attempt, batch jobs by all tries together."""
+        for attempt, status in self.refused_calls.items():
+            if attempt in self.runs:
+                self.broken.append(f"REFUSED {attempt}: answered {status} and ran at {self.runs[attempt]}")
+        ran = defaultdict(list)
+        for attempt in self.runs:
+            ran[attempt.rpartition("-")[0]].append(attempt)
+        for job, statuses in self.jobs.items():
+            if set(statuses) <= {408, 421, 429, 503}:
+                self.jobs_refused += 1
+                if ran[job]:
+                    self.broken.append(f"REFUSED {job}: answered {statuses} and {len(ran[job])} items ran, "
+                                       f"{ran[job][0]} at {self.runs[ran[job][0]]}")
+
     def check_software(self):
         """The pages bear two such streams; none is known to be allowed here."""
         self.broken += [f"ORDER {line}" for line in self.mixed]
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -17,8 +17,9 @@
 import time
 
 import book as books
+import trainers
 import wire
-from replica import EVENTS, FAILING_SCORE, KILLER, SCORE, Replica
+from replica import EVENTS, KILLER, Replica
 from store import Store
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -36,7 +37,7 @@
 # Each run that failed has a folder there.
 FAILED_RUNS = os.environ.get("GSPAN_SOAK_FAILED", os.path.join(tempfile.gettempdir(), "gspan-soak-failed"))
 FAILED_RUNS_KEPT = 20
-NAMES = r"\bi-[a-z]+-\d+|\ba\d+\b|\bs\d+\b|\bj\d+-\d+(?:-\d+)?"  # of replicas, attempts, jobs and items
+NAMES = r"\bi-[a-z]+-\d+|\ba\d+\b|\bs\d+\b|\b[jh]\d+-\d+(?:-\d+)?"  # of replicas, attempts, jobs and items
 LINES_SHOWN = 150  # of the logs, on a failure
 
 CONFIG = {
@@ -106,7 +107,7 @@
         self.folder = folder
         self.random = random.Random(options.seed)
         self.started = time.monotonic()
-        self.store = Store()
+        self.store = Store(self.random)
         self.book = books.Book(self.now)
         self.replicas = []
         self.servers = []  # of all replicas that were ever started
@@ -235,55 +236,6 @@
             await self.ask(f"/{route}{KILLER}{number}")
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
 
-    async def trainer(self):
-        """A batch job every few seconds, read to its end."""
-        step = 0
-        while self.now() < self.options.seconds - 8:
-            step += 1
-            job = f"j{self.options.seed}-{step}"
-            items = [{"id": f"{job}-{i}", "path": f"/batch/{job}-{i}", "headers": {"X-Model": "m0"}, "body": "aGk=",
-                      "tokenCount": 10, "group": f"g{i // 4}"} for i in range(16)]
-            if step % 2 == 0:
-                for item in items:
-                    fails = self.random.random() < 0.1
-                    item["scorer"] = {"id": f"{item['id']}-score", "host": "a.example", "body": "aGk=",
-                                      "path": f"{FAILING_SCORE if fails else SCORE}{item['id']}"}
-                    self.book.scorers[item["id"]] = fails
-            body = json.dumps({"step": step, "model": "m0", "minVersion": 0, "desiredCount": 4, "items": items})
-            headers = {"Host": "a.example", "X-Attempt-Id": job}
-            await self.until_accepted(f"/batch/{job}", headers, body.encode())
-            self.go(self.read_job(job, {f"{job}-{i}" for i in range(16)}))
-            await asyncio.sleep(3)
-
-    async def until_accepted(self, path, headers, body):
-        while self.now() < self.options.seconds:
-            answer = await wire.call(self.random.choice(self.nodes).front, "POST", path, headers, body)
-            if answer is not None and answer[0] == 202:
-                return
-            await asyncio.sleep(0.3)
-
-    async def read_job(self, job, wanted):
-        seen = []
-        while len(seen) < len(wanted) and self.now() < self.options.seconds + 20:
-            answer = await wire.call(self.random.choice(self.nodes).front, "GET",
-                                     f"/api/lots/{job}?after={len(seen)}", {"Host": "a.example"})
-            if answer is not None and answer[0] == 200:
-                results = json.loads(answer[2])["results"]
-                seen += [r["id"] for r in results]
-                for result in results:
-                    lines = [line.rpartition("@") for line in result["output"].split("\n")]
-                    text = [f"/batch/{result['id']}-{n}" for n in range(1, EVENTS + 1)]
-                    if len({software for _, _, software in lines}) > 1:
-                        self.book.mixed.append(f"{result['id']}: {result['output']!r}")
-                    self.book.check_score(result)
-                    if self.book.scorers.get(result["id"]) and result["state"] == "abandoned":
-                        continue
-                    if result["state"] != "completed" or [line for line, _, _ in lines] != text:
-                        self.book.broken.append(f"MIXED {result['id']}: {result['state']} {result['output']!r}")
-            await asyncio.sleep(0.4)
-        if sorted(seen) != sorted(wanted):
-            self.book.broken.append(f"LOST {job}: {len(seen)} of {len(wanted)} results, {len(set(seen))} different")
-
     # Faults.
 
     async def leave(self):
@@ -417,6 +369,26 @@
         await self.store_fault(self.random.sample(self.nodes, max(1, len(self.nodes) // 3)))
         self.book.store_disturbed.append((start, self.now()))
 
+    async def write_fault(self, kind):
+        """Some writes of some nodes are done though no answer says so."""
+        start = self.now()
+        nodes = self.random.sample(self.nodes, self.random.randint(1, len(self.nodes)))
+        ends = [self.book.disturb(node.name) for node in nodes]
+        self.store.writes.nodes.update({node.name: kind for node in nodes})
+        await asyncio.sleep(self.random.uniform(1, 6))
+        for node in nodes:
+            self.store.writes.nodes.pop(node.name, None)
+            self.store.break_connections(node.name)
+        for end in ends:
+            end()
+        self.book.store_disturbed.append((start, self.now()))
+
+    async def repeat(self):
+        await self.write_fault("repeat")
+
+    async def late(self):
+        await self.write_fault("late")
+
     async def forget_history(self):
         self.store.forget_history()
 
@@ -458,7 +430,7 @@
                  "some": self.store_turns_some_away, "forget": self.forget_history, "watches": self.cut_watches,
                  "kill": self.kill_node, "term": self.stop_node, "freeze": self.freeze_node, "limit": self.limit,
                  "newer": self.newer, "burst": self.burst, "cut": self.cut, "flap": self.flap,
-                 "endless": self.endless}
+                 "endless": self.endless, "repeat": self.repeat, "late": self.late}
         chosen = [kinds[name] for name in self.options.faults.split(",") if name]
         await asyncio.sleep(START_S)
         while chosen and self.now() < self.options.seconds - 6:
@@ -488,7 +460,7 @@
         work = [self.client(i) for i in range(self.options.clients)]
         work += [self.reader(i) for i in range(self.options.readers)]
         work += [self.killer(i) for i in range(self.options.killers)]
-        await asyncio.gather(self.faults(), self.trainer(), *work)
+        await asyncio.gather(self.faults(), trainers.train(self), trainers.train_hastily(self), *work)
         while any("read_job" in repr(task) for task in self.tasks):
             await asyncio.sleep(0.2)
         self.book.check_leaving_by_answer()
@@ -496,17 +468,22 @@
         self.book.check_crashing_requests()
         self.book.check_limits()
         self.book.check_software()
+        self.book.check_refused()
+        self.book.writes_unheard = self.store.writes.count
         self.book.check_served_during_cuts()
         for node in self.nodes:
             self.book.check_memory(node.name, node.peak_mb(), self.options.memory_mb)
 
     async def stop(self):
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.sleep(0)  # tasks that would start a node again end before the nodes do
         for node in self.nodes:
             if node.popen is not None and node.popen.poll() is None:
                 node.kill()
         for server in self.servers + list(self.store.servers.values()):
             server.stop()
-        for task in list(self.tasks):
+        for task in list(self.store.writes.tasks):
             task.cancel()
         await asyncio.sleep(0.2)  # lets connections and tasks end before the loop closes
 
@@ -584,6 +561,7 @@
         print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()},
               f"most of a limit {book.most_of_limit:.2f}, streams begun {len(book.streams[False])}, taken up "
               f"{len(book.streams[True])} of which {sum(book.streams[True])} went on, endless answers {book.endless}, {book.memory_mb} MB, "
+              f"writes done unheard {book.writes_unheard}, jobs refused at every try {book.jobs_refused}, "
               f"served at cut nodes {[round(share, 2) for share in book.cut_shares]}")
     for line in book.broken:
         print(line)
--- a/test/soak/store.py
+++ b/test/soak/store.py
@@ -5,12 +5,13 @@
 import json
 
 from wire import Broken, Reply, Server
+from writes import WriteFaults
 
 
 class Store:
     """Each node has a port of its own, so that faults can hit single nodes."""
 
-    def __init__(self):
+    def __init__(self, random):
         self.objects = {}  # kind to name to object
         self.revision = 8
         self.history = []  # (revision, kind, object, deleted)
@@ -18,6 +19,7 @@
         self.changed = asyncio.Condition()
         self.faults = {}  # node to "busy", "silent", "reset", "lost" or "slow"
         self.servers = {}  # node to Server
+        self.writes = WriteFaults(random, self.act)
 
     async def open_port(self, node):
         async def handler(request, _):
@@ -63,6 +65,9 @@
             await asyncio.sleep(3600)
         if fault == "slow":
             await asyncio.sleep(0.3)
+        faulty = await self.writes.serve(node, request) if request.method != "GET" else None
+        if faulty is not None:
+            return faulty
         reply = await self.act(request)
         if self.faults.get(node) == "silent":
             await asyncio.sleep(3600)
