test: a request that may run once goes out once on both legs through another node

Eight requests at a node without links, whose answers are lost at the node in between: each reaches one replica, over new connections, and is answered 502.

--- a/test/repeats_test.cc
+++ b/test/repeats_test.cc
@@ -170,3 +170,34 @@
       world.hop_log.clear ();
     }
 }
+
+/* Neither node's HTTP client repeats it, nor does one of them try another replica. */
+TEST_F (Repeats, RequestThatMayRunOnceGoesOutOnceOnBothLegs)
+{
+  Rig &rig = start_nodes (2);
+  unsigned reached = 0;
+
+  set_type ("non_idempotent");
+  rig.cut_from_replicas = true;
+  for (int i = 0; i < 8; i++)
+    {
+      send (rig);
+      for (int step = 0; step < 100; step++)
+        {
+          world.run (10 * GSPAN_MS);
+          for (const auto &hop : world.hops)
+            EXPECT_TRUE (hop.exchange.new_connection);
+          for (const auto &exchange : std::vector<Exchange> (rig.exchanges))
+            answer (rig, exchange);
+          for (const auto &exchange : std::vector<Exchange> (world.rigs[1]->exchanges))
+            {
+              EXPECT_TRUE (exchange.new_connection);
+              reached++;
+              world.rigs[1]->http_done (exchange, GSPAN_HTTP_LOST, 0, {}, "");
+            }
+        }
+      EXPECT_EQ (status_of (rig, last_id), 502);
+      EXPECT_EQ (reached, (unsigned)i + 1);
+      world.run (20 * GSPAN_SECOND);
+    }
+}
