--- a/test/store_wire_test.cc
+++ b/test/store_wire_test.cc
@@ -7,6 +7,7 @@
 #include "common/clock.h"
 #include "http/client.h"
 #include "platform/objects.h"
+#include "shell/platform.h"
 }
 
 /* Calls to the platform's store over real sockets: what may be said of a write that failed. */
@@ -151,3 +152,49 @@
   EXPECT_EQ (run (GSPAN_STORE_GET), GSPAN_STORE_OK);
   EXPECT_EQ (reply.send_count, 2U);
 }
+
+/* The other daemons' objects. */
+TEST_F (StoreWire, ObjectWriteWhoseConnectionEndsIsUnknownToo)
+{
+  struct Seen
+  {
+    GspanObjectResult result;
+    unsigned sends;
+    bool done;
+  };
+  Seen seen{};
+  GspanHttpClient *daemon = gspan_http_client_new (
+      wire.loop,
+      [] (void *user, const GspanEvent *event) {
+        *static_cast<Seen *> (user) = { gspan_platform_result (GSPAN_OBJECT_PUT, &event->u.http),
+                                        event->u.http.send_count, true };
+      },
+      &seen);
+
+  server.script = { { answer_of ("200 OK", "{}"), false },
+                    { "", true },
+                    { answer_of ("503 Service Unavailable", ""), true } };
+  for (auto expected : { GSPAN_OBJECT_OK, GSPAN_OBJECT_UNKNOWN })
+    {
+      GspanActionObject object{};
+      GspanActionHttp http{};
+
+      object.op = GSPAN_OBJECT_PUT;
+      object.path = const_cast<char *> ("leases/a");
+      object.body = g_bytes_new_static ("{}", 2);
+      gspan_headers_init (&http.headers);
+      gspan_platform_request (&object, server.address.c_str (), &http);
+      seen = {};
+      gspan_http_client_start (daemon, { GSPAN_OWNER_JOBS, 1 }, &http);
+      EXPECT_TRUE (wire.run_until ([&] { return seen.done; }));
+      EXPECT_EQ (seen.result, expected);
+      EXPECT_EQ (seen.sends, 1U);
+      gspan_headers_finish (&http.headers);
+      g_bytes_unref (http.body);
+      g_bytes_unref (object.body);
+      g_free (http.method);
+      g_free (http.url);
+    }
+  EXPECT_EQ (server.requests, 2U);
+  gspan_http_client_free (daemon);
+}
