shell: the other daemons' writes to objects are sent once too

A lease's or a status's write was sent again by the HTTP library, and 503 or 429 to that was taken for "nothing was done". No harm was seen: their writes are bound to revisions, and a lease reads before it writes again.

As in platform/objects.c: one sending for each write, and a refusal speaks for a single sending only.

StoreWire.ObjectWriteWhoseConnectionEndsIsUnknownToo failed before and passes; lease, lease_fleet and control tests pass.

--- a/shell/platform.c
+++ b/shell/platform.c
@@ -43,6 +43,8 @@
   http->url = make_url (object, address);
   http->body = object->body != NULL ? g_bytes_ref (object->body) : NULL;
   http->timeout_us = CALL_TIMEOUT_US + (watch ? WATCH_WAIT_US : 0);
+  /* An answer to a second sending wouldn't tell whether the first one was done. */
+  http->send_once = gspan_platform_writes (object->op);
   if (object->body != NULL)
     gspan_headers_add (&http->headers, "Content-Type", GSPAN_STR ("application/json"));
 }
@@ -68,8 +70,8 @@
     case 410:
       return GSPAN_OBJECT_GAP;
     case 429:
-    case 503:
-      return GSPAN_OBJECT_UNAVAILABLE;
+    case 503: /* speaks of the last sending only */
+      return answer->send_count > 1 ? lost : GSPAN_OBJECT_UNAVAILABLE;
     default:
       return lost;
     }
