--- a/test/late_writes_test.cc
+++ b/test/late_writes_test.cc
@@ -136,3 +136,35 @@
   EXPECT_EQ (world.objects[GSPAN_VERDICTS_KIND].count (name), 0U);
   g_free (name);
 }
+
+TEST_F (LateWrites, CheckpointDoesNotReplaceALaterOne)
+{
+  Rig &rig = start_nodes (2);
+  auto stored_events = [&] {
+    json_t *items = json_object_get (world.objects["job-j1"]["checkpoint"].spec, "items");
+    return json_integer_value (json_object_get (json_array_get (items, 0), "events"));
+  };
+  auto stream = [&] (unsigned first, unsigned last) {
+    Exchange run = open_runs (rig)[0];
+    rig.http_head (run, 200, stream_head (1));
+    for (unsigned id = first; id <= last; id++)
+      rig.http_data (run, 200, stream_head (1), sse (id));
+  };
+
+  submit_job (rig, 1, "j1", 1);
+  world.run (200 * GSPAN_MS);
+  stream (1, 50);
+  world.run (2500 * GSPAN_MS);
+  ASSERT_EQ (stored_events (), 50);
+  fail_next (GSPAN_STORE_REPLACE, "job-j1", StoreFault::AppliedLate);
+  stream (51, 100);
+  for (int i = 0; i < 300 && faults == 0; i++)
+    world.run (10 * GSPAN_MS);
+  ASSERT_EQ (faults, 1U);
+  stream (101, 150);
+  rig.drain ();
+  world.run (500 * GSPAN_MS);
+  EXPECT_EQ (stored_events (), 150);
+  world.run (GSPAN_SECOND);
+  EXPECT_EQ (stored_events (), 150);
+}
