jobs: a checkpoint that is done late doesn't replace a later one

A checkpoint without an answer could be written by the store seconds later, over the one that followed; the next owner then generated again what the later one had kept. No wrong text came of it, since a checkpoint stays valid however old it is.

A replacement is bound to the revision of the checkpoint that this node has read or written, as all other writes of jobs are but the status, which has one value only.

--- a/jobs/checkpoint.c
+++ b/jobs/checkpoint.c
@@ -185,6 +185,8 @@
   call = gspan_jobs_start_call (node, GSPAN_JOB_WRITE_CHECKPOINT, job->id,
                                 job->has_checkpoint ? GSPAN_STORE_REPLACE : GSPAN_STORE_CREATE,
                                 job->content_kind, gspan_checkpoint_name, outbox, &job_call);
+  /* else one that is done late would replace a later one */
+  call->revision = job->has_checkpoint ? job->checkpoint_revision : 0;
   call->value = encode_checkpoint (node, job, last ? HANDOVER_EVENTS_MIN : NEW_EVENTS_MIN);
   job->checkpoint_call = job_call->id;
   job->next_checkpoint_at_us = node->now + CHECKPOINT_INTERVAL_US;
@@ -211,6 +213,7 @@
 gspan_checkpoint_write_done (struct GspanNode *node, struct GspanJob *job,
                              const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
 {
+  const struct GspanStoreObject *object = gspan_store_reply_first (reply);
   struct GspanLine line;
 
   job->checkpoint_call = 0;
@@ -221,20 +224,22 @@
                   node->now + CHECKPOINT_INTERVAL_US - job->next_checkpoint_at_us);
   gspan_outbox_log (outbox, "jobs", GSPAN_PRIORITY_INFO, &line);
   /*
-   * A create with a lost reply may have succeeded. The next create conflicts then, and the write
-   * after that replaces the object.
+   * A write with a lost reply may have succeeded. The next create conflicts then, and the write
+   * after that replaces the object, whose revision the conflict tells.
    */
   job->has_checkpoint = reply->result == GSPAN_STORE_OK || reply->result == GSPAN_STORE_CONFLICT;
+  job->checkpoint_revision = object != NULL ? object->revision : 0;
   if (reply->result != GSPAN_STORE_OK && job->content_loaded)
     mark_unwritten (job);
 }
 
 void
-gspan_checkpoint_set (struct GspanJob *job, json_t *spec)
+gspan_checkpoint_set (struct GspanJob *job, const struct GspanStoreObject *object)
 {
   job->has_checkpoint = true;
+  job->checkpoint_revision = object->revision;
   json_decref (job->checkpoint);
-  job->checkpoint = json_incref (spec);
+  job->checkpoint = json_incref (object->spec);
 }
 
 static void
--- a/jobs/checkpoint.h
+++ b/jobs/checkpoint.h
@@ -4,6 +4,7 @@
 
 struct GspanNode;
 struct GspanOutbox;
+struct GspanStoreObject;
 struct GspanStoreReply;
 
 /*
@@ -36,8 +37,8 @@
 void gspan_checkpoint_write_done (struct GspanNode *node, struct GspanJob *job,
                                   const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
 
-/* Keeps the checkpoint SPEC, read from the store, until gspan_checkpoint_restore (). */
-void gspan_checkpoint_set (struct GspanJob *job, json_t *spec);
+/* Keeps the checkpoint OBJECT, read from the store, until gspan_checkpoint_restore (). */
+void gspan_checkpoint_set (struct GspanJob *job, const struct GspanStoreObject *object);
 
 /* Restores the items of JOB from its checkpoint, right after the content was loaded. */
 void gspan_checkpoint_restore (struct GspanJob *job);
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -115,6 +115,7 @@
   guint64 next_write_at_us;        /* no segment is appended and no handover tried earlier */
   guint64 append_failing_since_us; /* 0 if the last append succeeded */
   bool has_checkpoint;             /* the store has a checkpoint (jobs/checkpoint.h) */
+  guint64 checkpoint_revision;     /* of that; 0 is not known */
   json_t *checkpoint;              /* as read, until the content is loaded; NULL if there is none */
   guint64 checkpoint_call;
   guint64 next_checkpoint_at_us; /* no periodic checkpoint is written earlier */
--- a/jobs/segments.c
+++ b/jobs/segments.c
@@ -125,7 +125,7 @@
   if (object->removed)
     return;
   if (strcmp (object->name, gspan_checkpoint_name) == 0)
-    gspan_checkpoint_set (job, object->spec);
+    gspan_checkpoint_set (job, object);
   else if (gspan_job_parse_part (object->name, &number))
     add_part (job, object, number);
   else if (gspan_job_parse_segment (object->name, &number))
