gateway: what is known of streams' versions outlasts the nodes

Callers whose streams had broken off when all VMs were killed took them up and got the rest from another software version than the first part.

Cause: which version began a stream, and which versions served lately, was known to processes only. After a restart of all of them the one version in the list of replicas counted as the only one there had ever been, and the stream went on with it. Where the list still had both, no stream went on.

The versions that a service has had lately now stand in the store, one object a service. A node that has run for less than two minutes reads it before it goes on with a stream that no node knows. While a service has several versions, the origins of its streams are kept there too, by two of four nodes that are told of each; a node whose peers don't know a stream lists them. What neither knows is refused with 503, also while the store is away. A stream that goes on since there is only one version is kept to that one.

A version that left long ago no longer makes a service count as mixed for good; it did or didn't by the order of a hash table.

Builds before this one neither read nor write the two kinds; their datagrams are read as before, and they ignore the new field in ours.

--- a/board/board.c
+++ b/board/board.c
@@ -133,6 +133,7 @@
     case GSPAN_OWNER_VERDICTS:
     case GSPAN_OWNER_LINKS:
     case GSPAN_OWNER_RELAY:
+    case GSPAN_OWNER_STREAMS:
       break;
     }
 }
--- a/board/message.h
+++ b/board/message.h
@@ -32,7 +32,8 @@
   GSPAN_OWNER_WEIGHTS,
   GSPAN_OWNER_VERDICTS,
   GSPAN_OWNER_LINKS,
-  GSPAN_OWNER_RELAY
+  GSPAN_OWNER_RELAY,
+  GSPAN_OWNER_STREAMS
 };
 
 /* Names one operation: ID is chosen by OWNER and unique among its open operations. */
--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -87,7 +87,7 @@
 drop_replica (struct GspanNode *node, struct GspanReplica *replica, struct GspanOutbox *outbox)
 {
   note_end (node, replica, outbox);
-  gspan_streams_note_version (node, replica->service, replica->software);
+  gspan_versions_note (node, replica->service, replica->software);
   g_hash_table_remove (node->catalog.replicas, replica->id);
 }
 
@@ -148,7 +148,7 @@
       gspan_wire_read_replica (object->spec, replica, &error);
       replica->leaving = replica->leaving || gspan_leaving_has (&node->catalog.leaving, replica);
       replica->remove_at = 0;
-      gspan_streams_note_version (node, replica->service, replica->software);
+      gspan_versions_note (node, replica->service, replica->software);
       if (changed)
         log_replica (node, replica, "upstream-state", object->revision, outbox);
     }
@@ -184,7 +184,7 @@
         continue;
       log_replica (node, replica, "upstream-gone", 0, outbox);
       note_end (node, replica, outbox);
-      gspan_streams_note_version (node, replica->service, replica->software);
+      gspan_versions_note (node, replica->service, replica->software);
       g_hash_table_iter_remove (&iter);
     }
 }
--- a/gateway/calls.h
+++ b/gateway/calls.h
@@ -42,7 +42,8 @@
   struct GspanEvents events;
   char *software; /* version that the stream goes on at; NULL is any */
   char *resumes;  /* attempt that brought the first event of a stream taken up; NULL is none */
-  guint64 origin_until; /* RESUMES is asked for until then; 0 is not asked */
+  guint64 origin_until; /* other nodes are asked for RESUMES until then; 0 is not asked */
+  guint64 store_until;  /* the store is, likewise */
 };
 
 struct GspanAttempt
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -11,6 +11,7 @@
 
 #define DEADLINE_DEFAULT_US (60 * GSPAN_SECOND) /* of a call whose caller and route name none */
 #define ORIGIN_WAIT_US (60 * GSPAN_MS)          /* for other nodes' answers about a stream */
+#define STORE_WAIT_US (400 * GSPAN_MS)          /* for the store's answers about it */
 #define VERSION_GONE_WAIT_US (GSPAN_SECOND)     /* until a stream's version may be back */
 #define STARTING_WAIT_US (500 * GSPAN_MS)       /* until a starting node knows its configuration */
 
@@ -102,9 +103,10 @@
   gspan_line_cstr (&line, "resumes", call->resumes);
   gspan_line_cstr (&line, "service", call->service);
   gspan_line_cstr (&line, "software", software != NULL ? software : "");
-  gspan_line_u64 (&line, "several_versions", gspan_streams_is_mixed (node, call->service));
+  gspan_line_u64 (&line, "several_versions", gspan_versions_is_mixed (node, call->service));
   gspan_line_u64 (&line, "last_event", call->last_event);
   gspan_line_u64 (&line, "asked", call->origin_until != 0);
+  gspan_line_u64 (&line, "asked_store", call->store_until != 0);
   gspan_line_u64 (&line, "elapsed_us", node->now - call->started);
   gspan_line_u64 (&line, "list_age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
@@ -122,31 +124,88 @@
   return node->now < call->origin_until;
 }
 
+/*
+ * True where all is known that the store could tell of the stream, which no node knows: the origins
+ * that were kept, where the service has several versions, else whether it had others lately.
+ */
+static bool
+has_asked_store (const struct GspanNode *node, const struct GspanCall *call)
+{
+  if (gspan_versions_is_mixed (node, call->service))
+    return gspan_origin_store_is_read (node, call->started);
+  return gspan_version_history_is_known (node, call->service);
+}
+
+/* Asks the store about CALL's stream. True while its answer may come. */
+static bool
+wait_for_store (struct GspanNode *node, struct GspanCall *call)
+{
+  if (has_asked_store (node, call))
+    return false;
+  if (call->store_until == 0)
+    call->store_until = MIN (node->now + STORE_WAIT_US, call->state.deadline_us);
+  if (node->catalog.store_fails || node->now >= call->store_until)
+    return false;
+  if (gspan_versions_is_mixed (node, call->service))
+    gspan_origin_store_want (node);
+  else
+    gspan_version_history_want (node, call->service);
+  return true;
+}
+
+/* Why a stream that began at SOFTWARE, NULL where nobody knows, can't go on; NULL where it can. */
+static const char *
+why_not_resumed (const struct GspanNode *node, const struct GspanCall *call, const char *software)
+{
+  if (software == NULL && gspan_versions_is_mixed (node, call->service))
+    return "the version that began the stream isn't known";
+  if (software == NULL && !has_asked_store (node, call))
+    return "the versions that served lately aren't known";
+  if (software != NULL
+      && !gspan_pick_has_software (node->catalog.replicas, call->service, software))
+    return "no replica of the version that began the stream";
+  return NULL;
+}
+
+/* The only version that CALL's service has had lately; NULL where it has had none. */
+static char *
+only_version (const struct GspanNode *node, const struct GspanCall *call)
+{
+  GHashTable *lately = gspan_versions_lately (node, call->service);
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  g_hash_table_iter_init (&iter, lately);
+  if (g_hash_table_iter_next (&iter, &key, NULL))
+    key = g_strdup (key);
+  g_hash_table_unref (lately);
+  return key;
+}
+
 /*
  * Goes on with a stream that the caller takes up again, at the software version that began it. If
  * that isn't known here, the other nodes are asked first, even where only one version is known: a
- * node that was suspended hasn't heard of another one yet.
+ * node that was suspended hasn't heard of another one yet. Then the store is: all nodes may have
+ * died meanwhile.
  */
 static void
 resume_stream (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
   const char *software = gspan_streams_find (&node->streams, call->resumes);
+  const char *why;
 
-  if (software == NULL && wait_for_origin (node, call, outbox))
+  if (software == NULL && (wait_for_origin (node, call, outbox) || wait_for_store (node, call)))
     return;
   log_resumption (node, call, software, outbox);
-  if (software == NULL && gspan_streams_is_mixed (node, call->service))
+  why = why_not_resumed (node, call, software);
+  if (why != NULL)
     {
-      refuse_resumption (node, call, "the version that began the stream isn't known", outbox);
+      refuse_resumption (node, call, why, outbox);
       return;
     }
   g_clear_pointer (&call->resumes, g_free);
-  call->software = g_strdup (software);
-  if (software != NULL
-      && !gspan_pick_has_software (node->catalog.replicas, call->service, software))
-    refuse_resumption (node, call, "no replica of the version that began the stream", outbox);
-  else
-    start_first (node, call, outbox);
+  call->software = software != NULL ? g_strdup (software) : only_version (node, call);
+  start_first (node, call, outbox);
 }
 
 static guint64
--- /dev/null
+++ b/gateway/origin_store.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "store/store.h"
+
+struct GspanEvent;
+struct GspanNode;
+struct GspanOutbox;
+
+/*
+ * Origins of streams in the store, for the case that all nodes die at once: a few nodes keep those
+ * that they are told of, each in one object under its own name, while a service has several
+ * versions. A node whose peers don't know an attempt lists these objects.
+ */
+
+#define GSPAN_ORIGIN_STORE_KIND "streams"
+
+struct GspanOriginStore
+{
+  guint64 call; /* to the store, under way; 0 is none */
+  enum GspanStoreOp op;
+  guint64 next_call_at;
+  bool changed;      /* what this node keeps, since its last write */
+  bool own_read;     /* this node's object has been read since the start or the last failure */
+  guint64 revision;  /* of it; 0 is none */
+  bool wanted;       /* a call waits for a list */
+  guint64 listed_at; /* beginning of the last list that was whole; 0 is none */
+  guint64 list_began_at;
+  guint64 next_list_at;
+  char *after; /* last name of the list's page before; NULL is none */
+};
+
+void gspan_origin_store_init (struct GspanOriginStore *store);
+void gspan_origin_store_finish (struct GspanOriginStore *store);
+
+/* True where this node is one of the two that keep ATTEMPT. */
+bool gspan_origin_store_is_keeper (const struct GspanNode *node, const char *attempt);
+
+/* Names of the two nodes, this one aside, that keep ATTEMPT; how many. They are borrowed. */
+guint gspan_origin_store_keepers (const struct GspanNode *node, const char *attempt,
+                                  const char **names);
+
+/* True where all that was kept at SINCE, or five seconds before, has been read. */
+bool gspan_origin_store_is_read (const struct GspanNode *node, guint64 since);
+
+/* Has all that is kept read. */
+void gspan_origin_store_want (struct GspanNode *node);
+
+void gspan_origin_store_handle (struct GspanNode *node, const struct GspanEvent *event,
+                                struct GspanOutbox *outbox);
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -5,7 +5,7 @@
 #include "common/clock.h"
 #include "node/node.h"
 
-#define KEPT_US (120 * GSPAN_SECOND) /* far longer than a stream lasts with all its resumptions */
+#define KEPT_US GSPAN_VERSIONS_LATELY_US
 #define TELL_AGAIN_US (40 * GSPAN_MS)
 #define LOOK_AGAIN_US (GSPAN_SECOND) /* whether a service has several versions by now */
 
@@ -19,19 +19,10 @@
   FORMAT_VERSION = 1
 };
 
-struct Origin
-{
-  char *attempt;
-  char *service;
-  char *software;
-  guint64 noted_at;
-  guint tell_again; /* 0 for those that others have told */
-};
-
 static void
 origin_free (gpointer data)
 {
-  struct Origin *origin = data;
+  struct GspanOrigin *origin = data;
 
   g_free (origin->attempt);
   g_free (origin->service);
@@ -44,7 +35,6 @@
 {
   *streams = (struct GspanStreams){ 0 };
   streams->origins = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, origin_free);
-  streams->versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void
@@ -53,65 +43,12 @@
   g_queue_clear (&streams->order);
   g_queue_clear (&streams->untold);
   g_hash_table_unref (streams->origins);
-  g_hash_table_unref (streams->versions);
-}
-
-void
-gspan_streams_note_version (struct GspanNode *node, const char *service, const char *software)
-{
-  g_hash_table_replace (node->streams.versions, g_strdup_printf ("%s\n%s", service, software),
-                        g_memdup2 (&node->now, sizeof node->now));
-}
-
-/* True if a registered replica of SERVICE has another version than SOFTWARE. */
-static bool
-has_other_version (const struct GspanNode *node, const char *service, const char *software)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, node->catalog.replicas);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct GspanReplica *replica = value;
-
-      if (strcmp (replica->service, service) == 0 && strcmp (replica->software, software) != 0)
-        return true;
-    }
-  return false;
-}
-
-bool
-gspan_streams_is_mixed (const struct GspanNode *node, const char *service)
-{
-  size_t len = strlen (service);
-  const char *first = NULL;
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, node->streams.versions);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    {
-      const char *software = (const char *)key + len + 1;
-
-      if (strncmp (key, service, len) != 0 || ((const char *)key)[len] != '\n')
-        continue;
-      if (first == NULL && has_other_version (node, service, software))
-        return true;
-      if (*(const guint64 *)value + KEPT_US < node->now)
-        continue;
-      if (first != NULL)
-        return true;
-      first = software;
-    }
-  return false;
 }
 
 const char *
 gspan_streams_find (const struct GspanStreams *streams, const char *attempt)
 {
-  const struct Origin *origin = g_hash_table_lookup (streams->origins, attempt);
+  const struct GspanOrigin *origin = g_hash_table_lookup (streams->origins, attempt);
 
   return origin != NULL ? origin->software : NULL;
 }
@@ -119,10 +56,11 @@
 static void
 drop_oldest (struct GspanStreams *streams)
 {
-  struct Origin *origin = g_queue_pop_head (&streams->order);
+  struct GspanOrigin *origin = g_queue_pop_head (&streams->order);
 
   if (origin->tell_again > 0)
     g_queue_remove (&streams->untold, origin);
+  streams->kept_count -= origin->kept;
   g_hash_table_remove (streams->origins, origin->attempt);
 }
 
@@ -132,14 +70,14 @@
      guint tell_again)
 {
   struct GspanStreams *streams = &node->streams;
-  struct Origin *origin;
+  struct GspanOrigin *origin;
 
   if (attempt[0] == '\0' || strlen (attempt) > ATTEMPT_LEN_MAX
       || g_hash_table_contains (streams->origins, attempt))
     return;
   if (streams->order.length >= ORIGINS_MAX)
     drop_oldest (streams);
-  origin = g_new0 (struct Origin, 1);
+  origin = g_new0 (struct GspanOrigin, 1);
   origin->attempt = g_strdup (attempt);
   origin->service = g_strdup (service);
   origin->software = g_strdup (software);
@@ -151,30 +89,73 @@
   g_queue_push_tail (&streams->order, origin);
 }
 
+/* Has the origin of ATTEMPT, if it is known, kept in the store. */
+static void
+keep (struct GspanNode *node, const char *attempt)
+{
+  struct GspanOrigin *origin = g_hash_table_lookup (node->streams.origins, attempt);
+
+  if (origin == NULL || origin->kept)
+    return;
+  origin->kept = true;
+  node->streams.kept_count++;
+  node->origin_store.changed = true;
+}
+
+void
+gspan_streams_add_kept (struct GspanNode *node, const char *attempt, const char *service,
+                        const char *software, bool own)
+{
+  add (node, attempt, service, software, 0);
+  if (own)
+    keep (node, attempt);
+}
+
 static json_t *
-encode (const struct Origin *origin)
+encode (const struct GspanOrigin *origin)
 {
   return json_pack ("{s:s, s:s, s:s}", "attempt", origin->attempt, "service", origin->service,
                     "software", origin->software);
 }
 
-/* Takes over LIST, of origins. */
+/* Takes over LIST, of origins. TO_KEEP has the receiver keep them in the store. */
 static json_t *
-message_of (json_t *list)
+message_of (json_t *list, bool to_keep)
 {
-  return json_pack ("{s:s, s:i, s:o}", "kind", "streams", "format", FORMAT_VERSION, "streams",
-                    list);
+  return json_pack ("{s:s, s:i, s:b, s:o}", "kind", "streams", "format", FORMAT_VERSION, "keep",
+                    (int)to_keep, "streams", list);
 }
 
 /* Tells the nodes chosen by ATTEMPT, so that streams are spread over the fleet. */
 static void
-tell (struct GspanNode *node, const char *attempt, json_t *message, struct GspanOutbox *outbox)
+tell (struct GspanNode *node, const char *attempt, json_t *list, struct GspanOutbox *outbox)
 {
+  json_t *message = message_of (json_incref (list), false);
   const char *names[TOLD_MAX];
   guint count = gspan_peers_takeover_candidates (node, attempt, node->self.name, names, TOLD_MAX);
 
   for (guint i = 0; i < count; i++)
     gspan_peers_send (node, names[i], message, outbox);
+  json_decref (message);
+}
+
+/* Has LIST kept in the store, by nodes chosen by ATTEMPT. */
+static void
+have_kept (struct GspanNode *node, const char *attempt, json_t *list, struct GspanOutbox *outbox)
+{
+  json_t *message = message_of (json_incref (list), true);
+  const char *names[TOLD_MAX];
+  guint count = gspan_origin_store_keepers (node, attempt, names);
+  json_t *value;
+  size_t index;
+
+  for (guint i = 0; i < count; i++)
+    gspan_peers_send (node, names[i], message, outbox);
+  json_decref (message);
+  if (!gspan_origin_store_is_keeper (node, attempt))
+    return;
+  json_array_foreach (list, index, value)
+      keep (node, json_string_value (json_object_get (value, "attempt")));
 }
 
 /* Moves up to a datagram of origins of services with several versions to LIST, the newest first. */
@@ -183,13 +164,18 @@
 {
   struct GspanStreams *streams = &node->streams;
   GList *link = streams->untold.tail;
+  const char *service = NULL;
+  bool mixed = false;
 
   while (link != NULL && json_array_size (list) < IN_DATAGRAM_MAX)
     {
-      struct Origin *origin = link->data;
+      struct GspanOrigin *origin = link->data;
       GList *before = link->prev;
 
-      if (gspan_streams_is_mixed (node, origin->service))
+      if (g_strcmp0 (service, origin->service) != 0)
+        mixed = gspan_versions_is_mixed (node, origin->service);
+      service = origin->service;
+      if (mixed)
         {
           json_array_append_new (list, encode (origin));
           if (--origin->tell_again == 0)
@@ -204,15 +190,16 @@
 {
   json_t *list = json_array ();
   const char *attempt;
-  json_t *message;
 
   take_untold (node, list);
   attempt = json_string_value (json_object_get (json_array_get (list, 0), "attempt"));
   node->streams.next_tell_us = node->now + (attempt != NULL ? TELL_AGAIN_US : LOOK_AGAIN_US);
-  message = message_of (list);
   if (attempt != NULL)
-    tell (node, attempt, message, outbox);
-  json_decref (message);
+    {
+      tell (node, attempt, list, outbox);
+      have_kept (node, attempt, list, outbox);
+    }
+  json_decref (list);
 }
 
 void
@@ -220,7 +207,7 @@
                           const char *software, struct GspanOutbox *outbox)
 {
   add (node, attempt, service, software, TELL_TIMES);
-  if (gspan_streams_is_mixed (node, service))
+  if (gspan_versions_is_mixed (node, service))
     tell_due (node, outbox);
 }
 
@@ -248,8 +235,11 @@
     const char *service = json_string_value (json_object_get (value, "service"));
     const char *software = json_string_value (json_object_get (value, "software"));
 
-    if (attempt != NULL && service != NULL && software != NULL)
-      add (node, attempt, service, software, 0);
+    if (attempt == NULL || service == NULL || software == NULL)
+      continue;
+    add (node, attempt, service, software, 0);
+    if (json_is_true (json_object_get (message, "keep")))
+      keep (node, attempt);
   }
 }
 
@@ -258,7 +248,7 @@
 {
   const char *attempt = json_string_value (json_object_get (message, "attempt"));
   const char *udp = json_string_value (json_object_get (message, "udp"));
-  const struct Origin *origin;
+  const struct GspanOrigin *origin;
   json_t *list;
   json_t *answer;
 
@@ -270,7 +260,7 @@
     return;
   list = json_array ();
   json_array_append_new (list, encode (origin));
-  answer = message_of (list);
+  answer = message_of (list, false);
   gspan_peers_send_to (udp, answer, outbox);
   json_decref (answer);
 }
@@ -282,7 +272,7 @@
 
   while (streams->order.length > 0)
     {
-      const struct Origin *oldest = g_queue_peek_head (&streams->order);
+      const struct GspanOrigin *oldest = g_queue_peek_head (&streams->order);
 
       if (oldest->noted_at + KEPT_US >= node->now)
         break;
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -11,27 +11,32 @@
  * Which software version began the streams of desk callers. A caller takes a stream up again at any
  * node and names the attempt that brought its first event; the node that served that may be dead by
  * then. So a node tells some others before it passes a first event on, where a service has several
- * versions, and asks all where it doesn't know an attempt.
+ * versions, and asks all where it doesn't know an attempt. For the case that all nodes die at once,
+ * what is told is also kept in the store.
  */
 
+struct GspanOrigin
+{
+  char *attempt;
+  char *service;
+  char *software;
+  guint64 noted_at;
+  guint tell_again; /* 0 for those that others have told */
+  bool kept;        /* in the store, by this node (gateway/origin_store.h) */
+};
+
 struct GspanStreams
 {
-  GHashTable *origins;  /* attempt to struct Origin, owns them */
-  GQueue order;         /* struct Origin, oldest first */
-  GHashTable *versions; /* "SERVICE\nSOFTWARE" to the time at which an entry last named it */
-  GQueue untold;        /* of these, those that others have to be told of */
+  GHashTable *origins; /* attempt to struct GspanOrigin, owns them */
+  GQueue order;        /* struct GspanOrigin, oldest first */
+  GQueue untold;       /* of these, those that others have to be told of */
+  guint kept_count;    /* of these, those that this node keeps */
   guint64 next_tell_us;
 };
 
 void gspan_streams_init (struct GspanStreams *streams);
 void gspan_streams_finish (struct GspanStreams *streams);
 
-/* Notes that a replica of SERVICE with the version SOFTWARE is registered, or was until now. */
-void gspan_streams_note_version (struct GspanNode *node, const char *service, const char *software);
-
-/* True if SERVICE has had replicas of several versions lately. */
-bool gspan_streams_is_mixed (const struct GspanNode *node, const char *service);
-
 /* ATTEMPT is about to get its first event, from a replica of SERVICE with the version SOFTWARE. */
 void gspan_streams_note_begin (struct GspanNode *node, const char *attempt, const char *service,
                                const char *software, struct GspanOutbox *outbox);
@@ -39,6 +44,10 @@
 /* Software version that began the stream of ATTEMPT; NULL where it isn't known. */
 const char *gspan_streams_find (const struct GspanStreams *streams, const char *attempt);
 
+/* Adds what the store holds of ATTEMPT; OWN says that this node kept it there. */
+void gspan_streams_add_kept (struct GspanNode *node, const char *attempt, const char *service,
+                             const char *software, bool own);
+
 /* Asks the other nodes for the origin of ATTEMPT. */
 void gspan_streams_ask (struct GspanNode *node, const char *attempt, struct GspanOutbox *outbox);
 
--- /dev/null
+++ b/gateway/version_history.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <jansson.h>
+
+#include "store/store.h"
+
+struct GspanEvent;
+struct GspanNode;
+struct GspanOutbox;
+
+/*
+ * The versions that a service has had lately, in the store: one object for each service whose
+ * streams may be resumed. Nodes that have all died at once read there what served before. One node
+ * writes it where the set changes, and tells the others; if it fails to, others do so later.
+ */
+
+#define GSPAN_VERSION_HISTORY_KIND "software"
+
+struct GspanVersionHistory
+{
+  GHashTable *services; /* name to struct Stored, owns them */
+  guint64 began_at;     /* this node's first tick; 0 is none so far */
+  guint64 call;         /* to the store, under way; 0 is none */
+  char *service;        /* that CALL is about */
+  GHashTable *writes;   /* versions that CALL writes; NULL where it reads */
+  guint64 next_call_at;
+  guint64 next_look_at;
+};
+
+void gspan_version_history_init (struct GspanVersionHistory *history);
+void gspan_version_history_finish (struct GspanVersionHistory *history);
+
+/*
+ * True where gspan_versions_lately () holds all that has served SERVICE lately: this node has run
+ * for long enough, or has learnt what the store holds.
+ */
+bool gspan_version_history_is_known (const struct GspanNode *node, const char *service);
+
+/* Has the object of SERVICE read. */
+void gspan_version_history_want (struct GspanNode *node, const char *service);
+
+/* Takes in what another node has found in the store or has written. */
+void gspan_version_history_receive (struct GspanNode *node, json_t *message);
+
+void gspan_version_history_handle (struct GspanNode *node, const struct GspanEvent *event,
+                                   struct GspanOutbox *outbox);
--- /dev/null
+++ b/gateway/versions.c
@@ -0,0 +1,119 @@
+#include "gateway/versions.h"
+
+#include <string.h>
+
+#include "node/node.h"
+
+void
+gspan_versions_init (struct GspanVersions *versions)
+{
+  versions->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+gspan_versions_finish (struct GspanVersions *versions)
+{
+  g_hash_table_unref (versions->seen);
+}
+
+void
+gspan_versions_note (struct GspanNode *node, const char *service, const char *software)
+{
+  g_hash_table_replace (node->versions.seen, g_strdup_printf ("%s\n%s", service, software),
+                        g_memdup2 (&node->now, sizeof node->now));
+}
+
+void
+gspan_versions_note_earlier (struct GspanNode *node, const char *service, const char *software)
+{
+  char *key = g_strdup_printf ("%s\n%s", service, software);
+
+  if (!g_hash_table_contains (node->versions.seen, key))
+    gspan_versions_note (node, service, software);
+  g_free (key);
+}
+
+/* The version in KEY where that is one of SERVICE; else NULL. */
+static const char *
+version_in (const char *key, const char *service)
+{
+  size_t len = strlen (service);
+
+  return strncmp (key, service, len) == 0 && key[len] == '\n' ? key + len + 1 : NULL;
+}
+
+/*
+ * Calls EACH for the versions of SERVICE, some more than once, until it returns false. Those of
+ * registered replicas count however long ago their entries changed.
+ */
+static void
+visit (const struct GspanNode *node, const char *service,
+       bool (*each) (const char *software, void *user), void *user)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->catalog.replicas);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct GspanReplica *replica = value;
+
+      if (strcmp (replica->service, service) == 0 && !each (replica->software, user))
+        return;
+    }
+  g_hash_table_iter_init (&iter, node->versions.seen);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const char *software = version_in (key, service);
+
+      if (software != NULL && *(const guint64 *)value + GSPAN_VERSIONS_LATELY_US >= node->now
+          && !each (software, user))
+        return;
+    }
+}
+
+struct Difference
+{
+  const char *first;
+  bool found;
+};
+
+static bool
+compare (const char *software, void *user)
+{
+  struct Difference *difference = user;
+
+  if (difference->first == NULL)
+    difference->first = software;
+  difference->found = strcmp (difference->first, software) != 0;
+  return !difference->found;
+}
+
+bool
+gspan_versions_is_mixed (const struct GspanNode *node, const char *service)
+{
+  struct Difference difference = { 0 };
+
+  visit (node, service, compare, &difference);
+  return difference.found;
+}
+
+static bool
+add_to_set (const char *software, void *user)
+{
+  GHashTable *set = user;
+
+  if (!g_hash_table_contains (set, software))
+    g_hash_table_add (set, g_strdup (software));
+  return true;
+}
+
+GHashTable *
+gspan_versions_lately (const struct GspanNode *node, const char *service)
+{
+  GHashTable *set = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+
+  visit (node, service, add_to_set, set);
+  return set;
+}
--- a/node/node.c
+++ b/node/node.c
@@ -33,6 +33,9 @@
   gspan_relay_server_init (&node->relay_server);
   gspan_gateway_init (&node->gateway);
   gspan_streams_init (&node->streams);
+  gspan_origin_store_init (&node->origin_store);
+  gspan_versions_init (&node->versions);
+  gspan_version_history_init (&node->version_history);
   gspan_jobs_init (&node->jobs);
   gspan_runner_init (&node->runner);
   gspan_rewards_init (&node->rewards);
@@ -46,6 +49,9 @@
   gspan_rewards_finish (&node->rewards);
   gspan_runner_finish (&node->runner);
   gspan_jobs_finish (&node->jobs);
+  gspan_version_history_finish (&node->version_history);
+  gspan_versions_finish (&node->versions);
+  gspan_origin_store_finish (&node->origin_store);
   gspan_streams_finish (&node->streams);
   gspan_gateway_finish (&node->gateway);
   gspan_relay_server_finish (&node->relay_server);
@@ -125,6 +131,11 @@
     case GSPAN_OWNER_RELAY:
       gspan_relay_server_handle (node, event, outbox);
       break;
+    case GSPAN_OWNER_STREAMS:
+      gspan_version_history_handle (node, event, outbox);
+      gspan_origin_store_handle (node, event, outbox);
+      gspan_gateway_send_waiting (node, outbox);
+      break;
     default: /* of the other daemons' controllers, which aren't here */
       break;
     }
@@ -158,6 +169,8 @@
   gspan_limits_tick (node, outbox);
   gspan_permits_tick (node, outbox);
   gspan_streams_tick (node, outbox);
+  gspan_version_history_handle (node, event, outbox);
+  gspan_origin_store_handle (node, event, outbox);
   gspan_crash_reports_handle (node, outbox);
   gspan_verdicts_handle (node, event, outbox);
   gspan_gateway_handle (node, event, outbox);
@@ -213,6 +226,8 @@
     take_permits (node, message, outbox);
   else if (g_strcmp0 (kind, "streams") == 0)
     take_streams (node, message, outbox);
+  else if (g_strcmp0 (kind, "software") == 0)
+    gspan_version_history_receive (node, message);
   else if (g_strcmp0 (kind, "stream-ask") == 0)
     gspan_streams_receive_ask (node, message, outbox);
   else if (g_strcmp0 (kind, "relay-ask") == 0)
--- a/node/node.h
+++ b/node/node.h
@@ -8,8 +8,11 @@
 #include "desk/poison_requests.h"
 #include "gateway/crash_reports.h"
 #include "gateway/gateway.h"
+#include "gateway/origin_store.h"
 #include "gateway/streams.h"
 #include "gateway/verdicts.h"
+#include "gateway/version_history.h"
+#include "gateway/versions.h"
 #include "jobs/jobs.h"
 #include "jobs/rewards.h"
 #include "jobs/runner.h"
@@ -71,6 +74,9 @@
   struct GspanRelayServer relay_server;
   struct GspanGateway gateway;
   struct GspanStreams streams;
+  struct GspanOriginStore origin_store;
+  struct GspanVersions versions; /* of replicas' software */
+  struct GspanVersionHistory version_history;
   struct GspanJobs jobs;
   struct GspanRunner runner;
   struct GspanRewards rewards;
--- a/test/rejoined_streams_test.cc
+++ b/test/rejoined_streams_test.cc
@@ -70,7 +70,7 @@
     for (unsigned i = 0; i < count; i++)
       {
         Rig &rig = *world.rigs[i % world.rigs.size ()];
-        std::string attempt = "a" + std::to_string (began.size ());
+        std::string attempt = "a" + std::to_string (next_request);
         send_stream (rig, attempt);
         ASSERT_FALSE (rig.exchanges.empty ());
         Exchange exchange = rig.exchanges.back ();
@@ -251,6 +251,100 @@
   EXPECT_GE (gone_on, 10U);
 }
 
+/* One of the nodes that keep origins dies with its streams' last events unwritten. */
+TEST_F (RejoinedStreams, SomeNodesAreDeadBeforeTheOthers)
+{
+  start (12);
+  for (unsigned i = 0; i < 4; i++)
+    {
+      begin_streams (10);
+      world.restart (i * 3);
+      world.run (GSPAN_SECOND);
+    }
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 20U);
+}
+
+TEST_F (RejoinedStreams, LostDatagramsAreNoReasonToGuess)
+{
+  start (6);
+  world.lose_datagrams = true;
+  begin_streams (20);
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+}
+
+/* As builds before this one write it. */
+TEST_F (RejoinedStreams, MessagesOfOldBuildsAreRead)
+{
+  start (2);
+  for (unsigned i = 0; i < 6; i++)
+    {
+      std::string attempt = "old" + std::to_string (i);
+      began[attempt] = i % 2 == 0 ? "v1" : "v2";
+      world.rigs[0]->datagram ("{\"kind\":\"streams\",\"format\":1,\"streams\":[{\"attempt\":\""
+                               + attempt + "\",\"service\":\"desk\",\"software\":\""
+                               + began[attempt] + "\"}]}");
+    }
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_EQ (gone_on, 6U);
+}
+
+/* They are read as if they weren't there, and what is written next stands. */
+TEST_F (RejoinedStreams, OddObjectsOfTheseKinds)
+{
+  const char *const odd[]
+      = { "[]", "7", "null", "{\"versions\":7,\"origins\":{}}",
+          "{\"versions\":[7,null,[],\"v1\"],\"origins\":[7,[],[1,2,3],[\"x\"]]}" };
+
+  for (const char *spec : odd)
+    {
+      json_t *value = json_loads (spec, JSON_DECODE_ANY, nullptr);
+      for (const char *name : { "vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6", "other" })
+        {
+          json_decref (world.objects["streams"][name].spec);
+          world.objects["streams"][name].spec = json_incref (value);
+          world.objects["streams"][name].revision = ++world.revision;
+        }
+      json_decref (world.objects["software"]["desk"].spec);
+      world.objects["software"]["desk"].spec = value;
+      world.objects["software"]["desk"].revision = ++world.revision;
+      if (world.rigs.empty ())
+        start (6);
+      began.clear ();
+      gone_on = 0;
+      begin_streams (20);
+      world.run (GSPAN_SECOND);
+      world.restart_all ();
+      world.run (2 * GSPAN_SECOND);
+      take_up ();
+      EXPECT_EQ (joined, 0U) << spec;
+      EXPECT_GE (gone_on, 10U) << spec;
+    }
+}
+
+/* Nothing stays in the store once no stream can need it. */
+TEST_F (RejoinedStreams, WhatIsKeptGoesAgain)
+{
+  start (6);
+  begin_streams (40);
+  world.run (GSPAN_SECOND);
+  EXPECT_FALSE (world.objects["streams"].empty ());
+  world.remove ("servers", "d1");
+  world.run (250 * GSPAN_SECOND);
+  EXPECT_TRUE (world.objects["streams"].empty ());
+  json_t *versions = json_object_get (world.objects["software"]["desk"].spec, "versions");
+  EXPECT_EQ (json_array_size (versions), 1U);
+}
+
 /* One version is left, and those before it are long gone. */
 TEST_F (RejoinedStreams, VersionThatLeftLongAgoRefusesNothing)
 {
