--- a/test/node_world.h
+++ b/test/node_world.h
@@ -1102,7 +1102,8 @@
 replica_spec (const std::string &service, unsigned number, unsigned weights,
               const char *state = "ready")
 {
-  return "{\"service\":\"" + service + "\",\"address\":\"10.0.0." + std::to_string (number)
+  return "{\"service\":\"" + service + "\",\"address\":\"10.0." + std::to_string (number / 256)
+         + "." + std::to_string (number % 256)
          + ":80\",\"zone\":\"bratislava\",\"version\":\"v1\",\"slots\":4,\"state\":\"" + state
          + "\",\"coldLeftMs\":0,\"models\":[{\"name\":\"m0\",\"version\":"
          + std::to_string (weights) + ",\"adapters\":[]}],\"seqNo\":4,\"born\":1}";
