catalog: an odd object is logged once for each of its revisions

What was seen: one line for an entry that can't be used at each list that held it, of any length: a name or a text of 1 MB stood in it. Cause: three places logged by themselves what they couldn't read. Evidence: OddEntries.OneIsLoggedOnceForEachRevision failed before, with three lines instead of one. Fix: one place logs for all of them.

--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -12,20 +12,6 @@
 /* If most entries vanish at once, they have expired; live replicas register again within this. */
 #define MANY_GRACE_US (2 * GSPAN_SECOND)
 
-static void
-log_unreadable (const char *kind, const struct GspanStoreObject *object,
-                const struct GspanError *error, struct GspanOutbox *outbox)
-{
-  struct GspanLine line;
-
-  gspan_line_init (&line, "object-unreadable");
-  gspan_line_cstr (&line, "kind", kind);
-  gspan_line_cstr (&line, "name", object->name);
-  gspan_line_u64 (&line, "revision", object->revision);
-  gspan_line_cstr (&line, "error", error->message);
-  gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_WARNING, &line);
-}
-
 void
 gspan_apply_config (struct GspanNode *node, const struct GspanStoreObject *object,
                     struct GspanOutbox *outbox)
@@ -39,7 +25,7 @@
     return;
   gspan_config_init (&config);
   if (!gspan_wire_read_config (object->spec, &config, &error))
-    log_unreadable (gspan_wire_kind_config, object, &error, outbox);
+    gspan_odd_objects_log (node, gspan_wire_kind_config, object, error.message, outbox);
   if (error.code != GSPAN_ERROR_NONE || config.number <= catalog->config.number)
     {
       gspan_config_finish (&config);
@@ -139,7 +125,7 @@
         remove_replica (node, known, object->revision, outbox);
     }
   else if (!gspan_wire_read_replica (object->spec, seen, &error))
-    log_unreadable (gspan_wire_kind_replicas, object, &error, outbox);
+    gspan_odd_objects_log (node, gspan_wire_kind_replicas, object, error.message, outbox);
   else
     {
       struct GspanReplica *replica = replica_of (node, object->name, seen, outbox);
--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -80,6 +80,7 @@
   gspan_config_init (&catalog->config);
   gspan_leaving_init (&catalog->leaving);
   gspan_feed_init (&catalog->feed);
+  gspan_odd_objects_init (&catalog->odd_objects);
   catalog->replicas = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, replica_release);
 }
 
@@ -95,6 +96,7 @@
   gspan_config_finish (&catalog->config);
   gspan_leaving_finish (&catalog->leaving);
   gspan_feed_finish (&catalog->feed);
+  gspan_odd_objects_finish (&catalog->odd_objects);
   g_hash_table_unref (catalog->replicas);
 }
 
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -4,6 +4,7 @@
 #include "catalog/config.h"
 #include "catalog/feed.h"
 #include "catalog/leaving.h"
+#include "catalog/odd_objects.h"
 #include "catalog/replica.h"
 
 struct GspanNode;
@@ -56,6 +57,7 @@
   bool replicas_by_feed;  /* the last update came from another node, else from the store */
   struct GspanLeaving leaving;
   struct GspanFeed feed;
+  struct GspanOddObjects odd_objects;
   bool store_fails;        /* a follower's call failed, and no call has been answered since */
   guint64 store_ok_at;     /* the store last answered any call of this node; 0 is never */
   guint64 store_failed_at; /* last failure of any call, cut watches too; 0 is none */
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -119,13 +119,7 @@
     }
   if (!gspan_job_decode_head (job, object->spec, object->status, &error))
     {
-      struct GspanLine line;
-
-      gspan_line_init (&line, "object-unreadable");
-      gspan_line_cstr (&line, "kind", GSPAN_JOBS_KIND);
-      gspan_line_cstr (&line, "name", object->name);
-      gspan_line_cstr (&line, "error", error.message);
-      gspan_outbox_log (outbox, "jobs", GSPAN_PRIORITY_WARNING, &line);
+      gspan_odd_objects_log (node, GSPAN_JOBS_KIND, object, error.message, outbox);
       remove_job (node, job, outbox);
       return;
     }
--- a/node/node.c
+++ b/node/node.c
@@ -233,6 +233,7 @@
 
   if (event->kind != GSPAN_EVENT_STORE_DONE)
     return;
+  gspan_odd_objects_log_reply (node, event->u.store.call->kind, event->u.store.reply, outbox);
   result = event->u.store.reply->result;
   if (result == GSPAN_STORE_UNAVAILABLE || result == GSPAN_STORE_UNKNOWN)
     gspan_catalog_store_failed (node, event->u.store.call);
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -87,11 +87,7 @@
     return;
   if (!gspan_wire_read_weight_version (object->spec, &model, &weights, &error))
     {
-      gspan_line_init (&line, "object-unreadable");
-      gspan_line_cstr (&line, "kind", gspan_wire_kind_weight_versions);
-      gspan_line_cstr (&line, "name", object->name);
-      gspan_line_cstr (&line, "error", error.message);
-      gspan_outbox_log (outbox, "weights", GSPAN_PRIORITY_WARNING, &line);
+      gspan_odd_objects_log (node, gspan_wire_kind_weight_versions, object, error.message, outbox);
       return;
     }
   named = g_hash_table_lookup (node->weights.named, model);
