catalog: a replica whose entry turns odd is not used until it is sound

What was seen: a known replica stayed in use as it was while its entry couldn't be read or was another writer's (no address, a port out of range, an unknown state). By the protocol such an entry names no replica to use. Evidence: OddEntries.ReplicaWhoseEntryTurnsOddIsNotUsedUntilItIsSoundAgain failed before, for each of five entries. Fix: the replica is kept, with what is known of it, and counts as about to leave: nothing new goes there, what it has goes on, and its end is put down to no request. The next entry that can be read ends this. Result: the test passes, and those of nodes, feed, leaving, software, links, weights and jobs.

--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -41,6 +41,14 @@
   catalog->config = config;
 }
 
+static const char *
+state_of (const struct GspanReplica *replica)
+{
+  if (replica->entry_unusable)
+    return "unusable";
+  return gspan_replica_is_leaving (replica) ? "draining" : "ready";
+}
+
 static void
 log_replica (const struct GspanNode *node, const struct GspanReplica *replica, const char *event,
              guint64 revision, struct GspanOutbox *outbox)
@@ -52,7 +60,7 @@
   gspan_line_cstr (&line, "service", replica->service);
   gspan_line_cstr (&line, "address", replica->address);
   gspan_line_cstr (&line, "software", replica->software);
-  gspan_line_cstr (&line, "state", gspan_replica_is_leaving (replica) ? "draining" : "ready");
+  gspan_line_cstr (&line, "state", state_of (replica));
   gspan_line_cstr (&line, "source", node->catalog.replicas_by_feed ? "feed" : "store");
   gspan_line_u64 (&line, "age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
   gspan_line_u64 (&line, "born", replica->born);
@@ -111,6 +119,17 @@
   return replica;
 }
 
+/* Another writer has put something else under the id of REPLICA, which may still be at work. */
+static void
+set_unusable (const struct GspanNode *node, struct GspanReplica *replica, guint64 revision,
+              struct GspanOutbox *outbox)
+{
+  if (replica->entry_unusable)
+    return;
+  replica->entry_unusable = true;
+  log_replica (node, replica, "upstream-state", revision, outbox);
+}
+
 void
 gspan_apply_replica (struct GspanNode *node, const struct GspanStoreObject *object,
                      struct GspanOutbox *outbox)
@@ -125,15 +144,21 @@
         remove_replica (node, known, object->revision, outbox);
     }
   else if (!gspan_wire_read_replica (object->spec, seen, &error))
-    gspan_odd_objects_log (node, gspan_wire_kind_replicas, object, error.message, outbox);
+    {
+      gspan_odd_objects_log (node, gspan_wire_kind_replicas, object, error.message, outbox);
+      if (known != NULL)
+        set_unusable (node, known, object->revision, outbox);
+    }
   else
     {
       struct GspanReplica *replica = replica_of (node, object->name, seen, outbox);
-      bool changed = replica->address == NULL || replica->draining != seen->draining;
+      bool changed = replica->address == NULL || replica->draining != seen->draining
+                     || replica->entry_unusable;
 
       gspan_wire_read_replica (object->spec, replica, &error);
       replica->leaving = replica->leaving || gspan_leaving_has (&node->catalog.leaving, replica);
       replica->remove_at = 0;
+      replica->entry_unusable = false;
       gspan_streams_note_version (node, replica->service, replica->software);
       if (changed)
         log_replica (node, replica, "upstream-state", object->revision, outbox);
--- a/catalog/apply.h
+++ b/catalog/apply.h
@@ -12,8 +12,10 @@
                          struct GspanOutbox *outbox);
 
 /*
- * Notes the entry OBJECT of a replica, or its removal. A removal beside an outage of the store
- * counts only two seconds later: lapsed entries are back by then.
+ * Notes the entry OBJECT of a replica, or its removal. An entry that can't be read names no replica
+ * to use: one that is known by its name gets nothing new until its entry can be read again. A
+ * removal beside an outage of the store counts only two seconds later: lapsed entries are back by
+ * then.
  */
 void gspan_apply_replica (struct GspanNode *node, const struct GspanStoreObject *object,
                           struct GspanOutbox *outbox);
--- a/catalog/replica.c
+++ b/catalog/replica.c
@@ -91,7 +91,7 @@
 bool
 gspan_replica_is_leaving (const struct GspanReplica *replica)
 {
-  return replica->draining || replica->leaving;
+  return replica->draining || replica->leaving || replica->entry_unusable;
 }
 
 bool
--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -31,10 +31,11 @@
   char *zone;
   char *software; /* version of what it runs; empty where its entry names none */
   guint slots;
-  bool draining;     /* as its entry says */
-  bool removed;      /* no longer registered */
-  guint64 born;      /* Unix milliseconds of its start; 0 is not known */
-  GPtrArray *models; /* struct GspanReplicaModel */
+  bool draining;       /* as its entry says */
+  bool entry_unusable; /* its entry can't be read now, or is another writer's */
+  bool removed;        /* no longer registered */
+  guint64 born;        /* Unix milliseconds of its start; 0 is not known */
+  GPtrArray *models;   /* struct GspanReplicaModel */
 
   /* What this process knows by itself. */
   enum GspanReach reach;
@@ -64,7 +65,10 @@
 /* Notes that REPLICA has at least version WEIGHTS of MODEL. */
 void gspan_replica_set_weights (struct GspanReplica *replica, const char *model, guint64 weights);
 
-/* True if it is about to leave, as its entry or one of its responses says. */
+/*
+ * True if it is about to leave, as its entry or one of its responses says, or if its entry names no
+ * replica to use any more. Requests that it has go on.
+ */
 bool gspan_replica_is_leaving (const struct GspanReplica *replica);
 
 /* True where it may get new requests at NOW. */
