catalog: what others are told of a replica's entry is bounded

What was seen: the holder of the lease of orders tells the latest entries by datagram as they are. One of 100 KB, or with a long name, made a message that no receiver takes (16 KB), so that none heard of any change until it was over; one whose entry isn't an object was told as removed. Evidence: OddEntries.NodesThatAreToldOfOddOnes* and ...OfLargeOnes* failed before, with messages of 58 to 355 KB. Changes beyond 12,000 bytes aren't told: who missed them reads the list, as for changes beyond 24. Names that no replica has aren't told. Result: both tests pass, and those of the feed.

--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -4,6 +4,7 @@
 
 #include "common/clock.h"
 #include "node/node.h"
+#include "platform/wire.h"
 
 #define TELL_US (300 * GSPAN_MS)        /* between two words without a change */
 #define TELL_CHANGE_US (100 * GSPAN_MS) /* changes of so long go out together */
@@ -11,9 +12,12 @@
 
 enum
 {
-  CHANGES_MAX = 24,    /* in a datagram of some 8 KB */
-  WATCH_PERCENT = 40,  /* of the time in which a leaving replica has to be left alone */
-  RECENT_PERCENT = 75, /* of the same: what was read before isn't relied on */
+  CHANGES_MAX = 24,
+  CHANGES_LEN_MAX = 12000, /* a receiver takes 16 KB, with the lease and the revisions */
+  CHANGE_LEN = 64,         /* of a change without its name and its entry */
+  SPEC_LEN_MAX = 1000,     /* of an entry that is told as it is */
+  WATCH_PERCENT = 40,      /* of the time in which a leaving replica has to be left alone */
+  RECENT_PERCENT = 75,     /* of the same: what was read before isn't relied on */
   FEED_VERSION = 1
 };
 
@@ -23,6 +27,7 @@
   guint64 revision;
   char *name;
   json_t *spec; /* NULL where it was removed */
+  size_t len;   /* bytes that it takes in a message */
 };
 
 static void
@@ -54,6 +59,7 @@
   const struct GspanFeedChange *oldest = g_ptr_array_index (feed->changes, 0);
 
   feed->complete_from = MAX (feed->complete_from, oldest->revision);
+  feed->changes_len -= oldest->len;
   g_ptr_array_remove_index (feed->changes, 0);
 }
 
@@ -64,7 +70,8 @@
     {
       const struct GspanFeedChange *oldest = g_ptr_array_index (feed->changes, 0);
 
-      if (feed->changes->len <= CHANGES_MAX && oldest->at + KEPT_US >= now)
+      if (feed->changes->len <= CHANGES_MAX && feed->changes_len <= CHANGES_LEN_MAX
+          && oldest->at + KEPT_US >= now)
         return;
       drop_oldest (feed);
     }
@@ -74,20 +81,51 @@
 gspan_feed_reset (struct GspanFeed *feed, guint64 revision)
 {
   g_ptr_array_set_size (feed->changes, 0);
+  feed->changes_len = 0;
   feed->complete_from = revision;
 }
 
+static size_t
+length_of (json_t *value)
+{
+  return json_dumpb (value, NULL, 0, JSON_COMPACT);
+}
+
+/* What the others are told of the entry OBJECT, whatever else its writer has put into it. */
+static json_t *
+spec_to_tell (const struct GspanStoreObject *object)
+{
+  struct GspanReplica *replica = gspan_replica_new (object->name);
+  json_t *spec;
+
+  if (!gspan_wire_read_replica (object->spec, replica, NULL))
+    spec = json_object ();
+  else if (length_of (object->spec) <= SPEC_LEN_MAX)
+    spec = json_incref (object->spec);
+  else
+    spec = gspan_wire_copy_replica (object->spec);
+  gspan_replica_unref (replica);
+  return spec;
+}
+
 void
 gspan_feed_note_change (struct GspanNode *node, const struct GspanStoreObject *object,
                         guint64 revision)
 {
-  struct GspanFeedChange *change = g_new0 (struct GspanFeedChange, 1);
+  struct GspanFeed *feed = &node->catalog.feed;
+  struct GspanFeedChange *change;
 
+  /* No node has a replica of such a name. */
+  if (!gspan_wire_is_replica_id (object->name))
+    return;
+  change = g_new0 (struct GspanFeedChange, 1);
   change->at = node->now;
   change->revision = revision;
   change->name = g_strdup (object->name);
-  change->spec = object->removed ? NULL : json_incref (object->spec);
-  g_ptr_array_add (node->catalog.feed.changes, change);
+  change->spec = object->removed ? NULL : spec_to_tell (object);
+  change->len = CHANGE_LEN + 2 * strlen (change->name) + length_of (change->spec);
+  feed->changes_len += change->len;
+  g_ptr_array_add (feed->changes, change);
 }
 
 void
--- a/catalog/feed.h
+++ b/catalog/feed.h
@@ -18,6 +18,7 @@
 struct GspanFeed
 {
   GPtrArray *changes;         /* of replicas, struct GspanFeedChange, oldest first */
+  size_t changes_len;         /* bytes that they take in a message */
   guint64 complete_from;      /* all changes after this revision are in CHANGES */
   bool publishing;            /* this node has told others since it took the lease */
   guint64 published_at;       /* holder: the last message to the others */
@@ -35,7 +36,10 @@
 /* Notes changes of replicas that this node has read. */
 void gspan_feed_note (struct GspanNode *node, const struct GspanStoreReply *reply);
 
-/* Notes one of them, or a difference between a whole list and what was known. */
+/*
+ * Notes one of them, or a difference between a whole list and what was known. An entry that names
+ * no replica to use is told as an empty one. Who isn't told of a change reads the list.
+ */
 void gspan_feed_note_change (struct GspanNode *node, const struct GspanStoreObject *object,
                              guint64 revision);
 
--- a/test/odd_entries_test.cc
+++ b/test/odd_entries_test.cc
@@ -476,6 +476,28 @@
 }
 
 /* The node that follows the store tells the others, by datagrams of a bounded size. */
+/* With many models, each of a name as long as they come, a few changes fill a datagram. */
+TEST_F (OddEntries, NodesThatAreToldOfLargeOnesReadTheRestThemselves)
+{
+  std::string models = "[";
+
+  for (unsigned i = 0; i < 256; i++)
+    models += std::string (i > 0 ? "," : "") + R"({"name":")" + std::string (200, 'm')
+              + std::to_string (i) + R"(","version":1})";
+  start_nodes (4);
+  world.run (25 * GSPAN_SECOND);
+  for (unsigned i = 0; i < 30; i++)
+    {
+      world.put ("servers", "x" + std::to_string (i),
+                 i % 3 == 0 ? replica_with ("models", models + "]").c_str ()
+                            : replica_with ("zone", quoted (std::string (250, 'z'))).c_str ());
+      world.run (50 * GSPAN_MS);
+    }
+  world.run (GSPAN_SECOND);
+  for (auto &rig : world.rigs)
+    EXPECT_EQ (g_hash_table_size (rig->node.catalog.replicas), 34U) << rig->name;
+}
+
 TEST_F (OddEntries, NodesThatAreToldOfOddOnesKnowWhatTheTellerKnows)
 {
   start_nodes (4);
