jobs: a job whose head turns odd is not forgotten

What was seen: a head that can't be read, or lacks a field, made each node that knew the job drop it. Evidence: OddEntries.JobWhoseHeadTurnsOddIsNotForgotten failed before. Fix: what was read before holds. The odd head's revision is noted, so that the next write of a head goes over it. A job whose only head is odd isn't known, as before. Result: the test passes, and those of jobs.

--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -120,7 +120,10 @@
   if (!gspan_job_decode_head (job, object->spec, object->status, &error))
     {
       gspan_odd_objects_log (node, GSPAN_JOBS_KIND, object, error.message, outbox);
-      remove_job (node, job, outbox);
+      if (job->head_known) /* what was read before holds; the next write goes over this one */
+        job->head_revision = object->revision;
+      else
+        remove_job (node, job, outbox);
       return;
     }
   job->head_revision = object->revision;
