weights: the fencing token rises over a lease that is odd

What was seen: after a lease that can't be read, or whose token is missing or negative, the next holder began at 1 again, or at -4, and replicas that check tokens refuse it. A lease that was removed had the same end. Fix: the token never falls at a node. One that isn't between 1 and the lease's revision is another writer's; the revision is taken in its place, as each token was written by a change of its own, and none was higher. Result: the test passes, and those of weights and of the lease.

--- a/weights/order_lease.c
+++ b/weights/order_lease.c
@@ -139,13 +139,26 @@
   log_lease (node, "lease-lost", outbox);
 }
 
+/*
+ * The fencing token in OBJECT. It began at 1 and rose by 1 in some of the store's changes: one that
+ * isn't between 1 and the revision is another writer's, and none before was higher than that.
+ */
+static guint64
+fence_in (const struct GspanStoreObject *object)
+{
+  json_int_t fence = json_integer_value (json_object_get (object->spec, "fence"));
+
+  if (fence < 1 || (guint64)fence > object->revision)
+    return object->revision;
+  return (guint64)fence;
+}
+
 /* Takes in the lease as it stands in the store. */
 static void
 see (struct GspanNode *node, const struct GspanStoreObject *object, struct GspanOutbox *outbox)
 {
   struct GspanOrderLease *lease = &node->weights.lease;
   const char *holder = json_string_value (json_object_get (object->spec, "holder"));
-  guint64 fence = (guint64)json_integer_value (json_object_get (object->spec, "fence"));
   guint64 start = (guint64)json_integer_value (json_object_get (object->spec, "start"));
   bool idle = json_is_false (json_object_get (object->spec, "orders"));
   guint64 quiet = (guint64)json_integer_value (json_object_get (object->spec, "quiet_us"));
@@ -156,7 +169,7 @@
   lease->idle_from = node->now - MIN (quiet, node->limits.lease_us);
   lease->revision = object->revision;
   lease->seen_at = node->now;
-  lease->fence = fence;
+  lease->fence = MAX (lease->fence, fence_in (object));
   json_decref (lease->written);
   lease->written = json_incref (object->spec);
   g_free (lease->holder);
@@ -260,7 +273,7 @@
       if (wrote)
         lease->revision = 0;
       else if (!gives_lease_up (node) && lease->missed)
-        start_write (node, GSPAN_STORE_CREATE, node->self.name, 1, outbox);
+        start_write (node, GSPAN_STORE_CREATE, node->self.name, lease->fence + 1, outbox);
       else
         lease->next_at = node->now + RANK_US * MIN (RANKS, rank_of (node));
       lease->missed = !wrote;
