node: a retirement that can't be read empties no VM

What was seen, since such an object no longer hides its list: the VM of that name reported itself emptied, upon which its machine is removed. Evidence: OddEntries.RetirementThatIsOddEmptiesNoMachine failed on the change before, now that its node follows retirements. Fix: an object that can't be read asks for nothing. Result: the test passes; a sound one that follows is still carried out.

--- a/node/peers.c
+++ b/node/peers.c
@@ -84,7 +84,7 @@
   const char *state = json_string_value (json_object_get (object->status, "state"));
   struct GspanLine line;
 
-  if (object->removed || strcmp (object->name, node->self.name) != 0
+  if (object->removed || object->problem != NULL || strcmp (object->name, node->self.name) != 0
       || g_strcmp0 (state, "completed") == 0)
     return;
   gspan_line_init (&line, "vm-emptied");
--- a/test/odd_entries_test.cc
+++ b/test/odd_entries_test.cc
@@ -532,10 +532,14 @@
 {
   Rig &rig = start_nodes ();
 
+  gspan_catalog_want (&rig.node.catalog, GSPAN_FOLLOW_RETIREMENTS, true);
   world.put_raw ("retirements", "vm-1", "{\"durationS\":1e999}");
   world.run (5 * GSPAN_SECOND);
   EXPECT_EQ (world.objects["retirements"]["vm-1"].status, nullptr);
   EXPECT_FALSE (rig.logged ("event=vm-emptied"));
+  world.put ("retirements", "vm-1", "{\"durationS\":5}");
+  world.run (5 * GSPAN_SECOND);
+  EXPECT_TRUE (rig.logged ("event=vm-emptied"));
 }
 
 TEST_F (OddEntries, JobWhoseHeadTurnsOddIsNotForgotten)
