--- a/test/odd_entries_test.cc
+++ b/test/odd_entries_test.cc
@@ -657,6 +657,58 @@
   EXPECT_TRUE (gspan_node_ready (&rig.node));
 }
 
+/* A line end in what an item says of its request would be another header, or another request. */
+TEST_F (OddEntries, JobWhoseItemsFitInNoRequestIsRefused)
+{
+  struct OddItem
+  {
+    const char *field;
+    const char *value;
+  };
+  const OddItem odd[] = {
+    { "headers", R"({"X-A":"b\r\nContent-Length: 0\r\n\r\nPOST /x HTTP/1.1"})" },
+    { "headers", R"({"X-A":"b\nc: d"})" },
+    { "headers", R"({"X-A":"b\u0001"})" },
+    { "headers", R"({"X-A: b\r\nX-B":"c"})" },
+    { "headers", R"({"Content-Length ":"0"})" },
+    { "headers", R"({"X A":"b"})" },
+    { "headers", R"({"":"b"})" },
+    { "headers", R"({"X-\u00e9":"b"})" },
+    { "id", R"("i\r\nX-B: c")" },
+    { "id", R"("")" },
+    { "path", R"("/batch/x HTTP/1.1\r\nHost: b\r\n\r\n")" },
+    { "path", R"("/batch/x y")" },
+    { "path", R"("/batch/x#y")" },
+    { "path", R"("/batch/x\n")" },
+    { "scorer", R"({"id":"s","host":"a\r\nX: y","path":"/x"})" },
+    { "scorer", R"({"id":"s\n","host":"a","path":"/x"})" },
+    { "scorer", R"({"id":"s","host":"a","path":"/x y"})" },
+  };
+  Rig &rig = start_nodes ();
+  guint64 id = 0;
+
+  for (const auto &item : odd)
+    {
+      SCOPED_TRACE (std::string (item.field) + " " + item.value);
+      json_t *body = json_loads (job_body (1, 0).c_str (), 0, nullptr);
+      json_t *value = json_loads (item.value, JSON_DECODE_ANY, nullptr);
+      ASSERT_NE (value, nullptr);
+      json_object_set_new (json_array_get (json_object_get (body, "items"), 0), item.field, value);
+      char *text = json_dumps (body, JSON_COMPACT);
+      rig.request (++id, "POST", "/batch/x",
+                   { "Host: a.example", "X-Attempt-Id: odd" + std::to_string (id) }, text);
+      free (text);
+      json_decref (body);
+      world.run (100 * GSPAN_MS);
+      ASSERT_NE (response_to (rig, id), nullptr);
+      EXPECT_EQ (response_to (rig, id)->status, 400);
+    }
+  submit_job (rig, 99, "sound", 2);
+  world.run (100 * GSPAN_MS);
+  ASSERT_NE (response_to (rig, 99), nullptr);
+  EXPECT_EQ (response_to (rig, 99)->status, 202);
+}
+
 /* A caller's job of any content is answered. */
 TEST_F (OddEntries, JobOfAnyContentIsAnswered)
 {
