test: answers cut anywhere, and answers beyond the one asked for

A table on real sockets: 24 framings, cut after each byte by FIN and after each fourth by RST, streamed and collected; and 24 kinds of extra bytes at four moments after two framings, with two next requests (384 cases). The server of the tests can pause, reset and answer by path.

Where nothing but the newline after the last, empty chunk's line is missing, libcurl takes the answer for whole: its body is, and the table allows either.

--- /dev/null
+++ b/test/answers_test.cc
@@ -0,0 +1,418 @@
+#include "test/bench.h"
+#include "test/wire.h"
+
+#include <rapidcheck/gtest.h>
+
+extern "C"
+{
+#include "http/client.h"
+}
+
+/* Whole answers on sockets, cut anywhere, and answers beyond the one that was asked for. */
+
+static const std::string id_name = "X-Attempt-Id: ";
+
+static std::string
+chunk (const std::string &text)
+{
+  char size[16];
+
+  g_snprintf (size, sizeof size, "%zx\r\n", text.size ());
+  return size + text + "\r\n";
+}
+
+struct Ended
+{
+  bool done;
+  GspanHttpResult result;
+  int status;
+  std::string body; /* streamed or collected */
+  std::string headers;
+};
+
+class Answers : public testing::Test
+{
+protected:
+  Wire wire;
+  GspanHttpClient *client = nullptr;
+  std::map<guint64, Ended> ended; /* by number of the exchange */
+  guint64 last = 0;
+  unsigned open = 0;
+  guint64 timeout_us = 20 * GSPAN_SECOND; /* of the next exchanges */
+
+  void
+  SetUp () override
+  {
+    client = gspan_http_client_new (wire.loop, on_event, this);
+  }
+
+  void
+  TearDown () override
+  {
+    gspan_http_client_free (client);
+  }
+
+  static void
+  on_event (void *user, const GspanEvent *event)
+  {
+    auto *self = static_cast<Answers *> (user);
+    const GspanEventHttp &http = event->u.http;
+    GspanStr text = gspan_str_from_bytes (http.body);
+    Ended &item = self->ended[event->ref.id];
+
+    if (text.len > 0)
+      item.body.append (text.data, text.len);
+    if (event->kind != GSPAN_EVENT_HTTP_DONE)
+      return;
+    item.done = true;
+    item.result = http.result;
+    item.status = http.status;
+    for (guint i = 0; i < http.headers->items->len; i++)
+      item.headers += std::string (static_cast<char *> (http.headers->items->pdata[i])) + "\n";
+    self->open--;
+  }
+
+  /* Starts an exchange; ID "" sends none and asks for none. Returns its number. */
+  guint64
+  start (const WireServer &server, const std::string &path, const std::string &id, bool stream,
+         bool fresh = false, const std::string &method = "GET")
+  {
+    std::string url = "http://" + server.address + path;
+    std::string line = id_name + id;
+    GspanActionHttp http{};
+
+    gspan_headers_init (&http.headers);
+    http.method = const_cast<char *> (method.c_str ());
+    http.url = const_cast<char *> (url.c_str ());
+    http.timeout_us = timeout_us;
+    http.new_connection = fresh;
+    http.stream = stream;
+    http.http_framing_only = true;
+    if (!id.empty ())
+      {
+        gspan_headers_add (&http.headers, "X-Attempt-Id", gspan_str_from (id.c_str ()));
+        http.required_header = const_cast<char *> (line.c_str ());
+      }
+    open++;
+    gspan_http_client_start (client, { GSPAN_OWNER_DESK, ++last }, &http);
+    gspan_headers_finish (&http.headers);
+    return last;
+  }
+
+  const Ended &
+  call (const WireServer &server, const std::string &path, const std::string &id,
+        bool stream = false)
+  {
+    guint64 number = start (server, path, id, stream);
+
+    EXPECT_TRUE (wire.run_until ([&] { return ended[number].done; })) << path;
+    return ended[number];
+  }
+};
+
+/* An answer as a server may frame it. */
+struct FramingRow
+{
+  const char *name;
+  const char *method;
+  std::string head; /* of all answers, up to the last empty line */
+  std::string rest; /* as it goes over the wire */
+  std::string body; /* what it says */
+  enum
+  {
+    BY_ITSELF,
+    BY_CLOSE, /* its end is that of the connection */
+    NEVER     /* can't be told to be whole */
+  } whole;
+};
+
+static std::vector<FramingRow>
+framing_rows ()
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n" + id_name + "a\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string chunks = chunk ("first") + chunk ("second, of more than 16 bytes");
+  const std::string said = "firstsecond, of more than 16 bytes";
+
+  return {
+    { "length", "GET", ok + "Content-Length: 9\r\n\r\n", "some text", "some text",
+      FramingRow::BY_ITSELF },
+    { "length 0", "GET", ok + "Content-Length: 0\r\n\r\n", "", "", FramingRow::BY_ITSELF },
+    { "length twice", "GET", ok + "Content-Length: 4\r\nContent-Length: 4\r\n\r\n", "text", "text",
+      FramingRow::BY_ITSELF },
+    { "chunks", "GET", ok + chunked + "\r\n", chunks + "0\r\n\r\n", said, FramingRow::BY_ITSELF },
+    { "chunks with trailers", "GET", ok + chunked + "Trailer: X-A\r\n\r\n",
+      chunks + "0\r\nX-A: 1\r\nX-B: 2\r\n\r\n", said, FramingRow::BY_ITSELF },
+    { "chunks and a length", "GET", ok + chunked + "Content-Length: 3\r\n\r\n",
+      chunks + "0\r\n\r\n", said, FramingRow::BY_ITSELF },
+    { "until the close", "GET", ok + "\r\n", "some text", "some text", FramingRow::BY_CLOSE },
+    { "HTTP/1.0", "GET", "HTTP/1.0 200 OK\r\n" + id_name + "a\r\n\r\n", "some text", "some text",
+      FramingRow::BY_CLOSE },
+    { "HTTP/1.0 with a length", "GET",
+      "HTTP/1.0 200 OK\r\n" + id_name + "a\r\nContent-Length: 4\r\n\r\n", "text", "text",
+      FramingRow::BY_ITSELF },
+    { "HEAD", "HEAD", ok + "Content-Length: 9\r\n\r\n", "", "", FramingRow::BY_ITSELF },
+    { "HEAD with chunks", "HEAD", ok + chunked + "\r\n", "", "", FramingRow::BY_ITSELF },
+    { "204", "GET", "HTTP/1.1 204 No Content\r\n" + id_name + "a\r\n\r\n", "", "",
+      FramingRow::BY_ITSELF },
+    { "304", "GET", "HTTP/1.1 304 Not Modified\r\n" + id_name + "a\r\nContent-Length: 9\r\n\r\n",
+      "", "", FramingRow::BY_ITSELF },
+    { "103 first", "GET",
+      "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n",
+      "text", "text", FramingRow::BY_ITSELF },
+    { "header that looks like a status line", "GET",
+      ok + "Content-Length: 4\r\nHTTP/1.1 is: a name\r\n\r\n", "text", "text",
+      FramingRow::BY_ITSELF },
+    { "two lengths", "GET", ok + "Content-Length: 9\r\nContent-Length: 4\r\n\r\n", "some text",
+      "some text", FramingRow::NEVER },
+    { "length beyond 64 bits", "GET", ok + "Content-Length: 99999999999999999999\r\n\r\n",
+      "some text", "some text", FramingRow::NEVER },
+    { "length that is none", "GET", ok + "Content-Length: nine\r\n\r\n", "some text", "some text",
+      FramingRow::NEVER },
+    { "identity", "GET", ok + "Transfer-Encoding: identity\r\nContent-Length: 9\r\n\r\n",
+      "some text", "some text", FramingRow::NEVER },
+    { "gzip in chunks", "GET", ok + "Transfer-Encoding: gzip, chunked\r\n\r\n",
+      chunks + "0\r\n\r\n", said, FramingRow::NEVER },
+    { "chunks in two lines", "GET", ok + chunked + "Transfer-Encoding: gzip\r\n\r\n",
+      chunks + "0\r\n\r\n", said, FramingRow::NEVER },
+    { "bad chunk size", "GET", ok + chunked + "\r\n", "5\r\nfirst\r\nzz\r\n", "first",
+      FramingRow::NEVER },
+    { "without an id", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", "text", "text",
+      FramingRow::NEVER },
+    { "of another id", "GET", "HTTP/1.1 200 OK\r\n" + id_name + "b\r\nContent-Length: 4\r\n\r\n",
+      "text", "text", FramingRow::NEVER },
+  };
+}
+
+struct Cut
+{
+  size_t at;
+  bool reset;
+  bool stream;
+  guint64 number;
+};
+
+/* All of a body in chunks has come where only the very last newline is missing: either is right. */
+static void
+expect_no_cut_answer_is_whole (const FramingRow &row, const Cut &cut, const Ended &got)
+{
+  const size_t size = row.head.size () + row.rest.size ();
+  const bool by_close = row.whole == FramingRow::BY_CLOSE;
+  const std::string where = std::string (row.name) + " cut at " + std::to_string (cut.at) + " of "
+                            + std::to_string (size) + (cut.reset ? " by RST" : " by FIN")
+                            + (cut.stream ? " streamed" : "");
+
+  if (row.whole == FramingRow::NEVER)
+    EXPECT_NE (got.result, GSPAN_HTTP_COMPLETE) << where;
+  else if (by_close && cut.at >= row.head.size () && !cut.reset)
+    {
+      EXPECT_EQ (got.result, GSPAN_HTTP_COMPLETE) << where;
+      EXPECT_EQ (got.body, row.body.substr (0, cut.at - row.head.size ())) << where;
+    }
+  else if (cut.at + 1 == size && row.rest.size () > row.body.size ())
+    EXPECT_TRUE (got.result != GSPAN_HTTP_COMPLETE || got.body == row.body) << where;
+  else if (cut.at < size || (by_close && cut.reset))
+    EXPECT_NE (got.result, GSPAN_HTTP_COMPLETE) << where;
+  else if (!cut.reset || got.result == GSPAN_HTTP_COMPLETE)
+    {
+      EXPECT_EQ (got.result, GSPAN_HTTP_COMPLETE) << where;
+      EXPECT_EQ (got.body, row.body) << where;
+    }
+}
+
+/* Each framing, cut after each byte. */
+TEST_F (Answers, AnswerCutAnywhereIsNeverWhole)
+{
+  enum
+  {
+    RESET_EACH = 4 /* bytes between the places that are tried with a reset too */
+  };
+
+  for (const FramingRow &row : framing_rows ())
+    {
+      const std::string bytes = row.head + row.rest;
+      WireServer server (wire);
+      std::vector<Cut> cuts;
+
+      for (size_t at = 0; at <= bytes.size (); at++)
+        for (bool reset : { false, true })
+          for (bool stream : { false, true })
+            {
+              const std::string path = "/" + std::to_string (cuts.size ());
+
+              if (reset && at % RESET_EACH != 0 && at != bytes.size ())
+                continue;
+              server.by_path[path] = { bytes.substr (0, at), true, reset };
+              cuts.push_back (
+                  { at, reset, stream, start (server, path, "a", stream, true, row.method) });
+              EXPECT_TRUE (wire.run_until ([&] { return open < 100; })) << row.name;
+            }
+      EXPECT_TRUE (wire.run_until ([&] { return open == 0; })) << row.name;
+      for (const Cut &cut : cuts)
+        expect_no_cut_answer_is_whole (row, cut, ended[cut.number]);
+      ended.clear ();
+    }
+}
+
+/* What comes after an answer to "one" that is whole. */
+struct Extra
+{
+  std::string name;
+  std::string bytes;
+  bool closes;
+};
+
+static std::string
+answer (const std::string &framing, const std::string &id, const std::string &body)
+{
+  const std::string head
+      = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n" + (id.empty () ? "" : id_name + id + "\r\n");
+
+  if (framing == "chunks")
+    return head + "Transfer-Encoding: chunked\r\n\r\n" + chunk (body) + chunk ("");
+  if (framing == "close")
+    return head + "\r\n" + body;
+  return head + "Content-Length: " + std::to_string (body.size ()) + "\r\n\r\n" + body;
+}
+
+static std::vector<Extra>
+extras ()
+{
+  std::vector<Extra> all;
+
+  for (const char *framing : { "length", "chunks", "close" })
+    {
+      const std::string name = framing;
+      const std::string second = answer (framing, "one", "second answer to one");
+
+      for (const char *id : { "one", "other", "" })
+        all.push_back ({ name + " id '" + id + "'", answer (framing, id, "second answer to one"),
+                         name == "close" });
+      all.push_back ({ name + " twice", second + second, name == "close" });
+      all.push_back ({ name + " cut in the head", second.substr (0, 30), false });
+      all.push_back ({ name + " cut in the body", second.substr (0, second.size () - 9), false });
+      all.push_back ({ name + " without its begin", second.substr (30), name == "close" });
+    }
+  all.push_back ({ "100", "HTTP/1.1 100 Continue\r\n\r\n", false });
+  all.push_back ({ "garbage", "\x16\x03\x01 nonsense\r\n\r\n", false });
+  all.push_back ({ "newlines", "\r\n\r\n", false });
+  return all;
+}
+
+enum Moment
+{
+  SAME_SEGMENT,
+  RIGHT_AFTER,
+  WHILE_IDLE,
+  NEXT_REQUEST_WRITTEN,
+  MOMENTS
+};
+
+static const char *const moments[]
+    = { "in the same segment", "right after", "while idle", "after the next request" };
+
+class SecondAnswers : public Answers
+{
+protected:
+  unsigned cases = 0;
+  unsigned first_whole = 0;
+  unsigned next_whole = 0;
+
+  void
+  run (const std::string &framing, const Extra &extra, Moment moment, const std::string &next_id)
+  {
+    const std::string where = framing + ", then " + extra.name + " " + moments[moment]
+                              + ", next request '" + next_id + "'";
+    const std::string own = answer ("length", next_id, "answer to the next one");
+    WireServer server (wire);
+    WireStep first = { answer (framing, "one", "answer to one"), false };
+    WireStep next = { "", false, false, { { 0.002, own } } };
+
+    if (moment == SAME_SEGMENT)
+      first.bytes += extra.bytes;
+    else if (moment == NEXT_REQUEST_WRITTEN)
+      next.bytes = extra.bytes;
+    else
+      first.parts = { { moment == WHILE_IDLE ? 0.004 : 0, extra.bytes } };
+    if (moment != NEXT_REQUEST_WRITTEN)
+      first.close = extra.closes;
+    server.by_path = { { "/one", first }, { "/next", next } };
+    server.script = { { answer ("length", "last", "answer to the last one"), false } };
+    timeout_us = 20 * GSPAN_SECOND;
+    const Ended one = call (server, "/one", "one");
+    EXPECT_EQ (one.result, GSPAN_HTTP_COMPLETE) << where;
+    EXPECT_EQ (one.body, "answer to one") << where;
+    if (moment == WHILE_IDLE)
+      {
+        EXPECT_TRUE (wire.run_until ([&] { return server.parts_sent > 0; })) << where;
+      }
+    timeout_us = 100 * GSPAN_MS; /* what is no answer may be waited for in vain */
+    const Ended two = call (server, "/next", next_id);
+    EXPECT_TRUE (two.result != GSPAN_HTTP_COMPLETE || two.body == "answer to the next one")
+        << where << ": " << two.body;
+    const Ended three = call (server, "/last", "last");
+    EXPECT_TRUE (three.result != GSPAN_HTTP_COMPLETE || three.body == "answer to the last one")
+        << where << ": " << three.body;
+    cases++;
+    next_whole += two.result == GSPAN_HTTP_COMPLETE;
+  }
+};
+
+/* Also one that bears the right id, since that was sent on the same connection before. */
+TEST_F (SecondAnswers, SecondAnswerIsNeverTakenForTheNextOne)
+{
+  for (const char *framing : { "length", "chunks" })
+    for (const Extra &extra : extras ())
+      for (int moment = 0; moment < MOMENTS; moment++)
+        for (const char *next_id : { "one", "two" })
+          run (framing, extra, static_cast<Moment> (moment), next_id);
+  RecordProperty ("cases", static_cast<int> (cases));
+  RecordProperty ("next_whole", static_cast<int> (next_whole));
+}
+
+/* Ordinary first sendings go on sharing a connection. */
+TEST_F (Answers, RequestsWithIdsOfTheirOwnShareAConnection)
+{
+  WireServer server (wire);
+
+  for (int i = 0; i < 20; i++)
+    {
+      const std::string id = "id-" + std::to_string (i);
+
+      server.script = { { answer ("length", id, "text"), false } };
+      EXPECT_EQ (call (server, "/x", id).result, GSPAN_HTTP_COMPLETE);
+    }
+  EXPECT_EQ (server.connections, 1U);
+}
+
+TEST_F (Answers, IdThatIsSentAgainGoesOutOnANewConnection)
+{
+  WireServer server (wire);
+
+  server.script = { { answer ("length", "one", "text"), false } };
+  for (unsigned i = 1; i <= 5; i++)
+    {
+      EXPECT_EQ (call (server, "/x", "one").result, GSPAN_HTTP_COMPLETE);
+      EXPECT_EQ (server.connections, i);
+    }
+}
+
+/* A trailer may not pose as a replica's signature. */
+TEST_F (Answers, TrailersAreNoHeaders)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n" + id_name + "a\r\n";
+  WireServer server (wire);
+
+  server.script = { { head + "Transfer-Encoding: chunked\r\n\r\n" + chunk ("text")
+                          + "0\r\nX-Server-Stamp: s\r\nContent-Length: 1\r\n\r\n",
+                      false } };
+  for (bool stream : { false, true })
+    {
+      const Ended got = call (server, "/x", "a", stream);
+
+      EXPECT_EQ (got.result, GSPAN_HTTP_COMPLETE);
+      EXPECT_EQ (got.body, "text");
+      EXPECT_EQ (got.headers.find ("X-Server-Stamp"), std::string::npos);
+      EXPECT_NE (got.headers.find (id_name), std::string::npos);
+    }
+}
--- a/test/wire.h
+++ b/test/wire.h
@@ -4,6 +4,7 @@
 #include <ev.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -40,20 +41,31 @@
   }
 };
 
-/* Bytes to send for one request, and whether the connection is closed after them. */
+/* Bytes that follow after a pause. */
+struct WirePart
+{
+  double after_s;
+  std::string bytes;
+};
+
+/* Bytes to send for one request, and whether the connection is closed after the last of them. */
 struct WireStep
 {
   std::string bytes;
   bool close;
+  bool reset = false; /* closes by a reset */
+  std::vector<WirePart> parts{};
 };
 
 /* Server that reads whole requests and answers them by a script, wherever they come in. */
 class WireServer
 {
 public:
-  std::vector<WireStep> script; /* by request; the last one is repeated */
+  std::vector<WireStep> script;            /* by request; the last one is repeated */
+  std::map<std::string, WireStep> by_path; /* goes before the script */
   unsigned requests = 0;
   unsigned connections = 0;
+  unsigned parts_sent = 0;
   std::string address;
 
   explicit WireServer (Wire &wire) : wire_ (wire)
@@ -65,7 +77,7 @@
     where.sin_family = AF_INET;
     where.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
     bind (fd_, reinterpret_cast<sockaddr *> (&where), sizeof where);
-    listen (fd_, 16);
+    listen (fd_, 512);
     getsockname (fd_, reinterpret_cast<sockaddr *> (&where), &len);
     address = "127.0.0.1:" + std::to_string (ntohs (where.sin_port));
     watch (fd_, on_accept);
@@ -73,6 +85,8 @@
 
   ~WireServer ()
   {
+    for (auto &[fd, pending] : pending_)
+      ev_timer_stop (wire_.loop, &pending->timer);
     for (auto &[fd, io] : watchers_)
       {
         ev_io_stop (wire_.loop, io.get ());
@@ -89,6 +103,17 @@
   std::map<int, std::unique_ptr<ev_io>> watchers_;
   std::map<int, std::string> input_;
 
+  /* What is still to be sent on a connection. */
+  struct Pending
+  {
+    WireServer *server;
+    int fd;
+    WireStep step;
+    size_t next;
+    ev_timer timer;
+  };
+  std::map<int, std::unique_ptr<Pending>> pending_;
+
   void
   watch (int fd, void (*callback) (struct ev_loop *, ev_io *, int))
   {
@@ -108,6 +133,8 @@
 
     if (fd < 0)
       return;
+    const int on = 1;
+    setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     self->connections++;
     self->watch (fd, on_readable);
   }
@@ -127,12 +154,71 @@
   void
   drop (int fd)
   {
+    auto pending = pending_.find (fd);
+
+    if (pending != pending_.end ())
+      {
+        ev_timer_stop (wire_.loop, &pending->second->timer);
+        pending_.erase (pending);
+      }
     ev_io_stop (wire_.loop, watchers_[fd].get ());
     watchers_.erase (fd);
     input_.erase (fd);
     close (fd);
   }
 
+  static void
+  send_all (int fd, const std::string &bytes)
+  {
+    if (!bytes.empty () && send (fd, bytes.data (), bytes.size (), MSG_NOSIGNAL) < 0)
+      perror ("send");
+  }
+
+  /* Sends the next part once its pause is over, or ends the connection as the step says. */
+  void
+  go_on (Pending &pending)
+  {
+    const int fd = pending.fd;
+
+    if (pending.next < pending.step.parts.size ())
+      {
+        ev_now_update (wire_.loop);
+        ev_timer_set (&pending.timer, pending.step.parts[pending.next].after_s, 0);
+        ev_timer_start (wire_.loop, &pending.timer);
+        return;
+      }
+    if (pending.step.reset)
+      {
+        const linger now = { 1, 0 };
+        setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+      }
+    if (pending.step.reset || pending.step.close)
+      drop (fd);
+    else
+      pending_.erase (fd);
+  }
+
+  static void
+  on_pause_over (struct ev_loop *, ev_timer *timer, int)
+  {
+    auto *pending = static_cast<Pending *> (timer->data);
+
+    send_all (pending->fd, pending->step.parts[pending->next++].bytes);
+    pending->server->parts_sent++;
+    pending->server->go_on (*pending);
+  }
+
+  const WireStep &
+  step_for (const std::string &request)
+  {
+    const size_t from = request.find (' ') + 1;
+    const auto found = by_path.find (request.substr (from, request.find (' ', from) - from));
+
+    if (found != by_path.end ())
+      return found->second;
+    return script[std::min<size_t> (requests, script.size () - 1)];
+  }
+
   static void
   on_readable (struct ev_loop *, ev_io *io, int)
   {
@@ -149,13 +235,18 @@
     self->input_[fd].append (buffer, static_cast<size_t> (len));
     if (!is_whole (self->input_[fd]))
       return;
+    const WireStep &step = self->step_for (self->input_[fd]);
     self->input_[fd].clear ();
-    const WireStep &step
-        = self->script[std::min<size_t> (self->requests++, self->script.size () - 1)];
-    if (!step.bytes.empty () && write (fd, step.bytes.data (), step.bytes.size ()) < 0)
-      perror ("write");
-    if (step.close)
-      self->drop (fd);
+    self->requests++;
+    send_all (fd, step.bytes);
+    auto pending = std::make_unique<Pending> (Pending{ self, fd, step, 0, {} });
+    ev_init (&pending->timer, on_pause_over);
+    pending->timer.data = pending.get ();
+    Pending &kept = *pending;
+    if (self->pending_.count (fd) != 0)
+      ev_timer_stop (self->wire_.loop, &self->pending_[fd]->timer);
+    self->pending_[fd] = std::move (pending);
+    self->go_on (kept);
   }
 };
 
