http: trailers are no headers

Cause: libcurl gives trailers to the same callback as header lines, and each line was added. A head is read by a module of its own now (http/answer_head.c): once the final head has ended, what follows is dropped, and still counted against the bound. A line within a head that looks like a status line no longer clears what came before it.

Answers.TrailersAreNoHeaders failed before and passes; http-test passes.

--- /dev/null
+++ b/http/answer_head.c
@@ -0,0 +1,73 @@
+#include "http/answer_head.h"
+
+#include <string.h>
+
+enum
+{
+  BYTES_MAX = 64 << 10,
+  EMPTY_LINE_MAX = 2 /* bytes of an empty line with its end */
+};
+
+void
+gspan_answer_head_init (struct GspanAnswerHead *head, const char *required)
+{
+  *head = (struct GspanAnswerHead){ 0 };
+  gspan_headers_init (&head->headers);
+  head->required = g_strdup (required);
+}
+
+void
+gspan_answer_head_finish (struct GspanAnswerHead *head)
+{
+  gspan_headers_finish (&head->headers);
+  g_free (head->required);
+}
+
+static enum GspanEcho
+echo_of (const struct GspanAnswerHead *head)
+{
+  const char *colon;
+  struct GspanStr got;
+  char *name;
+
+  if (head->required == NULL)
+    return GSPAN_ECHO_NOT_ASKED;
+  colon = strchr (head->required, ':');
+  name = g_strndup (head->required, (gsize)(colon - head->required));
+  got = gspan_headers_get (&head->headers, name);
+  g_free (name);
+  if (got.data == NULL)
+    return GSPAN_ECHO_MISSING;
+  return gspan_str_equal (got, gspan_str_from (colon + 2)) ? GSPAN_ECHO_SAME : GSPAN_ECHO_OTHER;
+}
+
+static enum GspanHeadResult
+end_head (struct GspanAnswerHead *head, struct GspanFraming *framing, int status)
+{
+  head->has_status = false;
+  gspan_framing_end_head (framing, status, &head->headers);
+  head->echo = echo_of (head);
+  return head->echo != GSPAN_ECHO_OTHER ? GSPAN_HEAD_OK : GSPAN_HEAD_FOREIGN;
+}
+
+enum GspanHeadResult
+gspan_answer_head_take (struct GspanAnswerHead *head, struct GspanFraming *framing,
+                        struct GspanStr line, int status)
+{
+  head->bytes += line.len;
+  if (head->bytes > BYTES_MAX)
+    return GSPAN_HEAD_TOO_LONG;
+  if (framing->head_ended)
+    return GSPAN_HEAD_OK; /* a trailer */
+  if (!head->has_status)
+    {
+      head->has_status = true;
+      gspan_headers_clear (&head->headers);
+      gspan_framing_begin_head (framing);
+      return GSPAN_HEAD_OK;
+    }
+  if (line.len <= EMPTY_LINE_MAX)
+    return end_head (head, framing, status);
+  gspan_headers_add_line (&head->headers, line);
+  return GSPAN_HEAD_OK;
+}
--- a/http/client.c
+++ b/http/client.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "common/clock.h"
-#include "http/framing.h"
+#include "http/answer_head.h"
 
 enum
 {
@@ -21,7 +21,6 @@
   SENDS_MAX = 2, /* of a request that may run twice: libcurl repeats it once */
   CONNECTIONS_KEPT = 512,
   IDLE_AGE_MAX_S = 12,    /* a connection idle for longer isn't used again */
-  HEAD_MAX = 64 << 10,    /* bytes of an answer's heads and trailers */
   ANSWER_MAX = 8 << 20,   /* bytes of an answer that is collected */
   ANSWERS_MAX = 32 << 20, /* of all that are collected at once */
   ANSWER_LEAST = 1 << 20  /* that an answer may have in any case */
@@ -36,7 +35,7 @@
   CURL *easy;
   struct curl_slist *fields;
   GBytes *body;
-  struct GspanHeaders headers;
+  struct GspanAnswerHead head;
   GString *answer;
   struct GspanFraming framing;
   bool stream;
@@ -44,13 +43,10 @@
   bool plain_framing;
   bool probe_silence;
   bool connect_only;
-  char *echo; /* header line that the answer's head must hold; NULL checks nothing */
-  enum GspanEcho echo_got;
   bool head_told;
   bool cancelled;
-  bool too_long;     /* broken off at a bound */
-  size_t head_bytes; /* of all heads, the provisional ones too */
-  guint sends;       /* times that libcurl began to send the request */
+  bool too_long; /* broken off at a bound */
+  guint sends;   /* times that libcurl began to send the request */
   guint64 started;
   guint64 silence_us;
   guint64 heard_at; /* last answer byte; 0 before the first */
@@ -109,10 +105,9 @@
   curl_easy_cleanup (exchange->easy);
   curl_slist_free_all (exchange->fields);
   g_clear_pointer (&exchange->body, g_bytes_unref);
-  gspan_headers_finish (&exchange->headers);
+  gspan_answer_head_finish (&exchange->head);
   gspan_framing_finish (&exchange->framing);
   g_string_free (exchange->answer, TRUE);
-  g_free (exchange->echo);
   g_free (exchange);
 }
 
@@ -138,7 +133,7 @@
   trace.framing = framing->body;
   trace.declared_bytes = framing->declared_bytes;
   trace.body_bytes = framing->body_bytes;
-  trace.echo = exchange->echo_got;
+  trace.echo = exchange->head.echo;
   return trace;
 }
 
@@ -155,7 +150,7 @@
   event.ref = exchange->ref;
   event.u.http.result = result;
   event.u.http.status = answer_status (exchange);
-  event.u.http.headers = &exchange->headers;
+  event.u.http.headers = &exchange->head.headers;
   event.u.http.body = body;
   event.u.http.elapsed_us = gspan_clock_now () - exchange->started;
   event.u.http.send_count = exchange->sends;
@@ -164,34 +159,6 @@
   client->callback (client->user, &event);
 }
 
-/* Whether the head that has come in names the request that was sent. */
-static enum GspanEcho
-echo_of (const struct Exchange *exchange)
-{
-  const char *colon;
-  struct GspanStr got;
-  char *name;
-
-  if (exchange->echo == NULL)
-    return GSPAN_ECHO_NOT_ASKED;
-  colon = strchr (exchange->echo, ':');
-  name = g_strndup (exchange->echo, (gsize)(colon - exchange->echo));
-  got = gspan_headers_get (&exchange->headers, name);
-  g_free (name);
-  if (got.data == NULL)
-    return GSPAN_ECHO_MISSING;
-  return gspan_str_equal (got, gspan_str_from (colon + 2)) ? GSPAN_ECHO_SAME : GSPAN_ECHO_OTHER;
-}
-
-/* Takes in the empty line after a head. False where the head belongs to another request. */
-static bool
-end_head (struct Exchange *exchange)
-{
-  gspan_framing_end_head (&exchange->framing, answer_status (exchange), &exchange->headers);
-  exchange->echo_got = echo_of (exchange);
-  return exchange->echo_got != GSPAN_ECHO_OTHER;
-}
-
 /*
  * An answer to another request, left over on the connection, ends the exchange as lost: returning
  * less than was given makes libcurl close the connection.
@@ -201,22 +168,13 @@
 {
   struct Exchange *exchange = user;
   struct GspanStr line = { data, size * count };
+  enum GspanHeadResult result;
 
   exchange->heard_at = gspan_clock_now ();
-  exchange->head_bytes += line.len;
-  exchange->too_long = exchange->head_bytes > HEAD_MAX;
-  if (exchange->too_long)
-    return 0;
-  if (gspan_str_has_prefix (line, GSPAN_STR ("HTTP/")))
-    {
-      gspan_headers_clear (&exchange->headers);
-      gspan_framing_begin_head (&exchange->framing);
-    }
-  else if (line.len <= 2 && !end_head (exchange))
-    return 0;
-  else
-    gspan_headers_add_line (&exchange->headers, line);
-  return line.len;
+  result = gspan_answer_head_take (&exchange->head, &exchange->framing, line,
+                                   answer_status (exchange));
+  exchange->too_long = result == GSPAN_HEAD_TOO_LONG;
+  return result == GSPAN_HEAD_OK ? line.len : 0;
 }
 
 /* Adds bytes to the answer that is collected. False where it is too long. */
@@ -313,7 +271,8 @@
     return GSPAN_HTTP_COMPLETE;
   if (code == CURLE_OK && !exchange->plain_framing
       && gspan_framing_whole_by_http (&exchange->framing)
-      && gspan_framing_whole (&exchange->framing, answer_status (exchange), &exchange->headers))
+      && gspan_framing_whole (&exchange->framing, answer_status (exchange),
+                              &exchange->head.headers))
     return GSPAN_HTTP_COMPLETE;
   /* libcurl gives up by itself on a line of a head that doesn't end */
   if (exchange->too_long || code == CURLE_OUT_OF_MEMORY)
@@ -597,13 +556,12 @@
   exchange->plain_framing = http->http_framing_only;
   exchange->probe_silence = http->tcp_keepalive;
   exchange->connect_only = http->connect_only;
-  exchange->echo = g_strdup (http->required_header);
   exchange->silence_us = http->idle_timeout_us;
   gspan_framing_init (&exchange->framing, http->method);
   exchange->started = gspan_clock_now ();
   exchange->body = http->body != NULL ? g_bytes_ref (http->body) : NULL;
   exchange->answer = g_string_new (NULL);
-  gspan_headers_init (&exchange->headers);
+  gspan_answer_head_init (&exchange->head, http->required_header);
   exchange->easy = curl_easy_init ();
   set_request (exchange, http);
   set_limits (exchange, http);
