http: an answer that names no request answers none

It ends the exchange as lost now, before any byte of it is told. Provisional heads need not name the request.

--- a/board/message.c
+++ b/board/message.c
@@ -24,6 +24,7 @@
       g_free (action->u.http.method);
       g_free (action->u.http.url);
       g_free (action->u.http.required_header);
+      g_free (action->u.http.echo_exempt_header);
       break;
     case GSPAN_ACTION_OBJECT:
       g_free (action->u.object.path);
--- a/board/message.h
+++ b/board/message.h
@@ -244,6 +244,8 @@
   bool connect_only;          /* ends once the connection stands, without a request */
   bool tcp_keepalive;    /* keep-alive probes every second find a connection that went silent */
   char *required_header; /* "Name: value" that the answer's head must hold; NULL checks nothing */
+  char *echo_exempt_header; /* name of a header that marks answers which need not hold it, those of
+                               a node in between itself; NULL exempts none */
 };
 
 struct GspanActionObject
--- a/http/answer_head.c
+++ b/http/answer_head.c
@@ -9,11 +9,12 @@
 };
 
 void
-gspan_answer_head_init (struct GspanAnswerHead *head, const char *required)
+gspan_answer_head_init (struct GspanAnswerHead *head, const char *required, const char *exempt)
 {
   *head = (struct GspanAnswerHead){ 0 };
   gspan_headers_init (&head->headers);
   head->required = g_strdup (required);
+  head->exempt = g_strdup (exempt);
 }
 
 void
@@ -21,6 +22,7 @@
 {
   gspan_headers_finish (&head->headers);
   g_free (head->required);
+  g_free (head->exempt);
 }
 
 static enum GspanEcho
@@ -41,13 +43,31 @@
   return gspan_str_equal (got, gspan_str_from (colon + 2)) ? GSPAN_ECHO_SAME : GSPAN_ECHO_OTHER;
 }
 
+/* Whether the answer may be taken for that to the request. Provisional ones need not say. */
+static bool
+is_own (const struct GspanAnswerHead *head, bool final)
+{
+  switch (head->echo)
+    {
+    case GSPAN_ECHO_NOT_ASKED:
+    case GSPAN_ECHO_SAME:
+      return true;
+    case GSPAN_ECHO_OTHER:
+      return false;
+    case GSPAN_ECHO_MISSING:
+      break;
+    }
+  return !final
+         || (head->exempt != NULL && gspan_headers_get (&head->headers, head->exempt).data != NULL);
+}
+
 static enum GspanHeadResult
 end_head (struct GspanAnswerHead *head, struct GspanFraming *framing, int status)
 {
   head->has_status = false;
   gspan_framing_end_head (framing, status, &head->headers);
   head->echo = echo_of (head);
-  return head->echo != GSPAN_ECHO_OTHER ? GSPAN_HEAD_OK : GSPAN_HEAD_FOREIGN;
+  return is_own (head, framing->head_ended) ? GSPAN_HEAD_OK : GSPAN_HEAD_FOREIGN;
 }
 
 enum GspanHeadResult
--- a/http/answer_head.h
+++ b/http/answer_head.h
@@ -12,6 +12,7 @@
 {
   struct GspanHeaders headers; /* of the head that came last; none of a trailer */
   char *required; /* "Name: value" that the final head must hold; NULL checks nothing */
+  char *exempt;   /* name of a header; a head that has it may lack REQUIRED; NULL is none */
   enum GspanEcho echo;
   size_t bytes;    /* of all heads and trailers */
   bool has_status; /* the status line of the head that is being read has come */
@@ -24,8 +25,9 @@
   GSPAN_HEAD_TOO_LONG
 };
 
-/* REQUIRED may be NULL. */
-void gspan_answer_head_init (struct GspanAnswerHead *head, const char *required);
+/* REQUIRED and EXEMPT may be NULL. */
+void gspan_answer_head_init (struct GspanAnswerHead *head, const char *required,
+                             const char *exempt);
 void gspan_answer_head_finish (struct GspanAnswerHead *head);
 
 /* Takes in the next LINE with its end. STATUS is that of the last status line. */
--- a/http/client.c
+++ b/http/client.c
@@ -561,7 +561,7 @@
   exchange->started = gspan_clock_now ();
   exchange->body = http->body != NULL ? g_bytes_ref (http->body) : NULL;
   exchange->answer = g_string_new (NULL);
-  gspan_answer_head_init (&exchange->head, http->required_header);
+  gspan_answer_head_init (&exchange->head, http->required_header, http->echo_exempt_header);
   exchange->easy = curl_easy_init ();
   set_request (exchange, http);
   set_limits (exchange, http);
--- a/links/exchanges.c
+++ b/links/exchanges.c
@@ -274,6 +274,7 @@
   g_free (http->url);
   http->url = url;
   http->close_after = http->new_connection; /* else they pile up at the other node */
+  http->echo_exempt_header = g_strdup (gspan_relay_outcome_header);
   request.key = gspan_str_from (exchange->relay_key);
   request.upstream = gspan_str_from (exchange->replica->id);
   request.timeout_us = http->timeout_us - MIN (http->timeout_us / 10, OUTCOME_MARGIN_US);
--- a/links/relay_headers.c
+++ b/links/relay_headers.c
@@ -2,6 +2,8 @@
 
 #include "common/clock.h"
 
+const char *const gspan_relay_outcome_header = "Gspan-Relay-Outcome";
+
 static const char header_prefix[] = "Gspan-Relay-";
 static const char header_key[] = "Gspan-Relay-Key";
 static const char header_upstream[] = "Gspan-Relay-Upstream";
@@ -10,7 +12,6 @@
 static const char header_new_connection[] = "Gspan-Relay-New-Connection";
 static const char header_send_once[] = "Gspan-Relay-Send-Once";
 static const char header_of_caller[] = "Gspan-Relay-Of-Caller";
-static const char header_outcome[] = "Gspan-Relay-Outcome";
 static const char header_why[] = "Gspan-Relay-Why";
 
 static const char *const outcomes[]
@@ -61,14 +62,14 @@
 gspan_relay_write_outcome (enum GspanRelayOutcome outcome, const char *why,
                            struct GspanHeaders *headers)
 {
-  gspan_headers_add (headers, header_outcome, gspan_str_from (outcomes[outcome]));
+  gspan_headers_add (headers, gspan_relay_outcome_header, gspan_str_from (outcomes[outcome]));
   gspan_headers_add (headers, header_why, gspan_str_from (why));
 }
 
 enum GspanRelayOutcome
 gspan_relay_read_outcome (const struct GspanHeaders *headers, struct GspanStr *why)
 {
-  struct GspanStr text = gspan_headers_get (headers, header_outcome);
+  struct GspanStr text = gspan_headers_get (headers, gspan_relay_outcome_header);
 
   *why = gspan_headers_get (headers, header_why);
   if (text.data == NULL)
--- a/links/relay_headers.h
+++ b/links/relay_headers.h
@@ -44,5 +44,8 @@
 enum GspanRelayOutcome gspan_relay_read_outcome (const struct GspanHeaders *headers,
                                                  struct GspanStr *why);
 
+/* Name of the header that marks an answer as the node's own; a replica's answer never has it. */
+extern const char *const gspan_relay_outcome_header;
+
 /* True if LINE is a header of this module. */
 bool gspan_relay_is_header (const char *line);
--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -39,6 +39,7 @@
   guint64 last = 0;
   unsigned open = 0;
   guint64 timeout_us = 20 * GSPAN_SECOND; /* of the next exchanges */
+  const char *exempt = nullptr;           /* as the field of the action */
 
   void
   SetUp () override
@@ -88,6 +89,7 @@
     http.new_connection = fresh;
     http.stream = stream;
     http.http_framing_only = true;
+    http.echo_exempt_header = const_cast<char *> (exempt);
     if (!id.empty ())
       {
         gspan_headers_add (&http.headers, "X-Attempt-Id", gspan_str_from (id.c_str ()));
@@ -416,3 +418,23 @@
       EXPECT_NE (got.headers.find (id_name), std::string::npos);
     }
 }
+
+/* A node that passes a request on gives no id in answers of its own, and another's never. */
+TEST_F (Answers, OnlyAnAnswerOfANodeInBetweenNeedsNoId)
+{
+  const std::string rest = "Content-Length: 0\r\n\r\n";
+  const std::vector<std::tuple<std::string, const char *, GspanHttpResult>> cases = {
+    { "Between: refused\r\n" + rest, "Between", GSPAN_HTTP_COMPLETE },
+    { "Between: refused\r\n" + rest, nullptr, GSPAN_HTTP_LOST },
+    { rest, "Between", GSPAN_HTTP_LOST },
+    { "Between: refused\r\n" + id_name + "other\r\n" + rest, "Between", GSPAN_HTTP_LOST },
+  };
+  WireServer server (wire);
+
+  for (const auto &[headers, name, expected] : cases)
+    {
+      server.script = { { "HTTP/1.1 503 No\r\n" + headers, false } };
+      exempt = name;
+      EXPECT_EQ (call (server, "/x", "one").result, expected) << headers;
+    }
+}
