soak: replicas that answer twice or cut answers short, and streams that go on as something else

Callers got answers that were not their own or not whole, items were completed with fewer pieces than their replica had made, and streams ended as complete, or with an error's text, after an error. The soak's replicas never did any of what leads to it, and its checks compared the bodies of two routes only.

"stutter": second answers with the echoed id, another or none, at once, some ms later or after the next request was read; answers cut by FIN or reset in the head or the body, of all framings (one without a length that ends by FIN is whole, so such a one is reset); pauses; garbage. "spoil": streams break off, and the replica that is to go on answers 500, 503, 200 unsigned, 200 text/plain, a head alone, an empty 200 (unsigned or without its type: signed and of the right type it could be the rest of a stream whose last event had come), text in place of events, or events without ids. All answers echo the id, refusals too.

Checks: a success, and a failure with a signature, is exactly what the replica named there made whole for this attempt, GET and POST; bytes on a connection that has asked nothing, no answer in the protocol, or no event are MIXED; each event of a stream is of its own path; a run of /calls/ twice is TWICE; scores count only from whole answers. Clients and streams moved to files of their own.

--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -47,6 +47,11 @@
         self.most_of_limit = 0.0  # the largest share of what a limit allows that reached a replica
         self.jobs = defaultdict(list)  # batch job to the statuses of its tries, 0 where no answer came
         self.refused_calls = {}  # attempt of a call that may run once to the status that promised it doesn't
+        self.made = defaultdict(list)  # attempt id to (signature, status, body) of whole answers that replicas gave to it
+        self.streams_made = defaultdict(set)  # attempt id to signatures of replicas that began a stream for it
+        self.first_asked = {}  # attempt id to the first event that the first replica was asked for
+        self.item_errors = defaultdict(int)  # item to answers of 500 to its runs
+        self.odd_answers = 0  # with cuts, pauses or bytes too many, and streams that were spoiled
         self.writes_unheard = 0
         self.jobs_refused = 0  # at every try
         self.broken = []
@@ -75,14 +80,14 @@
         if not self.is_disturbed(node, sent) and not self.is_disturbed(node, self.now()):
             self.streams[resumed].append(brought)
 
-    def stream_ended(self, name, events, whole, last):
+    def stream_ended(self, name, events, whole, last, attempts):
         versions = {data.rpartition("@")[2] for _, data in events}
         if [number for number, _ in events] != list(range(1, len(events) + 1)):
-            self.broken.append(f"ORDER {name}: events {[number for number, _ in events]}")
+            self.broken.append(f"ORDER {name}: events {[number for number, _ in events]}; tries {attempts}")
         if len(versions) > 1:
-            self.mixed.append(f"{name}: events of {sorted(versions)}")
+            self.mixed.append(f"{name}: events of {sorted(versions)}; tries {attempts}")
         if whole and len(events) != last:
-            self.broken.append(f"ORDER {name}: ended as whole after {len(events)} of {last} events")
+            self.broken.append(f"ORDER {name}: ended as whole after {len(events)} of {last} events; tries {attempts}")
 
     def first_tried(self, kind, node, sent, served):
         """The first try of a client's request has ended."""
@@ -107,13 +112,46 @@
         attempt = request.headers.get("x-attempt-id", "")
         self.runs[attempt].append((replica.start_name, self.now()))
         self.arrivals.append((attempt, replica.start_name, self.now()))
+        if request.path.startswith("/calls/") and len(self.runs[attempt]) > 1:
+            self.broken.append(f"TWICE {attempt}: ran at {self.runs[attempt]}")
         if "/killer/" in request.path:
             self.contents[request.path].append((self.node_of(attempt), replica.start_name, self.now()))
 
     def ended(self, _, request):
         self.ends[request.path].append(self.now())
 
-    def client_has(self, attempt, node, answer, path, deadline_s):
+    def asked_from(self, attempt, first):
+        """Whether a node goes on with what it has of this attempt, and doesn't begin it."""
+        return first > self.first_asked.setdefault(attempt, first)
+
+    def foreign_bytes(self, attempt, node, foreign):
+        for text in foreign:
+            self.broken.append(f"MIXED {attempt} at {node}: {text}")
+
+    def check_answer(self, attempt, node, status, headers, body):
+        """A success, and a failure with a signature, is what the replica named there made for this attempt."""
+        stamp = headers.get("x-server-stamp")
+        if not 200 <= status < 300 and stamp is None:
+            return
+        if (stamp, status, body) not in self.made[attempt]:
+            made = [(name, status, body[:60], len(body)) for name, status, body in self.made[attempt]]
+            self.broken.append(f"MIXED {attempt} at {node}: got {status} of {stamp} with {len(body)} bytes, {body[:60]!r}; "
+                               f"made for it: {made}")
+
+    def stream_has(self, attempt, node, got, path):
+        self.foreign_bytes(attempt, node, got.foreign)
+        if got.status == 200:
+            stamp = got.headers.get("x-server-stamp")
+            if stamp not in self.streams_made[attempt]:
+                self.broken.append(f"MIXED {attempt} at {node}: a stream signed {stamp}, begun by {self.streams_made[attempt]}")
+            for number, data in got.events:
+                if data.rpartition("@")[0] != f"{path}-{number}":
+                    self.broken.append(f"MIXED {attempt} at {node}: event {number} of {path} is {data!r}")
+        elif got.body is not None:
+            self.check_answer(attempt, node, got.status, got.headers, got.body)
+
+    def client_has(self, attempt, node, answer, path, deadline_s, foreign):
+        self.foreign_bytes(attempt, node, foreign)
         status, headers, body = answer if answer is not None else (0, {}, b"")
         self.answers[status] += 1
         late = self.now() - self.sent[attempt][1] - deadline_s
@@ -121,8 +159,7 @@
             self.broken.append(f"LATE {attempt} at {node}: {late:.1f} s after its deadline, status {status}")
         if headers.get("server-leaving"):
             self.left.setdefault((node, headers["x-server-stamp"]), self.now())
-        if status == 200 and (body != path.encode() or not headers.get("x-server-stamp")):
-            self.broken.append(f"MIXED {attempt} at {node}: the answer isn't the replica's")
+        self.check_answer(attempt, node, status, headers, body)
         if status in (408, 421, 429, 503) and path.startswith("/calls/"):
             self.refused_calls[attempt] = status
         if status in (429, 503) and headers.get("x-server-stamp") is None:
@@ -186,7 +223,7 @@
                 self.broken.append(f"MIXED {item}: score {result.get('score')!r} isn't the signature of its call")
             elif arrived < self.texts_made.get(item, float("inf")):
                 self.broken.append(f"MIXED {item}: its reward call came before the last event was made")
-        elif self.score_errors[item] < ERRORS_UNTIL_ABANDONED:
+        elif self.score_errors[item] < ERRORS_UNTIL_ABANDONED and self.item_errors[item] < ERRORS_UNTIL_ABANDONED:
             self.broken.append(f"MIXED {item}: abandoned after {self.score_errors[item]} failures of its reward call")
 
     def any_disturbed(self, at):
--- /dev/null
+++ b/test/soak/clients.py
@@ -0,0 +1,103 @@
+"""Clients of the desk's routes, with their retries as the pages have them."""
+
+import asyncio
+
+import wire
+from replica import EVENTS, KILLER
+
+DEADLINE_S = 1.1
+RETRIES = 2
+
+
+async def ask(world, path, kept=None, node=None, method="POST"):
+    """One request with its retries at other nodes."""
+    end = world.now() + DEADLINE_S * (1 + RETRIES)
+    tried = []
+    for number in range(1 + RETRIES):
+        choice = node or world.random.choice([n for n in world.nodes if n not in tried] or world.nodes)
+        tried.append(choice)
+        world.attempts += 1
+        attempt = f"a{world.attempts}"
+        world.book.client_sends(attempt, choice.name)
+        sent = world.now()
+        headers = {"Host": "a.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": int(DEADLINE_S * 1000)}
+        foreign = []
+        answer = await wire.call(choice.front, method, path, headers, b"hello" if method == "POST" else b"",
+                                 timeout_s=DEADLINE_S + 3, kept=kept, foreign=foreign)
+        world.book.client_has(attempt, choice.name, answer, path, DEADLINE_S, foreign)
+        served = answer is not None and answer[0] == 200
+        if number == 0 and KILLER not in path:
+            world.book.first_tried(path.split("/")[1], choice.name, sent, served)
+        if served:
+            return
+        if path.startswith("/calls/") and (answer is None or answer[0] not in (429, 503)):
+            return
+        pause = float(answer[1].get("retry-after", 0.05)) if answer is not None else 0.05
+        if world.now() + pause > end:
+            return
+        await asyncio.sleep(min(pause, DEADLINE_S / 3))
+
+
+async def ask_often(world, number):
+    """Keeps a connection to one node open for all that it asks."""
+    kept = []
+    node = world.nodes[number % len(world.nodes)]
+    asked = 0
+    while world.now() < world.options.seconds:
+        asked += 1
+        route = world.random.choice(["desk", "calls"])
+        await ask(world, f"/{route}/{number}-{asked}", kept=kept, node=node, method=world.random.choice(["GET", "POST"]))
+        await asyncio.sleep(world.random.uniform(0.02, 0.2))
+    foreign = []
+    for reader, _ in kept:
+        wire.note_unasked(reader, foreign)
+    world.book.foreign_bytes(f"client {number}", node.name, foreign)
+
+
+async def ask_killers(world, number):
+    """The same content again and again, at any node."""
+    route = ["desk", "calls"][number % 2]
+    await asyncio.sleep(world.random.uniform(3, 6))
+    while world.now() < world.options.seconds:
+        await ask(world, f"/{route}{KILLER}{number}")
+        await asyncio.sleep(world.random.uniform(0.1, 1.5))
+
+
+async def read_often(world, number):
+    """Reads streams, leaves some in the middle, and takes each up again elsewhere."""
+    asked = 0
+    while world.now() < world.options.seconds:
+        asked += 1
+        await read_stream(world, f"/text/{number}-{asked}")
+        await asyncio.sleep(world.random.uniform(0.02, 0.3))
+
+
+async def read_stream(world, path):
+    events = []
+    first = None  # attempt that brought the first event
+    whole = False
+    attempts = []
+    for _ in range(1 + 2 * RETRIES):
+        node = world.random.choice(world.nodes)
+        world.attempts += 1
+        attempt = f"s{world.attempts}"
+        attempts.append(attempt)
+        headers = {"Host": "a.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": 4000}
+        if events:
+            headers.update({"Last-Event-Id": len(events), "Resumes": first})
+        sent = world.now()
+        world.book.client_sends(attempt, node.name)
+        most = world.random.choice([1, 2, EVENTS, EVENTS + 1])
+        got = await wire.stream(node.front, path, headers, most)
+        world.book.stream_has(attempt, node.name, got, path)
+        world.book.stream_tried(node.name, sent, bool(events), bool(got.events))
+        if not events:
+            world.book.first_tried("text", node.name, sent, bool(got.events))
+        if got.events and not events:
+            first = attempt
+        events += got.events
+        whole = got.whole
+        if whole or len(events) >= EVENTS:
+            break
+        await asyncio.sleep(0.05 if got.status == 200 else 0.4)
+    world.book.stream_ended(path, events, whole, EVENTS, " ".join(attempts))
--- a/test/soak/replica.py
+++ b/test/soak/replica.py
@@ -3,16 +3,23 @@
 import asyncio
 import json
 
+import stutter
 from wire import Broken, Reply, Server, format_head
 
 HEARTBEAT_S = 1.2
 KILLER = "/killer/"  # a request whose path holds this ends each replica that begins to run it
-EVENTS = 6  # of a batch item
+EVENTS = stutter.EVENTS
 SCORE = "/desk/score/"  # paths of reward calls end with the item's id
 FAILING_SCORE = "/desk/never-scored/"
 SCORE_S = 0.03
 
 
+def echo(request):
+    """Replicas echo the id of the attempt, in refusals too."""
+    attempt = request.headers.get("x-attempt-id")
+    return {"X-Attempt-Id": attempt} if attempt is not None else {}
+
+
 class Replica:
     """One start of a replica. BOOK notes what reaches it."""
 
@@ -26,6 +33,9 @@
         self.alive = True
         self.lose_answers = False
         self.endless = False  # some answers go on until the caller closes
+        self.stutters = False  # answers twice, cuts answers short, pauses
+        self.spoils = False  # breaks streams off, and answers with something else where it should go on with one
+        self.owed = {}  # connection to bytes that follow once its next request was read
         self.limit = None  # requests a second from all nodes together
         self.room = 0.0  # requests that it takes now, where it has a limit
         self.room_at = 0.0
@@ -99,15 +109,17 @@
         if not self.alive:
             await asyncio.sleep(3600)
         self.world.book.got(self, request)
+        if writer in self.owed:
+            writer.write(self.owed.pop(writer))
         if request.path == "/api/report":
             return self.report(request)
         if request.path == "/api/order":
             return Reply(200, b"", self.answer_headers(request))
         if request.headers.get("x-expect-instance", self.name) != self.name:
-            return Reply(421, b"", {"X-Not-Executed": "1"})
+            return Reply(421, b"", {"X-Not-Executed": "1", **echo(request)})
         if not self.takes_one_more():
             self.world.book.names_limit(self)
-            return Reply(503, b"", {"X-Not-Executed": "1", "Server-Limit": f"{self.limit:.1f}"})
+            return Reply(503, b"", {"X-Not-Executed": "1", "Server-Limit": f"{self.limit:.1f}", **echo(request)})
         self.world.book.reached(self, request)
         if self.endless and self.world.random.random() < 0.3:
             return await self.answer_without_end(request, writer)
@@ -118,31 +130,52 @@
                 await asyncio.sleep(3600)
             raise Broken
         if request.path.startswith(("/batch/", "/text/")):
-            return await self.stream(request, writer)
+            return await stutter.stream(self, request, writer)
         is_score = request.path.startswith((SCORE, FAILING_SCORE))
         arrived = self.world.now()
         await asyncio.sleep(SCORE_S if is_score else 0.01)
         if not self.alive:
             await asyncio.sleep(3600)
         if is_score:
-            return self.score(request, arrived)
+            return await self.score(request, writer, arrived)
         if self.lose_answers and self.world.random.random() < 0.3:
             raise Broken
-        return Reply(200, request.path.encode(), self.answer_headers(request))
-
-    def score(self, request, arrived):
+        return await self.answer(request, writer, *self.make_answer(request))
+
+    def make_answer(self, request):
+        """Status and body, another one for each run."""
+        if not self.stutters:
+            return 200, f"{request.path} {self.world.count()}".encode()
+        status = 200 if self.world.random.random() < 0.9 else self.world.random.choice([500, 404, 422])
+        size = self.world.random.choice([0, 0, 20, 20, 300, 3000, 70000])
+        return status, f"{request.path} {self.world.count()} ".encode() + b"x" * size if size else b""
+
+    async def answer(self, request, writer, status, body, headers=None):
+        reply = Reply(status, body, headers or self.answer_headers(request))
+        if self.stutters and self.world.random.random() < 0.6:
+            return await stutter.answer(self, request, writer, reply)
+        self.made(request, reply)
+        return reply
+
+    def made(self, request, reply):
+        attempt = request.headers.get("x-attempt-id", "")
+        stamp = reply.headers.get("X-Server-Stamp")
+        self.world.book.made[attempt].append((stamp, reply.status, reply.body))
+        if request.path.startswith(SCORE):
+            self.world.book.scores[request.path.rpartition("/")[2]].append((stamp, request.arrived))
+
+    async def score(self, request, writer, arrived):
         """Each answer to a reward call has a signature of its own."""
         item = request.path.rpartition("/")[2]
         headers = self.answer_headers(request)
         if request.path.startswith(FAILING_SCORE):
             self.world.book.score_errors[item] += 1
             return Reply(500, b"", headers)
-        self.world.scores += 1
-        headers["X-Server-Stamp"] += f"~{self.world.scores}"
-        self.world.book.scores[item].append((headers["X-Server-Stamp"], arrived))
+        headers["X-Server-Stamp"] += f"~{self.world.count()}"
+        request.arrived = arrived
         if self.lose_answers and self.world.random.random() < 0.3:
             raise Broken
-        return Reply(200, b"score", headers)
+        return await self.answer(request, writer, 200, b"score", headers)
 
     async def answer_without_end(self, request, writer):
         head = format_head("HTTP/1.1 200 OK", {**self.answer_headers(request), "Content-Type": "text/event-stream"})
@@ -156,7 +189,7 @@
             await writer.drain()
 
     def answer_headers(self, request):
-        headers = {"X-Server-Stamp": self.start_name, "X-Attempt-Id": request.headers.get("x-attempt-id", "")}
+        headers = {"X-Server-Stamp": self.start_name, **echo(request)}
         if self.leaving:
             headers["Server-Leaving"] = "1"
             headers["Connection"] = "close"
@@ -165,25 +198,6 @@
             self.world.book.names_limit(self)
         return headers
 
-    async def stream(self, request, writer):
-        headers = {**self.answer_headers(request), "Content-Type": "text/event-stream",
-                   "X-Weight-Versions": 1, "Transfer-Encoding": "chunked", "Connection": "close"}
-        writer.write(format_head("HTTP/1.1 200 OK", headers))
-        for event in range(int(request.headers.get("last-event-id", 0)) + 1, EVENTS + 1):
-            await asyncio.sleep(0.05)
-            if not self.alive:
-                await asyncio.sleep(3600)
-            if self.lose_answers and self.world.random.random() < 0.1:
-                raise Broken
-            if writer.is_closing():
-                raise Broken
-            text = f"id: {event}\ndata: {request.path}-{event}@{self.software}\n\n"
-            if event == EVENTS:
-                self.world.book.text_made(request.path.rpartition("/")[2])
-            writer.write(f"{len(text):x}\r\n{text}\r\n".encode())
-        writer.write(b"0\r\n\r\n")
-        return None
-
     def report(self, request):
         return Reply(200, json.dumps({"phase": "both", "models": [{"name": "m0", "version": 1, "adapters": []}],
                                       "busy": False, "seqNo": 0, "queuedReqs": 0, "activeReqs": 0, "kvUsed": 0,
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -17,9 +17,10 @@
 import time
 
 import book as books
+import clients
 import trainers
 import wire
-from replica import EVENTS, KILLER, Replica
+from replica import Replica
 from store import Store
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -31,8 +32,6 @@
 SANITIZER_FACTOR = 3  # sanitizers take twice as much more
 START_S = 3.0
 READY_WITHIN_S = 30.0
-DEADLINE_S = 1.1
-RETRIES = 2
 BACK_AFTER_S = 2.0
 # Each run that failed has a folder there.
 FAILED_RUNS = os.environ.get("GSPAN_SOAK_FAILED", os.path.join(tempfile.gettempdir(), "gspan-soak-failed"))
@@ -118,11 +117,15 @@
         self.started_replicas = 0
         self.attempts = 0
         self.versions = 1
-        self.scores = 0
+        self.counted = 0
 
     def now(self):
         return time.monotonic() - self.started
 
+    def count(self):
+        self.counted += 1
+        return self.counted
+
     def wall_ms(self):
         return int(time.time() * 1000)
 
@@ -157,85 +160,6 @@
     def living(self, service):
         return [r for r in self.replicas if r.service == service and r.alive and not r.leaving]
 
-    # Clients.
-
-    async def ask(self, path, kept=None, node=None):
-        """One request with its retries at other nodes, as the pages have clients do it."""
-        end = self.now() + DEADLINE_S * (1 + RETRIES)
-        tried = []
-        for number in range(1 + RETRIES):
-            choice = node or self.random.choice([n for n in self.nodes if n not in tried] or self.nodes)
-            tried.append(choice)
-            self.attempts += 1
-            attempt = f"a{self.attempts}"
-            self.book.client_sends(attempt, choice.name)
-            sent = self.now()
-            headers = {"Host": "a.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": int(DEADLINE_S * 1000)}
-            answer = await wire.call(choice.front, "POST", path, headers, b"hello", timeout_s=DEADLINE_S + 3, kept=kept)
-            self.book.client_has(attempt, choice.name, answer, path, DEADLINE_S)
-            if number == 0 and KILLER not in path:
-                self.book.first_tried(path.split("/")[1], choice.name, sent, answer is not None and answer[0] == 200)
-            if answer is not None and answer[0] == 200:
-                return
-            if path.startswith("/calls/") and (answer is None or answer[0] not in (429, 503)):
-                return
-            pause = float(answer[1].get("retry-after", 0.05)) if answer is not None else 0.05
-            if self.now() + pause > end:
-                return
-            await asyncio.sleep(min(pause, DEADLINE_S / 3))
-
-    async def client(self, number):
-        """Keeps a connection to one node open for all that it asks."""
-        kept = []
-        node = self.nodes[number % len(self.nodes)]
-        asked = 0
-        while self.now() < self.options.seconds:
-            asked += 1
-            route = self.random.choice(["desk", "calls"])
-            await self.ask(f"/{route}/{number}-{asked}", kept=kept, node=node)
-            await asyncio.sleep(self.random.uniform(0.02, 0.2))
-
-    async def reader(self, number):
-        """Reads streams, leaves some in the middle, and takes each up again elsewhere."""
-        asked = 0
-        while self.now() < self.options.seconds:
-            asked += 1
-            await self.read_stream(f"/text/{number}-{asked}")
-            await asyncio.sleep(self.random.uniform(0.02, 0.3))
-
-    async def read_stream(self, path):
-        events = []
-        first = None  # attempt that brought the first event
-        whole = False
-        for _ in range(1 + 2 * RETRIES):
-            node = self.random.choice(self.nodes)
-            self.attempts += 1
-            headers = {"Host": "a.example", "X-Attempt-Id": f"s{self.attempts}", "X-Deadline-Ms": 4000}
-            if events:
-                headers.update({"Last-Event-Id": len(events), "Resumes": first})
-            sent = self.now()
-            self.book.client_sends(headers["X-Attempt-Id"], node.name)
-            most = self.random.choice([1, 2, EVENTS, EVENTS + 1])
-            status, new, whole = await wire.stream(node.front, path, headers, most)
-            self.book.stream_tried(node.name, sent, bool(events), bool(new))
-            if not events:
-                self.book.first_tried("text", node.name, sent, bool(new))
-            if new and not events:
-                first = headers["X-Attempt-Id"]
-            events += new
-            if whole or len(events) >= EVENTS:
-                break
-            await asyncio.sleep(0.05 if status == 200 else 0.4)
-        self.book.stream_ended(path, events, whole, EVENTS)
-
-    async def killer(self, number):
-        """The same content again and again, at any node."""
-        route = ["desk", "calls"][number % 2]
-        await asyncio.sleep(self.random.uniform(3, 6))
-        while self.now() < self.options.seconds:
-            await self.ask(f"/{route}{KILLER}{number}")
-            await asyncio.sleep(self.random.uniform(0.1, 1.5))
-
     # Faults.
 
     async def leave(self):
@@ -295,6 +219,22 @@
         await asyncio.sleep(3)
         replica.endless = False
 
+    async def misbehave(self, how):
+        """Some replicas, at times all, stutter or spoil streams for some seconds."""
+        share = self.random.choice([0.2, 0.5, 1])
+        chosen = [r for r in self.replicas if self.random.random() < share]
+        for replica in chosen:
+            setattr(replica, how, True)
+        await asyncio.sleep(self.random.uniform(3, 6))
+        for replica in chosen:
+            setattr(replica, how, False)
+
+    async def stutter(self):
+        await self.misbehave("stutters")
+
+    async def spoil(self):
+        await self.misbehave("spoils")
+
     def cut_addresses(self):
         """Addresses of nodes whose new connections to replicas hang, and of those whose open ones do."""
         refused = sorted({node.address for nodes, _ in self.cuts for node in nodes})
@@ -430,7 +370,8 @@
                  "some": self.store_turns_some_away, "forget": self.forget_history, "watches": self.cut_watches,
                  "kill": self.kill_node, "term": self.stop_node, "freeze": self.freeze_node, "limit": self.limit,
                  "newer": self.newer, "burst": self.burst, "cut": self.cut, "flap": self.flap,
-                 "endless": self.endless, "repeat": self.repeat, "late": self.late}
+                 "endless": self.endless, "repeat": self.repeat, "late": self.late,
+                 "stutter": self.stutter, "spoil": self.spoil}
         chosen = [kinds[name] for name in self.options.faults.split(",") if name]
         await asyncio.sleep(START_S)
         while chosen and self.now() < self.options.seconds - 6:
@@ -457,9 +398,9 @@
 
     async def run(self):
         await self.start()
-        work = [self.client(i) for i in range(self.options.clients)]
-        work += [self.reader(i) for i in range(self.options.readers)]
-        work += [self.killer(i) for i in range(self.options.killers)]
+        work = [clients.ask_often(self, i) for i in range(self.options.clients)]
+        work += [clients.read_often(self, i) for i in range(self.options.readers)]
+        work += [clients.ask_killers(self, i) for i in range(self.options.killers)]
         await asyncio.gather(self.faults(), trainers.train(self), trainers.train_hastily(self), *work)
         while any("read_job" in repr(task) for task in self.tasks):
             await asyncio.sleep(0.2)
@@ -561,7 +502,7 @@
         print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()},
               f"most of a limit {book.most_of_limit:.2f}, streams begun {len(book.streams[False])}, taken up "
               f"{len(book.streams[True])} of which {sum(book.streams[True])} went on, endless answers {book.endless}, {book.memory_mb} MB, "
-              f"writes done unheard {book.writes_unheard}, jobs refused at every try {book.jobs_refused}, "
+              f"odd answers {book.odd_answers}, writes done unheard {book.writes_unheard}, jobs refused at every try {book.jobs_refused}, "
               f"served at cut nodes {[round(share, 2) for share in book.cut_shares]}")
     for line in book.broken:
         print(line)
--- a/test/soak/trainers.py
+++ b/test/soak/trainers.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+import book as books
 import wire
 from replica import EVENTS, FAILING_SCORE, SCORE
 
@@ -86,5 +87,7 @@
     book.check_score(result)
     if book.scorers.get(result["id"]) and result["state"] == "abandoned":
         return
+    if book.item_errors[result["id"]] >= books.ERRORS_UNTIL_ABANDONED and result["state"] == "abandoned":
+        return
     if result["state"] != "completed" or [line for line, _, _ in lines] != text:
         book.broken.append(f"MIXED {result['id']}: {result['state']} {result['output']!r}")
--- a/test/soak/wire.py
+++ b/test/soak/wire.py
@@ -16,6 +16,7 @@
     query: dict
     headers: dict  # names in lower case
     body: bytes
+    arrived: float = 0.0
 
 
 @dataclass
@@ -37,27 +38,81 @@
     """Raised by a handler to break the connection off without an answer."""
 
 
+KEPT = object()  # returned by a handler that has written all itself and keeps the connection
+
+
+class Garbled(Exception):
+    """Bytes that are no answer in the protocol."""
+
+
+async def read_line(reader):
+    """A line with its end; empty at the end of the connection."""
+    line = await reader.readline()
+    if line and not line.endswith(b"\n"):
+        raise asyncio.IncompleteReadError(line, None)
+    return line
+
+
 async def read_head(reader):
     """First line and headers; None at the end of the connection."""
-    first = await reader.readline()
+    first = await read_line(reader)
     if not first:
         return None
     headers = {}
-    while (line := await reader.readline()) not in (b"\r\n", b"\n", b""):
+    while (line := await read_line(reader)) not in (b"\r\n", b"\n"):
+        if not line:
+            raise asyncio.IncompleteReadError(first, None)
         name, _, value = line.decode("latin-1").partition(":")
         headers[name.strip().lower()] = value.strip()
     return first.decode("latin-1").split(None, 2), headers
 
 
-async def read_body(reader, headers):
+async def read_answer_head(reader):
+    """Status and headers of an answer."""
+    head = await read_head(reader)
+    if head is None:
+        raise asyncio.IncompleteReadError(b"", None)
+    first, headers = head
+    if len(first) < 2 or not first[0].startswith("HTTP/1.") or not (first[1].isdigit() and len(first[1]) == 3):
+        raise Garbled(" ".join(first))
+    return int(first[1]), headers
+
+
+async def read_pieces(reader, headers, at_end_of_connection=False):
+    """Pieces of a body as they come; raises where it ends early."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
-        parts = []
-        while size := int((await reader.readline()).split(b";")[0], 16):
-            parts.append(await reader.readexactly(size))
-            await reader.readline()
-        await reader.readline()
-        return b"".join(parts)
-    return await reader.readexactly(int(headers.get("content-length", 0)))
+        while size := await read_chunk_size(reader):
+            yield await reader.readexactly(size)
+            if await reader.readexactly(2) != b"\r\n":
+                raise Garbled("a chunk that doesn't end where its size says")
+        while (line := await read_line(reader)) not in (b"\r\n", b"\n"):
+            if not line:
+                raise asyncio.IncompleteReadError(b"", None)
+    elif "content-length" in headers or not at_end_of_connection:
+        left = int(headers.get("content-length", 0))
+        while left > 0:
+            piece = await reader.read(min(left, 65536))
+            if not piece:
+                raise asyncio.IncompleteReadError(b"", left)
+            left -= len(piece)
+            yield piece
+    else:
+        while piece := await reader.read(65536):
+            yield piece
+
+
+async def read_chunk_size(reader):
+    line = await read_line(reader)
+    if not line:
+        raise asyncio.IncompleteReadError(b"", None)
+    try:
+        return int(line.split(b";")[0], 16)
+    except ValueError:
+        raise Garbled(f"{line[:60]!r} for the size of a chunk") from None
+
+
+async def read_body(reader, headers, at_end_of_connection=False):
+    return b"".join([piece async for piece in read_pieces(reader, headers, at_end_of_connection)])
 
 
 def format_head(first, headers):
@@ -66,7 +121,7 @@
 
 
 class Server:
-    """Calls HANDLER (request, writer) for each request; it returns a Reply, or None if it has written all itself."""
+    """Calls HANDLER (request, writer) for each request; it returns a Reply, or None or KEPT if it has written all itself."""
 
     def __init__(self, handler):
         self.handler = handler
@@ -117,12 +172,14 @@
                 reply = await self.handler(request, writer)
                 if reply is None:
                     break
+                if reply is KEPT:
+                    continue
                 sent = {**reply.headers, "Content-Length": len(reply.body)}
                 writer.write(format_head(f"HTTP/1.1 {reply.status} X", sent) + reply.body)
                 await writer.drain()
                 if reply.headers.get("Connection") == "close":
                     break
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError, Garbled):
             pass
         except Broken:
             reset(writer)
@@ -131,17 +188,21 @@
             writer.close()
 
 
-async def call(port, method, path, headers, body=b"", timeout_s=5.0, kept=None):
+async def call(port, method, path, headers, body=b"", timeout_s=5.0, kept=None, foreign=None):
     """
-    One exchange; (status, headers, body), or None where no answer came. KEPT is a list that holds an open
-    connection between calls, (reader, writer).
+    One exchange; (status, headers, body), or None where no whole answer came. KEPT is a list that holds an open
+    connection between calls, (reader, writer). Bytes that belong to no answer are added to the list FOREIGN.
     """
+    foreign = foreign if foreign is not None else []
+
     async def exchange():
         reader, writer = kept.pop() if kept else await asyncio.open_connection("127.0.0.1", port)
         try:
+            note_unasked(reader, foreign)
             writer.write(format_head(f"{method} {path} HTTP/1.1", {**headers, "Content-Length": len(body)}) + body)
-            first, answer_headers = await read_head(reader)
-            answer = int(first[1]), answer_headers, await read_body(reader, answer_headers)
+            status, answer_headers = await read_answer_head(reader)
+            answer = status, answer_headers, await read_body(reader, answer_headers, at_end_of_connection=True)
+            note_unasked(reader, foreign)
         except BaseException:
             writer.transport.abort()
             raise
@@ -151,48 +212,74 @@
             kept.append((reader, writer))
         return answer
 
+    return await guarded(exchange(), timeout_s, foreign)
+
+
+def note_unasked(reader, foreign):
+    """Bytes that have come on a connection on which nothing is asked."""
+    unasked = bytes(reader._buffer)  # pylint: disable=protected-access
+    if unasked:
+        foreign.append(f"unasked {unasked[:200]!r}")
+
+
+async def guarded(exchange, timeout_s, foreign):
+    """What EXCHANGE returns, or None where it failed."""
     try:
-        return await asyncio.wait_for(exchange(), timeout_s)
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, TypeError, ValueError):
-        return None
+        return await asyncio.wait_for(exchange, timeout_s)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        pass
+    except (Garbled, ValueError) as error:
+        foreign.append(f"no answer: {error}")
+    return None
+
+
+@dataclass
+class Stream:
+    """What came of a stream: its body where the status isn't 200, else its events."""
+
+    status: int = 0  # 0 where no head came
+    headers: dict = field(default_factory=dict)
+    body: bytes = None
+    events: list = field(default_factory=list)  # (id, data)
+    whole: bool = False
+    foreign: list = field(default_factory=list)  # what was neither an event nor an answer
 
 
 async def stream(port, path, headers, most, timeout_s=5.0):
-    """
-    Reads a stream of events, MOST of them at most, and closes the connection then. (status, events as (id, data),
-    whether it ended as whole); status 0 where no head came.
-    """
-    events = []
-    status = 0
-    whole = False
+    """Reads a stream of events, MOST of them at most, and closes the connection then."""
+    got = Stream()
     writer = None
 
     async def exchange():
-        nonlocal status, whole, writer
+        nonlocal writer
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(format_head(f"POST {path} HTTP/1.1", {**headers, "Content-Length": 0}))
-        first, answer_headers = await read_head(reader)
-        status = int(first[1])
-        if status != 200 or answer_headers.get("transfer-encoding", "").lower() != "chunked":
+        got.status, got.headers = await read_answer_head(reader)
+        if got.status != 200:
+            got.body = await read_body(reader, got.headers, at_end_of_connection=True)
             return
         pending = b""
-        while len(events) < most:
-            size = int((await reader.readline()).split(b";")[0], 16)
-            if size == 0:
-                whole = True
+        async for piece in read_pieces(reader, got.headers, at_end_of_connection=True):
+            *done, pending = (pending + piece).split(b"\n\n")
+            for text in done:
+                add_event(got, text)
+            if len(got.events) >= most:
                 return
-            pending += await reader.readexactly(size)
-            await reader.readline()
-            *done, pending = pending.split(b"\n\n")
-            for event in done:
-                lines = dict(line.split(": ", 1) for line in event.decode().split("\n"))
-                events.append((int(lines["id"]), lines["data"]))
+        got.whole = True
+        if pending:
+            got.foreign.append(f"ended as whole after {pending[:200]!r}")
+        note_unasked(reader, got.foreign)
 
-    try:
-        await asyncio.wait_for(exchange(), timeout_s)
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, TypeError, ValueError, KeyError):
-        pass
-    finally:
-        if writer is not None:
-            writer.transport.abort()
-    return status, events[:most], whole
+    await guarded(exchange(), timeout_s, got.foreign)
+    if writer is not None:
+        writer.transport.abort()
+    del got.events[most:]
+    return got
+
+
+def add_event(got, text):
+    lines = dict(line.partition(": ")[::2] for line in text.decode("latin-1").split("\n"))
+    if lines.get("id", "").isdigit() and "data" in lines:
+        got.events.append((int(lines["id"]), lines["data"]))
+    else:
+        got.foreign.append(f"no event: {text[:200]!r}")
