soak: all nodes die at once, odd entries, two builds side by side, and nodes that end by themselves

Three reports that the soak couldn't show: streams that are joined from two versions after all machines have died; an odd entry that ends or stops those that read the list; and builds of two landings side by side.

"killall": new replicas of a service of streams come, all nodes are killed at the same moment and are back 0.3 to 2.5 s later; the old version, part of it or nothing leaves before, meanwhile or after. Readers take up for 6 s and honour Retry-After. Besides the check of versions: at least half of those that had begun and whose version is still there go on (LOST, from 12 such streams on). "odd": entries of servers, versions and retirements, from before the start on, that are deep, too large, not finite, out of range, no UTF-8, of another type, long or said twice; one that names no replica and is sent a request is ROUTE, and a replica that is added afterwards and never used by a node is CONFIG. Two faults no longer start one node twice.

--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -51,6 +51,9 @@
         self.streams_made = defaultdict(set)  # attempt id to signatures of replicas that began a stream for it
         self.first_asked = {}  # attempt id to the first event that the first replica was asked for
         self.item_errors = defaultdict(int)  # item to answers of 500 to its runs
+        self.killed_all_at = []  # times at which all nodes died at once
+        self.taken_up = []  # whether streams that had begun before that went on, those whose version is still there
+        self.version_gone = 0  # streams whose version had left meanwhile
         self.odd_answers = 0  # with cuts, pauses or bytes too many, and streams that were spoiled
         self.writes_unheard = 0
         self.jobs_refused = 0  # at every try
@@ -89,6 +92,14 @@
         if whole and len(events) != last:
             self.broken.append(f"ORDER {name}: ended as whole after {len(events)} of {last} events; tries {attempts}")
 
+    def died_between(self, since, until):
+        """Whether all nodes died at once in that time."""
+        return any(since <= at <= until for at in self.killed_all_at)
+
+    def check_taken_up(self):
+        if len(self.taken_up) >= RESUMED_LEAST and sum(self.taken_up) < len(self.taken_up) / 2:
+            self.broken.append(f"LOST after all nodes had died {sum(self.taken_up)} of {len(self.taken_up)} streams went on")
+
     def first_tried(self, kind, node, sent, served):
         """The first try of a client's request has ended."""
         if not self.is_disturbed(node, sent) and not self.is_disturbed(node, self.now()):
--- a/test/soak/clients.py
+++ b/test/soak/clients.py
@@ -7,6 +7,7 @@
 
 DEADLINE_S = 1.1
 RETRIES = 2
+PATIENCE_S = 6.0  # of a client whose stream broke off as all nodes died
 
 
 async def ask(world, path, kept=None, node=None, method="POST"):
@@ -77,7 +78,12 @@
     first = None  # attempt that brought the first event
     whole = False
     attempts = []
-    for _ in range(1 + 2 * RETRIES):
+    begun_at = world.now()
+    lost_at = None  # where all nodes died: the time, and the events that had come
+    had = 0
+    tries = 0
+    while tries < 1 + 2 * RETRIES or (lost_at is not None and world.now() < lost_at + PATIENCE_S):
+        tries += 1
         node = world.random.choice(world.nodes)
         world.attempts += 1
         attempt = f"s{world.attempts}"
@@ -99,5 +105,23 @@
         whole = got.whole
         if whole or len(events) >= EVENTS:
             break
-        await asyncio.sleep(0.05 if got.status == 200 else 0.4)
+        if lost_at is None and events and world.book.died_between(begun_at, world.now()):
+            lost_at, had = world.now(), len(events)
+        await asyncio.sleep(pause_after(got, lost_at))
+    if lost_at is not None:
+        note_taken_up(world, events[0][1].rpartition("@")[2], whole or len(events) > had)
     world.book.stream_ended(path, events, whole, EVENTS, " ".join(attempts))
+
+
+def pause_after(got, lost_at):
+    """Retry-After is honoured up to a third of the time that the client has left."""
+    if "retry-after" in got.headers and lost_at is not None:
+        return min(float(got.headers["retry-after"]), PATIENCE_S / 3)
+    return 0.05 if got.status == 200 else 0.4
+
+
+def note_taken_up(world, version, went_on):
+    if any(replica.software == version for replica in world.living("text")):
+        world.book.taken_up.append(went_on)
+    else:
+        world.book.version_gone += 1
--- /dev/null
+++ b/test/soak/restarts.py
@@ -0,0 +1,90 @@
+"""Faults that end or freeze nodes, and the watch for nodes that end by themselves."""
+
+import asyncio
+import signal
+
+import book as books
+
+DOWN_S = (0.3, 2.5)
+
+
+async def restart(world, node, number, down_s=0.3):
+    async with node.restarting:
+        start = world.now()
+        end = world.book.disturb(node.name)
+        node.signal(signal.SIGCONT)
+        node.signal(number)
+        while node.popen.poll() is None:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(down_s)
+        node.start()
+        world.book.stops[node.name].append((start, world.now()))
+        end()
+
+
+async def kill(world):
+    await restart(world, world.random.choice(world.nodes), signal.SIGKILL)
+
+
+async def terminate(world):
+    await restart(world, world.random.choice(world.nodes), signal.SIGTERM)
+
+
+async def freeze(world):
+    node = world.random.choice(world.nodes)
+    for_s = world.random.uniform(0.5, 4)
+    end = world.book.disturb(node.name)
+    start = world.now()
+    node.signal(signal.SIGSTOP)
+    await asyncio.sleep(for_s)
+    node.signal(signal.SIGCONT)
+    world.book.stops[node.name].append((start, world.now()))
+    end()
+
+
+async def kill_all(world):
+    """All nodes die at the same moment while streams of two versions are open; the old version may leave meanwhile."""
+    if any(node.restarting.locked() for node in world.nodes):
+        return
+    old = world.living("text")
+    world.versions += 1
+    for _ in range(world.random.randint(1, 3)):
+        await world.add_replica("text", software=f"v{world.versions}")
+    await asyncio.sleep(world.random.uniform(0.2, 1.0))
+    down_s = world.random.uniform(*DOWN_S)
+    kept = world.random.choice([len(old), len(old) // 2, 0])  # of the old version
+    leaving_at = world.random.choice(["before", "while down", "after"])
+    if leaving_at == "before":
+        leave(world, old[kept:])
+        await asyncio.sleep(world.random.uniform(0, 0.3))
+    world.book.killed_all_at.append(world.now())
+    tasks = [asyncio.create_task(restart(world, node, signal.SIGKILL, down_s)) for node in world.nodes]
+    if leaving_at == "while down":
+        await asyncio.sleep(down_s / 2)
+        leave(world, old[kept:])
+    await asyncio.gather(*tasks)
+    if leaving_at == "after":
+        await asyncio.sleep(world.random.uniform(0, 1))
+        leave(world, old[kept:])
+
+
+def leave(world, replicas):
+    """They leave in the ways that replicas have, and don't come back; others of the newest version come."""
+    for replica in replicas:
+        if replica.alive and not replica.leaving:
+            world.go(replica.leave(0, world.random.choice(["draining", "removed"]), books.DRAIN_S))
+    if replicas:
+        world.go(world.add_replica("text", software=f"v{world.versions}"))
+
+
+async def watch_for_ends(world):
+    """A node that ends though nobody asked it to is noted and started again."""
+    while True:
+        for node in world.nodes:
+            if node.has_ended_by_itself() and not node.restarting.locked():
+                world.book.broken.append(f"ENDED {node.name} at {world.now():.1f} s by itself: {node.popen.returncode}")
+                node.start()
+        await asyncio.sleep(0.1)
+
+
+FAULTS = {"kill": kill, "term": terminate, "freeze": freeze, "killall": kill_all}
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -5,27 +5,26 @@
 
 import argparse
 import asyncio
+import functools
 import json
 import os
 import random
 import re
 import shutil
-import signal
-import subprocess
 import sys
 import tempfile
 import time
 
 import book as books
 import clients
+import odd
+import restarts
 import trainers
-import wire
+from node import Node
 from replica import Replica
 from store import Store
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-sys.path.insert(0, os.path.join(ROOT, "scripts"))
-from fleet import free_port, free_udp_port  # noqa: E402 pylint: disable=wrong-import-position
 BUILD = os.environ.get("GSPAN_BUILD", os.path.join(ROOT, "build"))
 SERVICES = {"desk": 4, "calls": 4, "llm": 4, "text": 4}
 MEMORY_MB = 110  # of the smallest VM
@@ -56,50 +55,6 @@
     "limits": {"maxBodyBytes": 1000000, "idleTimeoutMs": 15000}}
 
 
-class Node:
-    def __init__(self, world, name, store_port, address):
-        self.world = world
-        self.name = name
-        self.address = address  # that its connections come from
-        self.front = free_port("127.0.0.1")
-        self.ready = free_port("127.0.0.1")
-        self.file = os.path.join(world.folder, name + ".toml")
-        self.popen = None
-        lines = ["[node]", f'name = "{name}"', 'zone = "a"', "[listen]", f'callers = "127.0.0.1:{self.front}"',
-                 f'ready = "127.0.0.1:{self.ready}"', f'peers = "127.0.0.1:{free_udp_port("127.0.0.1")}"',
-                 f'outgoing = "{address}"', f'relay = "127.0.0.1:{free_port("127.0.0.1")}"',
-                 "[platform]", f'address = "127.0.0.1:{store_port}"', "[log]", "lines_per_s = 0", "[limits]",
-                 f"drain_notice_ms = {books.DRAIN_S * 1000:.0f}"]
-        with open(self.file, "w", encoding="utf-8") as file:
-            file.write("\n".join(lines) + "\n")
-
-    def start(self):
-        with open(os.path.join(self.world.folder, self.name + ".log"), "ab") as log:
-            self.popen = subprocess.Popen([os.path.join(BUILD, "gspan-node"), "--config", self.file], stdout=log,
-                                          stderr=log, env={**os.environ, "ASAN_OPTIONS": "detect_leaks=0"})
-
-    def peak_mb(self):
-        """Memory that the process has used at most, in megabytes; 0 where it has ended."""
-        try:
-            with open(f"/proc/{self.popen.pid}/status", encoding="utf-8") as file:
-                return next((int(line.split()[1]) // 1024 for line in file if line.startswith("VmHWM")), 0)
-        except OSError:
-            return 0
-
-    def signal(self, number):
-        if self.popen.poll() is None:
-            self.popen.send_signal(number)
-
-    def kill(self):
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGKILL)
-        self.popen.wait()
-
-    async def is_ready(self):
-        answer = await wire.call(self.ready, "GET", "/api/ready", {"Host": "x"}, timeout_s=0.5)
-        return answer is not None and answer[0] == 200
-
-
 class World:
     def __init__(self, options, folder):
         self.options = options
@@ -337,41 +292,15 @@
         for node in self.nodes:
             self.store.break_connections(node.name)
 
-    async def kill_node(self, number=signal.SIGKILL):
-        node = self.random.choice(self.nodes)
-        start = self.now()
-        end = self.book.disturb(node.name)
-        node.signal(signal.SIGCONT)
-        node.signal(number)
-        while node.popen.poll() is None:
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(0.3)
-        node.start()
-        self.book.stops[node.name].append((start, self.now()))
-        end()
-
-    async def stop_node(self):
-        await self.kill_node(signal.SIGTERM)
-
-    async def freeze_node(self):
-        node = self.random.choice(self.nodes)
-        for_s = self.random.uniform(0.5, 4)
-        end = self.book.disturb(node.name)
-        start = self.now()
-        node.signal(signal.SIGSTOP)
-        await asyncio.sleep(for_s)
-        node.signal(signal.SIGCONT)
-        self.book.stops[node.name].append((start, self.now()))
-        end()
-
     async def faults(self):
         """In series that overlap."""
         kinds = {"leave": self.leave, "crash": self.crash, "lose": self.lose_answers, "store": self.store_away,
                  "some": self.store_turns_some_away, "forget": self.forget_history, "watches": self.cut_watches,
-                 "kill": self.kill_node, "term": self.stop_node, "freeze": self.freeze_node, "limit": self.limit,
+                 "limit": self.limit,
                  "newer": self.newer, "burst": self.burst, "cut": self.cut, "flap": self.flap,
                  "endless": self.endless, "repeat": self.repeat, "late": self.late,
-                 "stutter": self.stutter, "spoil": self.spoil}
+                 "stutter": self.stutter, "spoil": self.spoil,
+                 **{name: functools.partial(fault, self) for name, fault in {**restarts.FAULTS, **odd.FAULTS}.items()}}
         chosen = [kinds[name] for name in self.options.faults.split(",") if name]
         await asyncio.sleep(START_S)
         while chosen and self.now() < self.options.seconds - 6:
@@ -380,24 +309,38 @@
 
     # The run.
 
+    def builds(self, index):
+        """Folders of the program for the starts of a node, one after the other."""
+        if not self.options.other_build:
+            return [BUILD]
+        return [self.options.other_build, BUILD] if index % 2 else [BUILD, self.options.other_build]
+
     async def start(self):
         await self.store.put("config", "main", CONFIG)
+        if "odd" in self.options.faults:
+            for _ in range(2):
+                await odd.add(self)
         for service, count in SERVICES.items():
             for _ in range(count):
                 await self.add_replica(service)
         for index in range(self.options.nodes):
             name = f"vm-{index + 1}"
-            self.nodes.append(Node(self, name, await self.store.open_port(name), f"127.0.1.{index + 1}"))
+            self.nodes.append(Node(self, name, await self.store.open_port(name), f"127.0.1.{index + 1}",
+                                   self.builds(index)))
             self.nodes[-1].start()
         for node in self.nodes:
             while not await node.is_ready():
                 if node.popen.poll() is not None or self.now() > READY_WITHIN_S:
-                    raise RuntimeError(f"{node.name} isn't ready; exit code {node.popen.poll()}")
+                    self.book.broken.append(f"ENDED {node.name} isn't ready; exit code {node.popen.poll()}")
+                    return False
                 await asyncio.sleep(0.05)
         self.started = time.monotonic()
+        return True
 
     async def run(self):
-        await self.start()
+        if not await self.start():
+            return
+        self.go(restarts.watch_for_ends(self))
         work = [clients.ask_often(self, i) for i in range(self.options.clients)]
         work += [clients.read_often(self, i) for i in range(self.options.readers)]
         work += [clients.ask_killers(self, i) for i in range(self.options.killers)]
@@ -409,6 +352,8 @@
         self.book.check_crashing_requests()
         self.book.check_limits()
         self.book.check_software()
+        self.book.check_taken_up()
+        odd.check_followed(self)
         self.book.check_refused()
         self.book.writes_unheard = self.store.writes.count
         self.book.check_served_during_cuts()
@@ -487,6 +432,7 @@
     parser.add_argument("--faults", default="leave,crash,lose,store,some,forget,watches,kill,term,freeze,limit,newer,burst,endless,cut,flap")
     parser.add_argument("--memory-mb", type=int, default=MEMORY_MB * (SANITIZER_FACTOR if "sanitize" in BUILD else 1),
                         help="memory that a node may use")
+    parser.add_argument("--other-build", help="half of the nodes run gspan-node from there; each restart changes the build")
     parser.add_argument("--keep", help="folder for settings and logs")
     parser.add_argument("--quiet", action="store_true", help="no figures, which differ between two runs of a seed")
     options = parser.parse_args()
@@ -502,6 +448,7 @@
         print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()},
               f"most of a limit {book.most_of_limit:.2f}, streams begun {len(book.streams[False])}, taken up "
               f"{len(book.streams[True])} of which {sum(book.streams[True])} went on, endless answers {book.endless}, {book.memory_mb} MB, "
+              f"after all nodes died {sum(book.taken_up)} of {len(book.taken_up)} streams went on, {book.version_gone} had lost their version, "
               f"odd answers {book.odd_answers}, writes done unheard {book.writes_unheard}, jobs refused at every try {book.jobs_refused}, "
               f"served at cut nodes {[round(share, 2) for share in book.cut_shares]}")
     for line in book.broken:
--- a/test/soak/store.py
+++ b/test/soak/store.py
@@ -19,6 +19,7 @@
         self.changed = asyncio.Condition()
         self.faults = {}  # node to "busy", "silent", "reset", "lost" or "slow"
         self.servers = {}  # node to Server
+        self.raw = {}  # string that stands for bytes to those bytes
         self.writes = WriteFaults(random, self.act)
 
     async def open_port(self, node):
@@ -73,7 +74,14 @@
             await asyncio.sleep(3600)
         if request.method != "GET" and fault == "lost":
             raise Broken
-        return Reply(reply[0], json.dumps(reply[1]).encode(), {"Content-Type": "application/json"})
+        return Reply(reply[0], self.encode(reply[1]), {"Content-Type": "application/json"})
+
+    def encode(self, answer):
+        """Strings that stand for bytes which json doesn't make are replaced by these."""
+        body = json.dumps(answer).encode()
+        for text, raw in self.raw.items():
+            body = body.replace(f'"{text}"'.encode(), raw)
+        return body
 
     async def act(self, request):
         parts = request.path.split("/")[3:]
