jobs: a text is of the version of the run that began it

A text could be joined from two software versions: a run whose first event was refused left its version with the item, a run at the other version brought the first events, and after a break the text went on at the version of the first run.

Cause: the version was set where the item's result was created, which is before the event is checked, and never again. It is now set with the first event that counts.

--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -57,8 +57,10 @@
       gspan_replica_set_weights (run->replica, run->job->document.model, event->mark);
     }
   if (item->result == NULL)
+    item->result = gspan_job_result_new (item->submitted->id);
+  if (item->last_event_id == 0) /* an earlier run may have brought nothing that counts */
     {
-      item->result = gspan_job_result_new (item->submitted->id);
+      g_free (item->result->software);
       item->result->software = g_strdup (run->replica->software);
     }
   if (!event->has_id || event->id != item->last_event_id + 1 || !weight_version_allowed (run)
--- a/test/software_test.cc
+++ b/test/software_test.cc
@@ -60,6 +60,13 @@
     rig.http_done (run, GSPAN_HTTP_LOST, 200, {}, "");
   }
 
+  void
+  wait_for_run (const Rig &rig)
+  {
+    for (unsigned i = 0; i < 500 && open_runs (rig).empty (); i++)
+      world.run (10 * GSPAN_MS);
+  }
+
   /* Runs that begin in the middle of a text. */
   static std::vector<Exchange>
   resumed_runs (const Rig &rig)
@@ -163,6 +170,39 @@
   EXPECT_EQ (result_ids (*response_to (rig, 2)).size (), 4U);
 }
 
+/* The first run brought nothing of the text; its version is not the text's. */
+TEST_F (Software, TextBelongsToTheVersionThatBeganItNotToAnEarlierRun)
+{
+  Rig &rig = start_two_versions ();
+  unsigned switched = 0;
+
+  for (guint64 id = 1; id <= 12; id++)
+    {
+      submit_job (rig, id, "j" + std::to_string (id), 1);
+      wait_for_run (rig);
+      ASSERT_EQ (open_runs (rig).size (), 1U);
+      Exchange run = open_runs (rig)[0];
+      std::string first = version_of (run);
+      rig.http_head (run, 200, stream_head (1));
+      rig.http_data (run, 200, stream_head (1), sse (7));
+      wait_for_run (rig);
+      ASSERT_EQ (open_runs (rig).size (), 1U);
+      run = open_runs (rig)[0];
+      EXPECT_EQ (run.header ("Last-Event-Id"), "");
+      std::string began = version_of (run);
+      switched += first != began;
+      break_run (rig, run, 2);
+      wait_for_run (rig);
+      ASSERT_EQ (open_runs (rig).size (), 1U);
+      run = open_runs (rig)[0];
+      EXPECT_EQ (run.header ("Last-Event-Id"), "2");
+      EXPECT_EQ (version_of (run), began);
+      finish_run (rig, run, 3);
+      world.run (5 * GSPAN_SECOND);
+    }
+  EXPECT_GT (switched, 0U);
+}
+
 /* Replicas of the version are there, but none takes the item. */
 TEST_F (Software, ItemDoesNotWaitForItsVersionForLong)
 {
