--- a/node/peers.c
+++ b/node/peers.c
@@ -84,7 +84,7 @@
   const char *state = json_string_value (json_object_get (object->status, "state"));
   struct GspanLine line;
 
-  if (object->removed || strcmp (object->name, node->self.name) != 0
+  if (object->removed || object->problem != NULL || strcmp (object->name, node->self.name) != 0
       || g_strcmp0 (state, "completed") == 0)
     return;
   gspan_line_init (&line, "vm-emptied");
@@ -95,13 +95,16 @@
   node->peers.retirement_vm = g_strdup (object->name);
 }
 
+/* REVISION is that of the entry that is replaced: what has replaced it meanwhile stays. */
 static void
-register_self (struct GspanNode *node, enum GspanStoreOp op, struct GspanOutbox *outbox)
+register_self (struct GspanNode *node, enum GspanStoreOp op, guint64 revision,
+               struct GspanOutbox *outbox)
 {
   struct GspanRef ref = { GSPAN_OWNER_CATALOG, gspan_node_next_id (node) };
   struct GspanStoreCall *call
       = gspan_outbox_store (outbox, ref, op, GSPAN_PEERS_KIND, node->self.name);
 
+  call->revision = revision;
   call->value = json_pack ("{s:s, s:s}", "udp", node->self.udp_address, "zone", node->self.zone);
   if (node->self.relay_address != NULL)
     {
@@ -115,13 +118,14 @@
 on_registered (struct GspanNode *node, const struct GspanEventStore *store,
                struct GspanOutbox *outbox)
 {
+  const struct GspanStoreObject *entry = gspan_store_reply_first (store->reply);
   struct GspanPeers *peers = &node->peers;
 
   peers->registration_call_id = 0;
   if (store->reply->result == GSPAN_STORE_OK)
     peers->registered = true;
   else if (store->reply->result == GSPAN_STORE_CONFLICT)
-    register_self (node, GSPAN_STORE_REPLACE, outbox);
+    register_self (node, GSPAN_STORE_REPLACE, entry != NULL ? entry->revision : 0, outbox);
   else
     peers->retry_at_us = node->now + RETRY_US;
 }
@@ -160,7 +164,7 @@
   if (node->now < peers->retry_at_us || node->catalog.store_fails)
     return;
   if (!peers->registered && peers->registration_call_id == 0)
-    register_self (node, GSPAN_STORE_CREATE, outbox);
+    register_self (node, GSPAN_STORE_CREATE, 0, outbox);
   if (peers->retirement_vm != NULL && peers->retirement_call_id == 0)
     report_retirement (node, outbox);
 }
@@ -227,12 +231,13 @@
   action->u.datagram.payload = g_bytes_ref (payload);
 }
 
+/* NULL where MESSAGE couldn't be built: what a caller sent, such as an id, may be no UTF-8. */
 static GBytes *
 encode (json_t *message)
 {
   char *text = json_dumps (message, JSON_COMPACT);
 
-  return g_bytes_new_with_free_func (text, strlen (text), free, text);
+  return text != NULL ? g_bytes_new_with_free_func (text, strlen (text), free, text) : NULL;
 }
 
 void
@@ -242,6 +247,8 @@
   GHashTableIter iter;
   gpointer value;
 
+  if (payload == NULL)
+    return;
   g_hash_table_iter_init (&iter, node->peers.items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -258,6 +265,8 @@
 {
   GBytes *payload = encode (message);
 
+  if (payload == NULL)
+    return;
   send_datagram (udp_address, payload, outbox);
   g_bytes_unref (payload);
 }
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -18,6 +18,7 @@
 {
 #include "common/clock.h"
 #include "node/node.h"
+#include "platform/objects.h"
 }
 
 /*
@@ -41,6 +42,7 @@
   guint64 revision;
   json_t *spec;
   json_t *status;
+  std::string raw; /* text of a spec that may be unreadable; empty where SPEC is it */
 };
 
 struct World;
@@ -95,6 +97,7 @@
   bool paused = false;
   bool cut_from_store = false; /* from the store */
   bool cut_from_replicas = false;
+  unsigned sends = 1; /* of each exchange by the HTTP client, as the events of its end say */
   std::vector<std::string> unreachable; /* "http://IP:PORT" of replicas that it doesn't reach */
 
   bool
@@ -176,6 +179,7 @@
   gint64 wall_ms = 1700000000000;
   guint64 revision = 8;
   StoreFault fault = StoreFault::None;
+  std::function<StoreFault (const Rig &, const GspanStoreCall &)> fault_of; /* instead, by call */
   guint64 latency_us = 4 * GSPAN_MS;
   size_t page_size = 500;
   bool lose_datagrams = false;
@@ -251,11 +255,20 @@
     StoredObject &object = objects[kind][name];
     json_decref (object.spec);
     object.spec = value;
+    object.raw.clear ();
     object.revision = ++revision;
     history.push_back ({ revision, { kind, name } });
     wake (kind);
   }
 
+  /* Writes the spec TEXT, which need not be JSON, as another writer may. */
+  void
+  put_raw (const std::string &kind, const std::string &name, const std::string &text)
+  {
+    put (kind, name, "{}");
+    objects[kind][name].raw = text;
+  }
+
   /* Takes an object away without a word to those who watch. */
   void
   remove_without_event (const std::string &kind, const std::string &name)
@@ -396,23 +409,28 @@
     GspanStoreReply reply;
     GspanEvent event{};
     bool writes = gspan_store_op_is_write (item.call.op);
+    StoreFault now_at_fault = fault_of ? fault_of (*item.rig, item.call) : fault;
     auto was_cut = std::find (cut_watches.begin (), cut_watches.end (), item.ref.id);
 
     gspan_store_reply_init (&reply);
-    if (item.lost || item.silent || !can_reach_store (*item.rig) || was_cut != cut_watches.end ())
+    if (item.lost || item.silent || !can_reach_store (*item.rig)
+        || now_at_fault == StoreFault::Unreachable || was_cut != cut_watches.end ())
       reply.result = writes ? GSPAN_STORE_UNKNOWN : GSPAN_STORE_UNAVAILABLE;
-    else if (fault == StoreFault::Busy)
+    else if (now_at_fault == StoreFault::Busy)
       reply.result = GSPAN_STORE_UNAVAILABLE;
-    else if (writes && fault == StoreFault::LostBefore)
+    else if (writes && now_at_fault == StoreFault::LostBefore)
       reply.result = GSPAN_STORE_UNKNOWN;
-    else if (writes && fault == StoreFault::AppliedLate)
+    else if (writes && now_at_fault == StoreFault::AppliedLate)
       {
         reply.result = GSPAN_STORE_UNKNOWN;
         apply_later (item.call);
       }
     else
-      perform (item.call, &reply);
-    if (writes && fault == StoreFault::LostAfter)
+      {
+        perform (item.call, &reply);
+        send_through_codec (item.call, &reply);
+      }
+    if (writes && now_at_fault == StoreFault::LostAfter)
       {
         gspan_store_reply_finish (&reply);
         gspan_store_reply_init (&reply);
@@ -493,6 +511,68 @@
     item->status = object->status != nullptr ? json_deep_copy (object->status) : nullptr;
   }
 
+  /* The object named in REPLY as the store writes it. */
+  std::string
+  object_text (const char *kind, const GspanStoreObject *object)
+  {
+    const std::string &raw = objects[kind][object->name].raw;
+    char *spec = json_dumps (object->spec, JSON_COMPACT);
+    char *status = json_dumps (object->status, JSON_COMPACT);
+    json_t *name = json_string (object->name);
+    char *quoted = json_dumps (name, JSON_ENCODE_ANY);
+    std::string text = std::string ("{\"metadata\":{\"name\":") + quoted
+                       + ",\"revision\":" + std::to_string (object->revision) + "}";
+
+    if (!raw.empty () || spec != nullptr)
+      text += ",\"spec\":" + (raw.empty () ? std::string (spec) : raw);
+    if (status != nullptr)
+      text += std::string (",\"status\":") + status;
+    json_decref (name);
+    free (quoted);
+    free (spec);
+    free (status);
+    return text + "}";
+  }
+
+  /* Makes of REPLY what the codec reads of its text, where it holds an object with a raw spec. */
+  void
+  send_through_codec (const GspanStoreCall &call, GspanStoreReply *reply)
+  {
+    bool list = call.op == GSPAN_STORE_LIST;
+    bool watch = call.op == GSPAN_STORE_WATCH;
+    bool is_raw = false;
+    std::string text;
+    GspanEventHttp answer{};
+    GspanError error{};
+
+    for (guint i = 0; i < reply->objects->len; i++)
+      {
+        auto *object = static_cast<GspanStoreObject *> (g_ptr_array_index (reply->objects, i));
+        std::string one = object->removed
+                              ? std::string ("{\"metadata\":{\"name\":\"") + object->name + "\"}}"
+                              : object_text (call.kind, object);
+
+        is_raw = is_raw || (!object->removed && !objects[call.kind][object->name].raw.empty ());
+        if (watch)
+          one = "{\"object\":" + one + (object->removed ? ",\"deleted\":true}" : "}");
+        text += (i > 0 ? "," : "") + one;
+      }
+    if (!is_raw)
+      return;
+    if (list || watch)
+      text = std::string (list ? "{\"items\":[" : "{\"events\":[") + text
+             + "],\"hasMore\":" + (reply->has_more ? "true" : "false")
+             + ",\"currentRev\":" + std::to_string (reply->revision) + "}";
+    answer.result = GSPAN_HTTP_COMPLETE;
+    answer.status = reply->result == GSPAN_STORE_CONFLICT ? 409 : 200;
+    answer.send_count = 1;
+    answer.body = g_bytes_new (text.data (), text.size ());
+    gspan_store_reply_finish (reply);
+    gspan_store_reply_init (reply);
+    gspan_objects_decode (&call, &answer, reply, &error);
+    g_bytes_unref (answer.body);
+  }
+
   void
   perform (const GspanStoreCall &call, GspanStoreReply *reply)
   {
@@ -549,6 +629,11 @@
       case GSPAN_STORE_REMOVE:
         if (found == kind.end ())
           reply->result = GSPAN_STORE_MISSING;
+        else if (call.revision != 0 && call.revision != found->second.revision)
+          {
+            reply->result = GSPAN_STORE_CONFLICT;
+            fill (reply, found->first, &found->second);
+          }
         else
           remove (call.kind, call.name);
         break;
@@ -562,6 +647,8 @@
 
     json_decref (field);
     field = json_deep_copy (call.value);
+    if (spec)
+      object.raw.clear ();
     object.revision = ++revision;
     history.push_back ({ revision, { call.kind, call.name } });
     fill (reply, call.name, &object);
@@ -984,6 +1071,7 @@
   event.kind = kind;
   event.ref = exchange.ref;
   event.u.http.result = result;
+  event.u.http.send_count = rig.sends;
   event.u.http.status = status;
   event.u.http.headers = &list;
   event.u.http.body = g_bytes_new (body.data (), body.size ());
@@ -1032,7 +1120,8 @@
 replica_spec (const std::string &service, unsigned number, unsigned weights,
               const char *state = "ready")
 {
-  return "{\"service\":\"" + service + "\",\"address\":\"10.0.0." + std::to_string (number)
+  return "{\"service\":\"" + service + "\",\"address\":\"10.0." + std::to_string (number / 256)
+         + "." + std::to_string (number % 256)
          + ":80\",\"zone\":\"bratislava\",\"version\":\"v1\",\"slots\":4,\"state\":\"" + state
          + "\",\"coldLeftMs\":0,\"models\":[{\"name\":\"m0\",\"version\":"
          + std::to_string (weights) + ",\"adapters\":[]}],\"seqNo\":4,\"born\":1}";
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -5,38 +5,37 @@
 
 import argparse
 import asyncio
+import functools
 import json
 import os
 import random
 import re
 import shutil
-import signal
-import subprocess
 import sys
 import tempfile
 import time
 
 import book as books
-import wire
-from replica import EVENTS, FAILING_SCORE, KILLER, SCORE, Replica
+import clients
+import odd
+import restarts
+import trainers
+from node import Node
+from replica import Replica
 from store import Store
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-sys.path.insert(0, os.path.join(ROOT, "scripts"))
-from fleet import free_port, free_udp_port  # noqa: E402 pylint: disable=wrong-import-position
 BUILD = os.environ.get("GSPAN_BUILD", os.path.join(ROOT, "build"))
-SERVICES = {"desk": 4, "calls": 4, "llm": 4, "text": 4}
+SERVICES = ["desk", "calls", "llm", "text"]
 MEMORY_MB = 110  # of the smallest VM
 SANITIZER_FACTOR = 3  # sanitizers take twice as much more
 START_S = 3.0
 READY_WITHIN_S = 30.0
-DEADLINE_S = 1.1
-RETRIES = 2
 BACK_AFTER_S = 2.0
 # Each run that failed has a folder there.
 FAILED_RUNS = os.environ.get("GSPAN_SOAK_FAILED", os.path.join(tempfile.gettempdir(), "gspan-soak-failed"))
 FAILED_RUNS_KEPT = 20
-NAMES = r"\bi-[a-z]+-\d+|\ba\d+\b|\bs\d+\b|\bj\d+-\d+(?:-\d+)?"  # of replicas, attempts, jobs and items
+NAMES = r"\bi-[a-z]+-\d+|\ba\d+\b|\bs\d+\b|\b[jh]\d+-\d+(?:-\d+)?"  # of replicas, attempts, jobs and items
 LINES_SHOWN = 150  # of the logs, on a failure
 
 CONFIG = {
@@ -56,57 +55,13 @@
     "limits": {"maxBodyBytes": 1000000, "idleTimeoutMs": 15000}}
 
 
-class Node:
-    def __init__(self, world, name, store_port, address):
-        self.world = world
-        self.name = name
-        self.address = address  # that its connections come from
-        self.front = free_port("127.0.0.1")
-        self.ready = free_port("127.0.0.1")
-        self.file = os.path.join(world.folder, name + ".toml")
-        self.popen = None
-        lines = ["[node]", f'name = "{name}"', 'zone = "a"', "[listen]", f'callers = "127.0.0.1:{self.front}"',
-                 f'ready = "127.0.0.1:{self.ready}"', f'peers = "127.0.0.1:{free_udp_port("127.0.0.1")}"',
-                 f'outgoing = "{address}"', f'relay = "127.0.0.1:{free_port("127.0.0.1")}"',
-                 "[platform]", f'address = "127.0.0.1:{store_port}"', "[log]", "lines_per_s = 0", "[limits]",
-                 f"drain_notice_ms = {books.DRAIN_S * 1000:.0f}"]
-        with open(self.file, "w", encoding="utf-8") as file:
-            file.write("\n".join(lines) + "\n")
-
-    def start(self):
-        with open(os.path.join(self.world.folder, self.name + ".log"), "ab") as log:
-            self.popen = subprocess.Popen([os.path.join(BUILD, "gspan-node"), "--config", self.file], stdout=log,
-                                          stderr=log, env={**os.environ, "ASAN_OPTIONS": "detect_leaks=0"})
-
-    def peak_mb(self):
-        """Memory that the process has used at most, in megabytes; 0 where it has ended."""
-        try:
-            with open(f"/proc/{self.popen.pid}/status", encoding="utf-8") as file:
-                return next((int(line.split()[1]) // 1024 for line in file if line.startswith("VmHWM")), 0)
-        except OSError:
-            return 0
-
-    def signal(self, number):
-        if self.popen.poll() is None:
-            self.popen.send_signal(number)
-
-    def kill(self):
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGKILL)
-        self.popen.wait()
-
-    async def is_ready(self):
-        answer = await wire.call(self.ready, "GET", "/api/ready", {"Host": "x"}, timeout_s=0.5)
-        return answer is not None and answer[0] == 200
-
-
 class World:
     def __init__(self, options, folder):
         self.options = options
         self.folder = folder
         self.random = random.Random(options.seed)
         self.started = time.monotonic()
-        self.store = Store()
+        self.store = Store(self.random)
         self.book = books.Book(self.now)
         self.replicas = []
         self.servers = []  # of all replicas that were ever started
@@ -117,11 +72,20 @@
         self.started_replicas = 0
         self.attempts = 0
         self.versions = 1
-        self.scores = 0
+        self.counted = 0
 
     def now(self):
         return time.monotonic() - self.started
 
+    def count(self):
+        self.counted += 1
+        return self.counted
+
+    def note(self, text):
+        """A line on what a stand-in did, kept with the logs of the nodes."""
+        with open(os.path.join(self.folder, "stand-ins.log"), "a", encoding="utf-8") as log:
+            log.write(f"{time.strftime('%H:%M:%S')} {self.now():.3f} {text}\n")
+
     def wall_ms(self):
         return int(time.time() * 1000)
 
@@ -156,138 +120,10 @@
     def living(self, service):
         return [r for r in self.replicas if r.service == service and r.alive and not r.leaving]
 
-    # Clients.
-
-    async def ask(self, path, kept=None, node=None):
-        """One request with its retries at other nodes, as the pages have clients do it."""
-        end = self.now() + DEADLINE_S * (1 + RETRIES)
-        tried = []
-        for number in range(1 + RETRIES):
-            choice = node or self.random.choice([n for n in self.nodes if n not in tried] or self.nodes)
-            tried.append(choice)
-            self.attempts += 1
-            attempt = f"a{self.attempts}"
-            self.book.client_sends(attempt, choice.name)
-            sent = self.now()
-            headers = {"Host": "a.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": int(DEADLINE_S * 1000)}
-            answer = await wire.call(choice.front, "POST", path, headers, b"hello", timeout_s=DEADLINE_S + 3, kept=kept)
-            self.book.client_has(attempt, choice.name, answer, path, DEADLINE_S)
-            if number == 0 and KILLER not in path:
-                self.book.first_tried(path.split("/")[1], choice.name, sent, answer is not None and answer[0] == 200)
-            if answer is not None and answer[0] == 200:
-                return
-            if path.startswith("/calls/") and (answer is None or answer[0] not in (429, 503)):
-                return
-            pause = float(answer[1].get("retry-after", 0.05)) if answer is not None else 0.05
-            if self.now() + pause > end:
-                return
-            await asyncio.sleep(min(pause, DEADLINE_S / 3))
-
-    async def client(self, number):
-        """Keeps a connection to one node open for all that it asks."""
-        kept = []
-        node = self.nodes[number % len(self.nodes)]
-        asked = 0
-        while self.now() < self.options.seconds:
-            asked += 1
-            route = self.random.choice(["desk", "calls"])
-            await self.ask(f"/{route}/{number}-{asked}", kept=kept, node=node)
-            await asyncio.sleep(self.random.uniform(0.02, 0.2))
-
-    async def reader(self, number):
-        """Reads streams, leaves some in the middle, and takes each up again elsewhere."""
-        asked = 0
-        while self.now() < self.options.seconds:
-            asked += 1
-            await self.read_stream(f"/text/{number}-{asked}")
-            await asyncio.sleep(self.random.uniform(0.02, 0.3))
-
-    async def read_stream(self, path):
-        events = []
-        first = None  # attempt that brought the first event
-        whole = False
-        for _ in range(1 + 2 * RETRIES):
-            node = self.random.choice(self.nodes)
-            self.attempts += 1
-            headers = {"Host": "a.example", "X-Attempt-Id": f"s{self.attempts}", "X-Deadline-Ms": 4000}
-            if events:
-                headers.update({"Last-Event-Id": len(events), "Resumes": first})
-            sent = self.now()
-            self.book.client_sends(headers["X-Attempt-Id"], node.name)
-            most = self.random.choice([1, 2, EVENTS, EVENTS + 1])
-            status, new, whole = await wire.stream(node.front, path, headers, most)
-            self.book.stream_tried(node.name, sent, bool(events), bool(new))
-            if not events:
-                self.book.first_tried("text", node.name, sent, bool(new))
-            if new and not events:
-                first = headers["X-Attempt-Id"]
-            events += new
-            if whole or len(events) >= EVENTS:
-                break
-            await asyncio.sleep(0.05 if status == 200 else 0.4)
-        self.book.stream_ended(path, events, whole, EVENTS)
-
-    async def killer(self, number):
-        """The same content again and again, at any node."""
-        route = ["desk", "calls"][number % 2]
-        await asyncio.sleep(self.random.uniform(3, 6))
-        while self.now() < self.options.seconds:
-            await self.ask(f"/{route}{KILLER}{number}")
-            await asyncio.sleep(self.random.uniform(0.1, 1.5))
-
-    async def trainer(self):
-        """A batch job every few seconds, read to its end."""
-        step = 0
-        while self.now() < self.options.seconds - 8:
-            step += 1
-            job = f"j{self.options.seed}-{step}"
-            items = [{"id": f"{job}-{i}", "path": f"/batch/{job}-{i}", "headers": {"X-Model": "m0"}, "body": "aGk=",
-                      "tokenCount": 10, "group": f"g{i // 4}"} for i in range(16)]
-            if step % 2 == 0:
-                for item in items:
-                    fails = self.random.random() < 0.1
-                    item["scorer"] = {"id": f"{item['id']}-score", "host": "a.example", "body": "aGk=",
-                                      "path": f"{FAILING_SCORE if fails else SCORE}{item['id']}"}
-                    self.book.scorers[item["id"]] = fails
-            body = json.dumps({"step": step, "model": "m0", "minVersion": 0, "desiredCount": 4, "items": items})
-            headers = {"Host": "a.example", "X-Attempt-Id": job}
-            await self.until_accepted(f"/batch/{job}", headers, body.encode())
-            self.go(self.read_job(job, {f"{job}-{i}" for i in range(16)}))
-            await asyncio.sleep(3)
-
-    async def until_accepted(self, path, headers, body):
-        while self.now() < self.options.seconds:
-            answer = await wire.call(self.random.choice(self.nodes).front, "POST", path, headers, body)
-            if answer is not None and answer[0] == 202:
-                return
-            await asyncio.sleep(0.3)
-
-    async def read_job(self, job, wanted):
-        seen = []
-        while len(seen) < len(wanted) and self.now() < self.options.seconds + 20:
-            answer = await wire.call(self.random.choice(self.nodes).front, "GET",
-                                     f"/api/lots/{job}?after={len(seen)}", {"Host": "a.example"})
-            if answer is not None and answer[0] == 200:
-                results = json.loads(answer[2])["results"]
-                seen += [r["id"] for r in results]
-                for result in results:
-                    lines = [line.rpartition("@") for line in result["output"].split("\n")]
-                    text = [f"/batch/{result['id']}-{n}" for n in range(1, EVENTS + 1)]
-                    if len({software for _, _, software in lines}) > 1:
-                        self.book.mixed.append(f"{result['id']}: {result['output']!r}")
-                    self.book.check_score(result)
-                    if self.book.scorers.get(result["id"]) and result["state"] == "abandoned":
-                        continue
-                    if result["state"] != "completed" or [line for line, _, _ in lines] != text:
-                        self.book.broken.append(f"MIXED {result['id']}: {result['state']} {result['output']!r}")
-            await asyncio.sleep(0.4)
-        if sorted(seen) != sorted(wanted):
-            self.book.broken.append(f"LOST {job}: {len(seen)} of {len(wanted)} results, {len(set(seen))} different")
-
     # Faults.
 
     async def leave(self):
-        service = self.random.choice(list(SERVICES))
+        service = self.random.choice(SERVICES)
         if len(self.living(service)) < 3:
             return
         replica = self.random.choice(self.living(service))
@@ -297,7 +133,7 @@
         await replica.leave(report_after_s, how, books.DRAIN_S + self.random.uniform(2, 6))
 
     async def crash(self):
-        service = self.random.choice(list(SERVICES))
+        service = self.random.choice(SERVICES)
         if len(self.living(service)) >= 3:
             await self.random.choice(self.living(service)).end()
 
@@ -329,7 +165,7 @@
 
     async def limit(self):
         """Most replicas of a service name a limit for some seconds; it may change meanwhile."""
-        chosen = [r for r in self.living(self.random.choice(list(SERVICES))) if self.random.random() < 0.8]
+        chosen = [r for r in self.living(self.random.choice(SERVICES)) if self.random.random() < 0.8]
         for replica in chosen:
             replica.set_limit(self.random.choice([1.0, 2.5, 4.0, 8.0]))
         await asyncio.sleep(self.random.uniform(8, 12))
@@ -343,6 +179,22 @@
         await asyncio.sleep(3)
         replica.endless = False
 
+    async def misbehave(self, how):
+        """Some replicas, at times all, stutter or spoil streams for some seconds."""
+        share = self.random.choice([0.2, 0.5, 1])
+        chosen = [r for r in self.replicas if self.random.random() < share]
+        for replica in chosen:
+            setattr(replica, how, True)
+        await asyncio.sleep(self.random.uniform(3, 6))
+        for replica in chosen:
+            setattr(replica, how, False)
+
+    async def stutter(self):
+        await self.misbehave("stutters")
+
+    async def spoil(self):
+        await self.misbehave("spoils")
+
     def cut_addresses(self):
         """Addresses of nodes whose new connections to replicas hang, and of those whose open ones do."""
         refused = sorted({node.address for nodes, _ in self.cuts for node in nodes})
@@ -417,6 +269,26 @@
         await self.store_fault(self.random.sample(self.nodes, max(1, len(self.nodes) // 3)))
         self.book.store_disturbed.append((start, self.now()))
 
+    async def write_fault(self, kind):
+        """Some writes of some nodes are done though no answer says so."""
+        start = self.now()
+        nodes = self.random.sample(self.nodes, self.random.randint(1, len(self.nodes)))
+        ends = [self.book.disturb(node.name) for node in nodes]
+        self.store.writes.nodes.update({node.name: kind for node in nodes})
+        await asyncio.sleep(self.random.uniform(1, 6))
+        for node in nodes:
+            self.store.writes.nodes.pop(node.name, None)
+            self.store.break_connections(node.name)
+        for end in ends:
+            end()
+        self.book.store_disturbed.append((start, self.now()))
+
+    async def repeat(self):
+        await self.write_fault("repeat")
+
+    async def late(self):
+        await self.write_fault("late")
+
     async def forget_history(self):
         self.store.forget_history()
 
@@ -425,40 +297,15 @@
         for node in self.nodes:
             self.store.break_connections(node.name)
 
-    async def kill_node(self, number=signal.SIGKILL):
-        node = self.random.choice(self.nodes)
-        start = self.now()
-        end = self.book.disturb(node.name)
-        node.signal(signal.SIGCONT)
-        node.signal(number)
-        while node.popen.poll() is None:
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(0.3)
-        node.start()
-        self.book.stops[node.name].append((start, self.now()))
-        end()
-
-    async def stop_node(self):
-        await self.kill_node(signal.SIGTERM)
-
-    async def freeze_node(self):
-        node = self.random.choice(self.nodes)
-        for_s = self.random.uniform(0.5, 4)
-        end = self.book.disturb(node.name)
-        start = self.now()
-        node.signal(signal.SIGSTOP)
-        await asyncio.sleep(for_s)
-        node.signal(signal.SIGCONT)
-        self.book.stops[node.name].append((start, self.now()))
-        end()
-
     async def faults(self):
         """In series that overlap."""
         kinds = {"leave": self.leave, "crash": self.crash, "lose": self.lose_answers, "store": self.store_away,
                  "some": self.store_turns_some_away, "forget": self.forget_history, "watches": self.cut_watches,
-                 "kill": self.kill_node, "term": self.stop_node, "freeze": self.freeze_node, "limit": self.limit,
+                 "limit": self.limit,
                  "newer": self.newer, "burst": self.burst, "cut": self.cut, "flap": self.flap,
-                 "endless": self.endless}
+                 "endless": self.endless, "repeat": self.repeat, "late": self.late,
+                 "stutter": self.stutter, "spoil": self.spoil,
+                 **{name: functools.partial(fault, self) for name, fault in {**restarts.FAULTS, **odd.FAULTS}.items()}}
         chosen = [kinds[name] for name in self.options.faults.split(",") if name]
         await asyncio.sleep(START_S)
         while chosen and self.now() < self.options.seconds - 6:
@@ -467,28 +314,42 @@
 
     # The run.
 
+    def builds(self, index):
+        """Folders of the program for the starts of a node, one after the other."""
+        if not self.options.other_build:
+            return [BUILD]
+        return [self.options.other_build, BUILD] if index % 2 else [BUILD, self.options.other_build]
+
     async def start(self):
         await self.store.put("config", "main", CONFIG)
-        for service, count in SERVICES.items():
-            for _ in range(count):
+        if "odd" in self.options.faults:
+            for _ in range(2):
+                await odd.add(self)
+        for service in SERVICES:
+            for _ in range(self.options.replicas):
                 await self.add_replica(service)
         for index in range(self.options.nodes):
             name = f"vm-{index + 1}"
-            self.nodes.append(Node(self, name, await self.store.open_port(name), f"127.0.1.{index + 1}"))
+            self.nodes.append(Node(self, name, await self.store.open_port(name), f"127.0.1.{index + 1}",
+                                   self.builds(index)))
             self.nodes[-1].start()
         for node in self.nodes:
             while not await node.is_ready():
                 if node.popen.poll() is not None or self.now() > READY_WITHIN_S:
-                    raise RuntimeError(f"{node.name} isn't ready; exit code {node.popen.poll()}")
+                    self.book.broken.append(f"ENDED {node.name} isn't ready; exit code {node.popen.poll()}")
+                    return False
                 await asyncio.sleep(0.05)
         self.started = time.monotonic()
+        return True
 
     async def run(self):
-        await self.start()
-        work = [self.client(i) for i in range(self.options.clients)]
-        work += [self.reader(i) for i in range(self.options.readers)]
-        work += [self.killer(i) for i in range(self.options.killers)]
-        await asyncio.gather(self.faults(), self.trainer(), *work)
+        if not await self.start():
+            return
+        self.go(restarts.watch_for_ends(self))
+        work = [clients.ask_often(self, i) for i in range(self.options.clients)]
+        work += [clients.read_often(self, i) for i in range(self.options.readers)]
+        work += [clients.ask_killers(self, i) for i in range(self.options.killers)]
+        await asyncio.gather(self.faults(), trainers.train(self), trainers.train_hastily(self), *work)
         while any("read_job" in repr(task) for task in self.tasks):
             await asyncio.sleep(0.2)
         self.book.check_leaving_by_answer()
@@ -496,17 +357,24 @@
         self.book.check_crashing_requests()
         self.book.check_limits()
         self.book.check_software()
+        self.book.check_taken_up()
+        odd.check_followed(self)
+        self.book.check_refused()
+        self.book.writes_unheard = self.store.writes.count
         self.book.check_served_during_cuts()
         for node in self.nodes:
             self.book.check_memory(node.name, node.peak_mb(), self.options.memory_mb)
 
     async def stop(self):
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.sleep(0)  # tasks that would start a node again end before the nodes do
         for node in self.nodes:
             if node.popen is not None and node.popen.poll() is None:
                 node.kill()
         for server in self.servers + list(self.store.servers.values()):
             server.stop()
-        for task in list(self.tasks):
+        for task in list(self.store.writes.tasks):
             task.cancel()
         await asyncio.sleep(0.2)  # lets connections and tasks end before the loop closes
 
@@ -561,6 +429,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=25)
     parser.add_argument("--nodes", type=int, default=4)
+    parser.add_argument("--replicas", type=int, default=4, help="of each service")
     parser.add_argument("--clients", type=int, default=8)
     parser.add_argument("--readers", type=int, default=4, help="clients that read streams and take them up elsewhere")
     parser.add_argument("--killers", type=int, default=2, help="contents that end each replica that runs them")
@@ -569,6 +438,7 @@
     parser.add_argument("--faults", default="leave,crash,lose,store,some,forget,watches,kill,term,freeze,limit,newer,burst,endless,cut,flap")
     parser.add_argument("--memory-mb", type=int, default=MEMORY_MB * (SANITIZER_FACTOR if "sanitize" in BUILD else 1),
                         help="memory that a node may use")
+    parser.add_argument("--other-build", help="half of the nodes run gspan-node from there; each restart changes the build")
     parser.add_argument("--keep", help="folder for settings and logs")
     parser.add_argument("--quiet", action="store_true", help="no figures, which differ between two runs of a seed")
     options = parser.parse_args()
@@ -584,6 +454,8 @@
         print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()},
               f"most of a limit {book.most_of_limit:.2f}, streams begun {len(book.streams[False])}, taken up "
               f"{len(book.streams[True])} of which {sum(book.streams[True])} went on, endless answers {book.endless}, {book.memory_mb} MB, "
+              f"after all nodes died {sum(book.taken_up)} of {len(book.taken_up)} streams went on, {book.version_gone} had lost their version, "
+              f"odd answers {book.odd_answers}, writes done unheard {book.writes_unheard}, jobs refused at every try {book.jobs_refused}, "
               f"served at cut nodes {[round(share, 2) for share in book.cut_shares]}")
     for line in book.broken:
         print(line)
