gateway: origins of streams are kept within a tenth of a second

A write now follows the one before by 100 ms, and by 2 us more for each byte of it; an object has at most 128 KiB.

--- a/gateway/origin_store.c
+++ b/gateway/origin_store.c
@@ -5,7 +5,7 @@
 #include "common/clock.h"
 #include "node/node.h"
 
-#define WRITE_EVERY_US (500 * GSPAN_MS)
+#define WRITE_EVERY_US (100 * GSPAN_MS) /* streams may last for less than half a second */
 #define RETRY_US (500 * GSPAN_MS)
 #define LIST_EVERY_US (5 * GSPAN_SECOND) /* what lives knows the newer origins and says so */
 
@@ -13,9 +13,9 @@
 {
   SHARDS = 2,                /* each attempt belongs to one */
   KEEPERS = 2,               /* nodes that keep a shard */
-  BYTES_MAX = 256 << 10,     /* of an object */
+  BYTES_MAX = 128 << 10,     /* of an object */
   OBJECT_PART = 4,           /* of the store's largest object, if that is less */
-  WRITE_US_PER_BYTE = 4,     /* large objects are written less often */
+  WRITE_US_PER_BYTE = 2,     /* large objects are written less often */
   BYTES_BESIDE_STRINGS = 12, /* of an origin in JSON */
   FORMAT_VERSION = 1
 };
