http: a request that is sent again takes a connection that didn't carry it

The echoed id tells two requests apart, not two sendings of one: a retry, a resumption, an item that runs again, an id that a client repeats. A stream that goes on after an event got the events of the first sending, half an answer was filled up with the bytes of the next.

The client notes what it sent to which upstream (http/sent_ids.c, two sets of at most 65536 hashes, 65 to 130 s) and sends it there again on a new connection only. A connection older than 60 s takes no request with an id, so that no connection outlives the memory of what it carried. First sendings share connections as before.

The server of that test sends a second answer only on the connection that carried the first request: on another one there is none.

--- a/http/client.c
+++ b/http/client.c
@@ -7,6 +7,7 @@
 
 #include "common/clock.h"
 #include "http/answer_head.h"
+#include "http/sent_ids.h"
 
 enum
 {
@@ -71,6 +72,7 @@
   bool inside;           /* libcurl is on the stack and takes no handle in or out */
   GPtrArray *starting;   /* exchanges to add once libcurl is off the stack */
   GPtrArray *doomed;     /* cancelled exchanges to free then */
+  struct GspanSentIds sent_ids;
   GspanHttpClientCallback callback;
   void *user;
   char *source; /* address that connections come from, as libcurl writes it; NULL is any */
@@ -454,6 +456,7 @@
   client->exchanges = g_hash_table_new_full (ref_hash, ref_equal, NULL, exchange_free);
   client->starting = g_ptr_array_new ();
   client->doomed = g_ptr_array_new_with_free_func (exchange_free);
+  gspan_sent_ids_init (&client->sent_ids);
   client->multi = curl_multi_init ();
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
@@ -480,6 +483,7 @@
   g_ptr_array_unref (client->starting);
   g_ptr_array_unref (client->doomed);
   g_hash_table_unref (client->exchanges);
+  gspan_sent_ids_finish (&client->sent_ids);
   curl_multi_cleanup (client->multi);
   ev_timer_stop (client->loop, &client->timer);
   ev_timer_stop (client->loop, &client->silence);
@@ -543,6 +547,22 @@
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
+/* Keeps a request with an id off connections on which an answer to it may still come. */
+static void
+set_connection (struct Exchange *exchange, const struct GspanActionHttp *http)
+{
+  bool repeated;
+
+  if (http->required_header == NULL)
+    return;
+  curl_easy_setopt (exchange->easy, CURLOPT_MAXLIFETIME_CONN,
+                    (long)(GSPAN_SENT_ID_KEPT_US / GSPAN_SECOND));
+  repeated = gspan_sent_ids_note (&exchange->client->sent_ids, http->url, http->required_header,
+                                  exchange->started);
+  if (repeated)
+    curl_easy_setopt (exchange->easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
 void
 gspan_http_client_start (struct GspanHttpClient *client, struct GspanRef ref,
                          const struct GspanActionHttp *http)
@@ -565,6 +585,7 @@
   exchange->easy = curl_easy_init ();
   set_request (exchange, http);
   set_limits (exchange, http);
+  set_connection (exchange, http);
   curl_easy_setopt (exchange->easy, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (exchange->easy, CURLOPT_HEADERDATA, exchange);
   curl_easy_setopt (exchange->easy, CURLOPT_WRITEFUNCTION, on_data);
--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -6,6 +6,7 @@
 extern "C"
 {
 #include "http/client.h"
+#include "http/sent_ids.h"
 }
 
 /* Whole answers on sockets, cut anywhere, and answers beyond the one that was asked for. */
@@ -333,7 +334,7 @@
     if (moment == SAME_SEGMENT)
       first.bytes += extra.bytes;
     else if (moment == NEXT_REQUEST_WRITTEN)
-      next.bytes = extra.bytes;
+      next.stray = extra.bytes;
     else
       first.parts = { { moment == WHILE_IDLE ? 0.004 : 0, extra.bytes } };
     if (moment != NEXT_REQUEST_WRITTEN)
@@ -438,3 +439,40 @@
       EXPECT_EQ (call (server, "/x", "one").result, expected) << headers;
     }
 }
+
+TEST (SentIds, AreRememberedAsLongAsAConnectionMayBeUsed)
+{
+  const guint64 start = 1000 * GSPAN_SECOND;
+  GspanSentIds ids{};
+
+  gspan_sent_ids_init (&ids);
+  EXPECT_FALSE (gspan_sent_ids_note (&ids, "http://10.0.0.1:80/a", "Id: 1", start));
+  EXPECT_TRUE (gspan_sent_ids_note (&ids, "http://10.0.0.1:80/b?c", "Id: 1", start));
+  EXPECT_FALSE (gspan_sent_ids_note (&ids, "http://10.0.0.1:80/a", "Id: 2", start));
+  EXPECT_FALSE (gspan_sent_ids_note (&ids, "http://10.0.0.2:80/a", "Id: 1", start));
+  for (guint64 i = 0; i < 20; i++)
+    {
+      std::string id = "Id: x" + std::to_string (i);
+      guint64 sent = start + (i + 1) * 7 * GSPAN_SECOND;
+
+      EXPECT_FALSE (gspan_sent_ids_note (&ids, "http://h/", id.c_str (), sent));
+      EXPECT_TRUE (gspan_sent_ids_note (&ids, "http://h/", id.c_str (),
+                                        sent + GSPAN_SENT_ID_KEPT_US + GSPAN_SECOND));
+    }
+  gspan_sent_ids_finish (&ids);
+}
+
+TEST (SentIds, AreBounded)
+{
+  GspanSentIds ids{};
+
+  gspan_sent_ids_init (&ids);
+  for (int i = 0; i < 300000; i++)
+    {
+      std::string id = "Id: " + std::to_string (i);
+
+      EXPECT_FALSE (gspan_sent_ids_note (&ids, "http://h/", id.c_str (), GSPAN_SECOND)) << i;
+      EXPECT_LE (g_hash_table_size (ids.current) + g_hash_table_size (ids.previous), 131072U);
+    }
+  gspan_sent_ids_finish (&ids);
+}
--- a/test/wire.h
+++ b/test/wire.h
@@ -55,6 +55,7 @@
   bool close;
   bool reset = false; /* closes by a reset */
   std::vector<WirePart> parts{};
+  std::string stray{}; /* goes first where the connection has carried a request before */
 };
 
 /* Server that reads whole requests and answers them by a script, wherever they come in. */
@@ -102,6 +103,7 @@
   int fd_;
   std::map<int, std::unique_ptr<ev_io>> watchers_;
   std::map<int, std::string> input_;
+  std::map<int, unsigned> carried_; /* requests by connection */
 
   /* What is still to be sent on a connection. */
   struct Pending
@@ -164,6 +166,7 @@
     ev_io_stop (wire_.loop, watchers_[fd].get ());
     watchers_.erase (fd);
     input_.erase (fd);
+    carried_.erase (fd);
     close (fd);
   }
 
@@ -238,6 +241,8 @@
     const WireStep &step = self->step_for (self->input_[fd]);
     self->input_[fd].clear ();
     self->requests++;
+    if (self->carried_[fd]++ > 0)
+      send_all (fd, step.stray);
     send_all (fd, step.bytes);
     auto pending = std::make_unique<Pending> (Pending{ self, fd, step, 0, {} });
     ev_init (&pending->timer, on_pause_over);
