--- a/http/client.c
+++ b/http/client.c
@@ -225,9 +225,27 @@
   return len;
 }
 
+/* True where a byte of the request has left. */
+static bool
+was_sent (struct Exchange *exchange)
+{
+  long request_bytes = 0;
+
+  curl_easy_getinfo (exchange->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  return exchange->sends > 1 || (exchange->sends == 1 && request_bytes > 0);
+}
+
+/* False where EXCHANGE has gone out as often as it may. */
+static bool
+may_send (struct Exchange *exchange)
+{
+  return !was_sent (exchange) || exchange->sends < (exchange->once ? 1 : SENDS_MAX);
+}
+
 /*
  * Called before each sending, the ones that libcurl repeats by itself too. A request that may not
- * run twice is never sent a second time, whatever libcurl's reason, and none goes out on a kept
+ * run twice is never sent a second time, whatever libcurl's reason. A sending that failed before
+ * its first byte, on a kept connection that had been reset, doesn't count. None goes out on a
  * connection where bytes wait: libcurl would read them as its answer.
  */
 static int
@@ -238,22 +256,26 @@
   int fd;
 
   (void)local_ip;
-  if (exchange->sends >= (exchange->once ? 1 : SENDS_MAX))
+  if (!may_send (exchange))
     return CURL_PREREQFUNC_ABORT;
   if (exchange->new_socket >= 0)
     gspan_tcp_table_note (sockets, local_port, exchange->new_socket);
   exchange->new_socket = -1;
   fd = gspan_tcp_table_find (sockets, local_port, peer_ip, peer_port);
-  exchange->withheld = !exchange->renewed && fd >= 0 && gspan_tcp_has_input (fd);
-  if (exchange->withheld)
-    return CURL_PREREQFUNC_ABORT;
-  exchange->sends++;
+  if (!exchange->renewed && fd >= 0 && gspan_tcp_has_input (fd))
+    {
+      exchange->withheld = !was_sent (exchange);
+      return CURL_PREREQFUNC_ABORT;
+    }
+  if (exchange->sends == 0 || was_sent (exchange))
+    exchange->sends++;
   return CURL_PREREQFUNC_OK;
 }
 
 /*
  * Ends a connection whose peer no longer acknowledges anything. TCP_USER_TIMEOUT also decides when
- * probes give up, and TCP_KEEPCNT doesn't then.
+ * probes give up, and TCP_KEEPCNT doesn't then. No connection is made for a sending that may not
+ * be.
  */
 static int
 on_socket_created (void *user, curl_socket_t fd, curlsocktype purpose)
@@ -262,20 +284,13 @@
   const unsigned timeout_ms = exchange->probe_silence ? PROBED_MAX_MS : UNACKNOWLEDGED_MAX_MS;
 
   (void)purpose;
+  if (!may_send (exchange))
+    return CURL_SOCKOPT_ERROR;
   exchange->new_socket = fd;
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
   return CURL_SOCKOPT_OK;
 }
 
-static bool
-was_sent (struct Exchange *exchange)
-{
-  long request_bytes = 0;
-
-  curl_easy_getinfo (exchange->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-  return exchange->sends > 1 || (exchange->sends == 1 && request_bytes > 0);
-}
-
 static enum GspanHttpResult
 classify (struct Exchange *exchange, CURLcode code)
 {
--- a/test/wire.h
+++ b/test/wire.h
@@ -66,6 +66,7 @@
   std::map<std::string, WireStep> by_path; /* goes before the script */
   unsigned requests = 0;
   unsigned connections = 0;
+  bool accepts_once = false; /* refuses all connections after the first one */
   unsigned parts_sent = 0;
   std::string address;
 
@@ -138,6 +139,8 @@
     const int on = 1;
     setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     self->connections++;
+    if (self->accepts_once)
+      self->drop (io->fd);
     self->watch (fd, on_readable);
   }
 
@@ -154,10 +157,13 @@
   }
 
   void
-  drop (int fd)
+  drop (int fd, bool reset = false)
   {
+    const linger at_once = { 1, 0 };
     auto pending = pending_.find (fd);
 
+    if (reset)
+      setsockopt (fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
     if (pending != pending_.end ())
       {
         ev_timer_stop (wire_.loop, &pending->second->timer);
@@ -190,13 +196,8 @@
         ev_timer_start (wire_.loop, &pending.timer);
         return;
       }
-    if (pending.step.reset)
-      {
-        const linger now = { 1, 0 };
-        setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-      }
     if (pending.step.reset || pending.step.close)
-      drop (fd);
+      drop (fd, pending.step.reset);
     else
       pending_.erase (fd);
   }
