links: a request to a replica without an id shares no connection

All exchanges with replicas pass one place (links/exchanges.c); those whose answers need not name them get a new connection there, over a relay too. What may be repeated is decided as before. Checks of links send no request, orders had new connections already, runs and reward calls have ids.

--- a/links/exchanges.c
+++ b/links/exchanges.c
@@ -293,6 +293,8 @@
 route (struct GspanNode *node, struct GspanExchange *exchange, struct GspanActionHttp *http)
 {
   exchange->runs_once = http->new_connection;
+  if (http->required_header == NULL) /* a late answer to another request would pass for its own */
+    http->new_connection = true;
   http->connect_timeout_us = CONNECT_TIMEOUT_US;
   if (exchange->relay != NULL)
     wrap (exchange, http);
--- a/test/node_test.cc
+++ b/test/node_test.cc
@@ -165,6 +165,19 @@
   EXPECT_FALSE (response_to (rig, 1)->has ("Connection"));
 }
 
+/* Nothing tells its answer from a late one to another request of the same connection. */
+TEST_F (NodeTest, RequestWithoutAnIdSharesNoConnection)
+{
+  Rig &rig = start_nodes ();
+
+  rig.request (1, "POST", "/desk/x", { "Host: a.example", "X-Deadline-Ms: 800" }, "hello");
+  ASSERT_EQ (rig.exchanges.size (), 1U);
+  EXPECT_TRUE (rig.exchanges[0].new_connection);
+  send_desk_request (rig, 2, "a2");
+  ASSERT_EQ (rig.exchanges.size (), 2U);
+  EXPECT_FALSE (rig.exchanges[1].new_connection);
+}
+
 TEST_F (NodeTest, UnsignedSuccessIsNoAnswer)
 {
   Rig &rig = start_nodes ();
--- a/test/weights_test.cc
+++ b/test/weights_test.cc
@@ -25,9 +25,11 @@
     unsigned weights;
   };
   std::vector<Sent> sent;
-  bool silent = false;   /* orders are carried out, but not answered */
-  std::string dark;      /* address of a replica that answers nothing */
-  guint64 entry_lag = 0; /* of an engine's entry behind its engine */
+  unsigned reports = 0;
+  unsigned shared_reports = 0; /* of them, asked for on connections of other requests */
+  bool silent = false;         /* orders are carried out, but not answered */
+  std::string dark;            /* address of a replica that answers nothing */
+  guint64 entry_lag = 0;       /* of an engine's entry behind its engine */
 
   static unsigned
   number (const std::string &body, const char *key)
@@ -59,6 +61,8 @@
       }
     if (exchange.url.find ("/api/report") != std::string::npos)
       {
+        shared_reports += !exchange.new_connection;
+        reports++;
         rig.http_done (exchange, GSPAN_HTTP_COMPLETE, 200, {},
                        "{\"models\":[{\"name\":\"m0\",\"version\":"
                            + std::to_string (engine.weights)
@@ -185,6 +189,17 @@
   EXPECT_EQ (engines["10.0.0.4:80"].weights, 2U);
 }
 
+/* A report names no request: a replica's late answer to another one would pass for it. */
+TEST_F (Weights, ReportsShareNoConnection)
+{
+  start_nodes (1);
+  run (3 * GSPAN_SECOND);
+  name_weights (2);
+  run (8 * GSPAN_SECOND);
+  EXPECT_GT (reports, 0U);
+  EXPECT_EQ (shared_reports, 0U);
+}
+
 TEST_F (Weights, OrderWithoutAnAnswerIsNotCarriedOutTwice)
 {
   start_nodes (1);
