--- a/test/wire.h
+++ b/test/wire.h
@@ -354,6 +354,7 @@
   int fd;
   std::string got;
   bool closed = false;
+  bool reset = false; /* closed by a reset */
 
   explicit WireCaller (uint16_t port)
   {
@@ -399,6 +400,7 @@
 
     while ((len = recv (fd, buffer, sizeof buffer, 0)) > 0)
       got.append (buffer, static_cast<size_t> (len));
+    reset = reset || (len < 0 && errno == ECONNRESET);
     closed = closed || len == 0 || (len < 0 && errno != EAGAIN);
     return text.empty () ? closed : got.find (text) != std::string::npos;
   }
