http: a stream that is cut ends by a reset for callers of HTTP/1.0

To a caller of HTTP/1.0 a stream ends with its connection. Callers of HTTP/1.1 get chunks without their end.

The connection is reset before libmicrohttpd closes it, also where the server stops with such a stream open. A kill of the process can't be covered: the kernel closes by FIN.

--- a/http/server.c
+++ b/http/server.c
@@ -9,6 +9,7 @@
 
 #include "common/address.h"
 #include "common/clock.h"
+#include "http/tcp.h"
 
 enum
 {
@@ -45,6 +46,7 @@
   GString *path;
   struct GspanHeaders headers;
   GString *body;
+  bool until_close; /* a stream has no sign of its end but that of the connection */
   bool too_large;
   bool suspended;
   bool queued;
@@ -160,6 +162,16 @@
   MHD_resume_connection (request->connection);
 }
 
+/* An end by FIN would make a stream that is cut look whole to a caller of HTTP/1.0. */
+static void
+break_off (const struct Request *request)
+{
+  bool given = request->ended && request->out_taken == request->out->len;
+
+  if (request->until_close && request->state == REQUEST_STREAMING && !given)
+    gspan_tcp_reset (connection_of (request->connection)->fd);
+}
+
 static ssize_t
 read_stream (void *user, uint64_t position, char *buffer, size_t max)
 {
@@ -180,7 +192,10 @@
       return (ssize_t)count;
     }
   if (request->cut)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
+    {
+      break_off (request);
+      return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
   if (request->ended)
     return MHD_CONTENT_READER_END_OF_STREAM;
   request_suspend (request);
@@ -267,10 +282,10 @@
   struct Request *request = *context;
 
   (void)connection;
-  (void)version;
   (void)url;
   if (request->state == REQUEST_HEAD)
     {
+      request->until_close = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
       take_head (request, method);
       if (!announces_too_much (request))
         return MHD_YES;
@@ -544,6 +559,7 @@
       struct Request *request = value;
 
       request->cut = true;
+      break_off (request);
       request_resume (request);
     }
   MHD_stop_daemon (server->daemon);
