--- a/http/tcp.c
+++ b/http/tcp.c
@@ -58,10 +58,10 @@
   return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void
+bool
 gspan_tcp_reset (int fd)
 {
   const struct sockaddr nobody = { .sa_family = AF_UNSPEC };
 
-  connect (fd, &nobody, sizeof nobody);
+  return connect (fd, &nobody, sizeof nobody) == 0;
 }
--- a/http/tcp.h
+++ b/http/tcp.h
@@ -22,5 +22,5 @@
 /* True if bytes wait to be read from the socket FD. */
 bool gspan_tcp_has_input (int fd);
 
-/* Ends the connection of the socket FD by a reset at once, which stays open. */
-void gspan_tcp_reset (int fd);
+/* Ends the connection of the socket FD, which stays open, by a reset. False where it has none. */
+bool gspan_tcp_reset (int fd);
--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -500,3 +500,96 @@
     }
   gspan_sent_ids_finish (&ids);
 }
+
+/* The same bytes give the same result wherever they are cut into pieces. */
+RC_GTEST_FIXTURE_PROP (Answers, ResultDoesNotDependOnThePieces, (std::vector<uint8_t> sizes))
+{
+  const std::vector<FramingRow> rows = framing_rows ();
+  const FramingRow &row = rows[*rc::gen::inRange<size_t> (0, rows.size ())];
+  const std::string bytes = row.head + row.rest;
+  const bool stream = *rc::gen::arbitrary<bool> ();
+  WireServer server (wire);
+  size_t at = 0;
+
+  server.by_path["/whole"] = { bytes, true };
+  server.by_path["/pieces"] = { "", true };
+  for (uint8_t size : sizes)
+    {
+      const size_t len = std::min<size_t> (size % 40, bytes.size () - at);
+
+      server.by_path["/pieces"].parts.push_back ({ 0, bytes.substr (at, len) });
+      at += len;
+    }
+  server.by_path["/pieces"].parts.push_back ({ 0, bytes.substr (at) });
+  const guint64 first = start (server, "/whole", "a", stream, true, row.method);
+  const guint64 second = start (server, "/pieces", "a", stream, true, row.method);
+  RC_ASSERT (wire.run_until ([&] { return open == 0; }));
+  RC_ASSERT (ended[first].result == ended[second].result);
+  RC_ASSERT (ended[first].status == ended[second].status);
+  if (ended[first].result == GSPAN_HTTP_COMPLETE)
+    {
+      RC_ASSERT (ended[first].body == ended[second].body);
+      RC_ASSERT (ended[first].headers == ended[second].headers);
+    }
+}
+
+/*
+ * Answers with bytes changed, taken out, doubled or put in, on one upstream and its kept
+ * connections. GSPAN_FUZZ_ROUNDS in the environment asks for more of them, by hand.
+ */
+RC_GTEST_FIXTURE_PROP (Answers, SpoiledBytesEndEachExchangeAndAnswerNoOther, ())
+{
+  const char *asked = g_getenv ("GSPAN_FUZZ_ROUNDS");
+  const int rounds = asked != nullptr ? atoi (asked) : 3;
+  const std::vector<FramingRow> rows = framing_rows ();
+  WireServer server (wire);
+  std::vector<std::pair<guint64, std::string>> calls;
+
+  timeout_us = 100 * GSPAN_MS;
+  for (int i = 0; i < rounds; i++)
+    {
+      const FramingRow &row = rows[*rc::gen::inRange<size_t> (0, rows.size ())];
+      const std::string id = "fuzz-" + std::to_string (last + 1);
+      std::string bytes = row.head + row.rest;
+      const size_t own = bytes.find (id_name + "a\r\n");
+
+      if (own != std::string::npos)
+        bytes.replace (own, id_name.size () + 1, id_name + id);
+      for (int change = *rc::gen::inRange (0, 4); change > 0; change--)
+        {
+          const size_t at = *rc::gen::inRange<size_t> (0, bytes.size ());
+          const size_t len = *rc::gen::inRange<size_t> (0, 20);
+
+          switch (*rc::gen::inRange (0, 4))
+            {
+            case 0:
+              bytes[at] = *rc::gen::arbitrary<char> ();
+              break;
+            case 1:
+              bytes.erase (at, len);
+              break;
+            case 2:
+              bytes.insert (at, bytes.substr (at, len));
+              break;
+            default:
+              bytes.insert (at, *rc::gen::arbitrary<std::string> ());
+              break;
+            }
+          if (bytes.empty ())
+            break;
+        }
+      const std::string path = "/" + id;
+      server.by_path[path] = { bytes, *rc::gen::arbitrary<bool> (), *rc::gen::arbitrary<bool> () };
+      calls.emplace_back (start (server, path, id, i % 2 == 0, false, row.method), id);
+      RC_ASSERT (wire.run_until ([&] { return open < 20; }));
+    }
+  RC_ASSERT (wire.run_until ([&] { return open == 0; }));
+  for (const auto &[number, id] : calls)
+    {
+      const Ended &got = ended[number];
+
+      RC_ASSERT (got.done);
+      if (got.result == GSPAN_HTTP_COMPLETE)
+        RC_ASSERT (got.headers.find (id_name + id + "\n") != std::string::npos);
+    }
+}
