test: the page after a name that a URL can't hold

It fails on the code as it is: a name with a blank makes the URL one that the library doesn't send, and the list ends there again and again.

--- a/test/odd_entries_test.cc
+++ b/test/odd_entries_test.cc
@@ -172,6 +172,33 @@
     }
 }
 
+/* The next page begins after the last name, whatever its writer has called it. */
+TEST_F (OddObjects, PageAfterAnOddNameIsAskedForByThatName)
+{
+  const char *const names[][2]
+      = { { "a b", "a%20b" },       { "a/b", "a%2Fb" },   { "a&x=1", "a%26x%3D1" },
+          { "a#b", "a%23b" },       { "a%41", "a%2541" }, { "a\r\nb", "a%0D%0Ab" },
+          { "\xc3\xa9", "%C3%A9" }, { "a+b", "a%2Bb" },   { "i-1_x.y", "i-1_x.y" } };
+
+  for (const auto &name : names)
+    {
+      GspanStoreCall call{};
+      GspanActionHttp http{};
+
+      call.op = GSPAN_STORE_LIST;
+      call.kind = g_strdup ("servers");
+      call.name = g_strdup (name[0]);
+      gspan_headers_init (&http.headers);
+      gspan_objects_encode (&call, "10.0.0.1:80", &http);
+      EXPECT_EQ (std::string (http.url),
+                 std::string ("http://10.0.0.1:80/api/objects/servers?after=") + name[1]);
+      gspan_headers_finish (&http.headers);
+      g_free (http.method);
+      g_free (http.url);
+      gspan_store_call_finish (&call);
+    }
+}
+
 TEST_F (OddObjects, AnswerThatEndsEarlyIsNoAnswer)
 {
   std::string text = "{\"items\":[" + object ("a", 3, "{\"x\":[1,\"]}\"]}") + ","
