--- a/test/node_world.h
+++ b/test/node_world.h
@@ -97,6 +97,7 @@
   bool paused = false;
   bool cut_from_store = false; /* from the store */
   bool cut_from_replicas = false;
+  unsigned sends = 1; /* of each exchange by the HTTP client, as the events of its end say */
   std::vector<std::string> unreachable; /* "http://IP:PORT" of replicas that it doesn't reach */
 
   bool
@@ -178,6 +179,7 @@
   gint64 wall_ms = 1700000000000;
   guint64 revision = 8;
   StoreFault fault = StoreFault::None;
+  std::function<StoreFault (const Rig &, const GspanStoreCall &)> fault_of; /* instead, by call */
   guint64 latency_us = 4 * GSPAN_MS;
   size_t page_size = 500;
   bool lose_datagrams = false;
@@ -217,7 +219,15 @@
   {
     std::string name = rigs[index]->name;
     drop_pending_calls (rigs[index].get ());
-    rigs[index] = std::make_unique<Rig> (*this, name, (guint32)(now % 100000));
+    rigs[index] = std::make_unique<Rig> (*this, name, (guint32)(now % 100000 + index + 100));
+  }
+
+  /* All VMs lose power at once, and are back. */
+  void
+  restart_all ()
+  {
+    for (size_t i = 0; i < rigs.size (); i++)
+      restart (i);
   }
 
   void
@@ -399,16 +409,18 @@
     GspanStoreReply reply;
     GspanEvent event{};
     bool writes = gspan_store_op_is_write (item.call.op);
+    StoreFault now_at_fault = fault_of ? fault_of (*item.rig, item.call) : fault;
     auto was_cut = std::find (cut_watches.begin (), cut_watches.end (), item.ref.id);
 
     gspan_store_reply_init (&reply);
-    if (item.lost || item.silent || !can_reach_store (*item.rig) || was_cut != cut_watches.end ())
+    if (item.lost || item.silent || !can_reach_store (*item.rig)
+        || now_at_fault == StoreFault::Unreachable || was_cut != cut_watches.end ())
       reply.result = writes ? GSPAN_STORE_UNKNOWN : GSPAN_STORE_UNAVAILABLE;
-    else if (fault == StoreFault::Busy)
+    else if (now_at_fault == StoreFault::Busy)
       reply.result = GSPAN_STORE_UNAVAILABLE;
-    else if (writes && fault == StoreFault::LostBefore)
+    else if (writes && now_at_fault == StoreFault::LostBefore)
       reply.result = GSPAN_STORE_UNKNOWN;
-    else if (writes && fault == StoreFault::AppliedLate)
+    else if (writes && now_at_fault == StoreFault::AppliedLate)
       {
         reply.result = GSPAN_STORE_UNKNOWN;
         apply_later (item.call);
@@ -418,7 +430,7 @@
         perform (item.call, &reply);
         send_through_codec (item.call, &reply);
       }
-    if (writes && fault == StoreFault::LostAfter)
+    if (writes && now_at_fault == StoreFault::LostAfter)
       {
         gspan_store_reply_finish (&reply);
         gspan_store_reply_init (&reply);
@@ -617,6 +629,11 @@
       case GSPAN_STORE_REMOVE:
         if (found == kind.end ())
           reply->result = GSPAN_STORE_MISSING;
+        else if (call.revision != 0 && call.revision != found->second.revision)
+          {
+            reply->result = GSPAN_STORE_CONFLICT;
+            fill (reply, found->first, &found->second);
+          }
         else
           remove (call.kind, call.name);
         break;
@@ -1054,6 +1071,7 @@
   event.kind = kind;
   event.ref = exchange.ref;
   event.u.http.result = result;
+  event.u.http.send_count = rig.sends;
   event.u.http.status = status;
   event.u.http.headers = &list;
   event.u.http.body = g_bytes_new (body.data (), body.size ());
--- a/test/soak/store.py
+++ b/test/soak/store.py
@@ -5,19 +5,22 @@
 import json
 
 from wire import Broken, Reply, Server
+from writes import WriteFaults
 
 
 class Store:
     """Each node has a port of its own, so that faults can hit single nodes."""
 
-    def __init__(self):
+    def __init__(self, random):
         self.objects = {}  # kind to name to object
         self.revision = 8
         self.history = []  # (revision, kind, object, deleted)
         self.forgotten = 0  # changes up to this revision are no longer known
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()  # set, and another one put in its place, at each change
         self.faults = {}  # node to "busy", "silent", "reset", "lost" or "slow"
         self.servers = {}  # node to Server
+        self.raw = {}  # string that stands for bytes to those bytes
+        self.writes = WriteFaults(random, self.act)
 
     async def open_port(self, node):
         async def handler(request, _):
@@ -38,8 +41,8 @@
         self.revision += 1
         item["metadata"]["revision"] = self.revision
         self.history.append((self.revision, kind, copy.deepcopy(item), deleted))
-        async with self.changed:
-            self.changed.notify_all()
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def put(self, kind, name, spec):
         """Writes as the operator or a replica does; the write is acknowledged when this returns."""
@@ -63,12 +66,22 @@
             await asyncio.sleep(3600)
         if fault == "slow":
             await asyncio.sleep(0.3)
+        faulty = await self.writes.serve(node, request) if request.method != "GET" else None
+        if faulty is not None:
+            return faulty
         reply = await self.act(request)
         if self.faults.get(node) == "silent":
             await asyncio.sleep(3600)
         if request.method != "GET" and fault == "lost":
             raise Broken
-        return Reply(reply[0], json.dumps(reply[1]).encode(), {"Content-Type": "application/json"})
+        return Reply(reply[0], self.encode(reply[1]), {"Content-Type": "application/json"})
+
+    def encode(self, answer):
+        """Strings that stand for bytes which json doesn't make are replaced by these."""
+        body = json.dumps(answer).encode()
+        for text, raw in self.raw.items():
+            body = body.replace(f'"{text}"'.encode(), raw)
+        return body
 
     async def act(self, request):
         parts = request.path.split("/")[3:]
@@ -102,8 +115,7 @@
             if events or left <= 0:
                 return 200, {"events": events, "currentRev": self.revision}
             try:
-                async with self.changed:
-                    await asyncio.wait_for(self.changed.wait(), left)
+                await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
                 pass
 
