--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -349,7 +349,8 @@
         work = [clients.ask_often(self, i) for i in range(self.options.clients)]
         work += [clients.read_often(self, i) for i in range(self.options.readers)]
         work += [clients.ask_killers(self, i) for i in range(self.options.killers)]
-        await asyncio.gather(self.faults(), trainers.train(self), trainers.train_hastily(self), *work)
+        work += [trainers.train_hastily(self, i) for i in range(self.options.hasty)]
+        await asyncio.gather(self.faults(), trainers.train(self), *work)
         while any("read_job" in repr(task) for task in self.tasks):
             await asyncio.sleep(0.2)
         self.book.check_leaving_by_answer()
@@ -432,6 +433,7 @@
     parser.add_argument("--replicas", type=int, default=4, help="of each service")
     parser.add_argument("--clients", type=int, default=8)
     parser.add_argument("--readers", type=int, default=4, help="clients that read streams and take them up elsewhere")
+    parser.add_argument("--hasty", type=int, default=3, help="clients that give batch jobs up while the store has faults")
     parser.add_argument("--killers", type=int, default=2, help="contents that end each replica that runs them")
     parser.add_argument("--silent", type=float, default=0.5, help="share of replicas that end without a reset")
     parser.add_argument("--pause", type=float, default=1.5, help="mean time between two faults, in seconds")
--- a/test/soak/trainers.py
+++ b/test/soak/trainers.py
@@ -47,7 +47,7 @@
         await asyncio.sleep(3)
 
 
-async def train_hastily(world):
+async def train_hastily(world, number):
     """Small jobs while the store has faults, each given up after two to four tries."""
     step = 0
     while world.now() < world.options.seconds - 8:
@@ -55,7 +55,7 @@
         if not world.store.faults and not world.store.writes.nodes:
             continue
         step += 1
-        job = f"h{world.options.seed}-{step}"
+        job = f"h{world.options.seed}-{number * 10000 + step}"
         body = make_body(step, make_items(job, HASTY_ITEMS))
         for _ in range(world.random.randint(2, 4)):
             if await submit(world, job, body) == 202:
