--- a/test/late_writes_test.cc
+++ b/test/late_writes_test.cc
@@ -71,6 +71,23 @@
   EXPECT_LE (world.now - done_at, 100 * GSPAN_MS);
 }
 
+/* The former owner, which doesn't reach the store, hears of it by datagram. */
+TEST_F (LateWrites, TakeoverWithoutAnAnswerIsToldToTheFormerOwner)
+{
+  start_nodes (2);
+  Rig &owner = *world.rigs[0];
+
+  submit_job (owner, 1, "j1", 4);
+  world.run (500 * GSPAN_MS);
+  fail_next (GSPAN_STORE_REPLACE, "jobs", StoreFault::LostAfter);
+  owner.cut_from_store = true;
+  finish_run (owner, open_runs (owner)[0], 2);
+  world.run (2500 * GSPAN_MS);
+  EXPECT_EQ (faults, 1U);
+  EXPECT_FALSE (open_runs (*world.rigs[1]).empty ());
+  EXPECT_TRUE (open_runs (owner).empty ());
+}
+
 /* A process that ended before its registration was done doesn't replace that of its successor. */
 TEST_F (LateWrites, RegistrationOfAnEarlierProcessDoesNotReplaceThatOfTheLater)
 {
@@ -105,3 +122,17 @@
   EXPECT_TRUE (rig.logged ("event=request-condemned"));
   g_free (name);
 }
+
+TEST_F (LateWrites, ExpiredVerdictThatWasReplacedUnseenIsRemoved)
+{
+  start_nodes ();
+  char *name = gspan_poison_fingerprint_format (77);
+  std::string spec = "{\"until_ms\":" + std::to_string (world.wall_ms + 1000) + ",\"by\":\"vm-1\"}";
+
+  world.put (GSPAN_VERDICTS_KIND, name, spec.c_str ());
+  world.run (500 * GSPAN_MS);
+  world.objects[GSPAN_VERDICTS_KIND][name].revision = ++world.revision;
+  world.run (3 * GSPAN_SECOND);
+  EXPECT_EQ (world.objects[GSPAN_VERDICTS_KIND].count (name), 0U);
+  g_free (name);
+}
