--- a/http/client.c
+++ b/http/client.c
@@ -6,7 +6,9 @@
 #include <string.h>
 
 #include "common/clock.h"
-#include "http/framing.h"
+#include "http/answer_head.h"
+#include "http/sent_ids.h"
+#include "http/tcp.h"
 
 enum
 {
@@ -21,7 +23,6 @@
   SENDS_MAX = 2, /* of a request that may run twice: libcurl repeats it once */
   CONNECTIONS_KEPT = 512,
   IDLE_AGE_MAX_S = 12,    /* a connection idle for longer isn't used again */
-  HEAD_MAX = 64 << 10,    /* bytes of an answer's heads and trailers */
   ANSWER_MAX = 8 << 20,   /* bytes of an answer that is collected */
   ANSWERS_MAX = 32 << 20, /* of all that are collected at once */
   ANSWER_LEAST = 1 << 20  /* that an answer may have in any case */
@@ -36,7 +37,7 @@
   CURL *easy;
   struct curl_slist *fields;
   GBytes *body;
-  struct GspanHeaders headers;
+  struct GspanAnswerHead head;
   GString *answer;
   struct GspanFraming framing;
   bool stream;
@@ -44,13 +45,13 @@
   bool plain_framing;
   bool probe_silence;
   bool connect_only;
-  char *echo; /* header line that the answer's head must hold; NULL checks nothing */
-  enum GspanEcho echo_got;
   bool head_told;
   bool cancelled;
-  bool too_long;     /* broken off at a bound */
-  size_t head_bytes; /* of all heads, the provisional ones too */
-  guint sends;       /* times that libcurl began to send the request */
+  bool too_long;  /* broken off at a bound */
+  int new_socket; /* opened for the next sending; -1 is none */
+  bool withheld;  /* not sent: its connection held bytes that belong to no request */
+  bool renewed;   /* then started once more, on a new connection */
+  guint sends;    /* times that libcurl began to send the request */
   guint64 started;
   guint64 silence_us;
   guint64 heard_at; /* last answer byte; 0 before the first */
@@ -75,6 +76,8 @@
   bool inside;           /* libcurl is on the stack and takes no handle in or out */
   GPtrArray *starting;   /* exchanges to add once libcurl is off the stack */
   GPtrArray *doomed;     /* cancelled exchanges to free then */
+  struct GspanSentIds sent_ids;
+  struct GspanTcpTable sockets;
   GspanHttpClientCallback callback;
   void *user;
   char *source; /* address that connections come from, as libcurl writes it; NULL is any */
@@ -109,10 +112,9 @@
   curl_easy_cleanup (exchange->easy);
   curl_slist_free_all (exchange->fields);
   g_clear_pointer (&exchange->body, g_bytes_unref);
-  gspan_headers_finish (&exchange->headers);
+  gspan_answer_head_finish (&exchange->head);
   gspan_framing_finish (&exchange->framing);
   g_string_free (exchange->answer, TRUE);
-  g_free (exchange->echo);
   g_free (exchange);
 }
 
@@ -138,7 +140,7 @@
   trace.framing = framing->body;
   trace.declared_bytes = framing->declared_bytes;
   trace.body_bytes = framing->body_bytes;
-  trace.echo = exchange->echo_got;
+  trace.echo = exchange->head.echo;
   return trace;
 }
 
@@ -155,7 +157,7 @@
   event.ref = exchange->ref;
   event.u.http.result = result;
   event.u.http.status = answer_status (exchange);
-  event.u.http.headers = &exchange->headers;
+  event.u.http.headers = &exchange->head.headers;
   event.u.http.body = body;
   event.u.http.elapsed_us = gspan_clock_now () - exchange->started;
   event.u.http.send_count = exchange->sends;
@@ -164,34 +166,6 @@
   client->callback (client->user, &event);
 }
 
-/* Whether the head that has come in names the request that was sent. */
-static enum GspanEcho
-echo_of (const struct Exchange *exchange)
-{
-  const char *colon;
-  struct GspanStr got;
-  char *name;
-
-  if (exchange->echo == NULL)
-    return GSPAN_ECHO_NOT_ASKED;
-  colon = strchr (exchange->echo, ':');
-  name = g_strndup (exchange->echo, (gsize)(colon - exchange->echo));
-  got = gspan_headers_get (&exchange->headers, name);
-  g_free (name);
-  if (got.data == NULL)
-    return GSPAN_ECHO_MISSING;
-  return gspan_str_equal (got, gspan_str_from (colon + 2)) ? GSPAN_ECHO_SAME : GSPAN_ECHO_OTHER;
-}
-
-/* Takes in the empty line after a head. False where the head belongs to another request. */
-static bool
-end_head (struct Exchange *exchange)
-{
-  gspan_framing_end_head (&exchange->framing, answer_status (exchange), &exchange->headers);
-  exchange->echo_got = echo_of (exchange);
-  return exchange->echo_got != GSPAN_ECHO_OTHER;
-}
-
 /*
  * An answer to another request, left over on the connection, ends the exchange as lost: returning
  * less than was given makes libcurl close the connection.
@@ -201,22 +175,13 @@
 {
   struct Exchange *exchange = user;
   struct GspanStr line = { data, size * count };
+  enum GspanHeadResult result;
 
   exchange->heard_at = gspan_clock_now ();
-  exchange->head_bytes += line.len;
-  exchange->too_long = exchange->head_bytes > HEAD_MAX;
-  if (exchange->too_long)
-    return 0;
-  if (gspan_str_has_prefix (line, GSPAN_STR ("HTTP/")))
-    {
-      gspan_headers_clear (&exchange->headers);
-      gspan_framing_begin_head (&exchange->framing);
-    }
-  else if (line.len <= 2 && !end_head (exchange))
-    return 0;
-  else
-    gspan_headers_add_line (&exchange->headers, line);
-  return line.len;
+  result = gspan_answer_head_take (&exchange->head, &exchange->framing, line,
+                                   answer_status (exchange));
+  exchange->too_long = result == GSPAN_HEAD_TOO_LONG;
+  return result == GSPAN_HEAD_OK ? line.len : 0;
 }
 
 /* Adds bytes to the answer that is collected. False where it is too long. */
@@ -280,19 +245,28 @@
 /*
  * Called before each sending, the ones that libcurl repeats by itself too. A request that may not
  * run twice is never sent a second time, whatever libcurl's reason. A sending that failed before
- * its first byte, on a kept connection that had been reset, doesn't count.
+ * its first byte, on a kept connection that had been reset, doesn't count. None goes out on a
+ * connection where bytes wait: libcurl would read them as its answer.
  */
 static int
 on_send (void *user, char *peer_ip, char *local_ip, int peer_port, int local_port)
 {
   struct Exchange *exchange = user;
+  struct GspanTcpTable *sockets = &exchange->client->sockets;
+  int fd;
 
-  (void)peer_ip;
   (void)local_ip;
-  (void)peer_port;
-  (void)local_port;
   if (!may_send (exchange))
     return CURL_PREREQFUNC_ABORT;
+  if (exchange->new_socket >= 0)
+    gspan_tcp_table_note (sockets, local_port, exchange->new_socket);
+  exchange->new_socket = -1;
+  fd = gspan_tcp_table_find (sockets, local_port, peer_ip, peer_port);
+  if (!exchange->renewed && fd >= 0 && gspan_tcp_has_input (fd))
+    {
+      exchange->withheld = !was_sent (exchange);
+      return CURL_PREREQFUNC_ABORT;
+    }
   if (exchange->sends == 0 || was_sent (exchange))
     exchange->sends++;
   return CURL_PREREQFUNC_OK;
@@ -312,6 +286,7 @@
   (void)purpose;
   if (!may_send (exchange))
     return CURL_SOCKOPT_ERROR;
+  exchange->new_socket = fd;
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
   return CURL_SOCKOPT_OK;
 }
@@ -321,12 +296,10 @@
 {
   if (exchange->connect_only)
     return code == CURLE_OK ? GSPAN_HTTP_COMPLETE : GSPAN_HTTP_NOT_SENT;
-  if (code == CURLE_OK && exchange->plain_framing
-      && gspan_framing_whole_by_http (&exchange->framing))
-    return GSPAN_HTTP_COMPLETE;
-  if (code == CURLE_OK && !exchange->plain_framing
-      && gspan_framing_whole_by_http (&exchange->framing)
-      && gspan_framing_whole (&exchange->framing, answer_status (exchange), &exchange->headers))
+  if (code == CURLE_OK && gspan_framing_whole_by_http (&exchange->framing)
+      && (exchange->plain_framing
+          || gspan_framing_whole (&exchange->framing, answer_status (exchange),
+                                  &exchange->head.headers)))
     return GSPAN_HTTP_COMPLETE;
   /* libcurl gives up by itself on a line of a head that doesn't end */
   if (exchange->too_long || code == CURLE_OUT_OF_MEMORY)
@@ -353,6 +326,17 @@
   exchange_free (exchange);
 }
 
+/* Starts an exchange that was withheld once more; libcurl has closed its connection. */
+static void
+renew (struct GspanHttpClient *client, struct Exchange *exchange)
+{
+  exchange->withheld = false;
+  exchange->renewed = true;
+  curl_multi_remove_handle (client->multi, exchange->easy);
+  curl_easy_setopt (exchange->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_multi_add_handle (client->multi, exchange->easy);
+}
+
 static bool
 is_silent (const struct Exchange *exchange, guint64 now)
 {
@@ -404,7 +388,10 @@
       if (message->msg != CURLMSG_DONE)
         continue;
       curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **)&exchange);
-      finish_exchange (client, exchange, code);
+      if (exchange->withheld)
+        renew (client, exchange);
+      else
+        finish_exchange (client, exchange, code);
     }
 }
 
@@ -508,6 +495,8 @@
   client->exchanges = g_hash_table_new_full (ref_hash, ref_equal, NULL, exchange_free);
   client->starting = g_ptr_array_new ();
   client->doomed = g_ptr_array_new_with_free_func (exchange_free);
+  gspan_sent_ids_init (&client->sent_ids);
+  gspan_tcp_table_init (&client->sockets);
   client->multi = curl_multi_init ();
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
@@ -534,6 +523,8 @@
   g_ptr_array_unref (client->starting);
   g_ptr_array_unref (client->doomed);
   g_hash_table_unref (client->exchanges);
+  gspan_sent_ids_finish (&client->sent_ids);
+  gspan_tcp_table_finish (&client->sockets);
   curl_multi_cleanup (client->multi);
   ev_timer_stop (client->loop, &client->timer);
   ev_timer_stop (client->loop, &client->silence);
@@ -597,6 +588,22 @@
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
+/* Keeps a request with an id off connections on which an answer to it may still come. */
+static void
+set_connection (struct Exchange *exchange, const struct GspanActionHttp *http)
+{
+  bool repeated;
+
+  if (http->required_header == NULL)
+    return;
+  curl_easy_setopt (exchange->easy, CURLOPT_MAXLIFETIME_CONN,
+                    (long)(GSPAN_SENT_ID_KEPT_US / GSPAN_SECOND));
+  repeated = gspan_sent_ids_note (&exchange->client->sent_ids, http->url, http->required_header,
+                                  exchange->started);
+  if (repeated)
+    curl_easy_setopt (exchange->easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
 void
 gspan_http_client_start (struct GspanHttpClient *client, struct GspanRef ref,
                          const struct GspanActionHttp *http)
@@ -604,22 +611,23 @@
   struct Exchange *exchange = g_new0 (struct Exchange, 1);
 
   exchange->client = client;
+  exchange->new_socket = -1;
   exchange->ref = ref;
   exchange->stream = http->stream;
   exchange->once = http->new_connection || http->send_once;
   exchange->plain_framing = http->http_framing_only;
   exchange->probe_silence = http->tcp_keepalive;
   exchange->connect_only = http->connect_only;
-  exchange->echo = g_strdup (http->required_header);
   exchange->silence_us = http->idle_timeout_us;
   gspan_framing_init (&exchange->framing, http->method);
   exchange->started = gspan_clock_now ();
   exchange->body = http->body != NULL ? g_bytes_ref (http->body) : NULL;
   exchange->answer = g_string_new (NULL);
-  gspan_headers_init (&exchange->headers);
+  gspan_answer_head_init (&exchange->head, http->required_header, http->echo_exempt_header);
   exchange->easy = curl_easy_init ();
   set_request (exchange, http);
   set_limits (exchange, http);
+  set_connection (exchange, http);
   curl_easy_setopt (exchange->easy, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (exchange->easy, CURLOPT_HEADERDATA, exchange);
   curl_easy_setopt (exchange->easy, CURLOPT_WRITEFUNCTION, on_data);
--- a/test/odd_entries_test.cc
+++ b/test/odd_entries_test.cc
@@ -172,6 +172,33 @@
     }
 }
 
+/* The next page begins after the last name, whatever its writer has called it. */
+TEST_F (OddObjects, PageAfterAnOddNameIsAskedForByThatName)
+{
+  const char *const names[][2]
+      = { { "a b", "a%20b" },       { "a/b", "a%2Fb" },   { "a&x=1", "a%26x%3D1" },
+          { "a#b", "a%23b" },       { "a%41", "a%2541" }, { "a\r\nb", "a%0D%0Ab" },
+          { "\xc3\xa9", "%C3%A9" }, { "a+b", "a%2Bb" },   { "i-1_x.y", "i-1_x.y" } };
+
+  for (const auto &name : names)
+    {
+      GspanStoreCall call{};
+      GspanActionHttp http{};
+
+      call.op = GSPAN_STORE_LIST;
+      call.kind = g_strdup ("servers");
+      call.name = g_strdup (name[0]);
+      gspan_headers_init (&http.headers);
+      gspan_objects_encode (&call, "10.0.0.1:80", &http);
+      EXPECT_EQ (std::string (http.url),
+                 std::string ("http://10.0.0.1:80/api/objects/servers?after=") + name[1]);
+      gspan_headers_finish (&http.headers);
+      g_free (http.method);
+      g_free (http.url);
+      gspan_store_call_finish (&call);
+    }
+}
+
 TEST_F (OddObjects, AnswerThatEndsEarlyIsNoAnswer)
 {
   std::string text = "{\"items\":[" + object ("a", 3, "{\"x\":[1,\"]}\"]}") + ","
@@ -476,6 +503,28 @@
 }
 
 /* The node that follows the store tells the others, by datagrams of a bounded size. */
+/* With many models, each of a name as long as they come, a few changes fill a datagram. */
+TEST_F (OddEntries, NodesThatAreToldOfLargeOnesReadTheRestThemselves)
+{
+  std::string models = "[";
+
+  for (unsigned i = 0; i < 256; i++)
+    models += std::string (i > 0 ? "," : "") + R"({"name":")" + std::string (200, 'm')
+              + std::to_string (i) + R"(","version":1})";
+  start_nodes (4);
+  world.run (25 * GSPAN_SECOND);
+  for (unsigned i = 0; i < 30; i++)
+    {
+      world.put ("servers", "x" + std::to_string (i),
+                 i % 3 == 0 ? replica_with ("models", models + "]").c_str ()
+                            : replica_with ("zone", quoted (std::string (250, 'z'))).c_str ());
+      world.run (50 * GSPAN_MS);
+    }
+  world.run (GSPAN_SECOND);
+  for (auto &rig : world.rigs)
+    EXPECT_EQ (g_hash_table_size (rig->node.catalog.replicas), 34U) << rig->name;
+}
+
 TEST_F (OddEntries, NodesThatAreToldOfOddOnesKnowWhatTheTellerKnows)
 {
   start_nodes (4);
@@ -510,10 +559,14 @@
 {
   Rig &rig = start_nodes ();
 
+  gspan_catalog_want (&rig.node.catalog, GSPAN_FOLLOW_RETIREMENTS, true);
   world.put_raw ("retirements", "vm-1", "{\"durationS\":1e999}");
   world.run (5 * GSPAN_SECOND);
   EXPECT_EQ (world.objects["retirements"]["vm-1"].status, nullptr);
   EXPECT_FALSE (rig.logged ("event=vm-emptied"));
+  world.put ("retirements", "vm-1", "{\"durationS\":5}");
+  world.run (5 * GSPAN_SECOND);
+  EXPECT_TRUE (rig.logged ("event=vm-emptied"));
 }
 
 TEST_F (OddEntries, JobWhoseHeadTurnsOddIsNotForgotten)
@@ -631,6 +684,58 @@
   EXPECT_TRUE (gspan_node_ready (&rig.node));
 }
 
+/* A line end in what an item says of its request would be another header, or another request. */
+TEST_F (OddEntries, JobWhoseItemsFitInNoRequestIsRefused)
+{
+  struct OddItem
+  {
+    const char *field;
+    const char *value;
+  };
+  const OddItem odd[] = {
+    { "headers", R"({"X-A":"b\r\nContent-Length: 0\r\n\r\nPOST /x HTTP/1.1"})" },
+    { "headers", R"({"X-A":"b\nc: d"})" },
+    { "headers", R"({"X-A":"b\u0001"})" },
+    { "headers", R"({"X-A: b\r\nX-B":"c"})" },
+    { "headers", R"({"Content-Length ":"0"})" },
+    { "headers", R"({"X A":"b"})" },
+    { "headers", R"({"":"b"})" },
+    { "headers", R"({"X-\u00e9":"b"})" },
+    { "id", R"("i\r\nX-B: c")" },
+    { "id", R"("")" },
+    { "path", R"("/batch/x HTTP/1.1\r\nHost: b\r\n\r\n")" },
+    { "path", R"("/batch/x y")" },
+    { "path", R"("/batch/x#y")" },
+    { "path", R"("/batch/x\n")" },
+    { "scorer", R"({"id":"s","host":"a\r\nX: y","path":"/x"})" },
+    { "scorer", R"({"id":"s\n","host":"a","path":"/x"})" },
+    { "scorer", R"({"id":"s","host":"a","path":"/x y"})" },
+  };
+  Rig &rig = start_nodes ();
+  guint64 id = 0;
+
+  for (const auto &item : odd)
+    {
+      SCOPED_TRACE (std::string (item.field) + " " + item.value);
+      json_t *body = json_loads (job_body (1, 0).c_str (), 0, nullptr);
+      json_t *value = json_loads (item.value, JSON_DECODE_ANY, nullptr);
+      ASSERT_NE (value, nullptr);
+      json_object_set_new (json_array_get (json_object_get (body, "items"), 0), item.field, value);
+      char *text = json_dumps (body, JSON_COMPACT);
+      rig.request (++id, "POST", "/batch/x",
+                   { "Host: a.example", "X-Attempt-Id: odd" + std::to_string (id) }, text);
+      free (text);
+      json_decref (body);
+      world.run (100 * GSPAN_MS);
+      ASSERT_NE (response_to (rig, id), nullptr);
+      EXPECT_EQ (response_to (rig, id)->status, 400);
+    }
+  submit_job (rig, 99, "sound", 2);
+  world.run (100 * GSPAN_MS);
+  ASSERT_NE (response_to (rig, 99), nullptr);
+  EXPECT_EQ (response_to (rig, 99)->status, 202);
+}
+
 /* A caller's job of any content is answered. */
 TEST_F (OddEntries, JobOfAnyContentIsAnswered)
 {
