--- a/test/late_writes_test.cc
+++ b/test/late_writes_test.cc
@@ -168,3 +168,45 @@
   world.run (GSPAN_SECOND);
   EXPECT_EQ (stored_events (), 150);
 }
+
+TEST_F (LateWrites, ResultsWhoseWriteHadNoAnswerAreListedAtOnce)
+{
+  Rig &rig = start_nodes ();
+  guint64 lost_at = 0;
+
+  for (auto fault : { StoreFault::LostAfter, StoreFault::LostBefore })
+    {
+      std::string job = "j" + std::to_string (++faults);
+      unsigned before = faults;
+
+      submit_job (rig, faults, job, 2);
+      world.run (200 * GSPAN_MS);
+      fail_next (GSPAN_STORE_CREATE, ("job-" + job).c_str (), fault);
+      for (auto &run : open_runs (rig))
+        finish_run (rig, run, 3);
+      for (int i = 0; i < 300 && faults == before; i++)
+        world.run (10 * GSPAN_MS);
+      ASSERT_EQ (faults, before + 1);
+      lost_at = world.now;
+      for (int i = 0; i < 300 && gspan_jobs_is_busy (&rig.node.jobs); i++)
+        world.run (10 * GSPAN_MS);
+      EXPECT_LE (world.now - lost_at, 100 * GSPAN_MS) << (int)fault;
+    }
+}
+
+/* It is the owner's own segment that the list shows: nothing keeps it from appending. */
+TEST_F (LateWrites, OwnerWhoseWriteHadNoAnswerIsNotStuck)
+{
+  start_nodes (2);
+  Rig &rig = *world.rigs[0];
+
+  submit_job (rig, 1, "j1", 6);
+  world.run (200 * GSPAN_MS);
+  fail_next (GSPAN_STORE_CREATE, "job-j1", StoreFault::LostAfter);
+  finish_run (rig, open_runs (rig)[0], 3);
+  world.run (3 * GSPAN_SECOND);
+  EXPECT_EQ (faults, 1U);
+  EXPECT_FALSE (rig.logged ("event=job-owner-stuck"));
+  EXPECT_FALSE (open_runs (rig).empty ());
+  EXPECT_TRUE (open_runs (*world.rigs[1]).empty ());
+}
