jobs: a segment without an answer is looked for at once

Results were listed 0.2 s later than need be where the answer to a segment's create was lost, since both the next list and the next append waited.

The first time, the list starts at once, and the append follows it; from the second failure in a row on there is a pause as before.

--- a/jobs/segments.c
+++ b/jobs/segments.c
@@ -232,6 +232,23 @@
   g_free (name);
 }
 
+/*
+ * Another node, or this one's own create, may have made the segment: all are read before the next
+ * append, unless the store did nothing. The first time that this isn't known is settled at once.
+ */
+static void
+on_append_failed (const struct GspanNode *node, struct GspanJob *job, enum GspanStoreResult result)
+{
+  bool settle = result == GSPAN_STORE_UNKNOWN && job->append_failing_since_us == 0;
+
+  job->segments_up_to_date = result == GSPAN_STORE_UNAVAILABLE && job->segments_up_to_date;
+  job->next_write_at_us = node->now + (settle ? 0 : RETRY_DELAY_US);
+  if (settle)
+    job->next_list_at_us = node->now;
+  if (job->append_failing_since_us == 0)
+    job->append_failing_since_us = node->now;
+}
+
 void
 gspan_segments_append_done (struct GspanNode *node, struct GspanJob *job,
                             const struct GspanStoreCall *sent, const struct GspanStoreReply *reply,
@@ -261,14 +278,7 @@
       gspan_serve_readers (node, job, outbox);
     }
   else
-    {
-      /* Another node may have created this segment; it is read before the next append. */
-      job->segments_up_to_date
-          = reply->result == GSPAN_STORE_UNAVAILABLE && job->segments_up_to_date;
-      job->next_write_at_us = node->now + RETRY_DELAY_US;
-      if (job->append_failing_since_us == 0)
-        job->append_failing_since_us = node->now;
-    }
+    on_append_failed (node, job, reply->result);
   gspan_segments_advance (node, job, outbox);
 }
 
