jobs: an owner whose segment stands without an answer isn't stuck

A job was taken from its owner, and all its runs begun again elsewhere, a second or two after the answer to a segment's create was lost, if no other result became ready meanwhile: only a later append that succeeded ended the time for which the owner held itself unable to append.

A list that leaves nothing to be appended ends it too: the segment stands.

LateWrites.OwnerWhoseWriteHadNoAnswerIsNotStuck failed before and passes (its time is 1.8 s, since runs that say nothing for longer are given up by another rule); jobs-test and commit-test pass, and the property of committed results (4 runs of 300).

--- a/jobs/segments.c
+++ b/jobs/segments.c
@@ -313,6 +313,8 @@
   else
     {
       job->segments_up_to_date = true;
+      if (job->ready_results->len == 0)
+        job->append_failing_since_us = 0; /* the append had been done */
       gspan_job_set_synced (job, node->now, node->wall_ms);
       job->next_list_at_us = node->now + LIST_INTERVAL_US;
     }
