--- a/http/client.c
+++ b/http/client.c
@@ -7,6 +7,7 @@
 
 #include "common/clock.h"
 #include "http/answer_head.h"
+#include "http/request.h"
 #include "http/sent_ids.h"
 #include "http/tcp.h"
 
@@ -532,34 +533,6 @@
   g_free (client);
 }
 
-static void
-set_request (struct Exchange *exchange, const struct GspanActionHttp *http)
-{
-  CURL *easy = exchange->easy;
-  struct GspanStr body = gspan_str_from_bytes (exchange->body);
-
-  curl_easy_setopt (easy, CURLOPT_URL, http->url);
-  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, http->method);
-  if (strcmp (http->method, "HEAD") == 0)
-    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
-  else if (strcmp (http->method, "GET") != 0)
-    {
-      curl_easy_setopt (easy, CURLOPT_POST, 1L);
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body.len);
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body.len > 0 ? body.data : "");
-    }
-  for (guint i = 0; i < http->headers.items->len; i++)
-    exchange->fields
-        = curl_slist_append (exchange->fields, g_ptr_array_index (http->headers.items, i));
-  exchange->fields = curl_slist_append (exchange->fields, "Expect:");
-  if (gspan_headers_get (&http->headers, "Content-Type").data == NULL)
-    exchange->fields = curl_slist_append (exchange->fields, "Content-Type:");
-  if (gspan_headers_get (&http->headers, "Accept").data == NULL)
-    exchange->fields = curl_slist_append (exchange->fields, "Accept:");
-  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, exchange->fields);
-}
-
 static void
 set_limits (struct Exchange *exchange, const struct GspanActionHttp *http)
 {
@@ -625,7 +598,7 @@
   exchange->answer = g_string_new (NULL);
   gspan_answer_head_init (&exchange->head, http->required_header, http->echo_exempt_header);
   exchange->easy = curl_easy_init ();
-  set_request (exchange, http);
+  exchange->fields = gspan_http_set_request (exchange->easy, http);
   set_limits (exchange, http);
   set_connection (exchange, http);
   curl_easy_setopt (exchange->easy, CURLOPT_HEADERFUNCTION, on_header);
