http: an upstream that sends second answers gets a connection for each request

A replica that sends bytes belonging to no request costs the next request on the connection its answer: it is told from its own by the id, and lost.

An upstream that did it, by an answer of another request or by bytes on an idle connection, is noted for 10 s after the last time (http/stray_upstreams.c, at most 256), and requests with an id take new connections to it meanwhile.

--- a/http/client.c
+++ b/http/client.c
@@ -9,6 +9,7 @@
 #include "http/answer_head.h"
 #include "http/request.h"
 #include "http/sent_ids.h"
+#include "http/stray_upstreams.h"
 #include "http/tcp.h"
 
 enum
@@ -49,6 +50,7 @@
   bool head_told;
   bool cancelled;
   bool too_long;  /* broken off at a bound */
+  bool foreign;   /* the answer that came belongs to another request */
   int new_socket; /* opened for the next sending; -1 is none */
   bool withheld;  /* not sent: its connection held bytes that belong to no request */
   bool renewed;   /* then started once more, on a new connection */
@@ -78,6 +80,7 @@
   GPtrArray *starting;   /* exchanges to add once libcurl is off the stack */
   GPtrArray *doomed;     /* cancelled exchanges to free then */
   struct GspanSentIds sent_ids;
+  struct GspanStrayUpstreams strays;
   struct GspanTcpTable sockets;
   GspanHttpClientCallback callback;
   void *user;
@@ -182,6 +185,7 @@
   result = gspan_answer_head_take (&exchange->head, &exchange->framing, line,
                                    answer_status (exchange));
   exchange->too_long = result == GSPAN_HEAD_TOO_LONG;
+  exchange->foreign = result == GSPAN_HEAD_FOREIGN;
   return result == GSPAN_HEAD_OK ? line.len : 0;
 }
 
@@ -292,6 +296,17 @@
   return CURL_SOCKOPT_OK;
 }
 
+/* Notes that bytes came which belong to no request. */
+static void
+note_stray (struct Exchange *exchange)
+{
+  char *url = NULL;
+
+  curl_easy_getinfo (exchange->easy, CURLINFO_EFFECTIVE_URL, &url);
+  if (url != NULL)
+    gspan_stray_upstreams_note (&exchange->client->strays, url, gspan_clock_now ());
+}
+
 static enum GspanHttpResult
 classify (struct Exchange *exchange, CURLcode code)
 {
@@ -317,6 +332,8 @@
   GBytes *body;
 
   g_hash_table_steal (client->exchanges, &exchange->ref);
+  if (exchange->foreign)
+    note_stray (exchange);
   if (exchange->stream && !exchange->head_told && result == GSPAN_HTTP_COMPLETE)
     tell (exchange, GSPAN_EVENT_HTTP_HEAD, result, NULL);
   client->buffered -= exchange->answer->len;
@@ -331,6 +348,7 @@
 static void
 renew (struct GspanHttpClient *client, struct Exchange *exchange)
 {
+  note_stray (exchange);
   exchange->withheld = false;
   exchange->renewed = true;
   curl_multi_remove_handle (client->multi, exchange->easy);
@@ -497,6 +515,7 @@
   client->starting = g_ptr_array_new ();
   client->doomed = g_ptr_array_new_with_free_func (exchange_free);
   gspan_sent_ids_init (&client->sent_ids);
+  gspan_stray_upstreams_init (&client->strays);
   gspan_tcp_table_init (&client->sockets);
   client->multi = curl_multi_init ();
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
@@ -525,6 +544,7 @@
   g_ptr_array_unref (client->doomed);
   g_hash_table_unref (client->exchanges);
   gspan_sent_ids_finish (&client->sent_ids);
+  gspan_stray_upstreams_finish (&client->strays);
   gspan_tcp_table_finish (&client->sockets);
   curl_multi_cleanup (client->multi);
   ev_timer_stop (client->loop, &client->timer);
@@ -573,7 +593,8 @@
                     (long)(GSPAN_SENT_ID_KEPT_US / GSPAN_SECOND));
   repeated = gspan_sent_ids_note (&exchange->client->sent_ids, http->url, http->required_header,
                                   exchange->started);
-  if (repeated)
+  if (repeated
+      || gspan_stray_upstreams_has (&exchange->client->strays, http->url, exchange->started))
     curl_easy_setopt (exchange->easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -7,6 +7,7 @@
 {
 #include "http/client.h"
 #include "http/sent_ids.h"
+#include "http/stray_upstreams.h"
 }
 
 /* Whole answers on sockets, cut anywhere, and answers beyond the one that was asked for. */
@@ -397,6 +398,23 @@
       }
 }
 
+/* Each kept connection of theirs may cost a request its answer. */
+TEST_F (Answers, UpstreamThatSendsSecondAnswersCostsFewRequestsTheirs)
+{
+  WireServer server (wire);
+  unsigned lost = 0;
+
+  for (int i = 0; i < 20; i++)
+    {
+      const std::string id = "id-" + std::to_string (i);
+
+      server.script = { { answer ("length", id, "text"), false } };
+      server.script[0].stray = answer ("length", "id-" + std::to_string (i - 1), "text");
+      lost += call (server, "/x", id).result != GSPAN_HTTP_COMPLETE;
+    }
+  EXPECT_EQ (lost, 1U);
+}
+
 /* Ordinary first sendings go on sharing a connection. */
 TEST_F (Answers, RequestsWithIdsOfTheirOwnShareAConnection)
 {
@@ -593,3 +611,20 @@
         RC_ASSERT (got.headers.find (id_name + id + "\n") != std::string::npos);
     }
 }
+
+TEST (StrayUpstreams, AreForgottenAndBounded)
+{
+  GspanStrayUpstreams strays{};
+
+  gspan_stray_upstreams_init (&strays);
+  gspan_stray_upstreams_note (&strays, "http://10.0.0.1:80/a", GSPAN_SECOND);
+  EXPECT_TRUE (gspan_stray_upstreams_has (&strays, "http://10.0.0.1:80/b", 2 * GSPAN_SECOND));
+  EXPECT_FALSE (gspan_stray_upstreams_has (&strays, "http://10.0.0.1:81/b", 2 * GSPAN_SECOND));
+  EXPECT_FALSE (gspan_stray_upstreams_has (&strays, "http://10.0.0.1:80/b", 12 * GSPAN_SECOND));
+  for (int i = 0; i < 1000; i++)
+    gspan_stray_upstreams_note (&strays, ("http://h" + std::to_string (i)).c_str (), GSPAN_SECOND);
+  EXPECT_LE (g_hash_table_size (strays.until), 256U);
+  gspan_stray_upstreams_note (&strays, "http://10.0.0.1:80/a", 60 * GSPAN_SECOND);
+  EXPECT_EQ (g_hash_table_size (strays.until), 1U);
+  gspan_stray_upstreams_finish (&strays);
+}
