platform: every name is sent to the store as it is

What was seen, beside the page after a name: the path of a single object held its name as it is, too. Names of services, which the versions kept in the store are under, come from replicas' entries, and these may be another writer's. Evidence: OddObjects.OddNamesAreAskedForByTheseNames failed before.

--- a/test/odd_entries_test.cc
+++ b/test/odd_entries_test.cc
@@ -173,7 +173,7 @@
 }
 
 /* The next page begins after the last name, whatever its writer has called it. */
-TEST_F (OddObjects, PageAfterAnOddNameIsAskedForByThatName)
+TEST_F (OddObjects, OddNamesAreAskedForByTheseNames)
 {
   const char *const names[][2]
       = { { "a b", "a%20b" },       { "a/b", "a%2Fb" },   { "a&x=1", "a%26x%3D1" },
@@ -192,6 +192,12 @@
       gspan_objects_encode (&call, "10.0.0.1:80", &http);
       EXPECT_EQ (std::string (http.url),
                  std::string ("http://10.0.0.1:80/api/objects/servers?after=") + name[1]);
+      g_free (http.method);
+      g_free (http.url);
+      call.op = GSPAN_STORE_GET;
+      gspan_objects_encode (&call, "10.0.0.1:80", &http);
+      EXPECT_EQ (std::string (http.url),
+                 std::string ("http://10.0.0.1:80/api/objects/servers/") + name[1]);
       gspan_headers_finish (&http.headers);
       g_free (http.method);
       g_free (http.url);
@@ -348,8 +354,8 @@
 class OddEntries : public NodeTest
 {
 protected:
-  static constexpr const char *kinds[]
-      = { "servers", "config", "versions", "retirements", "jobs", "nodes", "poison" };
+  static constexpr const char *kinds[] = { "servers", "config", "versions", "retirements", "jobs",
+                                           "nodes",   "poison", "streams",  "software" };
 
   static unsigned
   count_logged (const Rig &rig, const std::string &text)
