--- a/test/node_world.h
+++ b/test/node_world.h
@@ -183,6 +183,7 @@
   guint64 latency_us = 4 * GSPAN_MS;
   size_t page_size = 500;
   bool lose_datagrams = false;
+  std::map<std::string, std::string> last_datagram; /* kind to text */
   guint64 create_reply_delay_us = 0; /* creations are done in time, their answers take longer */
   std::map<std::string, std::map<std::string, StoredObject>> objects;
   std::map<std::string, guint64>
@@ -985,6 +986,8 @@
             std::string to = action->u.datagram.address;
             World *in = &world;
 
+            size_t kind = text.find ("\"kind\":\"") + strlen ("\"kind\":\"");
+            world.last_datagram[text.substr (kind, text.find ('"', kind) - kind)] = text;
             EXPECT_LE (text.size (), 16384U) << "a receiver takes no more (shell/udp.c)";
             if (world.lose_datagrams)
               break;
