--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -6,6 +6,7 @@
 extern "C"
 {
 #include "http/client.h"
+#include "http/sent_ids.h"
 }
 
 /* Whole answers on sockets, cut anywhere, and answers beyond the one that was asked for. */
@@ -28,6 +29,7 @@
   int status;
   std::string body; /* streamed or collected */
   std::string headers;
+  unsigned sends;
 };
 
 class Answers : public testing::Test
@@ -68,6 +70,7 @@
     item.done = true;
     item.result = http.result;
     item.status = http.status;
+    item.sends = http.send_count;
     for (guint i = 0; i < http.headers->items->len; i++)
       item.headers += std::string (static_cast<char *> (http.headers->items->pdata[i])) + "\n";
     self->open--;
@@ -333,7 +336,7 @@
     if (moment == SAME_SEGMENT)
       first.bytes += extra.bytes;
     else if (moment == NEXT_REQUEST_WRITTEN)
-      next.bytes = extra.bytes;
+      next.stray = extra.bytes;
     else
       first.parts = { { moment == WHILE_IDLE ? 0.004 : 0, extra.bytes } };
     if (moment != NEXT_REQUEST_WRITTEN)
@@ -372,6 +375,28 @@
   RecordProperty ("next_whole", static_cast<int> (next_whole));
 }
 
+/* Bytes that came while no request was open cost no request its answer. */
+TEST_F (Answers, BytesOnAnIdleConnectionAreNoAnswerToTheNextRequest)
+{
+  for (const Extra &extra : extras ())
+    for (bool stream : { false, true })
+      {
+        WireServer server (wire);
+
+        server.by_path["/one"]
+            = { answer ("length", "one", "text"), false, false, { { 0.002, extra.bytes } } };
+        server.script = { { answer ("length", "two", "text of two"), false } };
+        EXPECT_EQ (call (server, "/one", "one", stream).result, GSPAN_HTTP_COMPLETE);
+        EXPECT_TRUE (wire.run_until ([&] { return server.parts_sent > 0; })) << extra.name;
+        const Ended two = call (server, "/two", "two", stream);
+        EXPECT_EQ (two.result, GSPAN_HTTP_COMPLETE) << extra.name;
+        EXPECT_EQ (two.body, "text of two") << extra.name;
+        EXPECT_EQ (two.sends, 1U) << extra.name;
+        EXPECT_EQ (server.requests, 2U) << extra.name;
+        EXPECT_EQ (call (server, "/two", "two", stream).result, GSPAN_HTTP_COMPLETE) << extra.name;
+      }
+}
+
 /* Ordinary first sendings go on sharing a connection. */
 TEST_F (Answers, RequestsWithIdsOfTheirOwnShareAConnection)
 {
@@ -438,3 +463,133 @@
       EXPECT_EQ (call (server, "/x", "one").result, expected) << headers;
     }
 }
+
+TEST (SentIds, AreRememberedAsLongAsAConnectionMayBeUsed)
+{
+  const guint64 start = 1000 * GSPAN_SECOND;
+  GspanSentIds ids{};
+
+  gspan_sent_ids_init (&ids);
+  EXPECT_FALSE (gspan_sent_ids_note (&ids, "http://10.0.0.1:80/a", "Id: 1", start));
+  EXPECT_TRUE (gspan_sent_ids_note (&ids, "http://10.0.0.1:80/b?c", "Id: 1", start));
+  EXPECT_FALSE (gspan_sent_ids_note (&ids, "http://10.0.0.1:80/a", "Id: 2", start));
+  EXPECT_FALSE (gspan_sent_ids_note (&ids, "http://10.0.0.2:80/a", "Id: 1", start));
+  for (guint64 i = 0; i < 20; i++)
+    {
+      std::string id = "Id: x" + std::to_string (i);
+      guint64 sent = start + (i + 1) * 7 * GSPAN_SECOND;
+
+      EXPECT_FALSE (gspan_sent_ids_note (&ids, "http://h/", id.c_str (), sent));
+      EXPECT_TRUE (gspan_sent_ids_note (&ids, "http://h/", id.c_str (),
+                                        sent + GSPAN_SENT_ID_KEPT_US + GSPAN_SECOND));
+    }
+  gspan_sent_ids_finish (&ids);
+}
+
+TEST (SentIds, AreBounded)
+{
+  GspanSentIds ids{};
+
+  gspan_sent_ids_init (&ids);
+  for (int i = 0; i < 300000; i++)
+    {
+      std::string id = "Id: " + std::to_string (i);
+
+      EXPECT_FALSE (gspan_sent_ids_note (&ids, "http://h/", id.c_str (), GSPAN_SECOND)) << i;
+      EXPECT_LE (g_hash_table_size (ids.current) + g_hash_table_size (ids.previous), 131072U);
+    }
+  gspan_sent_ids_finish (&ids);
+}
+
+/* The same bytes give the same result wherever they are cut into pieces. */
+RC_GTEST_FIXTURE_PROP (Answers, ResultDoesNotDependOnThePieces, (std::vector<uint8_t> sizes))
+{
+  const std::vector<FramingRow> rows = framing_rows ();
+  const FramingRow &row = rows[*rc::gen::inRange<size_t> (0, rows.size ())];
+  const std::string bytes = row.head + row.rest;
+  const bool stream = *rc::gen::arbitrary<bool> ();
+  WireServer server (wire);
+  size_t at = 0;
+
+  server.by_path["/whole"] = { bytes, true };
+  server.by_path["/pieces"] = { "", true };
+  for (uint8_t size : sizes)
+    {
+      const size_t len = std::min<size_t> (size % 40, bytes.size () - at);
+
+      server.by_path["/pieces"].parts.push_back ({ 0, bytes.substr (at, len) });
+      at += len;
+    }
+  server.by_path["/pieces"].parts.push_back ({ 0, bytes.substr (at) });
+  const guint64 first = start (server, "/whole", "a", stream, true, row.method);
+  const guint64 second = start (server, "/pieces", "a", stream, true, row.method);
+  RC_ASSERT (wire.run_until ([&] { return open == 0; }));
+  RC_ASSERT (ended[first].result == ended[second].result);
+  RC_ASSERT (ended[first].status == ended[second].status);
+  if (ended[first].result == GSPAN_HTTP_COMPLETE)
+    {
+      RC_ASSERT (ended[first].body == ended[second].body);
+      RC_ASSERT (ended[first].headers == ended[second].headers);
+    }
+}
+
+/*
+ * Answers with bytes changed, taken out, doubled or put in, on one upstream and its kept
+ * connections. GSPAN_FUZZ_ROUNDS in the environment asks for more of them, by hand.
+ */
+RC_GTEST_FIXTURE_PROP (Answers, SpoiledBytesEndEachExchangeAndAnswerNoOther, ())
+{
+  const char *asked = g_getenv ("GSPAN_FUZZ_ROUNDS");
+  const int rounds = asked != nullptr ? atoi (asked) : 3;
+  const std::vector<FramingRow> rows = framing_rows ();
+  WireServer server (wire);
+  std::vector<std::pair<guint64, std::string>> calls;
+
+  timeout_us = 100 * GSPAN_MS;
+  for (int i = 0; i < rounds; i++)
+    {
+      const FramingRow &row = rows[*rc::gen::inRange<size_t> (0, rows.size ())];
+      const std::string id = "fuzz-" + std::to_string (last + 1);
+      std::string bytes = row.head + row.rest;
+      const size_t own = bytes.find (id_name + "a\r\n");
+
+      if (own != std::string::npos)
+        bytes.replace (own, id_name.size () + 1, id_name + id);
+      for (int change = *rc::gen::inRange (0, 4); change > 0; change--)
+        {
+          const size_t at = *rc::gen::inRange<size_t> (0, bytes.size ());
+          const size_t len = *rc::gen::inRange<size_t> (0, 20);
+
+          switch (*rc::gen::inRange (0, 4))
+            {
+            case 0:
+              bytes[at] = *rc::gen::arbitrary<char> ();
+              break;
+            case 1:
+              bytes.erase (at, len);
+              break;
+            case 2:
+              bytes.insert (at, bytes.substr (at, len));
+              break;
+            default:
+              bytes.insert (at, *rc::gen::arbitrary<std::string> ());
+              break;
+            }
+          if (bytes.empty ())
+            break;
+        }
+      const std::string path = "/" + id;
+      server.by_path[path] = { bytes, *rc::gen::arbitrary<bool> (), *rc::gen::arbitrary<bool> () };
+      calls.emplace_back (start (server, path, id, i % 2 == 0, false, row.method), id);
+      RC_ASSERT (wire.run_until ([&] { return open < 20; }));
+    }
+  RC_ASSERT (wire.run_until ([&] { return open == 0; }));
+  for (const auto &[number, id] : calls)
+    {
+      const Ended &got = ended[number];
+
+      RC_ASSERT (got.done);
+      if (got.result == GSPAN_HTTP_COMPLETE)
+        RC_ASSERT (got.headers.find (id_name + id + "\n") != std::string::npos);
+    }
+}
