--- a/test/soak/restarts.py
+++ b/test/soak/restarts.py
@@ -48,6 +48,7 @@
         return
     old = world.living("text")
     world.versions += 1
+    world.note(f"v{world.versions} of streams comes")
     for _ in range(world.random.randint(1, 3)):
         await world.add_replica("text", software=f"v{world.versions}")
     await asyncio.sleep(world.random.uniform(0.2, 1.0))
@@ -58,6 +59,7 @@
         leave(world, old[kept:])
         await asyncio.sleep(world.random.uniform(0, 0.3))
     world.book.killed_all_at.append(world.now())
+    world.note(f"all nodes die for {down_s:.1f} s; {kept} of {len(old)} old replicas of streams stay, the others leave {leaving_at}")
     tasks = [asyncio.create_task(restart(world, node, signal.SIGKILL, down_s)) for node in world.nodes]
     if leaving_at == "while down":
         await asyncio.sleep(down_s / 2)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -433,6 +433,7 @@
     parser.add_argument("--replicas", type=int, default=4, help="of each service")
     parser.add_argument("--clients", type=int, default=8)
     parser.add_argument("--readers", type=int, default=4, help="clients that read streams and take them up elsewhere")
+    parser.add_argument("--event-s", type=float, default=0.05, help="time between two events of a stream")
     parser.add_argument("--hasty", type=int, default=3, help="clients that give batch jobs up while the store has faults")
     parser.add_argument("--killers", type=int, default=2, help="contents that end each replica that runs them")
     parser.add_argument("--silent", type=float, default=0.5, help="share of replicas that end without a reset")
