--- a/test/soak/replica.py
+++ b/test/soak/replica.py
@@ -182,6 +182,9 @@
         start, piece = self.world.random.choice([
             (b"HTTP/1.1 200 OK\r\n", b"X-Pad: 0123456789\r\n"), (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
             (b"HTTP/1.1 200 OK\r\nX-Pad: ", b"0123456789"), (head, b"data: 0123456789\n"), (head, b"0123456789")])
+        if start == head:
+            self.world.book.streams_made[request.headers.get("x-attempt-id", "")].add(self.start_name)
+        self.world.note(f"{self.start_name} {request.headers.get('x-attempt-id')} {request.path}: without end, {start[-30:]!r} {piece!r}")
         writer.write(start)
         self.world.book.endless += 1
         while True:
