gateway: origins are written when they come, not at the next tick

A node without work of its own ticks every 100 ms.

What is due is now written as soon as a node is told.

--- a/gateway/origin_store.c
+++ b/gateway/origin_store.c
@@ -250,6 +250,13 @@
     }
 }
 
+void
+gspan_origin_store_write_due (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  if (node->origin_store.call == 0 && !node->catalog.store_fails)
+    start_due (node, outbox);
+}
+
 void
 gspan_origin_store_handle (struct GspanNode *node, const struct GspanEvent *event,
                            struct GspanOutbox *outbox)
@@ -264,6 +271,5 @@
       else
         on_own_done (node, event->u.store.reply);
     }
-  if (store->call == 0 && !node->catalog.store_fails)
-    start_due (node, outbox);
+  gspan_origin_store_write_due (node, outbox);
 }
--- a/gateway/origin_store.h
+++ b/gateway/origin_store.h
@@ -45,5 +45,8 @@
 /* Has all that is kept read. */
 void gspan_origin_store_want (struct GspanNode *node);
 
+/* Writes what this node was told to keep, or begins to, if it is due; ticks may be far apart. */
+void gspan_origin_store_write_due (struct GspanNode *node, struct GspanOutbox *outbox);
+
 void gspan_origin_store_handle (struct GspanNode *node, const struct GspanEvent *event,
                                 struct GspanOutbox *outbox);
--- a/node/node.c
+++ b/node/node.c
@@ -204,6 +204,7 @@
 take_streams (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
 {
   gspan_streams_receive (node, message);
+  gspan_origin_store_write_due (node, outbox);
   gspan_gateway_send_waiting (node, outbox);
 }
 
