--- a/test/odd_entries_test.cc
+++ b/test/odd_entries_test.cc
@@ -758,3 +758,104 @@
       EXPECT_EQ (response_to (rig, id)->status, 400) << odd.what;
     }
 }
+
+/* The operator's store takes sound configurations only; what is read of another one harms nobody.
+ */
+TEST_F (OddEntries, ConfigurationOfAnyTypesEndsNoNode)
+{
+  const char *const route_fields[]
+      = { "name",         "host",        "pathPrefix", "type",         "service",
+          "trafficSplit", "timeoutMs",   "maxQueueS",  "priority",     "targetLatencyMs",
+          "resultDueMs",  "maxAttempts", "resumable",  "singleVersion" };
+  const char *const top_fields[] = { "version", "routes", "services", "limits" };
+  const char *const values[]
+      = { "null",
+          "true",
+          "-1",
+          "0",
+          "1e300",
+          "9223372036854775807",
+          "\"\"",
+          "\"x\"",
+          "[]",
+          "{}",
+          "[null,1,\"x\",[],{}]",
+          "[{\"service\":null,\"weight\":1},{\"service\":\"desk\"}]",
+          "[{\"name\":\"llm\",\"engine\":{\"models\":[{}],\"slots\":1e99}}]" };
+  Rig &rig = start_nodes ();
+  unsigned version = 10;
+  guint64 id = 100;
+
+  auto try_config = [&] (bool of_route, const char *field, const char *text) {
+    SCOPED_TRACE (std::string (field) + " " + text);
+    json_t *spec = json_loads (config_spec (++version).c_str (), 0, nullptr);
+    json_t *value = json_loads (text, JSON_DECODE_ANY, nullptr);
+    json_t *route;
+    size_t index;
+
+    if (!of_route)
+      json_object_set (spec, field, value);
+    json_array_foreach (json_object_get (spec, "routes"), index, route) if (of_route)
+        json_object_set (route, field, value);
+    char *config = json_dumps (spec, JSON_COMPACT);
+    world.put ("config", "main", config);
+    free (config);
+    json_decref (value);
+    json_decref (spec);
+    world.run (30 * GSPAN_MS);
+    id += 2;
+    send_desk_request (rig, id, "a" + std::to_string (id));
+    submit_job (rig, id + 1, "j" + std::to_string (id), 1);
+    world.run (30 * GSPAN_MS);
+  };
+  for (const char *value : values)
+    {
+      for (const char *field : route_fields)
+        try_config (true, field, value);
+      for (const char *field : top_fields)
+        if (strcmp (field, "version") != 0 || json_int_t (strlen (value)) < 5)
+          try_config (false, field, value);
+    }
+  world.put ("config", "main", config_spec (100000).c_str ());
+  world.run (GSPAN_SECOND);
+  EXPECT_EQ (rig.node.catalog.config.number, 100000U);
+}
+
+/* Parts, results and checkpoints of one job, as another writer leaves them. */
+TEST_F (OddEntries, ContentOfAJobThatIsOddHarmsThatJobOnly)
+{
+  std::vector<OddText> odd = unreadable_specs ();
+  const char *const others[]
+      = { "null",
+          "{}",
+          "7",
+          R"({"content":7,"first":"x","results":{},"items":7})",
+          R"({"content":"%%%","first":-1,"results":[null,7,{}],"items":[null,7,{}]})",
+          R"({"content":"aGk=","first":9223372036854775807,"results":[{"item":"i0","text":7}],)"
+          R"("items":[{"item":"i0","text":"x","events":-1,"errors":-9,"versions":[null]}]})",
+          R"({"content":"bnVsbA==","first":0,"results":[{"item":"x","text":"","versions":{}}]})" };
+  Rig &rig = start_nodes ();
+  unsigned number = 0;
+
+  for (const char *other : others)
+    odd.push_back ({ other, other });
+  for (const auto &content : odd)
+    {
+      std::string job = "odd" + std::to_string (++number);
+      world.put ("jobs", job,
+                 R"({"host":"a.example","path":"/batch/x","owner":"vm-1","parts":1,"total":2,)"
+                 R"("received_ms":1700000000000})");
+      for (const char *name : { "part-000000", "result-000000", "checkpoint", "else" })
+        world.put_raw ("job-" + job, name, content.text);
+    }
+  world.run (30 * GSPAN_SECOND);
+  guint64 id = 100;
+  for (unsigned i = 1; i <= number; i++)
+    read_results (rig, ++id, "odd" + std::to_string (i), 0);
+  submit_job (rig, 1, "sound", 2);
+  world.run (GSPAN_SECOND);
+  ASSERT_NE (response_to (rig, 1), nullptr);
+  EXPECT_EQ (response_to (rig, 1)->status, 202);
+  EXPECT_EQ (open_runs (rig).size (), 2U);
+  EXPECT_EQ (g_hash_table_size (rig.node.jobs.by_id), number + 1);
+}
--- a/test/rewards_test.cc
+++ b/test/rewards_test.cc
@@ -117,11 +117,11 @@
 
   submit_scored (rig, 1, "j1", 1);
   finish_texts (rig);
-  for (int kind = 0; kind < 8; kind++)
+  for (int kind = 0; kind < 10; kind++)
     {
       ASSERT_GE (open_calls (rig).size (), 1U) << kind;
       for (auto &call : open_calls (rig))
-        switch (kind % 4)
+        switch (kind % 5)
           {
           case 0:
             rig.http_done (call, GSPAN_HTTP_COMPLETE, 200, { "X-Attempt-Id: s0" }, "unsigned");
@@ -132,6 +132,9 @@
           case 2:
             rig.http_done (call, GSPAN_HTTP_COMPLETE, 503, { "X-Not-Executed: 1" }, "");
             break;
+          case 3: /* no text that a result could hold: it would be missing in what is stored */
+            rig.http_done (call, GSPAN_HTTP_COMPLETE, 200, { "X-Server-Stamp: \xff\xfe" }, "odd");
+            break;
           default:
             rig.http_done (call, GSPAN_HTTP_TIMEOUT, 0, {}, "");
             break;
