jobs: a signature that is no text is no score

What was seen: a result whose score is no UTF-8 was missing in the stored segment and in what callers read: the position after it took its place. Cause: JSON holds no such text, and the list was written without it. Evidence: Rewards.AnswersThatAreNoScoreAreAskedForAgain failed with such an answer among those that are no score. Fix: the call is made again, as after an answer without a signature. Result: the test passes, and those of rewards and jobs.

--- a/jobs/rewards.c
+++ b/jobs/rewards.c
@@ -373,7 +373,9 @@
     return OUTCOME_LOST;
   if (wire->not_run)
     return OUTCOME_REJECTED;
-  if (!wire->signed_by_replica)
+  /* What is no text fits in no result. */
+  if (!wire->signed_by_replica
+      || !g_utf8_validate (wire->signature.data, (gssize)wire->signature.len, NULL))
     return OUTCOME_LOST;
   if (answer->status >= 200 && answer->status < 300)
     return OUTCOME_SCORED;
