--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -415,6 +415,23 @@
   EXPECT_EQ (lost, 1U);
 }
 
+/* They count towards what the upstream takes from all callers. */
+TEST_F (Answers, UpstreamThatSendsSecondAnswersKeepsFewConnections)
+{
+  WireServer server (wire);
+
+  for (int i = 0; i < 40; i++)
+    {
+      const std::string id = "id-" + std::to_string (i);
+
+      server.script = { { answer ("length", id, "text"), false } };
+      server.script[0].stray = answer ("length", "id-" + std::to_string (i - 1), "text");
+      call (server, "/x", id);
+    }
+  EXPECT_TRUE (wire.run_until ([&] { return server.open_connections () <= 2; }))
+      << server.open_connections () << " of " << server.connections;
+}
+
 /* Ordinary first sendings go on sharing a connection. */
 TEST_F (Answers, RequestsWithIdsOfTheirOwnShareAConnection)
 {
--- a/test/broken_streams_test.cc
+++ b/test/broken_streams_test.cc
@@ -350,6 +350,22 @@
     }
 }
 
+/* Replicas' streams name their type, and without it no end mark is asked for. */
+TEST_F (BrokenStreams, EmptySuccessWithoutATypeIsNoEndOfAStream)
+{
+  Rig &rig = start ();
+  guint64 id = send_stream (rig);
+  Exchange exchange;
+
+  ASSERT_TRUE (take_exchange (rig, &exchange));
+  break_off (rig, exchange);
+  ASSERT_TRUE (take_exchange (rig, &exchange));
+  rig.http_head (exchange, 200, signed_head);
+  rig.http_done (exchange, GSPAN_HTTP_COMPLETE, 200, signed_head, "");
+  world.run (1500 * GSPAN_MS);
+  EXPECT_EQ (last_status (rig, id), -1);
+}
+
 /* An item's text takes nothing foreign in, and isn't completed by it. */
 TEST_F (BrokenStreams, TextsTakeNothingForeignIn)
 {
--- a/test/rejoined_streams_test.cc
+++ b/test/rejoined_streams_test.cc
@@ -193,6 +193,26 @@
   EXPECT_EQ (gone_on, 20U);
 }
 
+/* The entries of the version before last changed long ago; no two versions were ever side by side.
+ */
+TEST_F (RejoinedStreams, ReplicasThatStartAnewUnderTheirIdsAsAnotherVersion)
+{
+  std::string spec = replica_spec ("desk", 1, 0);
+
+  start (6, "v1");
+  world.run (130 * GSPAN_SECOND);
+  begin_streams (20);
+  spec.replace (spec.find ("\"v1\""), 4, "\"v2\"");
+  spec.replace (spec.find ("\"born\":1"), 8, "\"born\":" + std::to_string (world.now));
+  world.put ("servers", "d1", spec.c_str ());
+  put_second ("v2");
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_EQ (refused, 20U);
+}
+
 /* What was kept outlasts a second death soon after the first. */
 TEST_F (RejoinedStreams, AllNodesDieTwice)
 {
@@ -401,3 +421,20 @@
   EXPECT_LE (count_calls ("streams"), 4U * 10 * 6 + 4) << "four nodes, ten times a second";
   EXPECT_LE (count_calls ("software"), 24U);
 }
+
+/* Entries may be another writer's; a service has a few versions. */
+TEST_F (RejoinedStreams, ManyVersionsAreNotWrittenAgainAndAgain)
+{
+  start (4, "v1");
+  for (unsigned i = 0; i < 40; i++)
+    {
+      std::string spec = replica_spec ("desk", 100 + i, 0);
+
+      spec.replace (spec.find ("\"v1\""), 4, "\"odd-" + std::to_string (i) + "\"");
+      world.put ("servers", ("x" + std::to_string (i)).c_str (), spec.c_str ());
+    }
+  world.run (5 * GSPAN_SECOND);
+  unsigned before = count_calls ("software");
+  world.run (20 * GSPAN_SECOND);
+  EXPECT_LE (count_calls ("software") - before, 20U) << "nothing changes";
+}
--- a/test/wire.h
+++ b/test/wire.h
@@ -99,6 +99,12 @@
   WireServer (const WireServer &) = delete;
   WireServer &operator= (const WireServer &) = delete;
 
+  size_t
+  open_connections () const
+  {
+    return watchers_.size () - watchers_.count (fd_);
+  }
+
 private:
   Wire &wire_;
   int fd_;
