--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -151,9 +151,14 @@
     }
   else
     {
-      struct GspanReplica *replica = replica_of (node, object->name, seen, outbox);
-      bool changed = replica->address == NULL || replica->draining != seen->draining
-                     || replica->entry_unusable;
+      struct GspanReplica *replica;
+      bool changed;
+
+      if (known != NULL) /* it may start anew as another version */
+        gspan_versions_note (node, known->service, known->software);
+      replica = replica_of (node, object->name, seen, outbox);
+      changed = replica->address == NULL || replica->draining != seen->draining
+                || replica->entry_unusable;
 
       gspan_wire_read_replica (object->spec, replica, &error);
       replica->leaving = replica->leaving || gspan_leaving_has (&node->catalog.leaving, replica);
