http: connections to an upstream that sends second answers are closed after use

While an upstream is noted for second answers, each request takes a new connection, and none of these was used again, yet all were kept.

They are closed after their exchange.

--- a/http/client.c
+++ b/http/client.c
@@ -586,6 +586,7 @@
 set_connection (struct Exchange *exchange, const struct GspanActionHttp *http)
 {
   bool repeated;
+  bool stray;
 
   if (http->required_header == NULL)
     return;
@@ -593,9 +594,11 @@
                     (long)(GSPAN_SENT_ID_KEPT_US / GSPAN_SECOND));
   repeated = gspan_sent_ids_note (&exchange->client->sent_ids, http->url, http->required_header,
                                   exchange->started);
-  if (repeated
-      || gspan_stray_upstreams_has (&exchange->client->strays, http->url, exchange->started))
+  stray = gspan_stray_upstreams_has (&exchange->client->strays, http->url, exchange->started);
+  if (repeated || stray)
     curl_easy_setopt (exchange->easy, CURLOPT_FRESH_CONNECT, 1L);
+  if (stray) /* no other request would use it */
+    curl_easy_setopt (exchange->easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
 void
