gateway: many versions of a service are not written again and again

Entries of more than 32 versions had each node read and write the object of the service's versions without end: what is kept was cut off in the order of a hash table, and compared with all of them.

What is kept are the first 32 by name, on both sides of the comparison.

RejoinedStreams.ManyVersionsAreNotWrittenAgainAndAgain failed before (400 calls in 20 s with nothing changing) and passes.

--- a/gateway/version_history.c
+++ b/gateway/version_history.c
@@ -191,6 +191,32 @@
   return true;
 }
 
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp (a, b);
+}
+
+/* The versions that SERVICE has had lately, as many as are kept. Released with g_hash_table_unref.
+ */
+static GHashTable *
+versions_to_keep (const struct GspanNode *node, const char *service)
+{
+  GHashTable *lately = gspan_versions_lately (node, service);
+  GHashTable *kept;
+  GList *names;
+
+  if (g_hash_table_size (lately) <= VERSIONS_MAX)
+    return lately;
+  kept = new_set ();
+  names = g_list_sort (g_hash_table_get_keys (lately), compare_names);
+  for (GList *item = names; g_hash_table_size (kept) < VERSIONS_MAX; item = item->next)
+    g_hash_table_add (kept, g_strdup (item->data));
+  g_list_free (names);
+  g_hash_table_unref (lately);
+  return kept;
+}
+
 /* When this node may write what differs; the first in an order that all draw alike does so first.
  */
 static guint64
@@ -213,7 +239,7 @@
 {
   struct GspanVersionHistory *history = &node->version_history;
   struct Stored *stored = stored_of (history, service);
-  GHashTable *lately = gspan_versions_lately (node, service);
+  GHashTable *lately = versions_to_keep (node, service);
   bool differs
       = g_hash_table_size (lately) > 0 && (!stored->known || !is_same (stored->versions, lately));
 
@@ -257,7 +283,7 @@
 {
   struct GspanVersionHistory *history = &node->version_history;
   struct Stored *stored = stored_of (history, service);
-  GHashTable *lately = gspan_versions_lately (node, service);
+  GHashTable *lately = versions_to_keep (node, service);
   bool due = stored->differs_since != 0 && node->now >= write_at (node, service, stored);
 
   if (due && is_same (stored->versions, lately)
