gateway, jobs: an empty answer without a type ends no stream

A caller's stream that had broken off ended as whole, and an item's text was completed, where the next replica answered 200 with a stamp, no type and no event.

Cause: an answer that names no type counts as a stream of events, also where it brings none. One that goes on with a stream now has to bring an event or say that it is a stream.

BrokenStreams.EmptySuccessWithoutATypeIsNoEndOfAStream failed before and passes; so does the new row of the table, for callers' streams and items' texts.

--- a/common/events.c
+++ b/common/events.c
@@ -26,18 +26,22 @@
 }
 
 bool
-gspan_events_is_stream (const struct GspanHeaders *headers)
+gspan_events_says_stream (const struct GspanHeaders *headers)
 {
   static const char name[] = "text/event-stream";
   struct GspanStr type = gspan_headers_get (headers, "Content-Type");
   size_t len = strlen (name);
 
-  if (type.len == 0)
-    return true;
   return type.len >= len && g_ascii_strncasecmp (type.data, name, len) == 0
          && (type.len == len || strchr ("; \t", type.data[len]) != NULL);
 }
 
+bool
+gspan_events_is_stream (const struct GspanHeaders *headers)
+{
+  return gspan_headers_get (headers, "Content-Type").len == 0 || gspan_events_says_stream (headers);
+}
+
 /* True where TEXT has only empty lines and comments. */
 static bool
 has_no_field (const char *text, size_t len)
--- a/common/events.h
+++ b/common/events.h
@@ -36,6 +36,9 @@
 /* True where an answer with HEADERS may be a stream of events: its type is that, or isn't said. */
 bool gspan_events_is_stream (const struct GspanHeaders *headers);
 
+/* True where an answer with HEADERS says that it is a stream of events. */
+bool gspan_events_says_stream (const struct GspanHeaders *headers);
+
 /* True where no event is under way: a stream that ends here ends with its last event. */
 bool gspan_events_is_between (const struct GspanEvents *events);
 
--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -182,6 +182,11 @@
       attempt->fault = "the stream ended within an event";
       return false;
     }
+  if (attempt->needs_events && !attempt->has_ids)
+    {
+      attempt->fault = "an answer without events or the type of a stream";
+      return false;
+    }
   end_stream (node, call, answer, outbox);
   return true;
 }
@@ -256,6 +261,7 @@
     {
       attempt->passes_on = answer->status == STATUS_OK && call->is_events
                            && gspan_events_is_stream (answer->headers);
+      attempt->needs_events = !gspan_events_says_stream (answer->headers);
       return;
     }
   attempt->passes_on = true;
--- a/gateway/calls.h
+++ b/gateway/calls.h
@@ -59,6 +59,7 @@
   bool has_head;     /* the answer's head has come */
   bool passes_on;    /* the answer is the caller's, or goes on with it */
   bool has_ids;      /* some of its events had one */
+  bool needs_events; /* goes on with the caller's answer, and doesn't say that it is a stream */
   const char *fault; /* why nothing more of it may be passed on; static, NULL is none */
   bool is_silent;    /* reported as silent (gateway/crash_reports.h) */
 };
--- a/jobs/run.h
+++ b/jobs/run.h
@@ -23,6 +23,7 @@
   bool was_rejected;      /* the replica said that it doesn't run it */
   bool has_head;          /* the response's head has come */
   bool is_streaming;      /* a response of 200 with the replica's stamp has begun */
+  bool says_stream;       /* it says that it is a stream of events */
   bool is_too_long;       /* the text is longer than a result may be */
   bool has_invalid_event; /* an event out of order, not UTF-8 or of a weight version not allowed */
 };
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -97,6 +97,7 @@
   run->has_head = true;
   run->is_streaming
       = answer->status == 200 && wire.signed_by_replica && gspan_events_is_stream (answer->headers);
+  run->says_stream = gspan_events_says_stream (answer->headers);
   run->weight_version = wire.weight_version;
   run->last_active_us = run->node->now;
   if (run->is_streaming && wire.weight_version > 0)
@@ -188,8 +189,8 @@
   if (!run->has_head)
     gspan_limits_note_answer (node, run->replica, &wire, run->started_at_us, outbox);
   gspan_run_log_end (run, outcomes[answer->result], answer, wire.signed_by_replica, outbox);
-  if (whole && run->is_streaming && gspan_events_is_between (&run->events)
-      && item->last_event_id > 0)
+  if (whole && run->is_streaming && (run->says_stream || run->event_count > 0)
+      && gspan_events_is_between (&run->events) && item->last_event_id > 0)
     {
       gspan_replica_worked (run->replica);
       gspan_metrics_observe (&node->metrics, GSPAN_HISTOGRAM_RUN, node->now - run->started_at_us);
--- a/test/broken_streams_test.cc
+++ b/test/broken_streams_test.cc
@@ -46,6 +46,7 @@
     { "206", 206, good, sse (3), done, 0, false },
     { "200 without a stamp", 200, unsigned_stream, sse (3), done, 0, false },
     { "200 empty, without a stamp", 200, nothing, "", done, 0, false },
+    { "200 empty, of no type", 200, signed_head, "", done, 0, false },
     { "200 of another type", 200, json, "{\"error\": \"busy\"}", done, 0, false },
     { "200 of another type, like a stream", 200, json, sse (3), done, 0, false },
     { "200 of another type, empty", 200, json, "", done, 0, false },
