--- a/http/client.c
+++ b/http/client.c
@@ -7,6 +7,7 @@
 
 #include "common/clock.h"
 #include "http/answer_head.h"
+#include "http/curl_loop.h"
 #include "http/request.h"
 #include "http/sent_ids.h"
 #include "http/stray_upstreams.h"
@@ -16,9 +17,8 @@
 {
   CONNECT_TIMEOUT_MS = 1000,
   KEEPALIVE_IDLE_S = 2,
-  PROBE_IDLE_S = 1,   /* as above, for exchanges that ask for probes of silence */
-  PROBE_COUNT = 2,    /* that may stay without an answer */
-  TIMER_SLACK_MS = 1, /* libcurl's clock and the loop's may differ by their rounding */
+  PROBE_IDLE_S = 1, /* as above, for exchanges that ask for probes of silence */
+  PROBE_COUNT = 2,  /* that may stay without an answer */
   KEEPALIVE_INTERVAL_S = 1,
   UNACKNOWLEDGED_MAX_MS = 4000, /* sent bytes without an acknowledgement end the connection */
   PROBED_MAX_MS = 1000 * (PROBE_IDLE_S + PROBE_COUNT * KEEPALIVE_INTERVAL_S),
@@ -60,18 +60,11 @@
   guint64 heard_at; /* last answer byte; 0 before the first */
 };
 
-struct Socket
-{
-  struct GspanHttpClient *client;
-  ev_io io;
-  curl_socket_t fd;
-};
-
 struct GspanHttpClient
 {
   struct ev_loop *loop;
   CURLM *multi;
-  ev_timer timer;
+  struct GspanCurlLoop curl_loop;
   ev_timer silence;      /* runs while exchanges with a limit on silence are open */
   guint limited;         /* their number */
   size_t buffered;       /* bytes of answers that are being collected */
@@ -415,8 +408,9 @@
 }
 
 static void
-run_curl (struct GspanHttpClient *client, curl_socket_t fd, int action)
+run_curl (void *user, curl_socket_t fd, int action)
 {
+  struct GspanHttpClient *client = user;
   int running;
 
   client->inside = true;
@@ -433,75 +427,6 @@
   check_done (client);
 }
 
-static void
-on_socket_ready (struct ev_loop *loop, ev_io *watcher, int events)
-{
-  struct Socket *socket = watcher->data;
-  int action
-      = (events & EV_READ ? CURL_CSELECT_IN : 0) | (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
-
-  (void)loop;
-  run_curl (socket->client, socket->fd, action);
-}
-
-static int
-on_socket (CURL *easy, curl_socket_t fd, int what, void *user, void *socket_data)
-{
-  struct GspanHttpClient *client = user;
-  struct Socket *socket = socket_data;
-  int events = (what & CURL_POLL_IN ? EV_READ : 0) | (what & CURL_POLL_OUT ? EV_WRITE : 0);
-
-  (void)easy;
-  if (what == CURL_POLL_REMOVE)
-    {
-      if (socket != NULL)
-        ev_io_stop (client->loop, &socket->io);
-      g_free (socket);
-      curl_multi_assign (client->multi, fd, NULL);
-      return 0;
-    }
-  if (socket == NULL)
-    {
-      socket = g_new0 (struct Socket, 1);
-      socket->client = client;
-      socket->fd = fd;
-      ev_init (&socket->io, on_socket_ready);
-      socket->io.data = socket;
-      curl_multi_assign (client->multi, fd, socket);
-    }
-  ev_io_stop (client->loop, &socket->io);
-  ev_io_set (&socket->io, fd, events);
-  ev_io_start (client->loop, &socket->io);
-  return 0;
-}
-
-static void
-on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
-{
-  (void)loop;
-  (void)events;
-  run_curl (watcher->data, CURL_SOCKET_TIMEOUT, 0);
-}
-
-static int
-on_timer_change (CURLM *multi, long timeout_ms, void *user)
-{
-  struct GspanHttpClient *client = user;
-
-  (void)multi;
-  ev_timer_stop (client->loop, &client->timer);
-  if (timeout_ms < 0)
-    return 0;
-  /*
-   * libev counts from the time at which the loop last woke up, so a timer that starts after long
-   * work would fire early; libcurl then finds nothing to do and doesn't ask for it again.
-   */
-  ev_now_update (client->loop);
-  ev_timer_set (&client->timer, (double)(timeout_ms + TIMER_SLACK_MS) / 1000.0, 0);
-  ev_timer_start (client->loop, &client->timer);
-  return 0;
-}
-
 struct GspanHttpClient *
 gspan_http_client_new (struct ev_loop *loop, GspanHttpClientCallback callback, void *user)
 {
@@ -518,13 +443,8 @@
   gspan_stray_upstreams_init (&client->strays);
   gspan_tcp_table_init (&client->sockets);
   client->multi = curl_multi_init ();
-  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
-  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
-  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
-  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  gspan_curl_loop_init (&client->curl_loop, loop, client->multi, run_curl, client);
   curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long)CONNECTIONS_KEPT);
-  ev_timer_init (&client->timer, on_timer, 0, 0);
-  client->timer.data = client;
   ev_timer_init (&client->silence, on_silence, SILENCE_CHECK_S, SILENCE_CHECK_S);
   client->silence.data = client;
   return client;
@@ -547,7 +467,7 @@
   gspan_stray_upstreams_finish (&client->strays);
   gspan_tcp_table_finish (&client->sockets);
   curl_multi_cleanup (client->multi);
-  ev_timer_stop (client->loop, &client->timer);
+  gspan_curl_loop_finish (&client->curl_loop);
   ev_timer_stop (client->loop, &client->silence);
   g_free (client->source);
   g_free (client);
