http: a head that was cut off isn't ended by the next answer on its connection

Callers of requests that may repeat could get an answer of another status than the replica's, or with the signature of another request: where a stray answer stops within a line of its head and the connection stays open, the next answer's status line becomes the end of that line. The head then has the stray one's status and signature and the own one's id, which passes the check of the echo; a 503 became a 200, a 200 that ran a 503 with X-Not-Executed.

Cause: the heads of two answers are one head to libcurl, which asks for a colon in a line, no more.

Evidence: SecondAnswers.HeadThatIsCutOffIsNotEndedByTheNextAnswer, heads cut at each byte, on real sockets: before, 88 exchanges of other answers were complete (34 each of 200 and 500 as 503, 18 of 503 as 200, 2 as 200 with another reason), now none is.

A line of a head that holds a status line ends the exchange as lost: no header of an answer holds one. answers-test: 15 of 15 pass.

--- a/http/answer_head.c
+++ b/http/answer_head.c
@@ -70,6 +70,27 @@
   return is_own (head, framing->head_ended) ? GSPAN_HEAD_OK : GSPAN_HEAD_FOREIGN;
 }
 
+/* True where a status line begins in LINE at FROM or later, as in "HTTP/1.1 200 OK". */
+static bool
+holds_status_line (struct GspanStr line, size_t from)
+{
+  static const char form[] = "HTTP/0.0 000"; /* 0 is any digit */
+  const size_t len = sizeof form - 1;
+
+  for (size_t at = from; at + len <= line.len; at++)
+    {
+      size_t i = 0;
+
+      while (
+          i < len
+          && (form[i] == '0' ? g_ascii_isdigit (line.data[at + i]) : line.data[at + i] == form[i]))
+        i++;
+      if (i == len)
+        return true;
+    }
+  return false;
+}
+
 enum GspanHeadResult
 gspan_answer_head_take (struct GspanAnswerHead *head, struct GspanFraming *framing,
                         struct GspanStr line, int status)
@@ -79,6 +100,9 @@
     return GSPAN_HEAD_TOO_LONG;
   if (framing->head_ended)
     return GSPAN_HEAD_OK; /* a trailer */
+  /* the next answer on the connection would end the head of one that was cut off in this line */
+  if (holds_status_line (line, head->has_status ? 0 : 1))
+    return GSPAN_HEAD_FOREIGN;
   if (!head->has_status)
     {
       head->has_status = true;
--- a/http/answer_head.h
+++ b/http/answer_head.h
@@ -6,7 +6,7 @@
 /*
  * Reads the heads of one answer line by line: provisional ones, the final one, and trailers, which
  * are dropped. Tells an answer to another request by the header line that each answer to this one
- * repeats.
+ * repeats, and one that was cut off by the status line of the next one within its head.
  */
 struct GspanAnswerHead
 {
--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -396,6 +396,40 @@
   RecordProperty ("next_whole", static_cast<int> (next_whole));
 }
 
+/* The head of another answer, cut anywhere, goes before the own one on the same connection. */
+TEST_F (SecondAnswers, HeadThatIsCutOffIsNotEndedByTheNextAnswer)
+{
+  const std::string failure = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                              "X-Server-Stamp: other\r\n"
+                              + id_name + "one\r\nContent-Length: 0\r\n\r\n";
+  const std::string success = "HTTP/1.1 200 OK\r\nX-Server-Stamp: other\r\nX-A: b\r\n" + id_name
+                              + "one\r\nContent-Length: 4\r\n\r\n";
+  const std::string rest
+      = " Of Its Own\r\nX-Server-Stamp: own\r\n" + id_name + "two\r\nContent-Length: 4\r\n\r\ntext";
+  unsigned wrong = 0;
+
+  for (const auto &[cut, status] :
+       { std::pair{ failure, 200 }, { failure, 500 }, { success, 503 } })
+    for (size_t at = 1; at < cut.size (); at++)
+      {
+        WireServer server (wire);
+        WireStep next = { "HTTP/1.1 " + std::to_string (status) + rest, false };
+
+        next.stray = cut.substr (0, at);
+        server.by_path = { { "/one", { answer ("length", "one", "answer to one"), false } },
+                           { "/two", next } };
+        call (server, "/one", "one");
+        timeout_us = 100 * GSPAN_MS;
+        const Ended two = call (server, "/two", "two");
+        timeout_us = 20 * GSPAN_SECOND;
+        wrong += two.result == GSPAN_HTTP_COMPLETE;
+        EXPECT_NE (two.result, GSPAN_HTTP_COMPLETE)
+            << "status " << status << " became " << two.status << " after \"" << next.stray
+            << "\": " << two.headers;
+      }
+  EXPECT_EQ (wrong, 0U);
+}
+
 /* Bytes that came while no request was open cost no request its answer. */
 TEST_F (Answers, BytesOnAnIdleConnectionAreNoAnswerToTheNextRequest)
 {
