gateway, links: an answer to another request is no sign of a crash

Callers of requests that may repeat were refused with 503, 'its content crashes replicas', for eight seconds at all nodes, where two replicas had answered earlier requests a second time in place of theirs.

Cause: an exchange that such an answer ends is lost, and every lost exchange was evidence that the replica crashed under the request, though what came on the connection shows that it lives.

Evidence: PoisonRequests.AnswersToOtherRequestsCondemnNoContent failed before (rig.exchanges.size () is 0, expected 1: the request was refused), passes now.

The client says that what came was another request's; such an exchange leaves the request exposed, which becomes a crash if the replica does end. poison_requests-test 15 of 15, answers-test 15 of 15 pass.

--- a/board/message.h
+++ b/board/message.h
@@ -136,6 +136,7 @@
   guint64 declared_bytes; /* LENGTH only */
   guint64 body_bytes;     /* received */
   enum GspanEcho echo;
+  bool foreign; /* what came belongs to another request; the exchange ended as lost */
 };
 
 /* STATUS is 0 where no status line came. BODY is empty for a streamed exchange. */
--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -110,7 +110,7 @@
   if (gspan_attempt_has_answer (attempt) || answer->relayed)
     return; /* the node that it went through knows whether its own links stand */
   if (answer->result == GSPAN_HTTP_LOST)
-    gspan_crash_reports_note (node, content, replica, GSPAN_POISON_SUSPECTED, outbox);
+    gspan_crash_reports_note_lost (node, content, replica, answer, outbox);
   else if (answer->result == GSPAN_HTTP_TIMEOUT)
     gspan_crash_reports_note_silence (node, content, replica, node->now - attempt->sent, outbox);
 }
--- a/gateway/crash_reports.c
+++ b/gateway/crash_reports.c
@@ -252,6 +252,16 @@
     }
 }
 
+void
+gspan_crash_reports_note_lost (struct GspanNode *node, guint64 fingerprint,
+                               struct GspanReplica *replica, const struct GspanEventHttp *answer,
+                               struct GspanOutbox *outbox)
+{
+  gspan_crash_reports_note (node, fingerprint, replica,
+                            answer->trace.foreign ? GSPAN_POISON_EXPOSED : GSPAN_POISON_SUSPECTED,
+                            outbox);
+}
+
 void
 gspan_crash_reports_note_silence (struct GspanNode *node, guint64 fingerprint,
                                   struct GspanReplica *replica, guint64 elapsed_us,
--- a/gateway/crash_reports.h
+++ b/gateway/crash_reports.h
@@ -5,6 +5,7 @@
 #include "catalog/replica.h"
 #include "desk/poison_requests.h"
 
+struct GspanEventHttp;
 struct GspanNode;
 struct GspanOutbox;
 
@@ -38,6 +39,15 @@
                                struct GspanReplica *replica, enum GspanPoisonEvidence evidence,
                                struct GspanOutbox *outbox);
 
+/*
+ * As above, for a request whose ANSWER from REPLICA was lost. A replica that answered another
+ * request in its place lives: the evidence is GSPAN_POISON_EXPOSED then.
+ */
+void gspan_crash_reports_note_lost (struct GspanNode *node, guint64 fingerprint,
+                                    struct GspanReplica *replica,
+                                    const struct GspanEventHttp *answer,
+                                    struct GspanOutbox *outbox);
+
 /*
  * As above, for a request that got no answer from REPLICA within ELAPSED_US and was then cancelled.
  * The evidence is GSPAN_POISON_SUSPECTED only if that was long enough for a healthy replica.
--- a/http/client.c
+++ b/http/client.c
@@ -138,6 +138,7 @@
   trace.declared_bytes = framing->declared_bytes;
   trace.body_bytes = framing->body_bytes;
   trace.echo = exchange->head.echo;
+  trace.foreign = exchange->foreign;
   return trace;
 }
 
--- a/links/relay_server.c
+++ b/links/relay_server.c
@@ -356,8 +356,7 @@
   if (answer->result == GSPAN_HTTP_COMPLETE && wire.signed_by_replica && !wire.not_run)
     gspan_crash_reports_note_answer (node, relayed->fingerprint, relayed->replica, outbox);
   else if (answer->result == GSPAN_HTTP_LOST && relayed->pieces <= 1)
-    gspan_crash_reports_note (node, relayed->fingerprint, relayed->replica, GSPAN_POISON_SUSPECTED,
-                              outbox);
+    gspan_crash_reports_note_lost (node, relayed->fingerprint, relayed->replica, answer, outbox);
   else if (answer->result == GSPAN_HTTP_TIMEOUT)
     note_silence (node, relayed, outbox);
 }
--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -33,6 +33,7 @@
   std::string body; /* streamed or collected */
   std::string headers;
   unsigned sends;
+  bool foreign;
 };
 
 class Answers : public testing::Test
@@ -74,6 +75,7 @@
     item.result = http.result;
     item.status = http.status;
     item.sends = http.send_count;
+    item.foreign = http.trace.foreign;
     for (guint i = 0; i < http.headers->items->len; i++)
       item.headers += std::string (static_cast<char *> (http.headers->items->pdata[i])) + "\n";
     self->open--;
@@ -549,7 +551,9 @@
     {
       server.script = { { "HTTP/1.1 503 No\r\n" + headers, false } };
       exempt = name;
-      EXPECT_EQ (call (server, "/x", "one").result, expected) << headers;
+      const Ended got = call (server, "/x", "one");
+      EXPECT_EQ (got.result, expected) << headers;
+      EXPECT_EQ (got.foreign, expected == GSPAN_HTTP_LOST) << headers;
     }
 }
 
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -97,7 +97,8 @@
   bool paused = false;
   bool cut_from_store = false; /* from the store */
   bool cut_from_replicas = false;
-  unsigned sends = 1; /* of each exchange by the HTTP client, as the events of its end say */
+  unsigned sends = 1;   /* of each exchange by the HTTP client, as the events of its end say */
+  bool foreign = false; /* answers that come belong to other requests */
   std::vector<std::string> unreachable; /* "http://IP:PORT" of replicas that it doesn't reach */
 
   bool
@@ -1075,6 +1076,7 @@
   event.ref = exchange.ref;
   event.u.http.result = result;
   event.u.http.send_count = rig.sends;
+  event.u.http.trace.foreign = rig.foreign;
   event.u.http.status = status;
   event.u.http.headers = &list;
   event.u.http.body = g_bytes_new (body.data (), body.size ());
--- a/test/poison_requests_test.cc
+++ b/test/poison_requests_test.cc
@@ -227,6 +227,30 @@
     }
 }
 
+/* A replica that answers twice lives. */
+TEST_F (PoisonRequests, AnswersToOtherRequestsCondemnNoContent)
+{
+  start (2, 8);
+  world.rigs[0]->foreign = true;
+  send (*world.rigs[0], 1, "popular");
+  for (int attempt = 0; attempt < 2; attempt++)
+    {
+      ASSERT_EQ (world.rigs[0]->exchanges.size (), 1U) << attempt;
+      world.rigs[0]->http_done (world.rigs[0]->exchanges[0], GSPAN_HTTP_LOST, 200, {}, "");
+      world.run (300 * GSPAN_MS);
+    }
+  world.rigs[0]->foreign = false;
+  for (guint64 i = 0; i < 2; i++)
+    {
+      Rig &rig = *world.rigs[i];
+
+      send (rig, 10 + i, "popular");
+      ASSERT_EQ (rig.exchanges.size (), 1U) << i;
+      rig.http_done (rig.exchanges[0], GSPAN_HTTP_COMPLETE, 200, signed_head, "good");
+      EXPECT_EQ (response_to (rig, 10 + i)->status, 200);
+    }
+}
+
 TEST_F (PoisonRequests, ReplicasThatLiveOnAcquitARequestThatTheyDidNotAnswer)
 {
   Rig &rig = start_nodes ();
