soak: second answers cut in their head; late ones come between answers

A stand-in that stutters now also sends the head of another answer, cut anywhere, at once, later or before its next answer.

As for streams before, such bytes wait for the next request.

--- a/test/soak/replica.py
+++ b/test/soak/replica.py
@@ -36,7 +36,7 @@
         self.stutters = False  # answers twice, cuts answers short, pauses
         self.spoils = False  # breaks streams off, and answers with something else where it should go on with one
         self.owed = {}  # connection to bytes that follow once its next request was read
-        self.streaming = set()  # connections on which a stream is being written; late bytes wait for the next request there
+        self.writing = set()  # connections on which an answer is being written; late bytes wait for the next request there
         self.limit = None  # requests a second from all nodes together
         self.room = 0.0  # requests that it takes now, where it has a limit
         self.room_at = 0.0
--- a/test/soak/stutter.py
+++ b/test/soak/stutter.py
@@ -55,6 +55,14 @@
 
 async def answer(replica, request, writer, reply):
     """REPLY in one of the ways of a replica that stutters."""
+    replica.writing.add(writer)
+    try:
+        return await write_answer(replica, request, writer, reply)
+    finally:
+        replica.writing.discard(writer)
+
+
+async def write_answer(replica, request, writer, reply):
     random = replica.world.random
     replica.world.book.odd_answers += 1
     closes = reply.headers.pop("Connection", None) == "close"
@@ -98,7 +106,7 @@
 def choose_extra(replica, reply, sent):
     """Bytes that follow a whole answer, and when."""
     random = replica.world.random
-    kind = random.choice(["", "", "garbage", "copy", "other id", "no id"])
+    kind = random.choice(["", "", "garbage", "copy", "other id", "no id", "cut head"])
     when = random.choice(["at once", "later", "next"])
     if kind == "garbage":
         return random.choice([b"\r\n", b"garbage", b"0\r\n\r\n", b"HTTP/1.1 ", bytes(range(256))]), when
@@ -113,7 +121,10 @@
     if kind == "other id":
         headers["X-Attempt-Id"] = random.choice(["a1", "s1", f"{random.getrandbits(64):016x}"])
     lines, body = frame(random.choice(["length", "chunked"]), shuffled_lines(random, headers), b"of another request")
-    return join(f"HTTP/1.1 {status} X", lines) + body, when
+    head = join(f"HTTP/1.1 {status} X", lines)
+    if kind == "cut head":
+        return head[:random.randrange(1, len(head))], when
+    return head + body, when
 
 
 def owe(replica, writer, extra, when):
@@ -121,7 +132,7 @@
         replica.owed[writer] = extra
     elif extra and when == "later":
         async def write():
-            if writer in replica.streaming:
+            if writer in replica.writing:
                 replica.owed[writer] = extra
             elif not writer.is_closing():
                 writer.write(extra)
@@ -163,7 +174,7 @@
         writer.write(head[:random.randrange(1, len(head))])
         return await end_early(random, writer, random.random() < 0.5)
     replica.world.book.streams_made[request.headers.get("x-attempt-id", "")].add(replica.start_name)
-    replica.streaming.add(writer)
+    replica.writing.add(writer)
     writer.write(head)
     for number in range(first, EVENTS + 1):
         await wait_for_event(replica, writer)
@@ -182,7 +193,7 @@
         writer.write(b"0\r\n\r\n")
     if not keep:
         return None
-    replica.streaming.discard(writer)
+    replica.writing.discard(writer)
     reply = Reply(200, b"", replica.answer_headers(request))
     extra, when = choose_extra(replica, reply, head + b"0\r\n\r\n")
     if when == "at once":
