gateway: streams are told of as soon as a second version is seen

What callers saw: after all nodes had died at once, streams that a node of the same software version could have gone on with were refused as "the version that began the stream isn't known".

Cause: while a service has one version, origins of its streams are told to nobody. That it had a second one was noticed by a timer, a second later at most.

Now the place where a version is noted says that it is new to its service, and the node tells the origins of that service before it takes the next event, the newest first, 64 in a datagram each 40 ms as before. All are told once before any is told again. Origins that wait for a second version are no longer looked at each second.

--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -7,7 +7,6 @@
 
 #define KEPT_US GSPAN_VERSIONS_LATELY_US
 #define TELL_AGAIN_US (40 * GSPAN_MS)
-#define LOOK_AGAIN_US (GSPAN_SECOND) /* whether a service has several versions by now */
 
 enum
 {
@@ -41,7 +40,8 @@
 gspan_streams_finish (struct GspanStreams *streams)
 {
   g_queue_clear (&streams->order);
-  g_queue_clear (&streams->untold);
+  g_queue_clear (&streams->waiting);
+  g_queue_clear (&streams->telling);
   g_hash_table_unref (streams->origins);
 }
 
@@ -53,28 +53,44 @@
   return origin != NULL ? origin->software : NULL;
 }
 
+static void
+enqueue (GQueue *queue, struct GspanOrigin *origin)
+{
+  g_queue_push_tail (queue, origin);
+  origin->queue = queue;
+  origin->link = queue->tail;
+}
+
+static void
+dequeue (struct GspanOrigin *origin)
+{
+  if (origin->queue == NULL)
+    return;
+  g_queue_delete_link (origin->queue, origin->link);
+  origin->queue = NULL;
+  origin->link = NULL;
+}
+
 static void
 drop_oldest (struct GspanStreams *streams)
 {
   struct GspanOrigin *origin = g_queue_pop_head (&streams->order);
 
-  if (origin->tell_again > 0)
-    g_queue_remove (&streams->untold, origin);
+  dequeue (origin);
   streams->kept_count -= origin->kept;
   g_hash_table_remove (streams->origins, origin->attempt);
 }
 
-/* Adds an origin unless it is known. */
-static void
-add (struct GspanNode *node, const char *attempt, const char *service, const char *software,
-     guint tell_again)
+/* Adds an origin; NULL where it is known. */
+static struct GspanOrigin *
+add (struct GspanNode *node, const char *attempt, const char *service, const char *software)
 {
   struct GspanStreams *streams = &node->streams;
   struct GspanOrigin *origin;
 
   if (attempt[0] == '\0' || strlen (attempt) > ATTEMPT_LEN_MAX
       || g_hash_table_contains (streams->origins, attempt))
-    return;
+    return NULL;
   if (streams->order.length >= ORIGINS_MAX)
     drop_oldest (streams);
   origin = g_new0 (struct GspanOrigin, 1);
@@ -82,11 +98,9 @@
   origin->service = g_strdup (service);
   origin->software = g_strdup (software);
   origin->noted_at = node->now;
-  origin->tell_again = tell_again;
-  if (tell_again > 0)
-    g_queue_push_tail (&streams->untold, origin);
   g_hash_table_insert (streams->origins, origin->attempt, origin);
   g_queue_push_tail (&streams->order, origin);
+  return origin;
 }
 
 /* Has the origin of ATTEMPT, if it is known, kept in the store. */
@@ -106,7 +120,7 @@
 gspan_streams_add_kept (struct GspanNode *node, const char *attempt, const char *service,
                         const char *software, bool own)
 {
-  add (node, attempt, service, software, 0);
+  add (node, attempt, service, software);
   if (own)
     keep (node, attempt);
 }
@@ -158,42 +172,35 @@
       keep (node, json_string_value (json_object_get (value, "attempt")));
 }
 
-/* Moves up to a datagram of origins of services with several versions to LIST, the newest first. */
-static void
-take_untold (struct GspanNode *node, json_t *list)
+/* Encodes up to a datagram of the origins that others have to be told of; those told once go last.
+ */
+static json_t *
+take_next (struct GspanStreams *streams)
 {
-  struct GspanStreams *streams = &node->streams;
-  GList *link = streams->untold.tail;
-  const char *service = NULL;
-  bool mixed = false;
+  json_t *list = json_array ();
 
-  while (link != NULL && json_array_size (list) < IN_DATAGRAM_MAX)
+  for (guint left = MIN (streams->telling.length, IN_DATAGRAM_MAX); left > 0; left--)
     {
-      struct GspanOrigin *origin = link->data;
-      GList *before = link->prev;
-
-      if (g_strcmp0 (service, origin->service) != 0)
-        mixed = gspan_versions_is_mixed (node, origin->service);
-      service = origin->service;
-      if (mixed)
-        {
-          json_array_append_new (list, encode (origin));
-          if (--origin->tell_again == 0)
-            g_queue_delete_link (&streams->untold, link);
-        }
-      link = before;
+      struct GspanOrigin *origin = g_queue_peek_tail (&streams->telling);
+
+      json_array_append_new (list, encode (origin));
+      dequeue (origin);
+      if (--origin->tell_again == 0)
+        continue;
+      g_queue_push_head (&streams->telling, origin);
+      origin->queue = &streams->telling;
+      origin->link = streams->telling.head;
     }
+  return list;
 }
 
 static void
-tell_due (struct GspanNode *node, struct GspanOutbox *outbox)
+tell_next (struct GspanNode *node, struct GspanOutbox *outbox)
 {
-  json_t *list = json_array ();
-  const char *attempt;
+  json_t *list = take_next (&node->streams);
+  const char *attempt = json_string_value (json_object_get (json_array_get (list, 0), "attempt"));
 
-  take_untold (node, list);
-  attempt = json_string_value (json_object_get (json_array_get (list, 0), "attempt"));
-  node->streams.next_tell_us = node->now + (attempt != NULL ? TELL_AGAIN_US : LOOK_AGAIN_US);
+  node->streams.next_tell_us = node->now + TELL_AGAIN_US;
   if (attempt != NULL)
     {
       tell (node, attempt, list, outbox);
@@ -206,9 +213,41 @@
 gspan_streams_note_begin (struct GspanNode *node, const char *attempt, const char *service,
                           const char *software, struct GspanOutbox *outbox)
 {
-  add (node, attempt, service, software, TELL_TIMES);
-  if (gspan_versions_is_mixed (node, service))
-    tell_due (node, outbox);
+  struct GspanStreams *streams = &node->streams;
+  bool mixed = gspan_versions_is_mixed (node, service);
+  struct GspanOrigin *origin = add (node, attempt, service, software);
+
+  if (origin == NULL)
+    return;
+  origin->tell_again = TELL_TIMES;
+  enqueue (mixed ? &streams->telling : &streams->waiting, origin);
+  if (mixed)
+    tell_next (node, outbox);
+}
+
+void
+gspan_streams_note_new_version (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  struct GspanStreams *streams = &node->streams;
+  const char *service = NULL;
+  bool mixed = false;
+  GList *next;
+
+  for (GList *link = streams->waiting.head; link != NULL; link = next)
+    {
+      struct GspanOrigin *origin = link->data;
+
+      next = link->next;
+      if (g_strcmp0 (service, origin->service) != 0)
+        mixed = gspan_versions_is_mixed (node, origin->service);
+      service = origin->service;
+      if (!mixed)
+        continue;
+      dequeue (origin);
+      enqueue (&streams->telling, origin);
+    }
+  if (streams->telling.length > 0)
+    tell_next (node, outbox);
 }
 
 void
@@ -237,7 +276,7 @@
 
     if (attempt == NULL || service == NULL || software == NULL)
       continue;
-    add (node, attempt, service, software, 0);
+    add (node, attempt, service, software);
     if (json_is_true (json_object_get (message, "keep")))
       keep (node, attempt);
   }
@@ -278,6 +317,6 @@
         break;
       drop_oldest (streams);
     }
-  if (streams->untold.length > 0 && node->now >= streams->next_tell_us)
-    tell_due (node, outbox);
+  if (streams->telling.length > 0 && node->now >= streams->next_tell_us)
+    tell_next (node, outbox);
 }
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -22,6 +22,8 @@
   char *software;
   guint64 noted_at;
   guint tell_again; /* 0 for those that others have told */
+  GQueue *queue;    /* of the two below; NULL is neither */
+  GList *link;      /* in QUEUE */
   bool kept;        /* in the store, by this node (gateway/origin_store.h) */
 };
 
@@ -29,7 +31,8 @@
 {
   GHashTable *origins; /* attempt to struct GspanOrigin, owns them */
   GQueue order;        /* struct GspanOrigin, oldest first */
-  GQueue untold;       /* of these, those that others have to be told of */
+  GQueue waiting;      /* of these, those to be told once their service has a second version */
+  GQueue telling;      /* of these, those that others have to be told of, the next at the tail */
   guint kept_count;    /* of these, those that this node keeps */
   guint64 next_tell_us;
 };
@@ -41,6 +44,9 @@
 void gspan_streams_note_begin (struct GspanNode *node, const char *attempt, const char *service,
                                const char *software, struct GspanOutbox *outbox);
 
+/* A version was noted that its service hadn't lately: tells of the streams of before. */
+void gspan_streams_note_new_version (struct GspanNode *node, struct GspanOutbox *outbox);
+
 /* Software version that began the stream of ATTEMPT; NULL where it isn't known. */
 const char *gspan_streams_find (const struct GspanStreams *streams, const char *attempt);
 
--- a/gateway/versions.c
+++ b/gateway/versions.c
@@ -16,11 +16,21 @@
   g_hash_table_unref (versions->seen);
 }
 
+static bool
+is_lately (const struct GspanNode *node, guint64 named_at)
+{
+  return named_at + GSPAN_VERSIONS_LATELY_US >= node->now;
+}
+
 void
 gspan_versions_note (struct GspanNode *node, const char *service, const char *software)
 {
-  g_hash_table_replace (node->versions.seen, g_strdup_printf ("%s\n%s", service, software),
-                        g_memdup2 (&node->now, sizeof node->now));
+  char *key = g_strdup_printf ("%s\n%s", service, software);
+  const guint64 *named_at = g_hash_table_lookup (node->versions.seen, key);
+
+  if (named_at == NULL || !is_lately (node, *named_at))
+    node->versions.has_new = true;
+  g_hash_table_replace (node->versions.seen, key, g_memdup2 (&node->now, sizeof node->now));
 }
 
 void
@@ -67,8 +77,7 @@
     {
       const char *software = version_in (key, service);
 
-      if (software != NULL && *(const guint64 *)value + GSPAN_VERSIONS_LATELY_US >= node->now
-          && !each (software, user))
+      if (software != NULL && is_lately (node, *(const guint64 *)value) && !each (software, user))
         return;
     }
 }
--- a/gateway/versions.h
+++ b/gateway/versions.h
@@ -15,6 +15,7 @@
 struct GspanVersions
 {
   GHashTable *seen; /* "SERVICE\nSOFTWARE" to the time at which it was last named */
+  bool has_new;     /* one was noted that its service hadn't lately; cleared by who heeds it */
 };
 
 void gspan_versions_init (struct GspanVersions *versions);
--- a/node/node.c
+++ b/node/node.c
@@ -299,6 +299,17 @@
     }
 }
 
+/* Streams that began at the versions of before are told of while this node may still do so. */
+static void
+heed_new_versions (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  if (!node->versions.has_new)
+    return;
+  node->versions.has_new = false;
+  gspan_streams_note_new_version (node, outbox);
+  gspan_origin_store_write_due (node, outbox);
+}
+
 void
 gspan_node_handle (struct GspanNode *node, const struct GspanEvent *event, guint64 now,
                    gint64 wall_ms, struct GspanOutbox *outbox)
@@ -310,6 +321,7 @@
   note_store_result (node, event, outbox);
   if (gspan_exchanges_take_event (node, &seen, outbox))
     dispatch (node, &seen, outbox);
+  heed_new_versions (node, outbox);
   stamp_store_calls (node, outbox);
   gspan_exchanges_route (node, outbox);
 }
--- a/test/rejoined_streams_test.cc
+++ b/test/rejoined_streams_test.cc
@@ -25,7 +25,7 @@
   }
 
   void
-  put_second (const char *software)
+  put_second (const char *software, guint64 run_us = 2 * GSPAN_SECOND)
   {
     std::string spec = replica_spec ("desk", 2, 0);
 
@@ -35,7 +35,7 @@
       world.remove ("servers", "d2");
     else
       world.put ("servers", "d2", spec.c_str ());
-    world.run (2 * GSPAN_SECOND);
+    world.run (run_us);
   }
 
   std::string
@@ -148,6 +148,18 @@
   EXPECT_GE (gone_on, 20U);
 }
 
+TEST_F (RejoinedStreams, SecondVersionComesAQuarterOfASecondBefore)
+{
+  start (6, "v1");
+  begin_streams (60);
+  put_second ("v2", 250 * GSPAN_MS);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 45U);
+}
+
 TEST_F (RejoinedStreams, VersionThatLeftJustBefore)
 {
   start (6);
