jobs: a job whose host or path is no UTF-8 is rejected at once

What callers saw: such a job was not rejected, and its create of the head had no value: json_pack () returns NULL for text that is no UTF-8. Cause: host and path went into the head's JSON unchecked. Evidence: Submission.JobWhoseHostOrPathIsNoUtf8IsRejectedBeforeAnythingIsStored failed before, for each of 4 jobs: "status_of (rig, id) Which is: 202" where 400 is expected, with its part and its head stored. Fix: all that a submission brings is checked in one place before the first part is created; the answer is 400, as for other requests that can't be right at any later time. Result: the test passes, and those of submissions, jobs and odd entries.

--- a/jobs/accept.c
+++ b/jobs/accept.c
@@ -168,15 +168,12 @@
   struct GspanJob *job = gspan_job_new (id);
   struct GspanError error = { 0 };
 
-  if (!gspan_job_load (job, body, &error))
+  if (!gspan_job_load_submission (job, wire->host, request->path, body, &error))
     {
       gspan_gateway_reply_error (request->request, 400, error.message, outbox);
       gspan_job_free (job);
       return NULL;
     }
-  job->host = gspan_str_dup (wire->host);
-  job->path = gspan_str_dup (request->path);
-  job->item_count = job->document.items->len;
   job->part_count = (guint)MAX (1, (body.len + part_size (node) - 1) / part_size (node));
   job->received_ms = node->wall_ms;
   job->known_since_us = node->now;
--- a/jobs/job.c
+++ b/jobs/job.c
@@ -246,6 +246,26 @@
   return true;
 }
 
+static bool
+is_utf8 (struct GspanStr text)
+{
+  return g_utf8_validate (text.data, (gssize)text.len, NULL);
+}
+
+bool
+gspan_job_load_submission (struct GspanJob *job, struct GspanStr host, struct GspanStr path,
+                           struct GspanStr body, struct GspanError *error)
+{
+  if (!is_utf8 (host) || !is_utf8 (path))
+    return gspan_error_set (error, GSPAN_ERROR_INPUT, "the host or path is no UTF-8");
+  if (!gspan_job_load (job, body, error))
+    return false;
+  job->host = gspan_str_dup (host);
+  job->path = gspan_str_dup (path);
+  job->item_count = job->document.items->len;
+  return true;
+}
+
 /* Drops the ready result of the item ITEM_ID. */
 static void
 discard_ready_result (struct GspanJob *job, const char *item_id)
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -162,6 +162,13 @@
 /* Loads BODY as the job's content. Returns false and sets ERROR if it isn't a valid job. */
 bool gspan_job_load (struct GspanJob *job, struct GspanStr body, struct GspanError *error);
 
+/*
+ * Loads BODY as the content of JOB, a new one that was submitted to HOST and PATH. Returns false
+ * and sets ERROR if it isn't a valid job, or if its head couldn't be written as JSON.
+ */
+bool gspan_job_load_submission (struct GspanJob *job, struct GspanStr host, struct GspanStr path,
+                                struct GspanStr body, struct GspanError *error);
+
 /* True while this node may start requests for the items of JOB. */
 bool gspan_job_is_run_here (const struct GspanJob *job);
 
--- a/test/submission_test.cc
+++ b/test/submission_test.cc
@@ -183,6 +183,35 @@
   EXPECT_EQ (status_of (rig, 2), 502) << "the create of the head was under way";
 }
 
+/* JSON has no way to write it, so that no head could say where the job came from. */
+TEST_F (Submission, JobWhoseHostOrPathIsNoUtf8IsRejectedBeforeAnythingIsStored)
+{
+  const std::pair<const char *, const char *> odd[] = {
+    { "a.example", "/batch/\xff" },
+    { "a.example", "/batch/x?y=\xc3" },
+    { "a.example", "/batch/\xed\xa0\x80" },
+    { "a.example:\xff", "/batch/x" },
+  };
+  Rig &rig = start ();
+  guint64 id = 0;
+
+  for (const auto &[host, path] : odd)
+    {
+      std::string job = "u" + std::to_string (++id);
+
+      rig.request (id, "POST", path, { std::string ("Host: ") + host, "X-Attempt-Id: " + job },
+                   job_body (2, 0));
+      world.run (3 * GSPAN_SECOND);
+      EXPECT_EQ (status_of (rig, id), 400) << id;
+      EXPECT_TRUE (world.objects["job-" + job].empty ()) << id;
+      EXPECT_EQ (world.objects["jobs"].count (job), 0U) << id;
+    }
+  rig.request (++id, "POST", "/batch/\xc3\xa9", { "Host: a.example", "X-Attempt-Id: sound" },
+               job_body (2, 0));
+  world.run (GSPAN_SECOND);
+  EXPECT_EQ (status_of (rig, id), 202);
+}
+
 /*
  * Tries at any nodes under any faults: a node refuses a job only where each of its own creates of
  * the head was refused; a job whose tries were all refused never stands.
