jobs: a stored job ends though some of its items fit in no request

What callers saw: nothing, for ever: a job that an earlier version had accepted, with a line end in what an item puts into its request, could not be read any more; its owner listed its content again and again and no result came. Cause: one check served for a job that is submitted and for one that stands; an item that can't be sent made the whole content unreadable. Fix: reading marks such items; a submission that has one is refused as before (OddEntries.JobWhoseItemsFitInNoRequestIsRefused), a stored job runs its other items and lists these as abandoned, whatever a checkpoint says of them. One line names their number and the first.

--- a/jobs/checkpoint.c
+++ b/jobs/checkpoint.c
@@ -268,7 +268,8 @@
 
   if (item != NULL)
     restore_errors (item, value);
-  if (item == NULL || events <= 0 || item->state != GSPAN_ITEM_WAITING || item->result != NULL)
+  if (item == NULL || events <= 0 || item->state != GSPAN_ITEM_WAITING || item->result != NULL
+      || item->submitted->unsendable)
     {
       if (result != NULL)
         gspan_job_result_free (result);
--- a/jobs/document.h
+++ b/jobs/document.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/error.h"
 #include "common/headers.h"
 
 /* The content of a batch job as the caller submitted it (gspan_wire_read_job () reads it). */
@@ -23,6 +24,7 @@
   guint64 tokens_max;  /* tokens of the prompt plus the most that may be generated */
   guint64 length_hint; /* the caller's estimate of the tokens to generate; 0 is none */
   struct GspanRewardRequest *reward; /* NULL: the result has no score */
+  bool unsendable; /* a field fits in no request; the item can only be abandoned */
 };
 
 struct GspanJobDocument
@@ -31,6 +33,8 @@
   guint64 weight_version_min; /* oldest weight version that may generate results */
   guint64 groups_wanted;      /* complete groups that the caller waits for; 0 is all */
   GPtrArray *items;           /* struct GspanJobItem */
+  guint unsendable_count;     /* of the items, those that earlier versions accepted all the same */
+  struct GspanError unsendable; /* about the first of them */
 };
 
 void gspan_job_document_init (struct GspanJobDocument *document);
--- a/jobs/job.c
+++ b/jobs/job.c
@@ -260,6 +260,11 @@
     return gspan_error_set (error, GSPAN_ERROR_INPUT, "the host or path is no UTF-8");
   if (!gspan_job_load (job, body, error))
     return false;
+  if (job->document.unsendable_count > 0)
+    {
+      *error = job->document.unsendable;
+      return false;
+    }
   job->host = gspan_str_dup (host);
   job->path = gspan_str_dup (path);
   job->item_count = job->document.items->len;
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -159,12 +159,16 @@
 /* Returns the spec of JOB's head with OWNER as owner. Release with json_decref (). */
 json_t *gspan_job_encode_head (const struct GspanJob *job, const char *owner);
 
-/* Loads BODY as the job's content. Returns false and sets ERROR if it isn't a valid job. */
+/*
+ * Loads BODY as the job's content. Returns false and sets ERROR if it isn't a job; items that fit
+ * in no request are abandoned once the job runs.
+ */
 bool gspan_job_load (struct GspanJob *job, struct GspanStr body, struct GspanError *error);
 
 /*
  * Loads BODY as the content of JOB, a new one that was submitted to HOST and PATH. Returns false
- * and sets ERROR if it isn't a valid job, or if its head couldn't be written as JSON.
+ * and sets ERROR if it isn't a valid job, an item fits in no request, or its head couldn't be
+ * written as JSON.
  */
 bool gspan_job_load_submission (struct GspanJob *job, struct GspanStr host, struct GspanStr path,
                                 struct GspanStr body, struct GspanError *error);
--- a/jobs/placement.c
+++ b/jobs/placement.c
@@ -134,7 +134,7 @@
       struct GspanItem *item = g_queue_pop_head (&job->waiting_items);
       struct GspanReplica *replica;
 
-      if (gspan_run_abandon_if_late (node, job, item, outbox))
+      if (gspan_run_abandon_if_due (node, job, item, outbox))
         continue;
       begin_anew_if_due (node, job, item, service, outbox);
       replica = pick_replica (node, job, item, service, typical_us, NULL);
--- a/jobs/rewards.c
+++ b/jobs/rewards.c
@@ -317,7 +317,7 @@
     {
       struct GspanItem *item = &job->items[g_array_index (ranks, struct GspanRewardRank, i).index];
 
-      if (item->reward.open_calls == 0 && gspan_run_abandon_if_late (node, job, item, outbox))
+      if (item->reward.open_calls == 0 && gspan_run_abandon_if_due (node, job, item, outbox))
         continue;
       if (item->reward.owed_since_us == 0)
         item->reward.owed_since_us = node->now;
--- a/jobs/run.c
+++ b/jobs/run.c
@@ -104,15 +104,21 @@
     gspan_run_finish_item (node, job, item, true, outbox);
 }
 
-bool
-gspan_run_abandon_if_late (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item,
-                           struct GspanOutbox *outbox)
+/* Not by the time of day, which may jump; a later owner abandons later, which harms nobody. */
+static bool
+is_late (const struct GspanNode *node, const struct GspanJob *job)
 {
   const struct GspanConfigRoute *route = gspan_jobs_route_of (node, job);
 
-  /* not by the time of day, which may jump; a later owner abandons later, which harms nobody */
-  if (route == NULL || route->give_up_after_us == 0
-      || node->now < job->known_since_us + route->give_up_after_us)
+  return route != NULL && route->give_up_after_us > 0
+         && node->now >= job->known_since_us + route->give_up_after_us;
+}
+
+bool
+gspan_run_abandon_if_due (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item,
+                          struct GspanOutbox *outbox)
+{
+  if (!item->submitted->unsendable && !is_late (node, job))
     return false;
   gspan_run_finish_item (node, job, item, false, outbox);
   return true;
--- a/jobs/run.h
+++ b/jobs/run.h
@@ -55,9 +55,12 @@
 void gspan_run_finish_text (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item,
                             struct GspanOutbox *outbox);
 
-/* Abandons ITEM if it hasn't been finished in the time that the route of JOB allows. */
-bool gspan_run_abandon_if_late (struct GspanNode *node, struct GspanJob *job,
-                                struct GspanItem *item, struct GspanOutbox *outbox);
+/*
+ * Abandons ITEM if it fits in no request, or hasn't been finished in the time that the route of JOB
+ * allows.
+ */
+bool gspan_run_abandon_if_due (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item,
+                               struct GspanOutbox *outbox);
 
 /* Has the result of ITEM committed, as completed or as abandoned. */
 void gspan_run_finish_item (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item,
--- a/jobs/segments.c
+++ b/jobs/segments.c
@@ -38,6 +38,19 @@
   g_ptr_array_add (job->part_texts, g_bytes_new_take (bytes, len));
 }
 
+static void
+log_content (const struct GspanJob *job, const char *event, guint items, const char *error,
+             struct GspanOutbox *outbox)
+{
+  struct GspanLine line;
+
+  gspan_line_init (&line, event);
+  gspan_line_cstr (&line, "job", job->id);
+  gspan_line_u64 (&line, "items", items);
+  gspan_line_cstr (&line, "error", error);
+  gspan_outbox_log (outbox, "jobs", GSPAN_PRIORITY_ERROR, &line);
+}
+
 /* Loads the content and restores the checkpoint once all parts have been read. */
 static void
 load_if_complete (struct GspanJob *job, struct GspanOutbox *outbox)
@@ -55,16 +68,14 @@
       g_string_append_len (body, part.data, (gssize)part.len);
     }
   if (!gspan_job_load (job, (struct GspanStr){ body->str, body->len }, &error))
+    log_content (job, "job-unreadable", job->item_count, error.message, outbox);
+  else
     {
-      struct GspanLine line;
-
-      gspan_line_init (&line, "job-unreadable");
-      gspan_line_cstr (&line, "job", job->id);
-      gspan_line_cstr (&line, "error", error.message);
-      gspan_outbox_log (outbox, "jobs", GSPAN_PRIORITY_ERROR, &line);
+      if (job->document.unsendable_count > 0)
+        log_content (job, "job-items-unsendable", job->document.unsendable_count,
+                     job->document.unsendable.message, outbox);
+      gspan_checkpoint_restore (job);
     }
-  else
-    gspan_checkpoint_restore (job);
   g_ptr_array_set_size (job->part_texts, 0);
   g_string_free (body, TRUE);
 }
--- a/test/jobs_test.cc
+++ b/test/jobs_test.cc
@@ -635,6 +635,55 @@
   EXPECT_EQ (response_to (other, 2)->body, "hi");
 }
 
+/* Earlier versions accepted jobs without a look at what their items put into requests. */
+TEST_F (Jobs, StoredJobEndsThoughSomeOfItsItemsFitInNoRequest)
+{
+  const std::string odd[] = {
+    R"("id":"i\r\nX-B: c","path":"/batch/x")",
+    R"("id":"","path":"/batch/x")",
+    R"("id":"o2","path":"/batch/x HTTP/1.1\r\nHost: b\r\n\r\n")",
+    R"("id":"o3","path":"/batch/x y")",
+    R"("id":"o4","path":"/batch/x","headers":{"X-A":"b\nc: d"})",
+    R"("id":"o5","path":"/batch/x","headers":{"X-A: b\r\nX-B":"c"})",
+    R"("id":"o6","path":"/batch/x","scorer":{"id":"s","host":"a\r\nX: y","path":"/batch/s"})",
+    R"("id":"o7","path":"/batch/x","scorer":{"id":"s","host":"a.example","path":"/batch/s s"})",
+  };
+  const size_t odd_count = sizeof odd / sizeof odd[0];
+  std::string content = R"({"model":"m0","items":[)";
+  std::string checkpoint = R"({"items":[)";
+
+  for (const auto &item : odd)
+    content += "{" + item + R"(,"body":"aGk="},)";
+  content += R"({"id":"sound","path":"/batch/x","headers":{"X-A":"b"},"body":"aGk="}]})";
+  checkpoint += R"({"item":"o4","text":"a","versions":[1],"events":1},)"
+                R"({"item":"o6","text":"a","versions":[1],"events":1,"whole":true}]})";
+  g_autofree char *part = g_base64_encode ((const guchar *)content.data (), content.size ());
+  world.put ("job-old", "part-000000", (R"({"content":")" + std::string (part) + "\"}").c_str ());
+  world.put ("job-old", "checkpoint", checkpoint.c_str ());
+  world.put ("jobs", "old",
+             (R"({"host":"a.example","path":"/batch/x","owner":"","parts":1,"received_ms":0,)"
+              R"("total":)"
+              + std::to_string (odd_count + 1) + "}")
+                 .c_str ());
+  Rig &rig = start_nodes ();
+  for (int i = 0; i < 1300; i++)
+    {
+      world.run (20 * GSPAN_MS);
+      for (auto &run : open_runs (rig))
+        {
+          EXPECT_EQ (run.header ("X-Attempt-Id"), "sound");
+          finish_run (rig, run, 3);
+        }
+    }
+  EXPECT_EQ (all_results (rig, "old").size (), odd_count + 1);
+  const std::string &body = response_to (rig, 900)->body;
+  size_t abandoned = 0;
+  for (size_t at = 0; (at = body.find ("abandoned", at)) != std::string::npos; at++)
+    abandoned++;
+  EXPECT_EQ (abandoned, odd_count);
+  EXPECT_FALSE (gspan_jobs_is_busy (&rig.node.jobs));
+}
+
 TEST_F (Jobs, TakeoverKeepsResultsAndCommitsEachItemOnce)
 {
   Rig &rig = start_nodes (3);
@@ -645,7 +694,7 @@
   finish_run (rig, started[0], 2);
   world.run (500 * GSPAN_MS);
   rig.paused = true;
-  for (int i = 0; i < 300; i++)
+  for (int i = 0; i < 1300; i++)
     {
       world.run (20 * GSPAN_MS);
       for (size_t r = 1; r < 3; r++)
