soak: a watch looks at the changes of its own kind only

With 110 nodes each change woke all watches of all kinds, and each of them went through the whole history. What a watch answers is the same.

--- a/test/soak/store.py
+++ b/test/soak/store.py
@@ -1,6 +1,8 @@
 """The platform's metadata store as its protocol page has it, with faults for all nodes or for single ones."""
 
 import asyncio
+import bisect
+import collections
 import copy
 import json
 
@@ -14,9 +16,9 @@
     def __init__(self, random):
         self.objects = {}  # kind to name to object
         self.revision = 8
-        self.history = []  # (revision, kind, object, deleted)
+        self.history = collections.defaultdict(list)  # kind to (revision, object, deleted), in order of the revision
         self.forgotten = 0  # changes up to this revision are no longer known
-        self.changed = asyncio.Event()  # set, and another one put in its place, at each change
+        self.changed = collections.defaultdict(asyncio.Event)  # of a kind; set, and dropped, at each of its changes
         self.faults = {}  # node to "busy", "silent", "reset", "lost" or "slow"
         self.servers = {}  # node to Server
         self.raw = {}  # string that stands for bytes to those bytes
@@ -40,9 +42,8 @@
     async def note(self, kind, item, deleted=False):
         self.revision += 1
         item["metadata"]["revision"] = self.revision
-        self.history.append((self.revision, kind, copy.deepcopy(item), deleted))
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self.history[kind].append((self.revision, copy.deepcopy(item), deleted))
+        self.changed.pop(kind, asyncio.Event()).set()
 
     async def put(self, kind, name, spec):
         """Writes as the operator or a replica does; the write is acknowledged when this returns."""
@@ -109,13 +110,13 @@
         while True:
             if since < self.forgotten:
                 return 410, {}
-            events = [{"object": item, "deleted": deleted} for revision, of, item, deleted in self.history
-                      if of == kind and revision > since]
+            first = bisect.bisect_right(self.history[kind], since, key=lambda change: change[0])
+            events = [{"object": item, "deleted": deleted} for _, item, deleted in self.history[kind][first:]]
             left = end - asyncio.get_running_loop().time()
             if events or left <= 0:
                 return 200, {"events": events, "currentRev": self.revision}
             try:
-                await asyncio.wait_for(self.changed.wait(), left)
+                await asyncio.wait_for(self.changed[kind].wait(), left)
             except asyncio.TimeoutError:
                 pass
 
