http: a request with an id isn't sent again long after its first sending

Replicas were handed more time than the caller had left (BUDGET): where a kept connection ended without an answer, libcurl sent the request again by itself, however long after, with the first sending's X-Deadline-Ms.

Cause: the repetition is meant for a kept connection that had ended before the request came, which shows at once; nothing held it to that.

Evidence: Answers.RequestIsNotSentAgainLongAfterItsFirstSending, a connection that ends 0.6 s after the request: before, it went out twice (got.sends is 2, expected 1); now it ends as lost after one sending, and where the connection ends at once it is sent again as before. The gateway decides then, with the time that is left. Calls to the store bear no id and are not concerned.

--- a/http/client.c
+++ b/http/client.c
@@ -31,6 +31,7 @@
 };
 
 #define SILENCE_CHECK_S 0.02
+#define REPEAT_WITHIN_US (250 * GSPAN_MS) /* a kept connection that had ended shows it by then */
 
 struct Exchange
 {
@@ -56,6 +57,7 @@
   bool renewed;   /* then started once more, on a new connection */
   guint sends;    /* times that libcurl began to send the request */
   guint64 started;
+  guint64 sent_at; /* of the first sending */
   guint64 silence_us;
   guint64 heard_at; /* last answer byte; 0 before the first */
 };
@@ -234,11 +236,19 @@
   return exchange->sends > 1 || (exchange->sends == 1 && request_bytes > 0);
 }
 
-/* False where EXCHANGE has gone out as often as it may. */
+/*
+ * False where EXCHANGE has gone out as often as it may. A request with an id also says how long its
+ * caller waits, which holds from the first sending on.
+ */
 static bool
 may_send (struct Exchange *exchange)
 {
-  return !was_sent (exchange) || exchange->sends < (exchange->once ? 1 : SENDS_MAX);
+  if (!was_sent (exchange))
+    return true;
+  if (exchange->once || exchange->sends >= SENDS_MAX)
+    return false;
+  return exchange->head.required == NULL
+         || gspan_clock_now () < exchange->sent_at + REPEAT_WITHIN_US;
 }
 
 /*
@@ -266,6 +276,8 @@
       exchange->withheld = !was_sent (exchange);
       return CURL_PREREQFUNC_ABORT;
     }
+  if (!was_sent (exchange))
+    exchange->sent_at = gspan_clock_now ();
   if (exchange->sends == 0 || was_sent (exchange))
     exchange->sends++;
   return CURL_PREREQFUNC_OK;
--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -515,6 +515,24 @@
     }
 }
 
+/* Its headers say how long the caller waits from its first sending on. */
+TEST_F (Answers, RequestIsNotSentAgainLongAfterItsFirstSending)
+{
+  WireServer server (wire);
+
+  server.script = { { answer ("length", "one", "text"), false } };
+  for (const auto &[after_s, sends] : { std::pair{ 0.0, 2U }, { 0.6, 1U } })
+    {
+      const std::string id = "id-" + std::to_string (sends);
+
+      server.by_path["/ends"] = { "", true, false, { { after_s, "" } } };
+      call (server, "/one", "one");
+      const Ended got = call (server, "/ends", id);
+      EXPECT_EQ (got.result, GSPAN_HTTP_LOST) << after_s;
+      EXPECT_EQ (got.sends, sends) << after_s;
+    }
+}
+
 /* A trailer may not pose as a replica's signature. */
 TEST_F (Answers, TrailersAreNoHeaders)
 {
