--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -33,6 +33,7 @@
   std::string body; /* streamed or collected */
   std::string headers;
   unsigned sends;
+  bool foreign;
 };
 
 class Answers : public testing::Test
@@ -74,6 +75,7 @@
     item.result = http.result;
     item.status = http.status;
     item.sends = http.send_count;
+    item.foreign = http.trace.foreign;
     for (guint i = 0; i < http.headers->items->len; i++)
       item.headers += std::string (static_cast<char *> (http.headers->items->pdata[i])) + "\n";
     self->open--;
@@ -396,6 +398,40 @@
   RecordProperty ("next_whole", static_cast<int> (next_whole));
 }
 
+/* The head of another answer, cut anywhere, goes before the own one on the same connection. */
+TEST_F (SecondAnswers, HeadThatIsCutOffIsNotEndedByTheNextAnswer)
+{
+  const std::string failure = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                              "X-Server-Stamp: other\r\n"
+                              + id_name + "one\r\nContent-Length: 0\r\n\r\n";
+  const std::string success = "HTTP/1.1 200 OK\r\nX-Server-Stamp: other\r\nX-A: b\r\n" + id_name
+                              + "one\r\nContent-Length: 4\r\n\r\n";
+  const std::string rest
+      = " Of Its Own\r\nX-Server-Stamp: own\r\n" + id_name + "two\r\nContent-Length: 4\r\n\r\ntext";
+  unsigned wrong = 0;
+
+  for (const auto &[cut, status] :
+       { std::pair{ failure, 200 }, { failure, 500 }, { success, 503 } })
+    for (size_t at = 1; at < cut.size (); at++)
+      {
+        WireServer server (wire);
+        WireStep next = { "HTTP/1.1 " + std::to_string (status) + rest, false };
+
+        next.stray = cut.substr (0, at);
+        server.by_path = { { "/one", { answer ("length", "one", "answer to one"), false } },
+                           { "/two", next } };
+        call (server, "/one", "one");
+        timeout_us = 100 * GSPAN_MS;
+        const Ended two = call (server, "/two", "two");
+        timeout_us = 20 * GSPAN_SECOND;
+        wrong += two.result == GSPAN_HTTP_COMPLETE;
+        EXPECT_NE (two.result, GSPAN_HTTP_COMPLETE)
+            << "status " << status << " became " << two.status << " after \"" << next.stray
+            << "\": " << two.headers;
+      }
+  EXPECT_EQ (wrong, 0U);
+}
+
 /* Bytes that came while no request was open cost no request its answer. */
 TEST_F (Answers, BytesOnAnIdleConnectionAreNoAnswerToTheNextRequest)
 {
@@ -515,7 +551,9 @@
     {
       server.script = { { "HTTP/1.1 503 No\r\n" + headers, false } };
       exempt = name;
-      EXPECT_EQ (call (server, "/x", "one").result, expected) << headers;
+      const Ended got = call (server, "/x", "one");
+      EXPECT_EQ (got.result, expected) << headers;
+      EXPECT_EQ (got.foreign, expected == GSPAN_HTTP_LOST) << headers;
     }
 }
 
