gateway: streams that have ended are told to nobody

A node keeps the origins of its streams for two minutes, and tells them when a second version of their service comes: up to 16,384, of which nearly all have been passed on to their end. Each datagram of 64 goes to six to eight nodes, and those that are taken into an object of the store push out others there. Now a stream that was passed on to its end leaves the queue; its origin stays, for a caller that lost the last bytes and asks.

The test failed before: "world.last_datagram.count ("streams") Which is: 1", expected 0.

--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -65,6 +65,7 @@
   action->u.reply.request = call->request;
   gspan_call_log_answer (node, call, "complete", answer, outbox);
   gspan_call_observe (node, call, GSPAN_METRIC_DESK_COMPLETE);
+  gspan_streams_note_end (node, call->caller_id);
   gspan_call_forget (node, call, outbox);
 }
 
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -225,6 +225,15 @@
     tell_next (node, outbox);
 }
 
+void
+gspan_streams_note_end (struct GspanNode *node, const char *attempt)
+{
+  struct GspanOrigin *origin = g_hash_table_lookup (node->streams.origins, attempt);
+
+  if (origin != NULL)
+    dequeue (origin);
+}
+
 void
 gspan_streams_note_new_version (struct GspanNode *node, struct GspanOutbox *outbox)
 {
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -44,6 +44,9 @@
 void gspan_streams_note_begin (struct GspanNode *node, const char *attempt, const char *service,
                                const char *software, struct GspanOutbox *outbox);
 
+/* The stream of ATTEMPT has been passed on to its end: nobody will take it up. */
+void gspan_streams_note_end (struct GspanNode *node, const char *attempt);
+
 /* A version was noted that its service hadn't lately: tells of the streams of before. */
 void gspan_streams_note_new_version (struct GspanNode *node, struct GspanOutbox *outbox);
 
--- a/test/rejoined_streams_test.cc
+++ b/test/rejoined_streams_test.cc
@@ -389,6 +389,21 @@
   EXPECT_EQ (json_array_size (versions), 1U);
 }
 
+/* Of two minutes of streams, those that may still be taken up come first. */
+TEST_F (RejoinedStreams, StreamsThatHaveEndedAreNotTold)
+{
+  start (6, "v1");
+  begin_streams (20);
+  for (auto &rig : world.rigs)
+    for (const Exchange &exchange : std::vector<Exchange> (rig->exchanges))
+      {
+        rig->http_data (exchange, 200, stream_head (1), sse (3));
+        rig->http_done (exchange, GSPAN_HTTP_COMPLETE, 200, stream_head (1), "");
+      }
+  put_second ("v2");
+  EXPECT_EQ (world.last_datagram.count ("streams"), 0U) << world.last_datagram["streams"];
+}
+
 /* One version is left, and those before it are long gone. */
 TEST_F (RejoinedStreams, VersionThatLeftLongAgoRefusesNothing)
 {
