http: no connection is used that may have carried a forgotten id

What callers could see: the late second answer to an earlier sending of their request. Above 65,536 requests with an id in 65 s at one node ids are forgotten while connections that carried them may still be used. Cause: the age that a connection may have was a constant, whatever is still remembered. Beside it, an id was noted when its exchange began only, not at a sending that libcurl repeats up to a minute later on a connection that opens then; and by a clock that runs on while the VM is suspended, as libcurl's doesn't. Fix: the sets tell since when nothing is forgotten; a connection has to be younger than that, and where that is less than 2 s ago a new one is made. Ids are noted again as they go out, by libcurl's clock: what a connection carries is noted after it opened. By arithmetic of the sets only; more than 65,536 requests on sockets were not played.

--- a/http/client.c
+++ b/http/client.c
@@ -240,6 +240,13 @@
   return !was_sent (exchange) || exchange->sends < (exchange->once ? 1 : SENDS_MAX);
 }
 
+/* Notes that the request goes to the authority of URL. True if it did so before. */
+static bool
+note_sending (struct Exchange *exchange, const char *url, guint64 now)
+{
+  return gspan_sent_ids_note (&exchange->client->sent_ids, url, exchange->head.required, now);
+}
+
 /*
  * Called before each sending, the ones that libcurl repeats by itself too. A request that may not
  * run twice is never sent a second time, whatever libcurl's reason. A sending that failed before
@@ -251,6 +258,7 @@
 {
   struct Exchange *exchange = user;
   struct GspanTcpTable *sockets = &exchange->client->sockets;
+  char *url = NULL;
   int fd;
 
   (void)local_ip;
@@ -267,6 +275,9 @@
     }
   if (exchange->sends == 0 || was_sent (exchange))
     exchange->sends++;
+  curl_easy_getinfo (exchange->easy, CURLINFO_EFFECTIVE_URL, &url);
+  if (exchange->head.required != NULL && url != NULL)
+    note_sending (exchange, url, (guint64)g_get_monotonic_time ());
   return CURL_PREREQFUNC_OK;
 }
 
@@ -505,17 +516,19 @@
 static void
 set_connection (struct Exchange *exchange, const struct GspanActionHttp *http)
 {
+  struct GspanHttpClient *client = exchange->client;
+  guint64 now = (guint64)g_get_monotonic_time ();
   bool repeated;
   bool stray;
+  guint age_max_s;
 
   if (http->required_header == NULL)
     return;
-  curl_easy_setopt (exchange->easy, CURLOPT_MAXLIFETIME_CONN,
-                    (long)(GSPAN_SENT_ID_KEPT_US / GSPAN_SECOND));
-  repeated = gspan_sent_ids_note (&exchange->client->sent_ids, http->url, http->required_header,
-                                  exchange->started);
-  stray = gspan_stray_upstreams_has (&exchange->client->strays, http->url, exchange->started);
-  if (repeated || stray)
+  repeated = note_sending (exchange, http->url, now);
+  stray = gspan_stray_upstreams_has (&client->strays, http->url, exchange->started);
+  age_max_s = gspan_sent_ids_connection_age_max_s (&client->sent_ids, now);
+  curl_easy_setopt (exchange->easy, CURLOPT_MAXLIFETIME_CONN, (long)age_max_s);
+  if (repeated || stray || age_max_s == 0) /* 0 is any age to libcurl */
     curl_easy_setopt (exchange->easy, CURLOPT_FRESH_CONNECT, 1L);
   if (stray) /* no other request would use it */
     curl_easy_setopt (exchange->easy, CURLOPT_FORBID_REUSE, 1L);
--- a/http/sent_ids.c
+++ b/http/sent_ids.c
@@ -26,6 +26,7 @@
   ids->current = new_set ();
   ids->previous = new_set ();
   ids->since = 0;
+  ids->all_since = 0;
 }
 
 void
@@ -59,6 +60,7 @@
 {
   g_hash_table_unref (ids->previous);
   ids->previous = ids->current;
+  ids->all_since = ids->since;
   ids->current = new_set ();
   ids->since = now;
 }
@@ -72,3 +74,12 @@
     begin_set (ids, now);
   return !g_hash_table_add (ids->current, key) || g_hash_table_contains (ids->previous, key);
 }
+
+guint
+gspan_sent_ids_connection_age_max_s (const struct GspanSentIds *ids, guint64 now)
+{
+  guint64 known_s = (now - ids->all_since) / GSPAN_SECOND;
+
+  /* one that is a fraction of a second older counts as of the same age */
+  return (guint)MIN (GSPAN_SENT_ID_KEPT_US / GSPAN_SECOND, MAX (known_s, 1) - 1);
+}
--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -541,6 +541,56 @@
   gspan_sent_ids_finish (&ids);
 }
 
+/* Beyond the bound ids are forgotten while connections that carried them could still be used. */
+TEST (SentIds, ConnectionThatMayHaveCarriedAForgottenIdIsTooOld)
+{
+  unsigned forgotten = 0;
+
+  for (guint64 per_s : { 500, 2000, 8000, 30000, 100000 })
+    {
+      const guint64 start = 1000 * GSPAN_SECOND;
+      const guint64 count = std::min<guint64> (90 * per_s, 400000);
+      const auto sent_at = [&] (guint64 i) { return start + i * GSPAN_SECOND / per_s; };
+      const auto id_of = [] (guint64 i) { return "Id: " + std::to_string (i); };
+      GspanSentIds ids{};
+
+      gspan_sent_ids_init (&ids);
+      for (guint64 i = 0; i < count; i++)
+        {
+          gspan_sent_ids_note (&ids, "http://h/", id_of (i).c_str (), sent_at (i));
+          if (i % 997 != 0)
+            continue;
+          const guint64 earlier = i - i * (i % 10) / 10;
+          const guint64 age_s = (sent_at (i) - sent_at (earlier)) / GSPAN_SECOND;
+          const bool known
+              = gspan_sent_ids_note (&ids, "http://h/", id_of (earlier).c_str (), sent_at (i));
+          const guint age_max_s = gspan_sent_ids_connection_age_max_s (&ids, sent_at (i));
+          forgotten += !known;
+          EXPECT_LE (age_max_s, GSPAN_SENT_ID_KEPT_US / GSPAN_SECOND);
+          EXPECT_TRUE (known || age_max_s == 0 || age_s > age_max_s)
+              << per_s << " a second, sent " << age_s << " s ago, of at most " << age_max_s;
+        }
+      gspan_sent_ids_finish (&ids);
+    }
+  EXPECT_GT (forgotten, 0U);
+}
+
+/* The bound is reached at 1,000 requests a second. */
+TEST (SentIds, ConnectionsAreUsedForAMinuteAtAnOrdinaryRate)
+{
+  GspanSentIds ids{};
+
+  gspan_sent_ids_init (&ids);
+  for (guint64 i = 0; i < 300000; i++)
+    {
+      const guint64 now = 1000 * GSPAN_SECOND + i * GSPAN_MS;
+
+      gspan_sent_ids_note (&ids, "http://h/", ("Id: " + std::to_string (i)).c_str (), now);
+      ASSERT_EQ (gspan_sent_ids_connection_age_max_s (&ids, now), 60U) << i;
+    }
+  gspan_sent_ids_finish (&ids);
+}
+
 TEST (SentIds, AreBounded)
 {
   GspanSentIds ids{};
