--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -57,6 +57,7 @@
         self.odd_answers = 0  # with cuts, pauses or bytes too many, and streams that were spoiled
         self.writes_unheard = 0
         self.jobs_refused = 0  # at every try
+        self.lag_s = 0.0  # by which the stand-ins were late at most
         self.broken = []
 
     # What is seen.
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -32,6 +32,8 @@
 START_S = 3.0
 READY_WITHIN_S = 30.0
 BACK_AFTER_S = 2.0
+LAG_EACH_S = 0.05
+LAG_NOTED_S = 0.3
 # Each run that failed has a folder there.
 FAILED_RUNS = os.environ.get("GSPAN_SOAK_FAILED", os.path.join(tempfile.gettempdir(), "gspan-soak-failed"))
 FAILED_RUNS_KEPT = 20
@@ -100,6 +102,16 @@
             await function(*arguments)
         self.go(wait())
 
+    async def watch_lag(self):
+        """Notes where the stand-ins themselves are late: what clients see then need not come from the nodes."""
+        while True:
+            due = self.now() + LAG_EACH_S
+            await asyncio.sleep(LAG_EACH_S)
+            lag = self.now() - due
+            self.book.lag_s = max(self.book.lag_s, lag)
+            if lag > LAG_NOTED_S:
+                self.note(f"the stand-ins are late by {lag:.2f} s")
+
     # Replicas.
 
     async def add_replica(self, service, name=None, software="v1"):
@@ -346,6 +358,7 @@
         if not await self.start():
             return
         self.go(restarts.watch_for_ends(self))
+        self.go(self.watch_lag())
         work = [clients.ask_often(self, i) for i in range(self.options.clients)]
         work += [clients.read_often(self, i) for i in range(self.options.readers)]
         work += [clients.ask_killers(self, i) for i in range(self.options.killers)]
@@ -457,6 +470,7 @@
         print("answers", dict(sorted(book.answers.items())), "ended", {p: len(e) for p, e in book.ends.items()},
               f"most of a limit {book.most_of_limit:.2f}, streams begun {len(book.streams[False])}, taken up "
               f"{len(book.streams[True])} of which {sum(book.streams[True])} went on, endless answers {book.endless}, {book.memory_mb} MB, "
+              f"stand-ins late by at most {book.lag_s:.2f} s, "
               f"after all nodes died {sum(book.taken_up)} of {len(book.taken_up)} streams went on, {book.version_gone} had lost their version, "
               f"odd answers {book.odd_answers}, writes done unheard {book.writes_unheard}, jobs refused at every try {book.jobs_refused}, "
               f"served at cut nodes {[round(share, 2) for share in book.cut_shares]}")
