gateway: a stream that was taken up is told of where it goes on

What callers would see: a stream of a service with one version breaks off as all nodes die, and goes on at a node of after. A second version comes and all nodes die again: the stream is refused, since nobody knows its version.

Cause: callers name the attempt that brought the first event. Its origin was known to the node that served it, and a node that went on with the stream noted only its own attempt, which no caller names. So nobody told the origin when the second version came. The same where the first node died alone after others had asked it.

Now the node that goes on with a stream of a service with one version notes the named attempt as its own: told, and kept, once there is a second one. Where there are several, those that knew it have told already.

Both tests failed before: "Expected: (gone_on) >= (30U), actual: 0 vs 30" (all nodes die twice) and "actual: 19 vs 30" (half of the nodes die first).

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -203,8 +203,10 @@
       refuse_resumption (node, call, why, outbox);
       return;
     }
-  g_clear_pointer (&call->resumes, g_free);
   call->software = software != NULL ? g_strdup (software) : only_version (node, call);
+  if (call->software != NULL)
+    gspan_streams_note_resumed (node, call->resumes, call->service, call->software);
+  g_clear_pointer (&call->resumes, g_free);
   start_first (node, call, outbox);
 }
 
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -225,6 +225,22 @@
     tell_next (node, outbox);
 }
 
+void
+gspan_streams_note_resumed (struct GspanNode *node, const char *attempt, const char *service,
+                            const char *software)
+{
+  struct GspanOrigin *origin;
+
+  if (gspan_versions_is_mixed (node, service))
+    return; /* those that knew it have told others */
+  add (node, attempt, service, software);
+  origin = g_hash_table_lookup (node->streams.origins, attempt);
+  if (origin == NULL || origin->queue != NULL)
+    return;
+  origin->tell_again = TELL_TIMES;
+  enqueue (&node->streams.waiting, origin);
+}
+
 void
 gspan_streams_note_end (struct GspanNode *node, const char *attempt)
 {
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -44,6 +44,13 @@
 void gspan_streams_note_begin (struct GspanNode *node, const char *attempt, const char *service,
                                const char *software, struct GspanOutbox *outbox);
 
+/*
+ * This node goes on with the stream of ATTEMPT, which callers will name again. Whoever knew that it
+ * began at SOFTWARE may be dead by the time that SERVICE has a second version.
+ */
+void gspan_streams_note_resumed (struct GspanNode *node, const char *attempt, const char *service,
+                                 const char *software);
+
 /* The stream of ATTEMPT has been passed on to its end: nobody will take it up. */
 void gspan_streams_note_end (struct GspanNode *node, const char *attempt);
 
--- a/test/rejoined_streams_test.cc
+++ b/test/rejoined_streams_test.cc
@@ -160,6 +160,44 @@
   EXPECT_GE (gone_on, 45U);
 }
 
+/* The callers name the attempt that brought the first event, which a node of before served. */
+TEST_F (RejoinedStreams, AllNodesDieAgainAfterStreamsWereTakenUp)
+{
+  start (6, "v1");
+  begin_streams (40);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  ASSERT_EQ (gone_on, 40U);
+  put_second ("v2", GSPAN_SECOND);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  gone_on = 0;
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 30U);
+}
+
+/* Each stream was taken up at another node than it had begun at. */
+TEST_F (RejoinedStreams, HalfOfTheNodesAreDeadBeforeTheSecondVersionComes)
+{
+  start (6, "v1");
+  begin_streams (40);
+  world.run (GSPAN_SECOND);
+  take_up ();
+  ASSERT_EQ (gone_on, 40U);
+  for (unsigned i = 0; i < 3; i++)
+    world.restart (i);
+  world.run (2 * GSPAN_SECOND);
+  put_second ("v2", GSPAN_SECOND);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  gone_on = 0;
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 30U) << "all but those taken up at a dead node";
+}
+
 TEST_F (RejoinedStreams, VersionThatLeftJustBefore)
 {
   start (6);
