gateway: a new version is kept as soon as it is seen

What callers would see: a stream joined from two versions. The second version comes, streams begin at it, all nodes die within a quarter of a second, and that version is gone before they are back. Nobody knows that the service had it, so its streams go on at the version that is left.

Cause: the versions that a service has had lately are compared with what the store holds by a timer of 200 ms, and are written after that. The window was known (docs/design/system.md) and is wider than it has to be.

Now a version that is new to its service is looked at before the next event. What is left is the time of a read and a write of the store. Writes are 200 ms apart at least, as they were by the timer.

The test, ten rounds in which the streams of the second version began within 0.1 s, failed before: "joined Which is: 40", expected 0; 0 with this change.

--- a/gateway/version_history.c
+++ b/gateway/version_history.c
@@ -7,6 +7,7 @@
 #include "node/node.h"
 
 #define LOOK_US (200 * GSPAN_MS)
+#define WRITE_EVERY_US (200 * GSPAN_MS)
 #define RETRY_US (500 * GSPAN_MS)
 #define START_US (GSPAN_SECOND) /* until the other nodes are known */
 /* Between the first nodes that write, and between the others, which mostly have been told. */
@@ -329,6 +330,7 @@
 {
   json_t *list = encode_set (versions);
 
+  node->version_history.next_call_at = node->now + WRITE_EVERY_US;
   take_versions (node, service, list);
   json_decref (list);
   log_written (service, versions, outbox);
@@ -354,6 +356,25 @@
   g_free (service);
 }
 
+static void
+look_if_due (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  struct GspanVersionHistory *history = &node->version_history;
+
+  if (!gspan_catalog_known (&node->catalog) || node->catalog.store_fails
+      || node->now < history->next_look_at)
+    return;
+  history->next_look_at = node->now + LOOK_US;
+  look (node, outbox);
+}
+
+void
+gspan_version_history_note_new_version (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  node->version_history.next_look_at = 0;
+  look_if_due (node, outbox);
+}
+
 void
 gspan_version_history_handle (struct GspanNode *node, const struct GspanEvent *event,
                               struct GspanOutbox *outbox)
@@ -364,9 +385,5 @@
     history->began_at = node->now;
   if (event->kind == GSPAN_EVENT_STORE_DONE && history->call != 0 && event->ref.id == history->call)
     on_done (node, event->u.store.reply, outbox);
-  if (!gspan_catalog_known (&node->catalog) || node->catalog.store_fails
-      || node->now < history->next_look_at)
-    return;
-  history->next_look_at = node->now + LOOK_US;
-  look (node, outbox);
+  look_if_due (node, outbox);
 }
--- a/gateway/version_history.h
+++ b/gateway/version_history.h
@@ -39,6 +39,9 @@
 /* Has the object of SERVICE read. */
 void gspan_version_history_want (struct GspanNode *node, const char *service);
 
+/* A version was noted that its service hadn't lately: has it kept without waiting for a tick. */
+void gspan_version_history_note_new_version (struct GspanNode *node, struct GspanOutbox *outbox);
+
 /* Takes in what another node has found in the store or has written. */
 void gspan_version_history_receive (struct GspanNode *node, json_t *message);
 
--- a/node/node.c
+++ b/node/node.c
@@ -299,7 +299,8 @@
     }
 }
 
-/* Streams that began at the versions of before are told of while this node may still do so. */
+/* What served before, and which streams of it are open, is told and kept before this node may die.
+ */
 static void
 heed_new_versions (struct GspanNode *node, struct GspanOutbox *outbox)
 {
@@ -307,6 +308,7 @@
     return;
   node->versions.has_new = false;
   gspan_streams_note_new_version (node, outbox);
+  gspan_version_history_note_new_version (node, outbox);
   gspan_origin_store_write_due (node, outbox);
 }
 
--- a/test/rejoined_streams_test.cc
+++ b/test/rejoined_streams_test.cc
@@ -38,6 +38,14 @@
     world.run (run_us);
   }
 
+  bool
+  all_know (const char *replica) const
+  {
+    return std::all_of (world.rigs.begin (), world.rigs.end (), [=] (const auto &rig) {
+      return g_hash_table_contains (rig->node.catalog.replicas, replica);
+    });
+  }
+
   std::string
   version_at (const Exchange &exchange) const
   {
@@ -211,6 +219,32 @@
   EXPECT_GE (gone_on, 10U) << "those of the version that stays";
 }
 
+/* It came with the streams, and leaves while all nodes are dead. */
+TEST_F (RejoinedStreams, VersionThatServedForATenthOfASecond)
+{
+  start (6, "");
+  for (unsigned round = 0; round < 10; round++)
+    {
+      world.run (130 * GSPAN_SECOND + round * 30 * GSPAN_MS);
+      began.clear ();
+      begin_streams (10);
+      put_second ("v2", 0);
+      for (unsigned i = 0; i < 100 && !all_know ("d2"); i++)
+        world.run (10 * GSPAN_MS);
+      begin_streams (10, 10 * GSPAN_MS);
+      world.restart_all ();
+      for (auto &rig : world.rigs)
+        rig->paused = true;
+      put_second ("");
+      for (auto &rig : world.rigs)
+        rig->paused = false;
+      world.run (2 * GSPAN_SECOND);
+      take_up ();
+    }
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 50U) << "half of those that began before it came";
+}
+
 /* Nobody has ever seen the two side by side. */
 TEST_F (RejoinedStreams, VersionReplacedWhileAllNodesWereDead)
 {
