shell: what the shells of all daemons do alike stands once

node/shell.c and shell/shell.c each had their own handling of responses, of exchanges past their start deadline, of events for requests and of plain pages.

--- a/node/shell.c
+++ b/node/shell.c
@@ -10,6 +10,7 @@
 #include "http/server.h"
 #include "platform/objects.h"
 #include "platform/wire.h"
+#include "shell/actions.h"
 #include "shell/udp.h"
 
 enum
@@ -47,7 +48,7 @@
   guint64 drain_started; /* 0 while serving */
 };
 
-static void run_event (struct GspanNodeShell *shell, const struct GspanEvent *event);
+static void on_event (void *user, const struct GspanEvent *event);
 
 static gint64
 wall_ms (void)
@@ -95,53 +96,22 @@
   g_free (http.url);
 }
 
-static void
-do_http (struct GspanNodeShell *shell, const struct GspanAction *action)
-{
-  const struct GspanActionHttp *http = &action->u.http;
-  struct GspanEvent event = { 0 };
-  struct GspanHeaders headers;
-
-  if (http->start_deadline_us == 0 || gspan_clock_now () < http->start_deadline_us)
-    {
-      gspan_http_client_start (shell->client, action->ref, http);
-      return;
-    }
-  /* A process that was paused since its decision may no longer act on it. */
-  gspan_headers_init (&headers);
-  event.kind = GSPAN_EVENT_HTTP_DONE;
-  event.ref = action->ref;
-  event.u.http.result = GSPAN_HTTP_NOT_SENT;
-  event.u.http.headers = &headers;
-  run_event (shell, &event);
-  gspan_headers_finish (&headers);
-}
-
 static void
 do_action (struct GspanNodeShell *shell, struct GspanAction *action)
 {
-  const struct GspanActionReply *reply = &action->u.reply;
-  struct GspanHttpServer *server = reply->to_node ? shell->relay : shell->callers;
+  struct GspanHttpServer *server = action->u.reply.to_node ? shell->relay : shell->callers;
 
   switch (action->kind)
     {
     case GSPAN_ACTION_REPLY:
-      gspan_http_server_reply (server, reply->request, reply->status, &reply->headers, reply->body);
-      break;
     case GSPAN_ACTION_REPLY_BEGIN:
-      gspan_http_server_begin (server, reply->request, reply->status, &reply->headers);
-      break;
     case GSPAN_ACTION_REPLY_DATA:
-      gspan_http_server_data (server, reply->request, reply->body);
-      break;
     case GSPAN_ACTION_REPLY_END:
-      gspan_http_server_end (server, reply->request);
-      break;
     case GSPAN_ACTION_REPLY_ABORT:
-      gspan_http_server_cut (server, reply->request);
+      gspan_actions_reply (server, action);
       break;
     case GSPAN_ACTION_HTTP:
-      do_http (shell, action);
+      gspan_actions_start_http (shell->client, action->ref, &action->u.http, on_event, shell);
       break;
     case GSPAN_ACTION_HTTP_CANCEL:
       gspan_http_client_cancel (shell->client, action->ref);
@@ -175,6 +145,12 @@
   gspan_outbox_finish (&outbox);
 }
 
+static void
+on_event (void *user, const struct GspanEvent *event)
+{
+  run_event (user, event);
+}
+
 static void
 log_unreadable (struct GspanNodeShell *shell, const struct GspanStoreCall *call,
                 const struct GspanError *error)
@@ -273,34 +249,20 @@
   g_free (key);
 }
 
-static void
-on_datagram (void *user, const struct GspanEvent *event)
-{
-  run_event (user, event);
-}
-
 static void
 take_request (struct GspanNodeShell *shell, enum GspanEventKind kind,
               const struct GspanHttpIncoming *incoming)
 {
-  struct GspanEvent event = { 0 };
+  struct GspanEvent event = gspan_actions_request_event (kind, incoming);
 
-  event.kind = kind;
-  event.u.request.request = incoming->id;
-  event.u.request.method = incoming->method;
-  event.u.request.path = incoming->path;
-  event.u.request.headers = incoming->headers;
-  event.u.request.body = incoming->body;
   run_event (shell, &event);
 }
 
 static void
 take_gone (struct GspanNodeShell *shell, enum GspanEventKind kind, guint64 id)
 {
-  struct GspanEvent event = { 0 };
+  struct GspanEvent event = gspan_actions_gone_event (kind, id);
 
-  event.kind = kind;
-  event.u.disconnected_request = id;
   run_event (shell, &event);
 }
 
@@ -328,19 +290,6 @@
   take_gone (user, GSPAN_EVENT_RELAY_SENDER_GONE, id);
 }
 
-static void
-reply_text (struct GspanHttpServer *server, guint64 id, int status, const char *text)
-{
-  struct GspanHeaders headers;
-  GBytes *body = g_bytes_new (text, strlen (text));
-
-  gspan_headers_init (&headers);
-  gspan_headers_add (&headers, "Content-Type", GSPAN_STR ("text/plain; version=0.0.4"));
-  gspan_http_server_reply (server, id, status, &headers, body);
-  gspan_headers_finish (&headers);
-  g_bytes_unref (body);
-}
-
 static void
 on_ready_request (void *user, const struct GspanHttpIncoming *incoming)
 {
@@ -350,9 +299,10 @@
 
   gspan_wire_read_path (incoming->method, incoming->path, incoming->headers, &target);
   if (target.kind == GSPAN_WIRE_PATH_READY)
-    reply_text (shell->ready, incoming->id, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+    gspan_actions_reply_text (shell->ready, incoming->id, ready ? 200 : 503,
+                              ready ? "ready\n" : "not ready\n");
   else
-    reply_text (shell->ready, incoming->id, 404, "no such page\n");
+    gspan_actions_reply_text (shell->ready, incoming->id, 404, "no such page\n");
   gspan_wire_path_finish (&target);
 }
 
@@ -365,7 +315,7 @@
 
   if (!gspan_str_equal (incoming->path, GSPAN_STR ("/metrics")))
     {
-      reply_text (shell->metrics, incoming->id, 404, "no such page\n");
+      gspan_actions_reply_text (shell->metrics, incoming->id, 404, "no such page\n");
       return;
     }
   gspan_node_update_gauges (shell->node);
@@ -374,7 +324,7 @@
     gspan_metrics_set (metrics, GSPAN_GAUGE_OPEN_REQUESTS,
                        gspan_http_server_open_requests (shell->callers));
   text = gspan_metrics_format (metrics);
-  reply_text (shell->metrics, incoming->id, 200, text);
+  gspan_actions_reply_text (shell->metrics, incoming->id, 200, text);
   g_free (text);
 }
 
@@ -540,7 +490,7 @@
   if (!open_service (shell, settings->ready, on_ready_request, &shell->ready, error)
       || !open_service (shell, settings->metrics, on_metrics_request, &shell->metrics, error))
     return false;
-  shell->udp = gspan_udp_new (shell->loop, settings->peers, on_datagram, shell, error);
+  shell->udp = gspan_udp_new (shell->loop, settings->peers, on_event, shell, error);
   return shell->udp != NULL;
 }
 
--- a/shell/shell.c
+++ b/shell/shell.c
@@ -7,6 +7,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "rpc/transport.h"
+#include "shell/actions.h"
 #include "shell/platform.h"
 #include "shell/udp.h"
 
@@ -58,6 +59,12 @@
   gspan_outbox_finish (&outbox);
 }
 
+static void
+on_event (void *user, const struct GspanEvent *event)
+{
+  run_event (user, event);
+}
+
 static void
 do_object (struct GspanShell *shell, const struct GspanAction *action)
 {
@@ -81,33 +88,6 @@
   g_free (http.url);
 }
 
-/* A process paused between its decision and this moment may no longer be entitled to the action. */
-static bool
-is_overdue (const struct GspanActionHttp *http)
-{
-  return http->start_deadline_us != 0 && gspan_clock_now () >= http->start_deadline_us;
-}
-
-static void
-do_http (struct GspanShell *shell, const struct GspanAction *action)
-{
-  struct GspanEvent event = { 0 };
-  struct GspanHeaders headers;
-
-  if (!is_overdue (&action->u.http))
-    {
-      gspan_http_client_start (shell->client, action->ref, &action->u.http);
-      return;
-    }
-  gspan_headers_init (&headers);
-  event.kind = GSPAN_EVENT_HTTP_DONE;
-  event.ref = action->ref;
-  event.u.http.result = GSPAN_HTTP_NOT_SENT;
-  event.u.http.headers = &headers;
-  run_event (shell, &event);
-  gspan_headers_finish (&headers);
-}
-
 static void
 do_log (struct GspanShell *shell, const struct GspanActionLog *text)
 {
@@ -120,28 +100,17 @@
 static void
 do_action (struct GspanShell *shell, const struct GspanAction *action)
 {
-  const struct GspanActionReply *reply = &action->u.reply;
-
   switch (action->kind)
     {
     case GSPAN_ACTION_REPLY:
-      gspan_http_server_reply (shell->server, reply->request, reply->status, &reply->headers,
-                               reply->body);
-      break;
     case GSPAN_ACTION_REPLY_BEGIN:
-      gspan_http_server_begin (shell->server, reply->request, reply->status, &reply->headers);
-      break;
     case GSPAN_ACTION_REPLY_DATA:
-      gspan_http_server_data (shell->server, reply->request, reply->body);
-      break;
     case GSPAN_ACTION_REPLY_END:
-      gspan_http_server_end (shell->server, reply->request);
-      break;
     case GSPAN_ACTION_REPLY_ABORT:
-      gspan_http_server_cut (shell->server, reply->request);
+      gspan_actions_reply (shell->server, action);
       break;
     case GSPAN_ACTION_HTTP:
-      do_http (shell, action);
+      gspan_actions_start_http (shell->client, action->ref, &action->u.http, on_event, shell);
       break;
     case GSPAN_ACTION_HTTP_CANCEL:
       gspan_http_client_cancel (shell->client, action->ref);
@@ -202,31 +171,6 @@
     run_event (shell, event);
 }
 
-static void
-on_datagram (void *user, const struct GspanEvent *event)
-{
-  run_event (user, event);
-}
-
-static void
-on_rpc (void *user, const struct GspanEvent *event)
-{
-  run_event (user, event);
-}
-
-static void
-reply_text (struct GspanShell *shell, guint64 id, int status, const char *text)
-{
-  struct GspanHeaders headers;
-  GBytes *body = g_bytes_new (text, strlen (text));
-
-  gspan_headers_init (&headers);
-  gspan_headers_add (&headers, "Content-Type", GSPAN_STR ("text/plain; version=0.0.4"));
-  gspan_http_server_reply (shell->server, id, status, &headers, body);
-  gspan_headers_finish (&headers);
-  g_bytes_unref (body);
-}
-
 static void start_drain (struct GspanShell *shell);
 
 /* Answers the operators' paths. False where the path is none of them. */
@@ -236,17 +180,18 @@
   char *text;
 
   if (gspan_str_equal (incoming->path, GSPAN_STR ("/-/healthz")))
-    reply_text (shell, incoming->id, 200, "alive\n");
+    gspan_actions_reply_text (shell->server, incoming->id, 200, "alive\n");
   else if (gspan_str_equal (incoming->path, GSPAN_STR ("/-/readyz")))
-    reply_text (shell, incoming->id, gspan_board_is_ready (shell->board) ? 200 : 503,
-                gspan_board_is_ready (shell->board) ? "ready\n" : "not ready\n");
+    gspan_actions_reply_text (shell->server, incoming->id,
+                              gspan_board_is_ready (shell->board) ? 200 : 503,
+                              gspan_board_is_ready (shell->board) ? "ready\n" : "not ready\n");
   else if (gspan_str_equal (incoming->path, GSPAN_STR ("/-/metrics")))
     {
       gspan_board_update_gauges (shell->board);
       gspan_metrics_set (&shell->board->metrics, GSPAN_GAUGE_OPEN_REQUESTS,
                          gspan_http_server_open_requests (shell->server));
       text = gspan_metrics_format (&shell->board->metrics);
-      reply_text (shell, incoming->id, 200, text);
+      gspan_actions_reply_text (shell->server, incoming->id, 200, text);
       g_free (text);
     }
   else if (gspan_str_equal (incoming->path, GSPAN_STR ("/-/drain"))
@@ -254,12 +199,12 @@
            && !gspan_access_admit_operator (shell->board->access, incoming->headers))
     {
       gspan_metrics_add (&shell->board->metrics, GSPAN_METRIC_CALLERS_REFUSED, 1);
-      reply_text (shell, incoming->id, 401, "no token of an operator\n");
+      gspan_actions_reply_text (shell->server, incoming->id, 401, "no token of an operator\n");
     }
   else if (gspan_str_equal (incoming->path, GSPAN_STR ("/-/drain"))
            && gspan_str_equal (incoming->method, GSPAN_STR ("POST")))
     {
-      reply_text (shell, incoming->id, 200, "draining\n");
+      gspan_actions_reply_text (shell->server, incoming->id, 200, "draining\n");
       start_drain (shell);
     }
   else
@@ -271,26 +216,19 @@
 on_request (void *user, const struct GspanHttpIncoming *incoming)
 {
   struct GspanShell *shell = user;
-  struct GspanEvent event = { 0 };
+  struct GspanEvent event;
 
   if (serve_operator (shell, incoming))
     return;
-  event.kind = GSPAN_EVENT_REQUEST;
-  event.u.request.request = incoming->id;
-  event.u.request.method = incoming->method;
-  event.u.request.path = incoming->path;
-  event.u.request.headers = incoming->headers;
-  event.u.request.body = incoming->body;
+  event = gspan_actions_request_event (GSPAN_EVENT_REQUEST, incoming);
   run_event (shell, &event);
 }
 
 static void
 on_gone (void *user, guint64 id)
 {
-  struct GspanEvent event = { 0 };
+  struct GspanEvent event = gspan_actions_gone_event (GSPAN_EVENT_CALLER_DISCONNECTED, id);
 
-  event.kind = GSPAN_EVENT_CALLER_DISCONNECTED;
-  event.u.disconnected_request = id;
   run_event (user, &event);
 }
 
@@ -395,7 +333,7 @@
       = gspan_http_server_new (shell->loop, shell->settings->http, &limits, &handler, error);
   if (shell->server == NULL)
     return false;
-  shell->rpc = gspan_rpc_transport_new (shell->loop, shell->settings->rpc, on_rpc, shell, error);
+  shell->rpc = gspan_rpc_transport_new (shell->loop, shell->settings->rpc, on_event, shell, error);
   if (shell->rpc == NULL)
     return false;
   if (shell->settings->peers[0] != '\0')
@@ -406,7 +344,7 @@
   gspan_rpc_transport_allow (shell->rpc, shell->peers, on_peer_refused);
   if (shell->settings->udp[0] == '\0')
     return true;
-  shell->udp = gspan_udp_new (shell->loop, shell->settings->udp, on_datagram, shell, error);
+  shell->udp = gspan_udp_new (shell->loop, shell->settings->udp, on_event, shell, error);
   return shell->udp != NULL;
 }
 
