soak: the nodes of each run listen in a network of their own

It had had this port for its datagrams from the start; it was down for about a second, and another process took the port. Which one isn't known; another soak began in the same second, and scripts/fleet.py keeps a port from being given twice in one process only.

Now nodes listen at the address that their connections come from, and these addresses are another network of 127.0.0.0/8 in each run. No check changes.

--- a/test/soak/clients.py
+++ b/test/soak/clients.py
@@ -24,7 +24,7 @@
         headers = {"Host": "a.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": int(DEADLINE_S * 1000)}
         foreign = []
         answer = await wire.call(choice.front, method, path, headers, b"hello" if method == "POST" else b"",
-                                 timeout_s=DEADLINE_S + 3, kept=kept, foreign=foreign)
+                                 timeout_s=DEADLINE_S + 3, kept=kept, foreign=foreign, host=choice.address)
         world.book.client_has(attempt, choice.name, answer, path, DEADLINE_S, foreign)
         served = answer is not None and answer[0] == 200
         if number == 0 and KILLER not in path:
@@ -94,7 +94,7 @@
         sent = world.now()
         world.book.client_sends(attempt, node.name)
         most = world.random.choice([1, 2, EVENTS, EVENTS + 1])
-        got = await wire.stream(node.front, path, headers, most)
+        got = await wire.stream(node.front, path, headers, most, host=node.address)
         world.book.stream_has(attempt, node.name, got, path)
         world.book.stream_tried(node.name, sent, bool(events), bool(got.events))
         if not events:
--- a/test/soak/node.py
+++ b/test/soak/node.py
@@ -19,16 +19,16 @@
         self.world = world
         self.builds = builds  # folders of the program; each start takes the next one
         self.name = name
-        self.address = address  # that its connections come from
-        self.front = free_port("127.0.0.1")
-        self.ready = free_port("127.0.0.1")
+        self.address = address  # that it listens at and its connections come from
+        self.front = free_port(address)
+        self.ready = free_port(address)
         self.file = os.path.join(world.folder, name + ".toml")
         self.popen = None
         self.ends_by_us = False
         self.restarting = asyncio.Lock()  # two faults don't start it twice
-        lines = ["[node]", f'name = "{name}"', 'zone = "a"', "[listen]", f'callers = "127.0.0.1:{self.front}"',
-                 f'ready = "127.0.0.1:{self.ready}"', f'peers = "127.0.0.1:{free_udp_port("127.0.0.1")}"',
-                 f'outgoing = "{address}"', f'relay = "127.0.0.1:{free_port("127.0.0.1")}"',
+        lines = ["[node]", f'name = "{name}"', 'zone = "a"', "[listen]", f'callers = "{address}:{self.front}"',
+                 f'ready = "{address}:{self.ready}"', f'peers = "{address}:{free_udp_port(address)}"',
+                 f'outgoing = "{address}"', f'relay = "{address}:{free_port(address)}"',
                  "[platform]", f'address = "127.0.0.1:{store_port}"', "[log]", "lines_per_s = 0", "[limits]",
                  f"drain_notice_ms = {books.DRAIN_S * 1000:.0f}"]
         with open(self.file, "w", encoding="utf-8") as file:
@@ -64,5 +64,5 @@
         self.popen.wait()
 
     async def is_ready(self):
-        answer = await wire.call(self.ready, "GET", "/api/ready", {"Host": "x"}, timeout_s=0.5)
+        answer = await wire.call(self.ready, "GET", "/api/ready", {"Host": "x"}, timeout_s=0.5, host=self.address)
         return answer is not None and answer[0] == 200
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -30,6 +30,8 @@
 SERVICES = ["desk", "calls", "llm", "text"]
 MEMORY_MB = 110  # of the smallest VM
 SANITIZER_FACTOR = 3  # sanitizers take twice as much more
+# Of the nodes; each run has its own, so that no other run takes the port of a node that is down.
+NETWORK = f"127.{16 + os.getpid() // 256 % 200}.{os.getpid() % 256}"
 START_S = 3.0
 READY_WITHIN_S = 30.0
 BACK_AFTER_S = 2.0
@@ -344,7 +346,7 @@
                 await self.add_replica(service)
         for index in range(self.options.nodes):
             name = f"vm-{index + 1}"
-            self.nodes.append(Node(self, name, await self.store.open_port(name), f"127.0.1.{index + 1}",
+            self.nodes.append(Node(self, name, await self.store.open_port(name), f"{NETWORK}.{index + 1}",
                                    self.builds(index)))
             self.nodes[-1].start()
         for node in self.nodes:
--- a/test/soak/trainers.py
+++ b/test/soak/trainers.py
@@ -21,8 +21,9 @@
 
 async def submit(world, job, body):
     """One try at any node; the status, 0 where none came."""
-    answer = await wire.call(world.random.choice(world.nodes).front, "POST", f"/batch/{job}",
-                             {"Host": "a.example", "X-Attempt-Id": job}, body)
+    node = world.random.choice(world.nodes)
+    answer = await wire.call(node.front, "POST", f"/batch/{job}", {"Host": "a.example", "X-Attempt-Id": job}, body,
+                             host=node.address)
     status = answer[0] if answer is not None else 0
     world.book.job_answered(job, status)
     return status
@@ -66,8 +67,9 @@
 async def read_job(world, job, wanted):
     seen = []
     while len(seen) < len(wanted) and world.now() < world.options.seconds + 20:
-        answer = await wire.call(world.random.choice(world.nodes).front, "GET",
-                                 f"/api/lots/{job}?after={len(seen)}", {"Host": "a.example"})
+        node = world.random.choice(world.nodes)
+        answer = await wire.call(node.front, "GET", f"/api/lots/{job}?after={len(seen)}", {"Host": "a.example"},
+                                 host=node.address)
         if answer is not None and answer[0] == 200:
             results = json.loads(answer[2])["results"]
             seen += [r["id"] for r in results]
--- a/test/soak/wire.py
+++ b/test/soak/wire.py
@@ -188,7 +188,7 @@
             writer.close()
 
 
-async def call(port, method, path, headers, body=b"", timeout_s=5.0, kept=None, foreign=None):
+async def call(port, method, path, headers, body=b"", timeout_s=5.0, kept=None, foreign=None, host="127.0.0.1"):
     """
     One exchange; (status, headers, body), or None where no whole answer came. KEPT is a list that holds an open
     connection between calls, (reader, writer). Bytes that belong to no answer are added to the list FOREIGN.
@@ -196,7 +196,7 @@
     foreign = foreign if foreign is not None else []
 
     async def exchange():
-        reader, writer = kept.pop() if kept else await asyncio.open_connection("127.0.0.1", port)
+        reader, writer = kept.pop() if kept else await asyncio.open_connection(host, port)
         try:
             note_unasked(reader, foreign)
             writer.write(format_head(f"{method} {path} HTTP/1.1", {**headers, "Content-Length": len(body)}) + body)
@@ -245,14 +245,14 @@
     foreign: list = field(default_factory=list)  # what was neither an event nor an answer
 
 
-async def stream(port, path, headers, most, timeout_s=5.0):
+async def stream(port, path, headers, most, timeout_s=5.0, host="127.0.0.1"):
     """Reads a stream of events, MOST of them at most, and closes the connection then."""
     got = Stream()
     writer = None
 
     async def exchange():
         nonlocal writer
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection(host, port)
         writer.write(format_head(f"POST {path} HTTP/1.1", {**headers, "Content-Length": 0}))
         got.status, got.headers = await read_answer_head(reader)
         if got.status != 200:
