soak: a cut touches the connections that it concerns only

Each beginning and end of a cut set a filter of all addresses on each connection of each replica. A connection has one source, so only its own address is set, and only where that changes.

Open and new connections of two addresses hang and live on as before (tried by hand: cut of one, of both with one's open connections living on, and none).

--- a/test/soak/wire.py
+++ b/test/soak/wire.py
@@ -34,6 +34,12 @@
     writer.transport.abort()
 
 
+def source_of(writer):
+    """Address that a connection comes from; None where it was reset before it was accepted."""
+    peer = writer.get_extra_info("peername")
+    return peer[0] if peer is not None else None
+
+
 class Broken(Exception):
     """Raised by a handler to break the connection off without an answer."""
 
@@ -138,15 +144,22 @@
 
     def cut_off(self, refused, held_up):
         """Lets new connections from REFUSED hang, and open ones from HELD_UP."""
-        self.refused = refused
+        changed = set(self.held_up) ^ set(held_up)
+        refused_before, self.refused = self.refused, refused
         self.held_up = held_up
         if self.server is None or not self.server.is_serving():
             return
-        for sock in self.server.sockets:
-            drop_from(sock, refused)
+        if refused or refused_before:
+            for sock in self.server.sockets:
+                drop_from(sock, refused)
         for writer in self.writers:
-            if not writer.is_closing():
-                drop_from(writer.get_extra_info("socket"), held_up)
+            if not writer.is_closing() and source_of(writer) in changed:
+                self.hold_up(writer)
+
+    def hold_up(self, writer):
+        """A connection has one source: only that one's address matters to it."""
+        source = source_of(writer)
+        drop_from(writer.get_extra_info("socket"), [source] if source in self.held_up else [])
 
     def stop(self):
         """Closes the port and breaks all connections."""
@@ -157,12 +170,13 @@
     def break_connections(self, addresses=None):
         """Resets all connections, or those from ADDRESSES."""
         for writer in list(self.writers):
-            if addresses is None or writer.get_extra_info("peername")[0] in addresses:
+            if addresses is None or source_of(writer) in addresses:
                 reset(writer)
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
-        drop_from(writer.get_extra_info("socket"), self.held_up)
+        if self.held_up:
+            self.hold_up(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 (method, target, _), headers = head
