http, gateway, links: an answer that only its connection ended is given no length

What callers saw: an answer that an upstream had cut, with a length of the node's own, so that it looked whole (MIXED "by length"). By HTTP an answer with neither length nor chunks ends with its connection; whether that was its end or a cut nobody can tell. The node took it in and promised more to its caller than it knew: it gave a collected answer a length and a streamed one a last chunk.

Evidence: Links.AnswerThatItsConnectionEndedIsGivenNoEndOfItsOwn fails with the gateway as it was (until_close is false where true is expected, directly and through another node). CallerAnswers.AnswerThatItsConnectionEndedIsGivenNoLength and ...IsResetWhereTheServerEnds show on sockets, for all kinds of callers, that such an answer has no length and no chunks, ends by FIN where its upstream's did, and by a reset where it is cut.

Such answers now end with the caller's connection too. Between two nodes they keep an end of their own, so that one knows whether the other cut it; a header says that the upstream's had none.

--- a/board/message.h
+++ b/board/message.h
@@ -148,7 +148,7 @@
   GBytes *body;
   guint64 elapsed_us; /* DONE only */
   guint send_count;   /* DONE only: times that the request went out, libcurl's own repeat too */
-  struct GspanAnswerTrace trace; /* DONE only */
+  struct GspanAnswerTrace trace; /* HEAD (of it, what the head tells) and DONE */
   bool relayed;                  /* it went through another node */
   bool failed_at_relay; /* DONE only: at that node, or on the way to it; says nothing of the
                            upstream */
@@ -224,8 +224,9 @@
   guint64 request;
   int status;
   struct GspanHeaders headers;
-  GBytes *body; /* may be NULL */
-  bool to_node; /* answers a request of another node, not a caller's */
+  GBytes *body;     /* may be NULL */
+  bool to_node;     /* answers a request of another node, not a caller's */
+  bool until_close; /* ends with its connection, as the upstream's did: that may have been cut */
 };
 
 struct GspanActionHttp
--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "gateway/attempts.h"
+#include "links/relay_headers.h"
 #include "node/node.h"
 #include "platform/wire.h"
 
@@ -19,11 +20,18 @@
     {
       const char *line = g_ptr_array_index (from->items, i);
 
-      if (!gspan_wire_is_hop_by_hop_header (line))
+      if (!gspan_wire_is_hop_by_hop_header (line) && !gspan_relay_is_header (line))
         g_ptr_array_add (to->items, g_strdup (line));
     }
 }
 
+/* True where only the end of the connection says that ANSWER is whole. */
+static bool
+ends_with_connection (const struct GspanEventHttp *answer)
+{
+  return answer->trace.framing == GSPAN_BODY_FRAMING_CLOSE;
+}
+
 /* Passes a replica's whole answer on and ends the call. */
 static void
 pass_answer (struct GspanNode *node, struct GspanCall *call, const struct GspanEventHttp *answer,
@@ -36,6 +44,7 @@
   action->u.reply.request = call->request;
   action->u.reply.status = answer->status;
   action->u.reply.body = g_bytes_ref (body);
+  action->u.reply.until_close = ends_with_connection (answer);
   copy_answer_headers (answer->headers, &action->u.reply.headers);
   gspan_call_log_answer (node, call, good ? "complete" : "failed", answer, outbox);
   gspan_call_observe (node, call, good ? GSPAN_METRIC_DESK_COMPLETE : GSPAN_METRIC_DESK_FAILED);
@@ -272,6 +281,7 @@
   action = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_BEGIN, (struct GspanRef){ 0 });
   action->u.reply.request = call->request;
   action->u.reply.status = answer->status;
+  action->u.reply.until_close = ends_with_connection (answer);
   copy_answer_headers (answer->headers, &action->u.reply.headers);
 }
 
--- a/http/client.c
+++ b/http/client.c
@@ -161,7 +161,7 @@
   event.u.http.body = body;
   event.u.http.elapsed_us = gspan_clock_now () - exchange->started;
   event.u.http.send_count = exchange->sends;
-  if (kind == GSPAN_EVENT_HTTP_DONE)
+  if (kind != GSPAN_EVENT_HTTP_DATA)
     event.u.http.trace = trace_of (exchange);
   client->callback (client->user, &event);
 }
--- a/http/server.c
+++ b/http/server.c
@@ -46,7 +46,8 @@
   GString *path;
   struct GspanHeaders headers;
   GString *body;
-  bool until_close; /* a stream has no sign of its end but that of the connection */
+  bool is_http_1_0; /* a stream to the caller has no sign of its end but that of the connection */
+  bool until_close; /* the answer has none either, whoever the caller is */
   bool too_large;
   bool suspended;
   bool queued;
@@ -162,13 +163,15 @@
   MHD_resume_connection (request->connection);
 }
 
-/* An end by FIN would make a stream that is cut look whole to a caller of HTTP/1.0. */
+/* An end by FIN would make a stream that is cut look whole where only the connection's end tells.
+ */
 static void
 break_off (const struct Request *request)
 {
   bool given = request->ended && request->out_taken == request->out->len;
 
-  if (request->until_close && request->state == REQUEST_STREAMING && !given)
+  if ((request->is_http_1_0 || request->until_close) && request->state == REQUEST_STREAMING
+      && !given)
     gspan_tcp_reset (connection_of (request->connection)->fd);
 }
 
@@ -226,6 +229,8 @@
   else
     response = MHD_create_response_from_buffer (request->out->len, request->out->str,
                                                 MHD_RESPMEM_MUST_COPY);
+  if (request->until_close)
+    MHD_set_response_options (response, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT, MHD_RO_END);
   add_reply_headers (response, &request->reply_headers);
   if (request->server->closing)
     MHD_add_response_header (response, "Connection", "close");
@@ -285,7 +290,7 @@
   (void)url;
   if (request->state == REQUEST_HEAD)
     {
-      request->until_close = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
+      request->is_http_1_0 = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
       take_head (request, method);
       if (!announces_too_much (request))
         return MHD_YES;
@@ -607,6 +612,15 @@
   return request;
 }
 
+void
+gspan_http_server_end_by_close (struct GspanHttpServer *server, guint64 id)
+{
+  struct Request *request = g_hash_table_lookup (server->requests, &id);
+
+  if (request != NULL)
+    request->until_close = true;
+}
+
 void
 gspan_http_server_reply (struct GspanHttpServer *server, guint64 id, int status,
                          const struct GspanHeaders *headers, GBytes *body)
@@ -616,6 +630,11 @@
 
   if (request == NULL)
     return;
+  if (request->until_close) /* libmicrohttpd gives a length to all but streams */
+    {
+      request->state = REQUEST_STREAMING;
+      request->ended = true;
+    }
   g_string_append_len (request->out, text.data, (gssize)text.len);
   request_resume (request);
 }
--- a/http/server.h
+++ b/http/server.h
@@ -50,6 +50,13 @@
 /* From now on each answer closes its connection, so that callers go to another VM. */
 void gspan_http_server_close_after_answers (struct GspanHttpServer *server);
 
+/*
+ * The answer to ID, which hasn't begun, is to have neither length nor chunks: the end of its
+ * connection is that of the answer. For an answer whose own end nothing else tells, so that a
+ * caller isn't promised more than is known.
+ */
+void gspan_http_server_end_by_close (struct GspanHttpServer *server, guint64 id);
+
 /* Whole answer. BODY may be NULL. */
 void gspan_http_server_reply (struct GspanHttpServer *server, guint64 id, int status,
                               const struct GspanHeaders *headers, GBytes *body);
--- a/links/exchanges.c
+++ b/links/exchanges.c
@@ -230,6 +230,8 @@
   struct GspanEventHttp *answer = &event->u.http;
 
   answer->relayed = true;
+  if (gspan_relay_read_until_close (answer->headers))
+    answer->trace.framing = GSPAN_BODY_FRAMING_CLOSE;
   if (event->kind != GSPAN_EVENT_HTTP_DONE)
     {
       exchange->heard_at = node->now;
--- a/links/relay_headers.c
+++ b/links/relay_headers.c
@@ -13,6 +13,7 @@
 static const char header_send_once[] = "Gspan-Relay-Send-Once";
 static const char header_of_caller[] = "Gspan-Relay-Of-Caller";
 static const char header_why[] = "Gspan-Relay-Why";
+static const char header_until_close[] = "Gspan-Relay-Until-Close";
 
 static const char *const outcomes[]
     = { "answered", "refused", "not-sent", "lost", "timeout", "too-long" };
@@ -82,6 +83,18 @@
   return GSPAN_RELAY_LOST;
 }
 
+void
+gspan_relay_write_until_close (struct GspanHeaders *headers)
+{
+  write_flag (headers, header_until_close, true);
+}
+
+bool
+gspan_relay_read_until_close (const struct GspanHeaders *headers)
+{
+  return read_flag (headers, header_until_close);
+}
+
 bool
 gspan_relay_is_header (const char *line)
 {
--- a/links/relay_headers.h
+++ b/links/relay_headers.h
@@ -44,6 +44,10 @@
 enum GspanRelayOutcome gspan_relay_read_outcome (const struct GspanHeaders *headers,
                                                  struct GspanStr *why);
 
+/* Says in the headers of a replica's answer that only the end of its connection ended it. */
+void gspan_relay_write_until_close (struct GspanHeaders *headers);
+bool gspan_relay_read_until_close (const struct GspanHeaders *headers);
+
 /* Name of the header that marks an answer as the node's own; a replica's answer never has it. */
 extern const char *const gspan_relay_outcome_header;
 
--- a/links/relay_server.c
+++ b/links/relay_server.c
@@ -383,6 +383,16 @@
     gspan_metrics_add (&node->metrics, GSPAN_METRIC_RELAY_BYTES, g_bytes_get_size (body));
 }
 
+/* Between nodes each answer has an end of its own, so that it is known whether a node cut it. */
+static void
+copy_head (const struct GspanEventHttp *answer, struct GspanActionReply *reply)
+{
+  reply->status = answer->status;
+  copy_headers (answer->headers, &reply->headers);
+  if (answer->trace.framing == GSPAN_BODY_FRAMING_CLOSE)
+    gspan_relay_write_until_close (&reply->headers);
+}
+
 static void
 on_head (struct GspanNode *node, struct GspanRelayed *relayed, const struct GspanEventHttp *answer,
          struct GspanOutbox *outbox)
@@ -391,8 +401,7 @@
 
   note_replica (node, relayed, answer, outbox);
   relayed->begun = true;
-  reply->status = answer->status;
-  copy_headers (answer->headers, &reply->headers);
+  copy_head (answer, reply);
 }
 
 static void
@@ -417,9 +426,8 @@
     }
   count_bytes (node, answer->body);
   reply = add_reply (outbox, GSPAN_ACTION_REPLY, relayed->request);
-  reply->status = answer->status;
   reply->body = answer->body != NULL ? g_bytes_ref (answer->body) : NULL;
-  copy_headers (answer->headers, &reply->headers);
+  copy_head (answer, reply);
 }
 
 static enum GspanRelayOutcome
--- a/shell/actions.c
+++ b/shell/actions.c
@@ -9,6 +9,8 @@
 {
   const struct GspanActionReply *reply = &action->u.reply;
 
+  if (reply->until_close)
+    gspan_http_server_end_by_close (server, reply->request);
   switch (action->kind)
     {
     case GSPAN_ACTION_REPLY:
--- a/test/caller_answers_test.cc
+++ b/test/caller_answers_test.cc
@@ -144,6 +144,60 @@
         }
 }
 
+/* An upstream's answer that its connection ended may have been cut: no length is made up for it. */
+TEST_F (CallerAnswers, AnswerThatItsConnectionEndedIsGivenNoLength)
+{
+  for (const CallerRow &row : caller_rows)
+    for (bool stream : { false, true })
+      for (bool cut : { false, true })
+        {
+          WireCaller caller (gspan_http_server_port (server));
+          const std::string where = std::string (row.name) + (stream ? ", stream" : "");
+          const size_t before = taken.size ();
+
+          if (cut && !stream)
+            continue;
+          caller.say (row.request);
+          const guint64 id = next_request (before);
+          gspan_http_server_end_by_close (server, id);
+          if (stream)
+            {
+              begin (id);
+              data (id, "some text");
+              EXPECT_TRUE (wire.run_until ([&] { return caller.hears ("some text"); })) << where;
+              if (cut)
+                gspan_http_server_cut (server, id);
+              else
+                gspan_http_server_end (server, id);
+            }
+          else
+            reply (id, "some text");
+          EXPECT_TRUE (wire.run_until ([&] { return caller.hears (""); })) << where;
+          EXPECT_EQ (caller.got.find ("Content-Length"), std::string::npos) << caller.got;
+          EXPECT_EQ (caller.got.find ("Transfer-Encoding"), std::string::npos) << caller.got;
+          EXPECT_EQ (caller.got.substr (caller.got.find ("\r\n\r\n") + 4), "some text") << where;
+          EXPECT_EQ (looks_whole (caller.got, caller.reset), !cut) << where << "\n" << caller.got;
+        }
+}
+
+/* The server ends while such an answer is under way. */
+TEST_F (CallerAnswers, AnswerThatItsConnectionIsToEndIsResetWhereTheServerEnds)
+{
+  WireCaller caller (gspan_http_server_port (server));
+  const std::string text (32 << 20, 'x');
+
+  caller.say (caller_rows[0].request);
+  const guint64 id = next_request (0);
+  gspan_http_server_end_by_close (server, id);
+  reply (id, text);
+  EXPECT_TRUE (wire.run_until ([&] { return caller.hears ("xxx"); }));
+  gspan_http_server_free (server);
+  EXPECT_TRUE (wire.run_until ([&] { return caller.hears (""); }));
+  EXPECT_LT (caller.got.size (), text.size ());
+  EXPECT_TRUE (caller.reset);
+  SetUp ();
+}
+
 TEST_F (CallerAnswers, StreamThatEndsIsWhole)
 {
   for (const CallerRow &row : caller_rows)
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -95,6 +95,28 @@
   EXPECT_GE (served ({ world.rigs[0].get (), world.rigs[1].get () }, 10), 19U);
 }
 
+/* Such an answer may have been cut: a length or a last chunk would promise that it is whole. */
+TEST_F (Links, AnswerThatItsConnectionEndedIsGivenNoEndOfItsOwn)
+{
+  start (2);
+  Rig &cut = *world.rigs[0];
+  Rig &other = *world.rigs[1];
+
+  for (auto framing :
+       { GSPAN_BODY_FRAMING_LENGTH, GSPAN_BODY_FRAMING_CHUNKED, GSPAN_BODY_FRAMING_CLOSE })
+    for (bool through_another : { false, true })
+      {
+        cut.cut_from_replicas = through_another;
+        served ({ &cut }, 3);
+        cut.framing = through_another ? GSPAN_BODY_FRAMING_LENGTH : framing;
+        other.framing = framing;
+        EXPECT_EQ (served ({ &cut }, 1), 1U);
+        EXPECT_EQ (response_to (cut, next_request)->until_close,
+                   framing == GSPAN_BODY_FRAMING_CLOSE)
+            << framing << through_another;
+      }
+}
+
 TEST_F (Links, RequestsThatMayRunOnceAreServedAtNodesWithoutLinks)
 {
   start (4, "non_idempotent");
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -86,6 +86,7 @@
         return true;
     return false;
   }
+  bool until_close = false; /* has no length of its own */
 };
 
 class Rig
@@ -99,6 +100,7 @@
   bool cut_from_replicas = false;
   unsigned sends = 1;   /* of each exchange by the HTTP client, as the events of its end say */
   bool foreign = false; /* answers that come belong to other requests */
+  GspanBodyFraming framing = GSPAN_BODY_FRAMING_NONE; /* of answers that come */
   std::vector<std::string> unreachable; /* "http://IP:PORT" of replicas that it doesn't reach */
 
   bool
@@ -958,6 +960,7 @@
               break;
             }
           answer.request = action->u.reply.request;
+          answer.until_close = action->u.reply.until_close;
           answer.status = action->kind == GSPAN_ACTION_REPLY_ABORT ? -1
                           : action->kind == GSPAN_ACTION_REPLY_END ? 0
                                                                    : action->u.reply.status;
@@ -1077,6 +1080,7 @@
   event.u.http.result = result;
   event.u.http.send_count = rig.sends;
   event.u.http.trace.foreign = rig.foreign;
+  event.u.http.trace.framing = rig.framing;
   event.u.http.status = status;
   event.u.http.headers = &list;
   event.u.http.body = g_bytes_new (body.data (), body.size ());
