cmd: the command line of all daemons stands once

cmd/daemon.c and cmd/gspan-node.c each had their own parsing of arguments, printing of references and report of findings. It is in cmd/command_line now; no behaviour changes.

--- a/cmd/daemon.c
+++ b/cmd/daemon.c
@@ -1,10 +1,9 @@
 #include "cmd/daemon.h"
 
-#include <signal.h>
 #include <stdio.h>
 
+#include "cmd/command_line.h"
 #include "common/clock.h"
-#include "common/version.h"
 #include "settings/secrets.h"
 #include "shell/shell.h"
 
@@ -24,62 +23,16 @@
       "process. [OPERATIONS.md](OPERATIONS.md) names the alarms. This page is the output of\n"
       "`gspan-entry --help-metrics`.\n\n";
 
-struct Arguments
-{
-  char *config;
-  gboolean check;
-  gboolean version;
-  gboolean help_settings;
-  gboolean help_metrics;
-};
-
-static bool
-parse_arguments (const struct GspanDaemon *daemon, struct Arguments *arguments, int *argc,
-                 char ***argv)
-{
-  const GOptionEntry entries[] = {
-    { "config", 'c', 0, G_OPTION_ARG_FILENAME, &arguments->config, "settings file", "FILE" },
-    { "check", 0, 0, G_OPTION_ARG_NONE, &arguments->check, "check the settings and exit", NULL },
-    { "help-settings", 0, 0, G_OPTION_ARG_NONE, &arguments->help_settings,
-      "print the reference of all settings and exit", NULL },
-    { "help-metrics", 0, 0, G_OPTION_ARG_NONE, &arguments->help_metrics,
-      "print the reference of all metrics and exit", NULL },
-    { "version", 0, 0, G_OPTION_ARG_NONE, &arguments->version, "print the version and exit", NULL },
-    { NULL, 0, 0, 0, NULL, NULL, NULL }
-  };
-  GOptionContext *context = g_option_context_new (NULL);
-  GError *problem = NULL;
-  bool ok;
-
-  g_option_context_set_summary (context, daemon->summary);
-  g_option_context_add_main_entries (context, entries, NULL);
-  ok = g_option_context_parse (context, argc, argv, &problem);
-  if (!ok)
-    {
-      fprintf (stderr, "%s: %s\n", daemon->name, problem->message);
-      g_error_free (problem);
-    }
-  g_option_context_free (context);
-  return ok;
-}
-
 static bool
 load_settings (const char *file, struct GspanNodeSettings *settings, struct GspanAccess *access)
 {
   struct GspanFindings findings;
-  char *text;
-  bool ok;
 
   gspan_findings_init (&findings);
   gspan_options_load (gspan_node_options, gspan_node_option_count, file, settings, &findings);
   if (gspan_findings_count (&findings) == 0)
     gspan_secrets_load (settings, access, &findings);
-  text = gspan_findings_format (&findings);
-  fputs (text, stderr);
-  g_free (text);
-  ok = gspan_findings_count (&findings) == 0;
-  gspan_findings_finish (&findings);
-  return ok;
+  return gspan_command_line_report (&findings);
 }
 
 static int
@@ -118,57 +71,35 @@
   return GSPAN_EXIT_OK;
 }
 
+/* DAEMON is a struct GspanDaemon. */
 static int
-run_with_settings (const struct GspanDaemon *daemon, const struct Arguments *arguments)
+run_with_settings (const char *file, bool check, void *daemon)
 {
   struct GspanNodeSettings settings = { 0 };
   struct GspanAccess access;
   int code = GSPAN_EXIT_OK;
 
   gspan_access_init (&access);
-  if (!load_settings (arguments->config, &settings, &access))
+  if (!load_settings (file, &settings, &access))
     code = GSPAN_EXIT_USAGE;
-  else if (!arguments->check)
+  else if (!check)
     code = serve (daemon, &settings, &access);
   gspan_options_finish (gspan_node_options, gspan_node_option_count, &settings);
   gspan_access_finish (&access);
   return code;
 }
 
-/* Takes over TABLE. */
-static int
-print_reference (const char *head, char *table)
-{
-  printf ("%s%s", head, table);
-  g_free (table);
-  return GSPAN_EXIT_OK;
-}
-
 int
 gspan_daemon_main (const struct GspanDaemon *daemon, int argc, char **argv)
 {
-  struct Arguments arguments = { 0 };
-  int code;
+  const struct GspanCommandLine line = {
+    .name = daemon->name,
+    .summary = daemon->summary,
+    .settings_head = settings_head,
+    .metrics_head = metrics_head,
+    .options = gspan_node_options,
+    .option_count = gspan_node_option_count,
+  };
 
-  signal (SIGPIPE, SIG_IGN);
-  if (!parse_arguments (daemon, &arguments, &argc, &argv))
-    return GSPAN_EXIT_USAGE;
-  if (arguments.version)
-    {
-      printf ("%s %s\n", daemon->name, GSPAN_VERSION);
-      return GSPAN_EXIT_OK;
-    }
-  if (arguments.help_settings)
-    return print_reference (settings_head,
-                            gspan_options_describe (gspan_node_options, gspan_node_option_count));
-  if (arguments.help_metrics)
-    return print_reference (metrics_head, gspan_metrics_describe ());
-  if (arguments.config == NULL)
-    {
-      fprintf (stderr, "%s: --config FILE is required\n", daemon->name);
-      return GSPAN_EXIT_USAGE;
-    }
-  code = run_with_settings (daemon, &arguments);
-  g_free (arguments.config);
-  return code;
+  return gspan_command_line_main (&line, argc, argv, run_with_settings, (void *)daemon);
 }
--- a/cmd/gspan-node.c
+++ b/cmd/gspan-node.c
@@ -1,67 +1,21 @@
-#include <signal.h>
 #include <stdio.h>
 #include <sys/random.h>
 
+#include "cmd/command_line.h"
 #include "cmd/exit.h"
 #include "common/clock.h"
-#include "common/version.h"
 #include "node/shell.h"
 
 /* One process a VM: requests of callers, batch jobs and orders of weights on one blackboard. */
 
-struct Arguments
-{
-  char *config;
-  gboolean check;
-  gboolean version;
-  gboolean help_settings;
-  gboolean help_metrics;
-};
-
-static bool
-parse_arguments (struct Arguments *arguments, int *argc, char ***argv)
-{
-  const GOptionEntry entries[] = {
-    { "config", 'c', 0, G_OPTION_ARG_FILENAME, &arguments->config, "settings file", "FILE" },
-    { "check", 0, 0, G_OPTION_ARG_NONE, &arguments->check, "check the settings and exit", NULL },
-    { "help-settings", 0, 0, G_OPTION_ARG_NONE, &arguments->help_settings,
-      "print the reference of all settings and exit", NULL },
-    { "help-metrics", 0, 0, G_OPTION_ARG_NONE, &arguments->help_metrics,
-      "print the reference of all metrics and exit", NULL },
-    { "version", 0, 0, G_OPTION_ARG_NONE, &arguments->version, "print the version and exit", NULL },
-    { NULL, 0, 0, 0, NULL, NULL, NULL }
-  };
-  GOptionContext *context = g_option_context_new (NULL);
-  GError *problem = NULL;
-  bool ok;
-
-  g_option_context_set_summary (context, "Takes requests and batch jobs on one VM of the fleet.");
-  g_option_context_add_main_entries (context, entries, NULL);
-  ok = g_option_context_parse (context, argc, argv, &problem);
-  if (!ok)
-    {
-      fprintf (stderr, "gspan-node: %s\n", problem->message);
-      g_error_free (problem);
-    }
-  g_option_context_free (context);
-  return ok;
-}
-
 static bool
 load_settings (const char *file, struct GspanFleetSettings *settings)
 {
   struct GspanFindings findings;
-  char *text;
-  bool ok;
 
   gspan_findings_init (&findings);
   gspan_options_load (gspan_fleet_options, gspan_fleet_option_count, file, settings, &findings);
-  text = gspan_findings_format (&findings);
-  fputs (text, stderr);
-  g_free (text);
-  ok = gspan_findings_count (&findings) == 0;
-  gspan_findings_finish (&findings);
-  return ok;
+  return gspan_command_line_report (&findings);
 }
 
 enum
@@ -130,25 +84,17 @@
       "and\n"
       "column and exits. This page is the output of `gspan-node --help-settings`.\n\n";
 
-/* Takes over TABLE. */
 static int
-print_reference (const char *head, char *table)
-{
-  printf ("%s%s", head, table);
-  g_free (table);
-  return GSPAN_EXIT_OK;
-}
-
-static int
-run_with_settings (const struct Arguments *arguments)
+run_with_settings (const char *file, bool check, void *user)
 {
   struct GspanFleetSettings settings = { 0 };
   int code = GSPAN_EXIT_OK;
 
-  if (!load_settings (arguments->config, &settings))
+  (void)user;
+  if (!load_settings (file, &settings))
     code = GSPAN_EXIT_USAGE;
-  else if (!arguments->check)
-    code = serve (&settings, arguments->config);
+  else if (!check)
+    code = serve (&settings, file);
   gspan_options_finish (gspan_fleet_options, gspan_fleet_option_count, &settings);
   return code;
 }
@@ -156,28 +102,14 @@
 int
 main (int argc, char **argv)
 {
-  struct Arguments arguments = { 0 };
-  int code;
+  const struct GspanCommandLine line = {
+    .name = "gspan-node",
+    .summary = "Takes requests and batch jobs on one VM of the fleet.",
+    .settings_head = settings_head,
+    .metrics_head = "",
+    .options = gspan_fleet_options,
+    .option_count = gspan_fleet_option_count,
+  };
 
-  signal (SIGPIPE, SIG_IGN);
-  if (!parse_arguments (&arguments, &argc, &argv))
-    return GSPAN_EXIT_USAGE;
-  if (arguments.version)
-    {
-      printf ("gspan-node %s\n", GSPAN_VERSION);
-      return GSPAN_EXIT_OK;
-    }
-  if (arguments.help_settings)
-    return print_reference (settings_head,
-                            gspan_options_describe (gspan_fleet_options, gspan_fleet_option_count));
-  if (arguments.help_metrics)
-    return print_reference ("", gspan_metrics_describe ());
-  if (arguments.config == NULL)
-    {
-      fprintf (stderr, "gspan-node: --config FILE is required\n");
-      return GSPAN_EXIT_USAGE;
-    }
-  code = run_with_settings (&arguments);
-  g_free (arguments.config);
-  return code;
+  return gspan_command_line_main (&line, argc, argv, run_with_settings, NULL);
 }
