--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -33,6 +33,7 @@
   std::string body; /* streamed or collected */
   std::string headers;
   unsigned sends;
+  bool foreign;
 };
 
 class Answers : public testing::Test
@@ -74,6 +75,7 @@
     item.result = http.result;
     item.status = http.status;
     item.sends = http.send_count;
+    item.foreign = http.trace.foreign;
     for (guint i = 0; i < http.headers->items->len; i++)
       item.headers += std::string (static_cast<char *> (http.headers->items->pdata[i])) + "\n";
     self->open--;
@@ -396,6 +398,40 @@
   RecordProperty ("next_whole", static_cast<int> (next_whole));
 }
 
+/* The head of another answer, cut anywhere, goes before the own one on the same connection. */
+TEST_F (SecondAnswers, HeadThatIsCutOffIsNotEndedByTheNextAnswer)
+{
+  const std::string failure = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                              "X-Server-Stamp: other\r\n"
+                              + id_name + "one\r\nContent-Length: 0\r\n\r\n";
+  const std::string success = "HTTP/1.1 200 OK\r\nX-Server-Stamp: other\r\nX-A: b\r\n" + id_name
+                              + "one\r\nContent-Length: 4\r\n\r\n";
+  const std::string rest
+      = " Of Its Own\r\nX-Server-Stamp: own\r\n" + id_name + "two\r\nContent-Length: 4\r\n\r\ntext";
+  unsigned wrong = 0;
+
+  for (const auto &[cut, status] :
+       { std::pair{ failure, 200 }, { failure, 500 }, { success, 503 } })
+    for (size_t at = 1; at < cut.size (); at++)
+      {
+        WireServer server (wire);
+        WireStep next = { "HTTP/1.1 " + std::to_string (status) + rest, false };
+
+        next.stray = cut.substr (0, at);
+        server.by_path = { { "/one", { answer ("length", "one", "answer to one"), false } },
+                           { "/two", next } };
+        call (server, "/one", "one");
+        timeout_us = 100 * GSPAN_MS;
+        const Ended two = call (server, "/two", "two");
+        timeout_us = 20 * GSPAN_SECOND;
+        wrong += two.result == GSPAN_HTTP_COMPLETE;
+        EXPECT_NE (two.result, GSPAN_HTTP_COMPLETE)
+            << "status " << status << " became " << two.status << " after \"" << next.stray
+            << "\": " << two.headers;
+      }
+  EXPECT_EQ (wrong, 0U);
+}
+
 /* Bytes that came while no request was open cost no request its answer. */
 TEST_F (Answers, BytesOnAnIdleConnectionAreNoAnswerToTheNextRequest)
 {
@@ -515,7 +551,9 @@
     {
       server.script = { { "HTTP/1.1 503 No\r\n" + headers, false } };
       exempt = name;
-      EXPECT_EQ (call (server, "/x", "one").result, expected) << headers;
+      const Ended got = call (server, "/x", "one");
+      EXPECT_EQ (got.result, expected) << headers;
+      EXPECT_EQ (got.foreign, expected == GSPAN_HTTP_LOST) << headers;
     }
 }
 
@@ -541,6 +579,56 @@
   gspan_sent_ids_finish (&ids);
 }
 
+/* Beyond the bound ids are forgotten while connections that carried them could still be used. */
+TEST (SentIds, ConnectionThatMayHaveCarriedAForgottenIdIsTooOld)
+{
+  unsigned forgotten = 0;
+
+  for (guint64 per_s : { 500, 2000, 8000, 30000, 100000 })
+    {
+      const guint64 start = 1000 * GSPAN_SECOND;
+      const guint64 count = std::min<guint64> (90 * per_s, 400000);
+      const auto sent_at = [&] (guint64 i) { return start + i * GSPAN_SECOND / per_s; };
+      const auto id_of = [] (guint64 i) { return "Id: " + std::to_string (i); };
+      GspanSentIds ids{};
+
+      gspan_sent_ids_init (&ids);
+      for (guint64 i = 0; i < count; i++)
+        {
+          gspan_sent_ids_note (&ids, "http://h/", id_of (i).c_str (), sent_at (i));
+          if (i % 997 != 0)
+            continue;
+          const guint64 earlier = i - i * (i % 10) / 10;
+          const guint64 age_s = (sent_at (i) - sent_at (earlier)) / GSPAN_SECOND;
+          const bool known
+              = gspan_sent_ids_note (&ids, "http://h/", id_of (earlier).c_str (), sent_at (i));
+          const guint age_max_s = gspan_sent_ids_connection_age_max_s (&ids, sent_at (i));
+          forgotten += !known;
+          EXPECT_LE (age_max_s, GSPAN_SENT_ID_KEPT_US / GSPAN_SECOND);
+          EXPECT_TRUE (known || age_max_s == 0 || age_s > age_max_s)
+              << per_s << " a second, sent " << age_s << " s ago, of at most " << age_max_s;
+        }
+      gspan_sent_ids_finish (&ids);
+    }
+  EXPECT_GT (forgotten, 0U);
+}
+
+/* The bound is reached at 1,000 requests a second. */
+TEST (SentIds, ConnectionsAreUsedForAMinuteAtAnOrdinaryRate)
+{
+  GspanSentIds ids{};
+
+  gspan_sent_ids_init (&ids);
+  for (guint64 i = 0; i < 300000; i++)
+    {
+      const guint64 now = 1000 * GSPAN_SECOND + i * GSPAN_MS;
+
+      gspan_sent_ids_note (&ids, "http://h/", ("Id: " + std::to_string (i)).c_str (), now);
+      ASSERT_EQ (gspan_sent_ids_connection_age_max_s (&ids, now), 60U) << i;
+    }
+  gspan_sent_ids_finish (&ids);
+}
+
 TEST (SentIds, AreBounded)
 {
   GspanSentIds ids{};
