soak: a replica with a limit need not be used beside one without

Nodes hold a limit until the replica answers a later request without one.

The check leaves out requests that went to a replica without a limit while the added one had one: from its first answer that names it until half a second after the first request that reached it after the limit's end. All others count as before, also where both have limits.

--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -18,6 +18,10 @@
 NOTICE_S = 0.5  # after which a node that has passed an answer on keeps what it says
 
 
+def is_in(spans, at):
+    return any(start <= at <= end for start, end in spans)
+
+
 class Book:
     def __init__(self, now):
         self.now = now
@@ -80,6 +84,14 @@
         if spans and spans[-1][1] is None:
             spans[-1][1] = self.now()
 
+    def times_limited(self, replica):
+        """Spans (from, until) in which nodes may hold that it has a limit: until it has been asked after the limit's end."""
+        spans = []
+        for values, end in self.limits.get(replica, []):
+            asked = [at for at, _ in self.got_at[replica] if end is not None and at > end]
+            spans.append((values[0][0], asked[0] + NOTICE_S if asked else float("inf")))
+        return spans
+
     def stream_tried(self, node, sent, resumed, may_go_on, brought):
         """
         One try of a stream: RESUMED where it was taken up, BROUGHT where an event came of it. Where no replica of the
--- a/test/soak/odd.py
+++ b/test/soak/odd.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+import book as books
 from wire import Reply, Server
 
 OTHER_KINDS = ["versions", "retirements"]  # that nodes watch too
@@ -90,12 +91,15 @@
     if not hasattr(world, "odd"):
         return
     for replica, added in world.odd.followed:
+        limited = world.book.times_limited(replica.start_name)
         for node in world.nodes:
             since = max([added, *(end for _, end in world.book.disturbed[node.name])]) + FOLLOWED_AFTER_S
             mine, all_of_it = 0, 0
             for attempt, name, at in world.book.arrivals:
                 if at < since or world.book.node_of(attempt) != node.name or not name.startswith(f"i-{replica.service}-"):
                     continue
+                if books.is_in(limited, at) and not books.is_in(world.book.times_limited(name), at):
+                    continue  # a replica without a limit is taken first
                 all_of_it += 1
                 mine += name == replica.start_name
             if all_of_it >= FOLLOWED_LEAST and mine == 0 and replica.alive and not replica.leaving:
