test: origins of streams are written once the store takes writes again

The store answers writes of origins busy for two seconds; 0.7 s after it takes them again all nodes die, and the streams go on (30 of 40 or more asked for).

--- a/test/rejoined_streams_test.cc
+++ b/test/rejoined_streams_test.cc
@@ -355,6 +355,27 @@
   EXPECT_GE (gone_on, 10U);
 }
 
+/* They are written once it takes them again. */
+TEST_F (RejoinedStreams, StoreTurnsWritesOfOriginsAwayForAWhile)
+{
+  bool busy = true;
+
+  start (6);
+  world.fault_of = [&busy] (const Rig &, const GspanStoreCall &call) {
+    bool origins = strcmp (call.kind, "streams") == 0 && gspan_store_op_is_write (call.op);
+    return busy && origins ? StoreFault::Busy : StoreFault::None;
+  };
+  begin_streams (40);
+  world.run (2 * GSPAN_SECOND);
+  busy = false;
+  world.run (700 * GSPAN_MS);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 30U);
+}
+
 /* They last for 400 ms, all of them together. */
 TEST_F (RejoinedStreams, StreamsThatHaveJustBegunGoOn)
 {
