gateway: streams that older builds tell of are kept, too

What callers would see: in an upgrade two builds run side by side. A stream that began at a node of the older build is refused after all nodes have died, since no node kept its origin in the store: the older build tells six nodes of it, in a message that doesn't say whether to keep it.

Now a node that is told of a stream in a message without "keep", and is a keeper of its shard, keeps it. Messages of this build all have the field. Where there are more than seven nodes the six that are told may miss the keepers; origins whose keepers both run the older build are still kept by nobody.

The test failed before: "gone_on Which is: 0", expected 20. Not run with two real builds side by side.

--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -285,6 +285,15 @@
   json_decref (message);
 }
 
+/* Builds before this one don't say whether a stream is to be kept; its keepers keep it then. */
+static bool
+is_to_keep (const struct GspanNode *node, const json_t *message, const char *attempt)
+{
+  const json_t *keep = json_object_get (message, "keep");
+
+  return keep != NULL ? json_is_true (keep) : gspan_origin_store_is_keeper (node, attempt);
+}
+
 void
 gspan_streams_receive (struct GspanNode *node, json_t *message)
 {
@@ -302,7 +311,7 @@
     if (attempt == NULL || service == NULL || software == NULL)
       continue;
     add (node, attempt, service, software);
-    if (json_is_true (json_object_get (message, "keep")))
+    if (is_to_keep (node, message, attempt))
       keep (node, attempt);
   }
 }
--- a/test/rejoined_streams_test.cc
+++ b/test/rejoined_streams_test.cc
@@ -435,6 +435,25 @@
   EXPECT_EQ (gone_on, 6U);
 }
 
+TEST_F (RejoinedStreams, StreamsThatOldBuildsTellOfAreKept)
+{
+  start (4);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      std::string attempt = "old" + std::to_string (i);
+      began[attempt] = i % 2 == 0 ? "v1" : "v2";
+      for (auto &rig : world.rigs)
+        rig->datagram ("{\"kind\":\"streams\",\"format\":1,\"streams\":[{\"attempt\":\"" + attempt
+                       + "\",\"service\":\"desk\",\"software\":\"" + began[attempt] + "\"}]}");
+    }
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_EQ (gone_on, 20U);
+}
+
 /* They are read as if they weren't there, and what is written next stands. */
 TEST_F (RejoinedStreams, OddObjectsOfTheseKinds)
 {
