test: origins whose writes are done without an answer are kept

A guard only: passes without any change. All answers to writes of origins are lost; half of the streams or more go on after all nodes have died right then.

--- a/test/rejoined_streams_test.cc
+++ b/test/rejoined_streams_test.cc
@@ -376,6 +376,21 @@
   EXPECT_GE (gone_on, 30U);
 }
 
+TEST_F (RejoinedStreams, AnswersToWritesOfOriginsAreLost)
+{
+  start (6);
+  world.fault_of = [] (const Rig &, const GspanStoreCall &call) {
+    bool origins = strcmp (call.kind, "streams") == 0 && gspan_store_op_is_write (call.op);
+    return origins ? StoreFault::LostAfter : StoreFault::None;
+  };
+  begin_streams (40);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 20U);
+}
+
 /* They last for 400 ms, all of them together. */
 TEST_F (RejoinedStreams, StreamsThatHaveJustBegunGoOn)
 {
