soak: streams that met no store after all nodes had died don't count as lost

A node that can't ask the store refuses such streams, and says when to come again.

Not counted are streams that began while the store had a fault for all nodes, or 0.2 s before that, where the fault lasted to the death; and those whose tries after it, of those that a node answered, all fell into such a fault or three seconds after. It makes no difference whether they went on. The number of those left out is printed.

--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -8,6 +8,7 @@
 ENDS_ALLOWED = 3
 ERRORS_UNTIL_ABANDONED = 3  # maxAttempts of the batch route
 LATE_ANSWER_S = 0.5  # beyond the deadline
+KEPT_WITHIN_S = 0.2  # what a node is told is in the store
 RESUMED_LEAST = 12  # streams that were taken up, for their share to count
 WINDOW_S = 4.0  # over which requests to a replica with a limit are counted
 LIMIT_FACTOR = 1.5
@@ -58,6 +59,8 @@
         self.killed_all_at = []  # times at which all nodes died at once
         self.taken_up = []  # whether streams that had begun before that went on, those whose version is still there
         self.version_gone = 0  # streams whose version had left meanwhile
+        self.store_gone = 0  # streams that could be neither kept nor asked for, since the store was away
+        self.store_away = []  # [from, until] for all nodes
         self.tries_version_gone = 0  # tries to take such streams up
         self.odd_answers = 0  # with cuts, pauses or bytes too many, and streams that were spoiled
         self.writes_unheard = 0
@@ -117,6 +120,20 @@
         """Whether all nodes died at once in that time."""
         return any(since <= at <= until for at in self.killed_all_at)
 
+    def store_away_begins(self):
+        span = [self.now(), float("inf")]
+        self.store_away.append(span)
+        return span
+
+    def store_cant_tell(self, begun_at, died, tries_at):
+        """
+        Whether the store was away from the stream's beginning, or the time that a write takes later, to the death of all
+        nodes; or each time that it was taken up afterwards, until nodes are steady again.
+        """
+        return any(start <= begun_at + KEPT_WITHIN_S and end >= died
+                   or tries_at and all(start <= at <= end + STABLE_S for at in tries_at)
+                   for start, end in self.store_away)
+
     def check_taken_up(self):
         if len(self.taken_up) >= RESUMED_LEAST and sum(self.taken_up) < len(self.taken_up) / 2:
             self.broken.append(f"LOST after all nodes had died {sum(self.taken_up)} of {len(self.taken_up)} streams went on")
--- a/test/soak/clients.py
+++ b/test/soak/clients.py
@@ -81,6 +81,7 @@
     begun_at = world.now()
     lost_at = None  # where all nodes died: the time, and the events that had come
     had = 0
+    tried_again_at = []  # times since then at which a node answered
     tries = 0
     while tries < 1 + 2 * RETRIES or (lost_at is not None and world.now() < lost_at + PATIENCE_S):
         tries += 1
@@ -98,6 +99,8 @@
         most = world.random.choice([1, 2, EVENTS, EVENTS + 1])
         got = await wire.stream(node.front, path, headers, most, host=node.address)
         world.book.stream_has(attempt, node.name, got, path)
+        if lost_at is not None and got.status:
+            tried_again_at.append(sent)
         may_go_on = may_go_on and (not taken_up or is_there(world, version_of(events)))
         world.book.stream_tried(node.name, sent, taken_up, may_go_on, bool(got.events))
         if not events:
@@ -112,7 +115,7 @@
             lost_at, had = world.now(), len(events)
         await asyncio.sleep(pause_after(got, lost_at))
     if lost_at is not None:
-        note_taken_up(world, path, first, begun_at, version_of(events), whole or len(events) > had)
+        note_taken_up(world, path, first, begun_at, version_of(events), tried_again_at, whole or len(events) > had)
     world.book.stream_ended(path, events, whole, EVENTS, " ".join(attempts))
 
 
@@ -133,13 +136,15 @@
     return any(replica.software == version for replica in world.living("text"))
 
 
-def note_taken_up(world, path, first, begun_at, version, went_on):
+def note_taken_up(world, path, first, begun_at, version, tried_again_at, went_on):
     """A stream that was open as all nodes died."""
     died = next(at for at in world.book.killed_all_at if at >= begun_at)
     there = is_there(world, version)
     world.note(f"{first} {path}: begun {died - begun_at:.3f} s before all nodes died, by {version}, "
                f"{'which is there' if there else 'which has left'}; {'went on' if went_on else 'did not go on'}")
-    if there:
-        world.book.taken_up.append(went_on)
-    else:
+    if not there:
         world.book.version_gone += 1
+    elif world.book.store_cant_tell(begun_at, died, tried_again_at):
+        world.book.store_gone += 1
+    else:
+        world.book.taken_up.append(went_on)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -276,9 +276,10 @@
             end()
 
     async def store_away(self):
-        start = self.now()
+        away = self.book.store_away_begins()
         await self.store_fault(self.nodes)
-        self.book.store_disturbed.append((start, self.now()))
+        away[1] = self.now()
+        self.book.store_disturbed.append(tuple(away))
 
     async def store_turns_some_away(self):
         start = self.now()
@@ -476,7 +477,7 @@
               f"most of a limit {book.most_of_limit:.2f}, streams begun {len(book.streams[False])}, taken up "
               f"{len(book.streams[True])} of which {sum(book.streams[True])} went on, {book.tries_version_gone} tries without their version, "
               f"endless answers {book.endless}, {book.memory_mb} MB, stand-ins late by at most {book.lag_s:.2f} s, "
-              f"after all nodes died {sum(book.taken_up)} of {len(book.taken_up)} streams went on, {book.version_gone} had lost their version, "
+              f"after all nodes died {sum(book.taken_up)} of {len(book.taken_up)} streams went on, {book.version_gone} had lost their version, {book.store_gone} met no store, "
               f"odd answers {book.odd_answers}, writes done unheard {book.writes_unheard}, jobs refused at every try {book.jobs_refused}, "
               f"served at cut nodes {[round(share, 2) for share in book.cut_shares]}")
     for line in book.broken:
