--- a/test/rejoined_streams_test.cc
+++ b/test/rejoined_streams_test.cc
@@ -355,6 +355,42 @@
   EXPECT_GE (gone_on, 10U);
 }
 
+/* They are written once it takes them again. */
+TEST_F (RejoinedStreams, StoreTurnsWritesOfOriginsAwayForAWhile)
+{
+  bool busy = true;
+
+  start (6);
+  world.fault_of = [&busy] (const Rig &, const GspanStoreCall &call) {
+    bool origins = strcmp (call.kind, "streams") == 0 && gspan_store_op_is_write (call.op);
+    return busy && origins ? StoreFault::Busy : StoreFault::None;
+  };
+  begin_streams (40);
+  world.run (2 * GSPAN_SECOND);
+  busy = false;
+  world.run (700 * GSPAN_MS);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 30U);
+}
+
+TEST_F (RejoinedStreams, AnswersToWritesOfOriginsAreLost)
+{
+  start (6);
+  world.fault_of = [] (const Rig &, const GspanStoreCall &call) {
+    bool origins = strcmp (call.kind, "streams") == 0 && gspan_store_op_is_write (call.op);
+    return origins ? StoreFault::LostAfter : StoreFault::None;
+  };
+  begin_streams (40);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_GE (gone_on, 20U);
+}
+
 /* They last for 400 ms, all of them together. */
 TEST_F (RejoinedStreams, StreamsThatHaveJustBegunGoOn)
 {
@@ -414,6 +450,25 @@
   EXPECT_EQ (gone_on, 6U);
 }
 
+TEST_F (RejoinedStreams, StreamsThatOldBuildsTellOfAreKept)
+{
+  start (4);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      std::string attempt = "old" + std::to_string (i);
+      began[attempt] = i % 2 == 0 ? "v1" : "v2";
+      for (auto &rig : world.rigs)
+        rig->datagram ("{\"kind\":\"streams\",\"format\":1,\"streams\":[{\"attempt\":\"" + attempt
+                       + "\",\"service\":\"desk\",\"software\":\"" + began[attempt] + "\"}]}");
+    }
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  world.run (2 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_EQ (gone_on, 20U);
+}
+
 /* They are read as if they weren't there, and what is written next stands. */
 TEST_F (RejoinedStreams, OddObjectsOfTheseKinds)
 {
