soak: by how much stand-ins were late is kept with what was seen

A note in stand-ins.log would make that file in runs that otherwise have none, and so change the list that cases/soak-keeps-logs expects on a busy machine (found by reading). Times and lags are in book.json now.

--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -66,6 +66,7 @@
         self.writes_unheard = 0
         self.jobs_refused = 0  # at every try
         self.lag_s = 0.0  # by which the stand-ins were late at most
+        self.lags = []  # (time, seconds) of those worth a note
         self.broken = []
 
     # What is seen.
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -114,7 +114,7 @@
             lag = self.now() - due
             self.book.lag_s = max(self.book.lag_s, lag)
             if lag > LAG_NOTED_S:
-                self.note(f"the stand-ins are late by {lag:.2f} s")
+                self.book.lags.append((due, lag))
 
     # Replicas.
 
@@ -438,7 +438,7 @@
     with open(os.path.join(kept, "book.json"), "w", encoding="utf-8") as file:
         json.dump({"options": vars(options), "broken": book.broken, "wall_s": time.time() - book.now(),
                    "got_at": book.got_at, "limits": book.limits, "disturbed": book.disturbed,
-                   "stops": book.stops}, file, default=str)
+                   "stops": book.stops, "lags": book.lags}, file, default=str)
     print(f"kept in {kept}")
     show_lines(kept, book.broken)
 
