test, KNOWN-RED: streams begun at a replica that has just started anew as another version

A stream that begins at a replica after it started anew in place at another software version, and before its entry says so, is noted under the version before. Where it breaks off it goes on at a replica of that one: two versions in one stream.

Not mended: what other nodes and the store were told of the stream has to be corrected as well.

--- a/test/software_test.cc
+++ b/test/software_test.cc
@@ -456,3 +456,34 @@
       rig.http_done (rig.exchanges.back (), GSPAN_HTTP_COMPLETE, 200, stream_head (1), "");
     }
 }
+
+/* The replica started anew at another version; its entry comes after the stream's first event. */
+TEST_F (Software, StreamBegunBeforeTheEntryOfAReplicaThatStartedAnewIsOfItsNewVersion)
+{
+  Rig &rig = start_two_versions ();
+  std::string entry = replica_of_version ("desk", 1, "v9");
+  Exchange exchange;
+  guint64 id = 0;
+
+  world.put ("servers", "d3", replica_of_version ("desk", 9, "v1").c_str ());
+  world.run (500 * GSPAN_MS);
+  do
+    {
+      while (!rig.exchanges.empty ())
+        rig.http_done (rig.exchanges.back (), GSPAN_HTTP_COMPLETE, 200, stream_head (1), "");
+      world.run (3 * GSPAN_SECOND);
+      id++;
+      send_stream (rig, id, "a" + std::to_string (id));
+      exchange = rig.exchanges.back ();
+    }
+  while (host_of (exchange) != "10.0.0.1:80" && id < 50);
+  ASSERT_EQ (host_of (exchange), "10.0.0.1:80");
+  rig.http_head (exchange, 200, stream_head (1));
+  rig.http_data (exchange, 200, stream_head (1), sse (1));
+  entry.replace (entry.find ("\"born\":1"), 8, "\"born\":2");
+  world.put ("servers", "d1", entry.c_str ());
+  world.run (100 * GSPAN_MS);
+  rig.http_done (exchange, GSPAN_HTTP_LOST, 200, {}, "");
+  for (const auto &next : rig.exchanges)
+    EXPECT_EQ (host_of (next), "10.0.0.1:80") << "no other replica has this version";
+}
