gateway, jobs: what follows is asked for where only its connection ended a stream

What callers saw: items `completed` with fewer pieces than their replica made, and resumable streams that ended before their last event, where an answer without length and chunks was cut by FIN between two events. By HTTP such an answer is whole.

Cause: the end of the connection was taken for the end of the text, though any replica can tell what follows an event.

Such an end counts once a second answer ends after the same event; one with a length or chunks counts at once. A text of a route with one version of the weights is kept meanwhile; a replica of another version that still has events makes it begin anew. Where nobody can be asked in a call's time or attempts, its stream ends as by HTTP. Lines run-end-unknown and call-end-unknown name what is asked for.

--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -178,6 +178,36 @@
   return !call->state.response_started || (call->is_events && !call->is_unnumbered);
 }
 
+/* True where the stream may be asked for what follows its last event. */
+static bool
+may_ask_for_rest (const struct GspanCall *call)
+{
+  return call->is_events && !call->is_unnumbered && call->last_event > 0
+         && gspan_hedge_may_retry (&call->state, false);
+}
+
+/*
+ * Asks for what follows where ANSWER, by its connection only, ended a stream that may have been cut
+ * there, and none did so after the same event before. False where the stream is to end.
+ */
+static bool
+ask_for_rest (struct GspanNode *node, struct GspanAttempt *attempt,
+              const struct GspanEventHttp *answer, struct GspanOutbox *outbox)
+{
+  struct GspanCall *call = attempt->call;
+
+  if (!ends_with_connection (answer) || gspan_call_has_ended (call) || !may_ask_for_rest (call))
+    return false;
+  call->closed_after = call->last_event;
+  gspan_call_log (node, call, "call-end-unknown", "only its connection ended it", answer->status,
+                  outbox);
+  gspan_replica_worked (attempt->replica);
+  gspan_call_forget_attempt (node, attempt);
+  if (!gspan_attempts_try_next (node, call, outbox) && call->open->len == 0)
+    gspan_call_give_up (node, call, "the rest can't be asked for", 0, outbox);
+  return true;
+}
+
 /* Ends the answer that has begun where ATTEMPT has brought its end. False if it hasn't. */
 static bool
 end_if_whole (struct GspanNode *node, struct GspanAttempt *attempt,
@@ -197,7 +227,8 @@
       attempt->fault = "an answer without events or the type of a stream";
       return false;
     }
-  end_stream (node, call, answer, outbox);
+  if (!ask_for_rest (node, attempt, answer, outbox))
+    end_stream (node, call, answer, outbox);
   return true;
 }
 
@@ -281,7 +312,10 @@
   action = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_BEGIN, (struct GspanRef){ 0 });
   action->u.reply.request = call->request;
   action->u.reply.status = answer->status;
-  action->u.reply.until_close = ends_with_connection (answer);
+  /* the end of a stream that may be asked for its rest is known better than that */
+  action->u.reply.until_close
+      = ends_with_connection (answer)
+        && !(call->is_events && call->state.attempts < call->state.attempts_max);
   copy_answer_headers (answer->headers, &action->u.reply.headers);
 }
 
--- a/gateway/calls.h
+++ b/gateway/calls.h
@@ -35,10 +35,11 @@
   guint64 retry_at;   /* none is to be had in time before then; 0 is not known */
   bool may_have_run;
   bool stream;
-  bool is_events;     /* its answer, which has begun, is a stream of events */
-  bool has_events;    /* of a stream: some have been passed on */
-  bool is_unnumbered; /* one had no id to go on after */
-  guint64 last_event; /* passed on to the caller, of a stream */
+  bool is_events;       /* its answer, which has begun, is a stream of events */
+  bool has_events;      /* of a stream: some have been passed on */
+  bool is_unnumbered;   /* one had no id to go on after */
+  guint64 last_event;   /* passed on to the caller, of a stream */
+  guint64 closed_after; /* event after which only a connection's end ended an answer; 0 is none */
   struct GspanEvents events;
   char *software; /* version that the stream goes on at; NULL is any */
   char *resumes;  /* attempt that brought the first event of a stream taken up; NULL is none */
@@ -78,6 +79,9 @@
 void gspan_call_log (const struct GspanNode *node, const struct GspanCall *call, const char *event,
                      const char *outcome, int status, struct GspanOutbox *outbox);
 
+/* True where an answer has ended the stream after the last event that was passed on. */
+bool gspan_call_has_ended (const struct GspanCall *call);
+
 /* Logs that the call was answered with ANSWER. */
 void gspan_call_log_answer (const struct GspanNode *node, const struct GspanCall *call,
                             const char *outcome, const struct GspanEventHttp *answer,
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -40,6 +40,7 @@
   enum GspanItemState state;
   struct GspanJobResult *result;  /* generated so far; NULL before the first event */
   guint64 last_event_id;          /* 0 before the first event */
+  guint64 closed_after;           /* event after which only a connection's end ended a run */
   guint64 checkpointed_event_id;  /* last_event_id at the last checkpoint, even if it had no room */
   guint server_errors;            /* responses with status 500, at all owners */
   guint checkpointed_errors;      /* failures at the last checkpoint, of runs and reward calls */
--- a/jobs/run.c
+++ b/jobs/run.c
@@ -131,6 +131,7 @@
     gspan_job_result_free (item->result);
   item->result = NULL;
   item->last_event_id = 0;
+  item->closed_after = 0;
   item->checkpointed_event_id = 0;
 }
 
@@ -151,24 +152,29 @@
 }
 
 void
-gspan_run_requeue (struct GspanNode *node, struct GspanRun *run)
+gspan_run_ask_for_rest (struct GspanNode *node, struct GspanRun *run)
 {
   struct GspanItem *item = run->item;
 
   if (!run->was_rejected)
     item->resumable_since_us = 0;
-
   if (item->state == GSPAN_ITEM_RUNNING)
     {
-      /* the next replica may have another weight version, which could not continue the result */
-      if (gspan_run_requires_single_version (node, run->job))
-        gspan_run_discard_progress (item);
       gspan_job_set_state (run->job, item, GSPAN_ITEM_WAITING);
       g_queue_push_head (&run->job->waiting_items, item);
     }
   g_hash_table_remove (node->runner.runs, &run->id);
 }
 
+void
+gspan_run_requeue (struct GspanNode *node, struct GspanRun *run)
+{
+  /* the next replica may have another weight version, which could not continue the result */
+  if (run->item->state == GSPAN_ITEM_RUNNING && gspan_run_requires_single_version (node, run->job))
+    gspan_run_discard_progress (run->item);
+  gspan_run_ask_for_rest (node, run);
+}
+
 void
 gspan_run_cancel (struct GspanRun *run, struct GspanOutbox *outbox)
 {
--- a/jobs/run.h
+++ b/jobs/run.h
@@ -51,6 +51,12 @@
  */
 void gspan_run_requeue (struct GspanNode *node, struct GspanRun *run);
 
+/*
+ * Frees RUN. Its item goes to the front of the queue, to be asked for what follows its last event,
+ * which may be nothing; the text so far is kept in any case.
+ */
+void gspan_run_ask_for_rest (struct GspanNode *node, struct GspanRun *run);
+
 /* The text of ITEM is whole: has it scored, or committed where it needs no score. */
 void gspan_run_finish_text (struct GspanNode *node, struct GspanJob *job, struct GspanItem *item,
                             struct GspanOutbox *outbox);
--- a/jobs/runner.c
+++ b/jobs/runner.c
@@ -174,6 +174,41 @@
   gspan_run_requeue (node, run);
 }
 
+/*
+ * Whether it is known that the text of RUN's item ends where ANSWER did. One that only the end of
+ * its connection ended may have been cut there: then a second one has to end after the same event.
+ */
+static bool
+is_end_known (struct GspanItem *item, const struct GspanEventHttp *answer)
+{
+  bool has_ended_here = item->closed_after == item->last_event_id;
+
+  if (answer->trace.framing != GSPAN_BODY_FRAMING_CLOSE)
+    return true;
+  item->closed_after = item->last_event_id;
+  return has_ended_here;
+}
+
+static void
+on_text_ended (struct GspanNode *node, struct GspanRun *run, const struct GspanEventHttp *answer,
+               struct GspanOutbox *outbox)
+{
+  struct GspanJob *job = run->job;
+  struct GspanItem *item = run->item;
+
+  gspan_replica_worked (run->replica);
+  if (!is_end_known (item, answer))
+    {
+      gspan_run_log (run, "run-end-unknown", "only its connection ended it", answer->status,
+                     outbox);
+      gspan_run_ask_for_rest (node, run);
+      return;
+    }
+  gspan_metrics_observe (&node->metrics, GSPAN_HISTOGRAM_RUN, node->now - run->started_at_us);
+  g_hash_table_remove (node->runner.runs, &run->id);
+  gspan_run_finish_text (node, job, item, outbox);
+}
+
 static void
 on_done (struct GspanNode *node, struct GspanRun *run, const struct GspanEventHttp *answer,
          struct GspanOutbox *outbox)
@@ -191,12 +226,7 @@
   gspan_run_log_end (run, outcomes[answer->result], answer, wire.signed_by_replica, outbox);
   if (whole && run->is_streaming && (run->says_stream || run->event_count > 0)
       && gspan_events_is_between (&run->events) && item->last_event_id > 0)
-    {
-      gspan_replica_worked (run->replica);
-      gspan_metrics_observe (&node->metrics, GSPAN_HISTOGRAM_RUN, node->now - run->started_at_us);
-      g_hash_table_remove (node->runner.runs, &run->id);
-      gspan_run_finish_text (node, job, item, outbox);
-    }
+    on_text_ended (node, run, answer, outbox);
   else if (whole && answer->status == STATUS_UNPROCESSABLE && wire.signed_by_replica)
     {
       g_hash_table_remove (node->runner.runs, &run->id);
