soak: items' answers without length and chunks are cut by FIN too

A stand-in that stutters ended them by a reset only, which shows the cut. By FIN, between two events, nothing shows it, and the users' record has items that are done with fewer pieces.

A continuation that ends by FIN without an event still means that nothing follows, so that one is cut by a reset.

--- a/test/soak/stutter.py
+++ b/test/soak/stutter.py
@@ -186,9 +186,9 @@
             replica.world.book.text_made(request.path.rpartition("/")[2])
         writer.write(sent)
         if number == cut_at:
-            return await end_early(random, writer, framing == "close" or random.random() < 0.5)
+            return await end_early(random, writer, shows_cut_by_reset(replica, framing, number > first) or random.random() < 0.5)
     if cut_at == EVENTS + 1 and framing != "length":
-        return await end_early(random, writer, framing == "close" or random.random() < 0.5)
+        return await end_early(random, writer, shows_cut_by_reset(replica, framing, True) or random.random() < 0.5)
     if framing == "chunked":
         writer.write(b"0\r\n\r\n")
     if not keep:
@@ -203,6 +203,14 @@
     return KEPT
 
 
+def shows_cut_by_reset(replica, framing, has_events):
+    """
+    Whether only a reset shows that an answer without length and chunks was cut. The nodes ask for what follows an
+    item's last event, so that it may end by FIN there, unless it brought no event: that means that nothing follows.
+    """
+    return framing == "close" and (replica.service == "text" or not has_events)
+
+
 async def wait_for_event(replica, writer):
     await asyncio.sleep(replica.world.options.event_s if replica.service == "text" else EVENT_S)
     if not replica.alive:
