--- a/http/server.c
+++ b/http/server.c
@@ -9,12 +9,12 @@
 
 #include "common/address.h"
 #include "common/clock.h"
+#include "http/mhd_loop.h"
 #include "http/tcp.h"
 
 enum
 {
   STREAM_BLOCK = 16384,
-  RUNS_PER_TURN = 8,
   CONNECTION_MEMORY = 32768 /* bytes; holds a request's head */
 };
 
@@ -70,11 +70,8 @@
   GHashTable *connections; /* set of struct Connection, owns them */
   guint64 next_id;
   guint16 port;
-  bool run_again;
   bool closing; /* answers close their connections */
-  ev_io io;
-  ev_timer timer;
-  ev_prepare prepare;
+  struct GspanMhdLoop mhd_loop;
   ev_timer watch;
 };
 
@@ -159,7 +156,7 @@
   if (!request->suspended)
     return;
   request->suspended = false;
-  request->server->run_again = true;
+  gspan_mhd_loop_run_again (&request->server->mhd_loop);
   MHD_resume_connection (request->connection);
 }
 
@@ -341,18 +338,6 @@
     server->handler.gone (server->handler.user, id);
 }
 
-static void
-run_daemon (struct GspanHttpServer *server)
-{
-  for (int i = 0; i < RUNS_PER_TURN; i++)
-    {
-      server->run_again = false;
-      MHD_run (server->daemon);
-      if (!server->run_again)
-        break;
-    }
-}
-
 static void
 on_connection (void *user, struct MHD_Connection *connection, void **context,
                enum MHD_ConnectionNotificationCode code)
@@ -456,59 +441,6 @@
     find_gone_callers (server);
 }
 
-static void
-on_io (struct ev_loop *loop, ev_io *watcher, int events)
-{
-  (void)loop;
-  (void)events;
-  run_daemon (watcher->data);
-}
-
-static void
-on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
-{
-  (void)loop;
-  (void)events;
-  run_daemon (watcher->data);
-}
-
-static void
-on_prepare (struct ev_loop *loop, ev_prepare *watcher, int events)
-{
-  struct GspanHttpServer *server = watcher->data;
-  MHD_UNSIGNED_LONG_LONG timeout_ms;
-
-  (void)events;
-  if (server->run_again)
-    run_daemon (server);
-  ev_timer_stop (loop, &server->timer);
-  if (server->run_again)
-    timeout_ms = 0;
-  else if (MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES)
-    return;
-  ev_timer_set (&server->timer, (double)timeout_ms / 1000.0, 0);
-  ev_timer_start (loop, &server->timer);
-}
-
-static void
-start_watchers (struct GspanHttpServer *server)
-{
-  const union MHD_DaemonInfo *info;
-
-  info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-  ev_io_init (&server->io, on_io, info->epoll_fd, EV_READ);
-  server->io.data = server;
-  ev_io_start (server->loop, &server->io);
-  ev_timer_init (&server->timer, on_timer, 0, 0);
-  server->timer.data = server;
-  ev_prepare_init (&server->prepare, on_prepare);
-  server->prepare.data = server;
-  ev_prepare_start (server->loop, &server->prepare);
-  ev_timer_init (&server->watch, on_watch, WATCH_S, WATCH_S);
-  server->watch.data = server;
-  ev_timer_start (server->loop, &server->watch);
-}
-
 struct GspanHttpServer *
 gspan_http_server_new (struct ev_loop *loop, const char *address,
                        const struct GspanHttpLimits *limits, const struct GspanHttpHandler *handler,
@@ -544,7 +476,10 @@
       return NULL;
     }
   server->port = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
-  start_watchers (server);
+  gspan_mhd_loop_init (&server->mhd_loop, loop, server->daemon);
+  ev_timer_init (&server->watch, on_watch, WATCH_S, WATCH_S);
+  server->watch.data = server;
+  ev_timer_start (loop, &server->watch);
   return server;
 }
 
@@ -554,9 +489,7 @@
   GHashTableIter iter;
   gpointer value;
 
-  ev_io_stop (server->loop, &server->io);
-  ev_timer_stop (server->loop, &server->timer);
-  ev_prepare_stop (server->loop, &server->prepare);
+  gspan_mhd_loop_finish (&server->mhd_loop);
   ev_timer_stop (server->loop, &server->watch);
   g_hash_table_iter_init (&iter, server->requests);
   while (g_hash_table_iter_next (&iter, NULL, &value))
