--- a/board/message.c
+++ b/board/message.c
@@ -160,4 +160,5 @@
   gspan_line_u64 (line, "declared_bytes", trace->declared_bytes);
   gspan_line_u64 (line, "body_bytes", trace->body_bytes);
   gspan_line_cstr (line, "echo", echoes[trace->echo]);
+  gspan_line_u64 (line, "foreign", trace->foreign);
 }
