catalog, gateway: lines tell a missed change of a replica from one that was undone

Now a state has what it was before, what the entry itself says, whether a list, a watch or another node brought it, and the revision up to which changes are held for known; attempts have that revision as well. A list that shows a change of before that revision is logged (change-missed) and counted; so is an entry that says ready after it said draining. For this a node keeps the revision of each object that it has read (catalog/known_objects), and the node that tells others tells the entry's own revision too; older builds leave that out and pass it over.

No decision changes.

--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -49,10 +49,27 @@
   return gspan_replica_is_leaving (replica) ? "draining" : "ready";
 }
 
+static const char *
+source_name (enum GspanReplicaSource source)
+{
+  switch (source)
+    {
+    case GSPAN_SOURCE_LIST:
+      return "list";
+    case GSPAN_SOURCE_WATCH:
+      return "watch";
+    case GSPAN_SOURCE_FEED:
+      return "feed";
+    }
+  return "";
+}
+
+/* BEFORE: the state until now; empty where the replica wasn't known. */
 static void
 log_replica (const struct GspanNode *node, const struct GspanReplica *replica, const char *event,
-             guint64 revision, struct GspanOutbox *outbox)
+             const char *before, guint64 revision, struct GspanOutbox *outbox)
 {
+  const struct GspanFollower *follower = &node->catalog.followers[GSPAN_FOLLOW_REPLICAS];
   struct GspanLine line;
 
   gspan_line_init (&line, event);
@@ -61,11 +78,14 @@
   gspan_line_cstr (&line, "address", replica->address);
   gspan_line_cstr (&line, "software", replica->software);
   gspan_line_cstr (&line, "state", state_of (replica));
-  gspan_line_cstr (&line, "source", node->catalog.replicas_by_feed ? "feed" : "store");
+  gspan_line_cstr (&line, "before", before);
+  gspan_line_cstr (&line, "entry", replica->draining ? "draining" : "ready");
+  gspan_line_cstr (&line, "source", source_name (node->catalog.replicas_source));
   gspan_line_u64 (&line, "age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
   gspan_line_u64 (&line, "born", replica->born);
   gspan_line_u64 (&line, "open_there", replica->open);
   gspan_line_u64 (&line, "revision", revision);
+  gspan_line_u64 (&line, "known_revision", follower->revision);
   gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_INFO, &line);
 }
 
@@ -93,8 +113,8 @@
   guint64 until = MAX (catalog->lapse_until, catalog->many_removed ? node->now + MANY_GRACE_US : 0);
   bool may_come_back = until > node->now;
 
-  log_replica (node, replica, may_come_back ? "upstream-lapsed" : "upstream-gone", revision,
-               outbox);
+  log_replica (node, replica, may_come_back ? "upstream-lapsed" : "upstream-gone",
+               state_of (replica), revision, outbox);
   if (may_come_back)
     replica->remove_at = until;
   else
@@ -124,10 +144,12 @@
 set_unusable (const struct GspanNode *node, struct GspanReplica *replica, guint64 revision,
               struct GspanOutbox *outbox)
 {
+  const char *before = state_of (replica);
+
   if (replica->entry_unusable)
     return;
   replica->entry_unusable = true;
-  log_replica (node, replica, "upstream-state", revision, outbox);
+  log_replica (node, replica, "upstream-state", before, revision, outbox);
 }
 
 void
@@ -152,6 +174,7 @@
   else
     {
       struct GspanReplica *replica;
+      const char *before;
       bool changed;
 
       if (known != NULL) /* it may start anew as another version */
@@ -159,6 +182,9 @@
       replica = replica_of (node, object->name, seen, outbox);
       changed = replica->address == NULL || replica->draining != seen->draining
                 || replica->entry_unusable;
+      before = replica->address != NULL ? state_of (replica) : "";
+      if (replica->draining && !seen->draining)
+        gspan_metrics_add (&node->metrics, GSPAN_METRIC_DRAINS_WITHDRAWN, 1);
 
       gspan_wire_read_replica (object->spec, replica, &error);
       replica->leaving = replica->leaving || gspan_leaving_has (&node->catalog.leaving, replica);
@@ -166,7 +192,7 @@
       replica->entry_unusable = false;
       gspan_versions_note (node, replica->service, replica->software);
       if (changed)
-        log_replica (node, replica, "upstream-state", object->revision, outbox);
+        log_replica (node, replica, "upstream-state", before, object->revision, outbox);
     }
   gspan_replica_unref (seen);
 }
@@ -198,7 +224,7 @@
 
       if (replica->remove_at == 0 || replica->remove_at > node->now)
         continue;
-      log_replica (node, replica, "upstream-gone", 0, outbox);
+      log_replica (node, replica, "upstream-gone", state_of (replica), 0, outbox);
       note_end (node, replica, outbox);
       gspan_versions_note (node, replica->service, replica->software);
       g_hash_table_iter_remove (&iter);
--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -61,7 +61,7 @@
   *follower = (struct GspanFollower){ 0 };
   follower->kind = kind;
   follower->wanted = wanted;
-  follower->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  gspan_known_objects_init (&follower->known);
   follower->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
@@ -90,7 +90,7 @@
   for (guint i = 0; i < GSPAN_FOLLOW_COUNT; i++)
     {
       g_free (catalog->followers[i].after);
-      g_hash_table_unref (catalog->followers[i].names);
+      gspan_known_objects_finish (&catalog->followers[i].known);
       g_hash_table_unref (catalog->followers[i].listed);
     }
   gspan_config_finish (&catalog->config);
@@ -128,9 +128,9 @@
 
   follower->newest = MAX (follower->newest, object->revision);
   if (object->removed)
-    g_hash_table_remove (follower->names, object->name);
+    gspan_known_objects_remove (&follower->known, object->name);
   else
-    g_hash_table_add (follower->names, g_strdup (object->name));
+    gspan_known_objects_set (&follower->known, object->name, object->revision);
   switch (which)
     {
     case GSPAN_FOLLOW_CONFIG:
@@ -168,7 +168,7 @@
                struct GspanOutbox *outbox)
 {
   struct GspanFollower *follower = &node->catalog.followers[which];
-  GList *names = g_hash_table_get_keys (follower->names);
+  GList *names = gspan_known_objects_names (&follower->known);
 
   for (GList *item = names; item != NULL; item = item->next)
     {
@@ -200,6 +200,32 @@
          && !reply->has_more && node->catalog.feed.publishing && gspan_feed_publishes (node);
 }
 
+/*
+ * Logs that OBJECT, which a list shows, is a change that was taken for known: it isn't newer than
+ * the revision up to which all changes were, and hasn't been read.
+ */
+static void
+note_missed_change (struct GspanNode *node, enum GspanFollowed which,
+                    const struct GspanStoreObject *object, struct GspanOutbox *outbox)
+{
+  const struct GspanFollower *follower = &node->catalog.followers[which];
+  guint64 known = gspan_known_objects_revision (&follower->known, object->name);
+  struct GspanLine line;
+
+  if (!follower->synced || which == GSPAN_FOLLOW_JOBS || object->revision <= known
+      || object->revision > follower->known_revision)
+    return;
+  gspan_metrics_add (&node->metrics, GSPAN_METRIC_CHANGES_MISSED, 1);
+  gspan_line_init (&line, "change-missed");
+  gspan_line_cstr (&line, "kind", follower->kind);
+  gspan_line_cstr (&line, "name", object->name);
+  gspan_line_u64 (&line, "revision", object->revision);
+  gspan_line_u64 (&line, "read_revision", known);
+  gspan_line_u64 (&line, "known_revision", follower->known_revision);
+  gspan_line_u64 (&line, "list_age_us", node->now - follower->listed_at);
+  gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_WARNING, &line);
+}
+
 static void
 take_list (struct GspanNode *node, enum GspanFollowed which, const struct GspanStoreReply *reply,
            struct GspanOutbox *outbox)
@@ -212,6 +238,8 @@
   if (follower->after == NULL)
     {
       g_hash_table_remove_all (follower->listed);
+      follower->list_began_at = follower->called_at;
+      follower->known_revision = known_revision;
       follower->revision = reply->revision;
       if (which == GSPAN_FOLLOW_REPLICAS && !tells_differences)
         gspan_feed_reset (&node->catalog.feed, reply->revision);
@@ -222,6 +250,7 @@
       g_hash_table_add (follower->listed, g_strdup (last->name));
       if (tells_differences && last->revision > known_revision)
         gspan_feed_note_change (node, last, last->revision);
+      note_missed_change (node, which, last, outbox);
       apply (node, which, last, outbox);
     }
   g_clear_pointer (&follower->after, g_free);
@@ -234,6 +263,7 @@
   if (!follower->synced)
     follower->synced_at = node->now;
   follower->synced = true;
+  follower->listed_at = follower->list_began_at;
   follower->watching = which != GSPAN_FOLLOW_JOBS;
   if (which == GSPAN_FOLLOW_NODES)
     follower->next_at = node->now + NODES_PAUSE_US;
@@ -295,7 +325,7 @@
   /* Its answer may be older than what is taken in here. */
   follower->call = 0;
   follower->watching = true;
-  node->catalog.replicas_by_feed = true;
+  node->catalog.replicas_source = GSPAN_SOURCE_FEED;
   node->catalog.replicas_as_of = node->now - MIN (node->now, age_us);
   take_events (node, GSPAN_FOLLOW_REPLICAS, reply, outbox);
 }
@@ -422,7 +452,8 @@
       follower->answered_wall_ms = node->wall_ms;
       if (which == GSPAN_FOLLOW_REPLICAS)
         {
-          node->catalog.replicas_by_feed = false;
+          node->catalog.replicas_source
+              = follower->watching ? GSPAN_SOURCE_WATCH : GSPAN_SOURCE_LIST;
           node->catalog.replicas_as_of = node->now;
         }
       if (follower->watching)
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -3,6 +3,7 @@
 #include "board/message.h"
 #include "catalog/config.h"
 #include "catalog/feed.h"
+#include "catalog/known_objects.h"
 #include "catalog/leaving.h"
 #include "catalog/odd_objects.h"
 #include "catalog/replica.h"
@@ -27,6 +28,14 @@
   GSPAN_FOLLOW_COUNT
 };
 
+/* What brought the last update of the replicas. */
+enum GspanReplicaSource
+{
+  GSPAN_SOURCE_LIST,
+  GSPAN_SOURCE_WATCH,
+  GSPAN_SOURCE_FEED /* another node (catalog/feed.h) */
+};
+
 struct GspanFollower
 {
   const char *kind;
@@ -44,8 +53,11 @@
   guint64 next_at;         /* the next call isn't made before */
   guint64 revision;        /* WATCHING: from where */
   char *after;             /* list: last name of the page before */
+  guint64 listed_at;       /* the last whole list was asked for; 0 is never */
+  guint64 list_began_at;   /* likewise, the list under way */
+  guint64 known_revision;  /* REVISION before the list under way */
   GHashTable *listed;      /* names met by the list under way */
-  GHashTable *names;       /* names known */
+  struct GspanKnownObjects known;
 };
 
 struct GspanCatalog
@@ -54,7 +66,7 @@
   struct GspanConfig config;
   GHashTable *replicas;   /* id to struct GspanReplica */
   guint64 replicas_as_of; /* time at which the store held what is known of them; 0 is never */
-  bool replicas_by_feed;  /* the last update came from another node, else from the store */
+  enum GspanReplicaSource replicas_source;
   struct GspanLeaving leaving;
   struct GspanFeed feed;
   struct GspanOddObjects odd_objects;
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -14,7 +14,7 @@
 {
   CHANGES_MAX = 24,
   CHANGES_LEN_MAX = 12000, /* a receiver takes 16 KB, with the lease and the revisions */
-  CHANGE_LEN = 64,         /* of a change without its name and its entry */
+  CHANGE_LEN = 96,         /* of a change without its name and its entry */
   SPEC_LEN_MAX = 1000,     /* of an entry that is told as it is */
   WATCH_PERCENT = 40,      /* of the time in which a leaving replica has to be left alone */
   RECENT_PERCENT = 75,     /* of the same: what was read before isn't relied on */
@@ -24,7 +24,8 @@
 struct GspanFeedChange
 {
   guint64 at;
-  guint64 revision;
+  guint64 revision;        /* of the answer that showed it */
+  guint64 object_revision; /* of the entry itself */
   char *name;
   json_t *spec; /* NULL where it was removed */
   size_t len;   /* bytes that it takes in a message */
@@ -121,6 +122,7 @@
   change = g_new0 (struct GspanFeedChange, 1);
   change->at = node->now;
   change->revision = revision;
+  change->object_revision = object->revision;
   change->name = g_strdup (object->name);
   change->spec = object->removed ? NULL : spec_to_tell (object);
   change->len = CHANGE_LEN + 2 * strlen (change->name) + length_of (change->spec);
@@ -189,8 +191,9 @@
       const struct GspanFeedChange *change = g_ptr_array_index (feed->changes, i);
 
       json_array_append_new (changes,
-                             json_pack ("{s:s, s:I, s:O?}", "name", change->name, "revision",
-                                        (json_int_t)change->revision, "spec", change->spec));
+                             json_pack ("{s:s, s:I, s:I, s:O?}", "name", change->name, "revision",
+                                        (json_int_t)change->revision, "object",
+                                        (json_int_t)change->object_revision, "spec", change->spec));
     }
   return changes;
 }
@@ -266,7 +269,10 @@
       continue;
     object = gspan_store_reply_add (&reply);
     object->name = g_strdup (name);
-    object->revision = number_of (change, "revision");
+    /* builds before this one tell that of the answer only */
+    object->revision = number_of (change, "object");
+    if (object->revision == 0)
+      object->revision = number_of (change, "revision");
     object->removed = !json_is_object (spec);
     object->spec = object->removed ? NULL : json_incref (spec);
   }
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -70,6 +70,10 @@
   = { "gspan_answers_cut_total", "answers of upstreams of which less came than was announced" },
   [GSPAN_METRIC_ANSWERS_FOREIGN]
   = { "gspan_answers_foreign_total", "answers of upstreams without the id of their request" },
+  [GSPAN_METRIC_CHANGES_MISSED]
+  = { "gspan_store_changes_missed_total", "changes of the store that only a later list showed" },
+  [GSPAN_METRIC_DRAINS_WITHDRAWN]
+  = { "gspan_drains_withdrawn_total", "entries of draining upstreams written as ready again" },
   [GSPAN_METRIC_LOG_LINES_DROPPED]
   = { "gspan_log_lines_dropped_total", "log lines left out since their reader was too slow" }
 };
--- a/gateway/attempts.c
+++ b/gateway/attempts.c
@@ -96,6 +96,7 @@
   gspan_line_u64 (&line, "last_event", call->last_event);
   gspan_line_u64 (&line, "open_there", replica->open);
   gspan_line_u64 (&line, "list_age_us", gspan_catalog_replicas_age (&node->catalog, node->now));
+  gspan_line_u64 (&line, "known_revision", node->catalog.followers[GSPAN_FOLLOW_REPLICAS].revision);
   gspan_line_u64 (&line, "left_us", http->timeout_us);
   gspan_line_cstr (&line, "relay", relay_of (node, ref));
   gspan_outbox_log (outbox, "gateway", GSPAN_PRIORITY_INFO, &line);
