catalog: an entry that drains is the last word of its incarnation

Cause: catalog/leaving.c remembered by incarnation what answers say; what entries say was overwritten by the next entry. A write of before that the store does late, or an entry that is back with the same birth, undid it, at all nodes.

Why it works: the word of the entry goes to the same place as that of an answer, and all choices ask there. An entry without a birth is followed as it was.

--- a/catalog/leaving.c
+++ b/catalog/leaving.c
@@ -59,6 +59,26 @@
   return incarnation != NULL ? incarnation->born : 0;
 }
 
+static void
+note (struct GspanNode *node, const char *id, guint64 born)
+{
+  GHashTable *incarnations = node->catalog.leaving.incarnations;
+  struct Incarnation *incarnation = g_new0 (struct Incarnation, 1);
+
+  incarnation->born = born;
+  incarnation->noted_at = node->now;
+  g_hash_table_foreach_remove (incarnations, is_old, &node->now);
+  g_hash_table_replace (incarnations, g_strdup (id), incarnation);
+}
+
+void
+gspan_leaving_note_entry (struct GspanNode *node, const struct GspanReplica *replica)
+{
+  /* of an entry that doesn't name its incarnation, only the last word is known */
+  if (replica->born != 0 && !gspan_leaving_has (&node->catalog.leaving, replica))
+    note (node, replica->id, replica->born);
+}
+
 void
 gspan_leaving_note_answer (struct GspanNode *node, struct GspanReplica *replica,
                            const struct GspanWireResponse *answer, struct GspanOutbox *outbox)
@@ -66,17 +86,12 @@
   GHashTable *incarnations = node->catalog.leaving.incarnations;
   guint64 born = MAX (replica->born, birth_of (incarnations, replica->id));
   struct GspanReplica *listed;
-  struct Incarnation *incarnation;
 
   /* a misdirected request is answered by another replica */
   if (!answer->leaving || answer->misdirected || replica->leaving)
     return;
   replica->leaving = true;
-  g_hash_table_foreach_remove (incarnations, is_old, &node->now);
-  incarnation = g_new0 (struct Incarnation, 1);
-  incarnation->born = born;
-  incarnation->noted_at = node->now;
-  g_hash_table_replace (incarnations, g_strdup (replica->id), incarnation);
+  note (node, replica->id, born);
   /* the entry may have expired and been registered again since the request was sent */
   listed = g_hash_table_lookup (node->catalog.replicas, replica->id);
   if (listed != NULL && gspan_leaving_has (&node->catalog.leaving, listed))
--- a/catalog/leaving.h
+++ b/catalog/leaving.h
@@ -7,9 +7,10 @@
 struct GspanWireResponse;
 
 /*
- * Replicas that have announced in a response that they are about to leave. The announcement holds
- * for that incarnation of the replica, regardless of what the store says later, of outages of the
- * store, and of an entry that expires and is registered again.
+ * Replicas that have announced that they are about to leave, by a response or by their entry in the
+ * store. The announcement is the last word of that incarnation of the replica: it holds whatever
+ * its entry says later (a write of before may be done late), through outages of the store, and for
+ * an entry that expires and is registered again.
  */
 
 struct GspanLeaving
@@ -24,5 +25,8 @@
 void gspan_leaving_note_answer (struct GspanNode *node, struct GspanReplica *replica,
                                 const struct GspanWireResponse *answer, struct GspanOutbox *outbox);
 
+/* Notes that the entry of REPLICA announces it. */
+void gspan_leaving_note_entry (struct GspanNode *node, const struct GspanReplica *replica);
+
 /* True if this incarnation of REPLICA, or a later one with the same id, has announced it. */
 bool gspan_leaving_has (const struct GspanLeaving *leaving, const struct GspanReplica *replica);
--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -40,7 +40,7 @@
   /* What this process knows by itself. */
   enum GspanReach reach;
   guint silent_exchanges; /* over the own link, cancelled in a row without a byte in answer */
-  bool leaving;           /* as it announced in a response (catalog/leaving.h) */
+  bool leaving;           /* this incarnation has announced it (catalog/leaving.h) */
   guint open;             /* requests of ours that it has now */
   guint suspects;         /* of these, those that may crash it (desk/poison_requests.h) */
   guint failures;         /* in a row */
