catalog, jobs: a node that is cut off from the store is no witness of an outage

Cause: the node that tells the others what it reads also tells when a call of its own failed, and a failure is taken for an outage for all, in which an owner keeps its jobs. Where that node is the job's owner, it vouched for itself.

Evidence: OwnerThatTells.IsReplacedWithinTwoSecondsOfACutFromTheStore, ten moments of the cut, failed at five before and at none now.

Why it works: what was told is kept apart from what a node saw itself, with the teller's name, and isn't counted for the teller's own jobs. A node takes a job over only after the store has answered it, as before.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -98,6 +98,7 @@
   gspan_feed_finish (&catalog->feed);
   gspan_odd_objects_finish (&catalog->odd_objects);
   g_hash_table_unref (catalog->replicas);
+  g_free (catalog->told_failed_by);
 }
 
 void
@@ -383,6 +384,24 @@
     node->catalog.store_failed = true;
 }
 
+void
+gspan_catalog_note_told_failure (struct GspanCatalog *catalog, const char *teller, guint64 at)
+{
+  if (at <= catalog->told_failed_at)
+    return;
+  catalog->told_failed_at = at;
+  g_free (catalog->told_failed_by);
+  catalog->told_failed_by = g_strdup (teller);
+}
+
+guint64
+gspan_catalog_last_failure (const struct GspanCatalog *catalog, const char *except)
+{
+  if (g_strcmp0 (catalog->told_failed_by, except) == 0)
+    return catalog->store_failed_at;
+  return MAX (catalog->store_failed_at, catalog->told_failed_at);
+}
+
 /* True if an outage ends now that may have been long enough for entries to expire. */
 static bool
 ends_outage (const struct GspanNode *node)
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -73,6 +73,8 @@
   bool store_fails;        /* a follower's call failed, and no call has been answered since */
   guint64 store_ok_at;     /* the store last answered any call of this node; 0 is never */
   guint64 store_failed_at; /* last failure of any call, cut watches too; 0 is none */
+  guint64 told_failed_at;  /* likewise, as another node has told of its own calls */
+  char *told_failed_by;    /* that node; NULL is none */
   bool store_failed;       /* a call of any kind failed, and none has been answered since */
   guint64 lapse_until;     /* until then a missing entry may be registered again, after an outage */
   bool many_removed;       /* the answer being taken in removes half of the replicas or more */
@@ -100,6 +102,15 @@
 void gspan_catalog_receive_replicas (struct GspanNode *node, const struct GspanStoreReply *reply,
                                      guint64 age_us, struct GspanOutbox *outbox);
 
+/* The node TELLER has told that a call of its own failed at AT. */
+void gspan_catalog_note_told_failure (struct GspanCatalog *catalog, const char *teller, guint64 at);
+
+/*
+ * Time of the last failure of a call to the store that this node knows of, but for those that only
+ * EXCEPT has told: a node that is cut off from the store is no witness of an outage. 0 is none.
+ */
+guint64 gspan_catalog_last_failure (const struct GspanCatalog *catalog, const char *except);
+
 /* Another node has told that the newest object of WHICH has the revision NEWEST. */
 void gspan_catalog_note_newest (struct GspanNode *node, enum GspanFollowed which, guint64 newest);
 
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -281,15 +281,6 @@
   return true;
 }
 
-/* The store failed the node that tells AGE_US ago. */
-static void
-note_failure (struct GspanNode *node, guint64 age_us)
-{
-  guint64 at = node->now - MIN (node->now, age_us);
-
-  node->catalog.store_failed_at = MAX (node->catalog.store_failed_at, at);
-}
-
 void
 gspan_feed_receive (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
 {
@@ -305,7 +296,9 @@
   gspan_catalog_note_newest (node, GSPAN_FOLLOW_NODES, number_of (message, "nodes"));
   gspan_catalog_note_newest (node, GSPAN_FOLLOW_VERDICTS, number_of (message, "verdicts"));
   if (json_object_get (message, "failed_us") != NULL)
-    note_failure (node, number_of (message, "failed_us"));
+    gspan_catalog_note_told_failure (
+        catalog, json_string_value (json_object_get (json_object_get (message, "lease"), "holder")),
+        node->now - MIN (node->now, number_of (message, "failed_us")));
   catalog->lapse_until
       = MAX (catalog->lapse_until, node->now + MIN (recent, number_of (message, "lapse_us")));
   catalog->feed.heard_until = node->now + recent - age;
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -283,9 +283,10 @@
 static bool
 is_owner_cut_off (const struct GspanNode *node, const struct GspanJob *job)
 {
+  guint64 failed_at = gspan_catalog_last_failure (&node->catalog, job->owner);
+
   return job->owner_stuck
-         && (node->catalog.store_failed_at == 0
-             || node->catalog.store_failed_at + OUTAGE_WINDOW_US < job->owner_heartbeat_at_us);
+         && (failed_at == 0 || failed_at + OUTAGE_WINDOW_US < job->owner_heartbeat_at_us);
 }
 
 /* For a job that another node owns, or none: requests heartbeats and takes over after a timeout. */
@@ -293,7 +294,8 @@
 monitor_owner (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
   guint rank = takeover_rank (node, job);
-  guint64 silent_since_us = MAX (job->owner_heartbeat_at_us, node->catalog.store_failed_at);
+  guint64 failed_at = gspan_catalog_last_failure (&node->catalog, job->owner);
+  guint64 silent_since_us = MAX (job->owner_heartbeat_at_us, failed_at);
   bool no_working_owner = job->owner[0] == '\0' || is_owner_cut_off (node, job);
   bool is_candidate = rank < CANDIDATES_MAX;
   guint64 timeout_us = (no_working_owner ? UNOWNED_TIMEOUT_US : OWNER_TIMEOUT_US)
--- a/test/jobs_test.cc
+++ b/test/jobs_test.cc
@@ -812,6 +812,29 @@
   EXPECT_TRUE (open_runs (rig).empty ());
 }
 
+/* The owner tells the others what it reads of the store; the cut comes at any point of its reads.
+ */
+class OwnerThatTells : public Jobs, public testing::WithParamInterface<unsigned>
+{
+};
+
+TEST_P (OwnerThatTells, IsReplacedWithinTwoSecondsOfACutFromTheStore)
+{
+  Rig &rig = start_nodes (3);
+
+  ASSERT_TRUE (rig.node.weights.lease.held);
+  submit_job (rig, 1, "j1", 4);
+  world.run (GetParam () * GSPAN_MS);
+  rig.cut_from_store = true;
+  finish_run (rig, open_runs (rig)[0], 2);
+  world.run (1900 * GSPAN_MS);
+  EXPECT_EQ (open_runs (*world.rigs[1]).size () + open_runs (*world.rigs[2]).size (), 4U);
+  EXPECT_TRUE (open_runs (rig).empty ());
+}
+
+INSTANTIATE_TEST_SUITE_P (Phases, OwnerThatTells,
+                          testing::Values (300, 400, 500, 600, 700, 800, 900, 1000, 1100, 1200));
+
 /* Streams the events FIRST to LAST of RUN, without ending it. */
 static void
 stream_events (Rig &rig, const Exchange &run, unsigned first, unsigned last)
