gateway, links, shell: a node that stops takes on only what it can answer

Cause: the process ended one second before the end of the grace, whatever was open; only the shell knew that moment, and a request was passed on with its whole time.

Why it works: the board knows by when a draining node has to have answered. A request whose deadline lies beyond is refused with 503 before anything is sent; what was begun before the stop and is open by then gets 502, or 503 where it surely didn't run, and 0.2 s later the process ends, at the same moment as before. Runs of items were stopped and submissions refused while a node drains already.

--- a/cmd/gspan-node.c
+++ b/cmd/gspan-node.c
@@ -61,6 +61,7 @@
   config.limits.job_retention_us = (guint64)(settings->job_kept_s * (double)GSPAN_SECOND);
   config.limits.drain_notice_us = (guint64)(settings->drain_notice_ms * (double)GSPAN_MS);
   config.limits.heartbeat_us = (guint64)(settings->heartbeat_ms * (double)GSPAN_MS);
+  config.limits.grace_us = (guint64)(settings->grace_s * (double)GSPAN_SECOND);
   config.limits.object_max_bytes = (guint64)settings->value_max;
   config.seed = settings->seed != 0 ? (guint32)settings->seed : g_random_int ();
   gspan_node_init (&node, &config);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -15,6 +15,8 @@
 #define VERSION_GONE_WAIT_US (GSPAN_SECOND)     /* until a stream's version may be back */
 #define STARTING_WAIT_US (500 * GSPAN_MS)       /* until a starting node knows its configuration */
 
+static const char stopping[] = "this node is shutting down";
+
 void
 gspan_gateway_init (struct GspanGateway *gateway)
 {
@@ -67,6 +69,15 @@
   gspan_call_forget (node, call, outbox);
 }
 
+/* Another node takes the caller's next try at once. */
+static void
+refuse_while_stopping (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
+{
+  gspan_call_log (node, call, "call-not-run", stopping, 503, outbox);
+  gspan_gateway_refuse (node, call->request, stopping, 0, outbox);
+  gspan_call_forget (node, call, outbox);
+}
+
 /* Why CALL, which no replica takes now, is refused. */
 static const char *
 why_refused (const struct GspanNode *node, const struct GspanCall *call)
@@ -257,7 +268,9 @@
   g_hash_table_insert (node->gateway.by_request, &call->request, call);
   if (wire->last_event_id > 0 && route->repeat == GSPAN_REPEAT_RESUMED)
     call->resumes = gspan_str_dup (wire->resumes);
-  if (gspan_call_refused_until (node, call) != 0)
+  if (call->state.deadline_us > gspan_node_answers_until (node))
+    refuse_while_stopping (node, call, outbox);
+  else if (gspan_call_refused_until (node, call) != 0)
     refuse_poison (node, call, outbox);
   else if (call->resumes != NULL)
     resume_stream (node, call, outbox);
@@ -309,6 +322,11 @@
       call->may_have_run = call->may_have_run || call->open->len > 0;
       gspan_call_give_up (node, call, "time is up", 504, outbox);
     }
+  else if (node->now >= gspan_node_answers_until (node))
+    {
+      gspan_call_note_silence (node, call, outbox);
+      gspan_call_give_up (node, call, stopping, 502, outbox);
+    }
   else if (call->resumes != NULL)
     resume_stream (node, call, outbox);
   else if (call->open->len == 0)
--- a/links/relay_server.c
+++ b/links/relay_server.c
@@ -87,6 +87,8 @@
 {
   if (node->draining && !relay->of_caller)
     return "this node is draining";
+  if (relay->new_connection && node->now + relay->timeout_us > gspan_node_answers_until (node))
+    return "this node is draining";
   return why_unavailable (node);
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -6,6 +6,9 @@
 
 #define LIST_SLACK_US (GSPAN_SECOND) /* until a lapse is known here, beside the drain notice */
 
+#define END_RESERVE_US                                                                             \
+  (1200 * GSPAN_MS) /* answers leave, and the process ends, before it is killed */
+
 enum
 {
   LAPSE_HEARTBEATS = 3 /* without one for so long, an upstream's entry lapses */
@@ -328,6 +331,16 @@
   gspan_exchanges_route (node, outbox);
 }
 
+guint64
+gspan_node_answers_until (const struct GspanNode *node)
+{
+  guint64 grace_us = node->limits.grace_us;
+
+  if (!node->draining)
+    return G_MAXUINT64;
+  return node->draining_since + grace_us - MIN (grace_us, END_RESERVE_US);
+}
+
 bool
 gspan_node_ready (const struct GspanNode *node)
 {
--- a/node/node.h
+++ b/node/node.h
@@ -44,6 +44,7 @@
   guint64 drain_notice_us;  /* a leaving upstream gets nothing new after so long */
   guint64 object_max_bytes; /* bytes of an object in the store */
   guint64 heartbeat_us;     /* an upstream renews its entry so often; it lapses after three */
+  guint64 grace_us;         /* after SIGTERM the process is killed so long later */
 };
 
 /*
@@ -100,6 +101,12 @@
 void gspan_node_handle (struct GspanNode *node, const struct GspanEvent *event, guint64 now,
                         gint64 wall_ms, struct GspanOutbox *outbox);
 
+/*
+ * Time by which this node has to have answered what it takes on: before its process ends, where it
+ * drains. A request that may take longer is refused at once, so that it is tried at another node.
+ */
+guint64 gspan_node_answers_until (const struct GspanNode *node);
+
 /* True where it knows the configuration and the replicas, and takes new requests. */
 bool gspan_node_ready (const struct GspanNode *node);
 
--- a/node/shell.c
+++ b/node/shell.c
@@ -26,8 +26,8 @@
 
 #define TICK_BUSY_S 0.02
 #define TICK_IDLE_S 0.1
-#define DRAIN_LEAST_US (2500 * GSPAN_MS) /* the balancer takes two questions to notice */
-#define DRAIN_RESERVE_US (GSPAN_SECOND)  /* the process ends so long before it would be killed */
+#define DRAIN_LEAST_US (2500 * GSPAN_MS)  /* the balancer takes two questions to notice */
+#define ANSWERS_LEAVE_US (200 * GSPAN_MS) /* what was answered last has gone out by then */
 
 struct GspanNodeShell
 {
@@ -348,13 +348,14 @@
 static void
 check_drain (struct GspanNodeShell *shell)
 {
-  guint64 limit = (guint64)(shell->settings->grace_s * (double)GSPAN_SECOND);
-  guint64 passed = gspan_clock_now () - shell->drain_started;
+  guint64 now = gspan_clock_now ();
+  guint64 passed = now - shell->drain_started;
   guint64 least = shell->callers != NULL ? DRAIN_LEAST_US : 0;
 
   if (shell->drain_started == 0)
     return;
-  if ((passed >= least && is_idle (shell)) || passed + DRAIN_RESERVE_US >= limit)
+  if ((passed >= least && is_idle (shell))
+      || now >= gspan_node_answers_until (shell->node) + ANSWERS_LEAVE_US)
     ev_break (shell->loop, EVBREAK_ALL);
 }
 
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -404,6 +404,27 @@
   EXPECT_EQ (response_to (rig, 1)->status, 503) << "it has to come to its end";
 }
 
+/* Only the sender would learn, and too late, that its request was cut with the other's process. */
+TEST_F (Links, NodeThatDrainsPassesNothingOnThatMayNotRunTwiceAndMayOutlastIt)
+{
+  std::string spec = config_spec (5, "non_idempotent");
+  const std::string timeout = "\"timeoutMs\":800";
+
+  start (2, "non_idempotent");
+  spec.replace (spec.find (timeout), timeout.size (), "\"timeoutMs\":20000");
+  world.put ("config", "main", spec.c_str ());
+  play (2 * GSPAN_SECOND);
+  Rig &rig = *world.rigs[0];
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  world.rigs[1]->drain ();
+  rig.request (1, "POST", "/desk/x",
+               { "Host: a.example", "X-Attempt-Id: long", "X-Deadline-Ms: 20000" }, "hello");
+  play (400 * GSPAN_MS);
+  ASSERT_NE (response_to (rig, 1), nullptr);
+  EXPECT_EQ (response_to (rig, 1)->status, 503);
+}
+
 /* Where another node offers too, a node that drains gets none. */
 TEST_F (Links, NodeThatDrainsIsTheLastToBeChosen)
 {
