gateway, catalog: that one version serves is believed of a list made since

Cause: where no node that it reached knew the stream, a node went by the versions in its list of the replicas, however old that was, and by what it had seen for two minutes, which it may have slept through in part.

Why it works: a replica stands in the store before it serves, so a list that was asked for after the caller came back shows it. Streams whose origin some node knows wait for nothing.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -164,10 +164,34 @@
   gspan_listing_abandon (&follower->listing);
   node->catalog.replicas_source = GSPAN_SOURCE_FEED;
   node->catalog.replicas_as_of = node->now - MIN (node->now, age_us);
+  node->catalog.replicas_proven_at
+      = MAX (node->catalog.replicas_proven_at, node->catalog.replicas_as_of);
   gspan_reading_take_events (node, GSPAN_FOLLOW_REPLICAS, reply, outbox);
   follower->next_at = node->catalog.replicas_as_of + replicas_pause (node);
 }
 
+static void
+list_again (struct GspanFollower *follower)
+{
+  follower->call = 0;
+  follower->watching = false;
+  gspan_listing_abandon (&follower->listing);
+}
+
+void
+gspan_catalog_want_replicas (struct GspanNode *node, guint64 since)
+{
+  struct GspanCatalog *catalog = &node->catalog;
+  struct GspanFollower *follower = &catalog->followers[GSPAN_FOLLOW_REPLICAS];
+  bool lists = follower->call != 0 && !follower->watching;
+
+  if (catalog->replicas_proven_at >= since || (lists && follower->listing.began_at >= since))
+    return;
+  list_again (follower);
+  follower->next_at = 0;
+  follower->wanted_since = since;
+}
+
 bool
 gspan_catalog_has_digest (const struct GspanCatalog *catalog)
 {
@@ -218,14 +242,6 @@
     follower->next_at = node->now;
 }
 
-static void
-list_again (struct GspanFollower *follower)
-{
-  follower->call = 0;
-  follower->watching = false;
-  gspan_listing_abandon (&follower->listing);
-}
-
 void
 gspan_catalog_list_again (struct GspanCatalog *catalog)
 {
@@ -460,6 +476,14 @@
   return false;
 }
 
+/* True where somebody waits for a list that is newer than what is known. */
+static bool
+is_wanted_now (const struct GspanNode *node, enum GspanFollowed which)
+{
+  return which == GSPAN_FOLLOW_REPLICAS
+         && node->catalog.followers[which].wanted_since > node->catalog.replicas_proven_at;
+}
+
 static bool
 may_call (const struct GspanNode *node, enum GspanFollowed which)
 {
@@ -470,6 +494,8 @@
     return false;
   if (catalog->store_fails)
     return which == GSPAN_FOLLOW_CONFIG;
+  if (is_wanted_now (node, which))
+    return true;
   return !is_fed (node, which)
          && (follower->newest < follower->fed_newest || !waits_for_feed (node, which));
 }
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -70,6 +70,7 @@
   guint64 revision;      /* all changes up to it are known, as far as the store has told */
   guint64 listed_at;     /* the last whole list was asked for; 0 is never */
   gint64 listed_wall_ms; /* the same by the wall clock */
+  guint64 wanted_since;  /* somebody waits for a list asked for after this; 0 is nobody */
   bool in_doubt;         /* another node knows other objects: only a list is believed now */
   struct GspanKnownObjects known;
   struct GspanListing listing;
@@ -82,6 +83,7 @@
   GHashTable *replicas;   /* id to struct GspanReplica */
   guint64 replicas_as_of; /* time at which the store held what is known of them; 0 is never */
   enum GspanReplicaSource replicas_source;
+  guint64 replicas_proven_at; /* no change of them from before then is unknown; 0 is never */
   struct GspanLeaving leaving;
   struct GspanFeed feed;
   struct GspanOddObjects odd_objects;
@@ -148,5 +150,9 @@
 /* Age of what is known of the replicas, in microseconds; G_MAXUINT64 before the first list. */
 guint64 gspan_catalog_replicas_age (const struct GspanCatalog *catalog, guint64 now);
 
+/* Lists the replicas, unless they are known as of SINCE or a list is under way that will show it.
+ */
+void gspan_catalog_want_replicas (struct GspanNode *node, guint64 since);
+
 /* True where a configuration is in force and the replicas are known. */
 bool gspan_catalog_known (const struct GspanCatalog *catalog);
--- a/catalog/reading.c
+++ b/catalog/reading.c
@@ -205,6 +205,8 @@
   follower->newest = MAX (follower->newest, listing->newest);
   follower->listed_at = listing->began_at;
   follower->listed_wall_ms = listing->began_wall_ms;
+  if (which == GSPAN_FOLLOW_REPLICAS)
+    node->catalog.replicas_proven_at = MAX (node->catalog.replicas_proven_at, listing->began_at);
 }
 
 bool
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -137,14 +137,18 @@
 
 /*
  * True where all is known that the store could tell of the stream, which no node knows: the origins
- * that were kept, where the service has several versions, else whether it had others lately.
+ * that were kept, where the service has several versions, else whether it had others lately. That
+ * it has one alone is believed of a list that was asked for after the caller took the stream up:
+ * this node may have been out of step, and the replica that began the stream be newer than its
+ * list.
  */
 static bool
 has_asked_store (const struct GspanNode *node, const struct GspanCall *call)
 {
   if (gspan_versions_is_mixed (node, call->service))
     return gspan_origin_store_is_read (node, call->started);
-  return gspan_version_history_is_known (node, call->service);
+  return gspan_version_history_is_known (node, call->service)
+         && node->catalog.replicas_proven_at >= call->started;
 }
 
 /* Asks the store about CALL's stream. True while its answer may come. */
@@ -160,7 +164,11 @@
   if (gspan_versions_is_mixed (node, call->service))
     gspan_origin_store_want (node);
   else
-    gspan_version_history_want (node, call->service);
+    {
+      if (!gspan_version_history_is_known (node, call->service))
+        gspan_version_history_want (node, call->service);
+      gspan_catalog_want_replicas (node, call->started);
+    }
   return true;
 }
 
--- a/test/software_test.cc
+++ b/test/software_test.cc
@@ -457,6 +457,41 @@
     }
 }
 
+/*
+ * A node stands still, cut off from the others, while replicas of another version join. A stream
+ * that began there is taken up at this node as soon as it goes on, before the store has answered
+ * it.
+ */
+TEST_F (Software, StreamTakenUpAtANodeThatWasOutOfStepWhileAnotherVersionJoined)
+{
+  unsigned joined = 0;
+
+  for (unsigned late_ms = 0; late_ms <= 300; late_ms += 20)
+    {
+      start_nodes (3);
+      Rig &late = *world.rigs[2];
+
+      world.put ("config", "main", config_spec (4, "streaming").c_str ());
+      world.run (130 * GSPAN_SECOND);
+      late.paused = true;
+      world.lose_datagrams = true;
+      world.put ("servers", "d8", replica_of_version ("desk", 8, "v2").c_str ());
+      world.run (3 * GSPAN_SECOND);
+      late.paused = false;
+      late.exchanges.clear ();
+      world.latency_us = 200 * GSPAN_MS;
+      world.run (late_ms * GSPAN_MS);
+      send_stream (late, 1000, "again", 2, "begun-elsewhere");
+      world.run (700 * GSPAN_MS);
+      for (const auto &exchange : late.exchanges)
+        joined += exchange.header ("X-Attempt-Id") == "again";
+      world.lose_datagrams = false;
+      world.latency_us = 4 * GSPAN_MS;
+      world.clear ();
+    }
+  EXPECT_EQ (joined, 0U) << "nobody that it reaches knows which version began it";
+}
+
 /* The replica started anew at another version; its entry comes after the stream's first event. */
 TEST_F (Software, StreamBegunBeforeTheEntryOfAReplicaThatStartedAnewIsOfItsNewVersion)
 {
