soak: replicas leave by the store alone, beside gaps in its history

The stand-in store said of each watch from before its history that it is gone; the platform's says so with the next change of the kind, and so does the stand-in now. Replicas could not leave by the store alone: their answers said so from the first moment, which hid whether nodes had read it. Fault quiet: the answers don't say so, the history may go at once, the former entry may be written once more. Fault gap: the history goes and most watches are cut. A run prints how many requests were judged beside replicas that had left.

--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -64,6 +64,7 @@
         self.tries_version_gone = 0  # tries to take such streams up
         self.odd_answers = 0  # with cuts, pauses or bytes too many, and streams that were spoiled
         self.writes_unheard = 0
+        self.leaving_judged = 0
         self.jobs_refused = 0  # at every try
         self.lag_s = 0.0  # by which the stand-ins were late at most
         self.lags = []  # (time, seconds) of those worth a note
@@ -250,7 +251,19 @@
             self.broken.append(f"DRAIN {attempt}: {node} sent it to {replica} {at - seen:.1f} s after it had passed "
                                "on an answer of that replica which says that it leaves")
 
+    def count_judged(self, acknowledged):
+        """Pairs of a replica that has left and a request to a node in touch, in the two seconds in which it would count."""
+        count = 0
+        for since in acknowledged.values():
+            first = since + DRAIN_S
+            if self.is_store_disturbed(since):
+                continue
+            count += sum(1 for node, sent in self.sent.values()
+                         if first < sent <= first + 2 and not self.is_store_disturbed(sent) and not self.is_disturbed(node, sent))
+        return count
+
     def check_leaving_by_store(self, acknowledged):
+        self.leaving_judged = self.count_judged(acknowledged)
         for attempt, replica, at in self.arrivals:
             since = acknowledged.get(replica)
             node = self.node_of(attempt)
--- a/test/soak/replica.py
+++ b/test/soak/replica.py
@@ -30,6 +30,7 @@
         self.software = software
         self.silent_end = silent_end  # its connections stay open when it ends
         self.leaving = False
+        self.says_so = True  # in its answers, once it leaves
         self.alive = True
         self.lose_answers = False
         self.endless = False  # some answers go on until the caller closes
@@ -57,9 +58,10 @@
         self.spec = spec
         await self.world.store.put("servers", self.name, spec)
 
-    async def leave(self, report_after_s, how, stays_s):
-        """Says so in its answers at once; REPORT_AFTER_S later its entry drains, is removed or stays as it is."""
+    async def leave(self, report_after_s, how, stays_s, in_answers=True):
+        """Says so in its answers at once, if at all; REPORT_AFTER_S later its entry drains, is removed or stays as it is."""
         self.leaving = True
+        self.says_so = in_answers
         await asyncio.sleep(report_after_s)
         if not self.alive or how == "silent":
             return
@@ -194,7 +196,7 @@
 
     def answer_headers(self, request):
         headers = {"X-Server-Stamp": self.start_name, **echo(request)}
-        if self.leaving:
+        if self.leaving and self.says_so:
             headers["Server-Leaving"] = "1"
             headers["Connection"] = "close"
         if self.limit is not None:
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -18,6 +18,7 @@
 
 import book as books
 import clients
+import leaving
 import odd
 import restarts
 import trainers
@@ -322,7 +323,7 @@
                  "newer": self.newer, "burst": self.burst, "cut": self.cut, "flap": self.flap,
                  "endless": self.endless, "repeat": self.repeat, "late": self.late,
                  "stutter": self.stutter, "spoil": self.spoil,
-                 **{name: functools.partial(fault, self) for name, fault in {**restarts.FAULTS, **odd.FAULTS}.items()}}
+                 **{name: functools.partial(fault, self) for name, fault in {**restarts.FAULTS, **odd.FAULTS, **leaving.FAULTS}.items()}}
         chosen = [kinds[name] for name in self.options.faults.split(",") if name]
         await asyncio.sleep(START_S)
         while chosen and self.now() < self.options.seconds - 6:
@@ -478,7 +479,7 @@
               f"{len(book.streams[True])} of which {sum(book.streams[True])} went on, {book.tries_version_gone} tries without their version, "
               f"endless answers {book.endless}, {book.memory_mb} MB, stand-ins late by at most {book.lag_s:.2f} s, "
               f"after all nodes died {sum(book.taken_up)} of {len(book.taken_up)} streams went on, {book.version_gone} had lost their version, {book.store_gone} met no store, "
-              f"odd answers {book.odd_answers}, writes done unheard {book.writes_unheard}, jobs refused at every try {book.jobs_refused}, "
+              f"odd answers {book.odd_answers}, writes done unheard {book.writes_unheard}, requests beside replicas that had left {book.leaving_judged}, jobs refused at every try {book.jobs_refused}, "
               f"served at cut nodes {[round(share, 2) for share in book.cut_shares]}")
     for line in book.broken:
         print(line)
--- a/test/soak/store.py
+++ b/test/soak/store.py
@@ -108,11 +108,11 @@
         since = int(query["watch"])
         end = asyncio.get_running_loop().time() + int(query.get("waitMs", 0)) / 1000
         while True:
-            if since < self.forgotten:
-                return 410, {}
             first = bisect.bisect_right(self.history[kind], since, key=lambda change: change[0])
             events = [{"object": item, "deleted": deleted} for _, item, deleted in self.history[kind][first:]]
             left = end - asyncio.get_running_loop().time()
+            if events and since < self.forgotten:  # as the platform's: nothing tells of the gap until the next change
+                return 410, {}
             if events or left <= 0:
                 return 200, {"events": events, "currentRev": self.revision}
             try:
