soak: planned stops of single nodes in calm, with requests that outlast them

Nothing sent requests through the grace that take longer than what is left of it. Fault stop: one node after the other gets SIGTERM; clients, half of them on kept connections, go on asking it until its process is gone, for work of 0.05 to 5 s that may not be repeated. Asked: what reached a replica is answered, but for requests of the first 3 s whose replica is at work in the last sixth of the grace; what was refused with a promise didn't run.

--- a/test/soak/replica.py
+++ b/test/soak/replica.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+import stops
 import stutter
 from wire import Broken, Reply, Server, format_head
 
@@ -134,6 +135,8 @@
             raise Broken
         if request.path.startswith(("/batch/", "/text/")):
             return await stutter.stream(self, request, writer)
+        if request.path.startswith(stops.PATH):
+            await asyncio.sleep(stops.work_of(request.path))
         is_score = request.path.startswith((SCORE, FAILING_SCORE))
         arrived = self.world.now()
         await asyncio.sleep(SCORE_S if is_score else 0.01)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -21,6 +21,7 @@
 import leaving
 import odd
 import restarts
+import stops
 import trainers
 from node import Node
 from replica import Replica
@@ -52,6 +53,8 @@
          "targetLatencyMs": 150, "priority": 2, "service": "desk", "maxAttempts": 2},
         {"name": "calls", "host": "a.example", "pathPrefix": "/calls/", "type": "non_idempotent", "timeoutMs": 1100,
          "targetLatencyMs": 150, "priority": 2, "service": "calls", "maxAttempts": 2},
+        {"name": "slow", "host": "a.example", "pathPrefix": stops.PATH, "type": "non_idempotent", "timeoutMs": 12000,
+         "targetLatencyMs": 150, "priority": 2, "service": "calls", "maxAttempts": 2},
         {"name": "text", "host": "a.example", "pathPrefix": "/text/", "type": "streaming", "resumable": True,
          "timeoutMs": 4000, "targetLatencyMs": 300, "priority": 2, "service": "text", "maxAttempts": 2},
         {"name": "batch", "host": "a.example", "pathPrefix": "/batch/", "type": "rollout", "timeoutMs": 10000,
@@ -75,6 +78,8 @@
         self.nodes = []
         self.tasks = set()
         self.leaves_acknowledged = {}
+        self.stops = stops.Stops()
+        self.stopping = asyncio.Lock()
         self.cuts = []  # (nodes that reach no replica, whether their open connections live on)
         self.started_replicas = 0
         self.attempts = 0
@@ -323,7 +328,7 @@
                  "newer": self.newer, "burst": self.burst, "cut": self.cut, "flap": self.flap,
                  "endless": self.endless, "repeat": self.repeat, "late": self.late,
                  "stutter": self.stutter, "spoil": self.spoil,
-                 **{name: functools.partial(fault, self) for name, fault in {**restarts.FAULTS, **odd.FAULTS, **leaving.FAULTS}.items()}}
+                 **{name: functools.partial(fault, self) for name, fault in {**restarts.FAULTS, **odd.FAULTS, **leaving.FAULTS, **stops.FAULTS}.items()}}
         chosen = [kinds[name] for name in self.options.faults.split(",") if name]
         await asyncio.sleep(START_S)
         while chosen and self.now() < self.options.seconds - 6:
@@ -369,11 +374,14 @@
         work += [clients.read_often(self, i) for i in range(self.options.readers)]
         work += [clients.ask_killers(self, i) for i in range(self.options.killers)]
         work += [trainers.train_hastily(self, i) for i in range(self.options.hasty)]
+        if "stop" in self.options.faults.split(","):
+            work += [stops.ask_slowly(self, i) for i in range(stops.CLIENTS)]
         await asyncio.gather(self.faults(), trainers.train(self), *work)
         while any("read_job" in repr(task) for task in self.tasks):
             await asyncio.sleep(0.2)
         self.book.check_leaving_by_answer()
         self.book.check_leaving_by_store(self.leaves_acknowledged)
+        self.book.broken += self.stops.cut({attempt for attempt, _, _ in self.book.arrivals})
         self.book.check_crashing_requests()
         self.book.check_limits()
         self.book.check_software()
