catalog: that an incarnation drains is kept in the store where its entry was undone

Cause: that an incarnation drains was known to the processes that had read it in time, and to no other; the store itself said ready.

Evidence: MissedChanges.EntryThatWasReadyAgainBeforeANodeReadThatItDrained, which also restarts a node, failed with the write taken out and passes.

Why it works: a node that finds an entry undone puts the birth of the incarnation into the status of the object, which is the system's to write; lists, watches and messages between nodes bring it to all. All that know wait for up to 0.3 s, so that mostly one writes. A later start under the same id has another birth.

--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -187,8 +187,7 @@
         gspan_metrics_add (&node->metrics, GSPAN_METRIC_DRAINS_WITHDRAWN, 1);
 
       gspan_wire_read_replica (object->spec, replica, &error);
-      if (replica->draining)
-        gspan_leaving_note_entry (node, replica);
+      gspan_leaving_note_entry (node, replica, object->status);
       replica->leaving = replica->leaving || gspan_leaving_has (&node->catalog.leaving, replica);
       replica->remove_at = 0;
       replica->entry_unusable = false;
--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -552,6 +552,7 @@
         }
     }
   gspan_apply_remove_lapsed (node, outbox);
+  gspan_leaving_tick (node, outbox);
   gspan_feed_tick (node, outbox);
   for (guint i = 0; i < GSPAN_FOLLOW_COUNT; i++)
     {
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -14,7 +14,7 @@
 {
   CHANGES_MAX = 24,
   CHANGES_LEN_MAX = 12000, /* a receiver takes 16 KB, with the lease and the revisions */
-  CHANGE_LEN = 96,         /* of a change without its name and its entry */
+  CHANGE_LEN = 128,        /* of a change without its name and its entry */
   SPEC_LEN_MAX = 1000,     /* of an entry that is told as it is */
   WATCH_PERCENT = 40,      /* of the time in which a leaving replica has to be left alone */
   RECENT_PERCENT = 75,     /* of the same: what was read before isn't relied on */
@@ -27,8 +27,9 @@
   guint64 revision;        /* of the answer that showed it */
   guint64 object_revision; /* of the entry itself */
   char *name;
-  json_t *spec; /* NULL where it was removed */
-  size_t len;   /* bytes that it takes in a message */
+  json_t *spec;    /* NULL where it was removed */
+  guint64 leaving; /* birth of the incarnation that the status keeps as leaving; 0 is none */
+  size_t len;      /* bytes that it takes in a message */
 };
 
 static void
@@ -123,6 +124,7 @@
   change->at = node->now;
   change->revision = revision;
   change->object_revision = object->revision;
+  change->leaving = gspan_leaving_kept_in (object->status);
   change->name = g_strdup (object->name);
   change->spec = object->removed ? NULL : spec_to_tell (object);
   change->len = CHANGE_LEN + 2 * strlen (change->name) + length_of (change->spec);
@@ -181,20 +183,21 @@
   return MAX (node->now - oldest, (guint64)MAX (0, wall_ms) * GSPAN_MS);
 }
 
+static json_t *
+encode (const struct GspanFeedChange *change)
+{
+  return json_pack ("{s:s, s:I, s:I, s:I, s:O?}", "name", change->name, "revision",
+                    (json_int_t)change->revision, "object", (json_int_t)change->object_revision,
+                    "leaving", (json_int_t)change->leaving, "spec", change->spec);
+}
+
 static json_t *
 changes_of (const struct GspanFeed *feed)
 {
   json_t *changes = json_array ();
 
   for (guint i = 0; i < feed->changes->len; i++)
-    {
-      const struct GspanFeedChange *change = g_ptr_array_index (feed->changes, i);
-
-      json_array_append_new (changes,
-                             json_pack ("{s:s, s:I, s:I, s:O?}", "name", change->name, "revision",
-                                        (json_int_t)change->revision, "object",
-                                        (json_int_t)change->object_revision, "spec", change->spec));
-    }
+    json_array_append_new (changes, encode (g_ptr_array_index (feed->changes, i)));
   return changes;
 }
 
@@ -277,6 +280,7 @@
       object->revision = number_of (change, "revision");
     object->removed = !json_is_object (spec);
     object->spec = object->removed ? NULL : json_incref (spec);
+    object->status = gspan_leaving_status (number_of (change, "leaving"));
   }
   gspan_catalog_receive_replicas (node, &reply, age_us, outbox);
   gspan_store_reply_finish (&reply);
--- a/catalog/leaving.c
+++ b/catalog/leaving.c
@@ -5,16 +5,23 @@
 #include "platform/wire.h"
 
 #define KEPT_US (3600 * GSPAN_SECOND) /* far longer than a replica takes to leave */
+#define WRITE_SPREAD_US                                                                            \
+  (300 * GSPAN_MS)                        /* one of all nodes that know writes, the others see it  \
+                                           */
+#define WRITE_AGAIN_US (2 * GSPAN_SECOND) /* unless what was written is read by then */
 
 struct Incarnation
 {
   guint64 born;
   guint64 noted_at;
+  bool in_entry;    /* announced by its entry */
+  guint64 write_at; /* the store is told then, unless it has been; 0 is not at all */
 };
 
 void
 gspan_leaving_init (struct GspanLeaving *leaving)
 {
+  leaving->has_writes = false;
   leaving->incarnations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
@@ -71,12 +78,84 @@
   g_hash_table_replace (incarnations, g_strdup (id), incarnation);
 }
 
+guint64
+gspan_leaving_kept_in (json_t *status)
+{
+  json_int_t born = json_integer_value (json_object_get (status, "leaving"));
+
+  return born > 0 ? (guint64)born : 0;
+}
+
+json_t *
+gspan_leaving_status (guint64 born)
+{
+  return json_pack ("{s:I}", "leaving", (json_int_t)born);
+}
+
 void
-gspan_leaving_note_entry (struct GspanNode *node, const struct GspanReplica *replica)
+gspan_leaving_note_entry (struct GspanNode *node, const struct GspanReplica *replica,
+                          json_t *status)
 {
-  /* of an entry that doesn't name its incarnation, only the last word is known */
-  if (replica->born != 0 && !gspan_leaving_has (&node->catalog.leaving, replica))
-    note (node, replica->id, replica->born);
+  struct GspanLeaving *leaving = &node->catalog.leaving;
+  guint64 kept = gspan_leaving_kept_in (status);
+  guint64 born = MAX (kept, replica->draining ? replica->born : 0);
+  struct Incarnation *incarnation;
+
+  if (born > birth_of (leaving->incarnations, replica->id))
+    note (node, replica->id, born);
+  incarnation = g_hash_table_lookup (leaving->incarnations, replica->id);
+  if (incarnation == NULL)
+    return;
+  incarnation->in_entry = incarnation->in_entry || born == incarnation->born;
+  incarnation->write_at = 0;
+  if (!incarnation->in_entry || replica->draining || incarnation->born != replica->born
+      || kept == replica->born)
+    return;
+  incarnation->write_at
+      = node->now + (guint64)g_rand_int_range (node->random, 0, (gint32)WRITE_SPREAD_US);
+  leaving->has_writes = true;
+}
+
+static void
+write_status (struct GspanNode *node, const char *id, guint64 born, struct GspanOutbox *outbox)
+{
+  struct GspanRef ref = { GSPAN_OWNER_CATALOG, gspan_node_next_id (node) };
+  struct GspanStoreCall *call
+      = gspan_outbox_store (outbox, ref, GSPAN_STORE_SET_STATUS, gspan_wire_kind_replicas, id);
+  struct GspanLine line;
+
+  call->value = gspan_leaving_status (born);
+  gspan_line_init (&line, "upstream-drain-kept");
+  gspan_line_cstr (&line, "upstream", id);
+  gspan_line_u64 (&line, "born", born);
+  gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_NOTICE, &line);
+}
+
+void
+gspan_leaving_tick (struct GspanNode *node, struct GspanOutbox *outbox)
+{
+  struct GspanLeaving *leaving = &node->catalog.leaving;
+  GHashTableIter iter;
+  gpointer id;
+  gpointer value;
+
+  if (!leaving->has_writes || node->catalog.store_fails)
+    return;
+  leaving->has_writes = false;
+  g_hash_table_iter_init (&iter, leaving->incarnations);
+  while (g_hash_table_iter_next (&iter, &id, &value))
+    {
+      struct Incarnation *incarnation = value;
+
+      if (!g_hash_table_contains (node->catalog.replicas, id))
+        incarnation->write_at = 0;
+      if (incarnation->write_at != 0 && incarnation->write_at <= node->now)
+        {
+          write_status (node, id, incarnation->born, outbox);
+          incarnation->write_at = node->now + WRITE_AGAIN_US;
+        }
+      leaving->has_writes = leaving->has_writes || incarnation->write_at != 0;
+    }
 }
 
 void
--- a/test/missed_changes_test.cc
+++ b/test/missed_changes_test.cc
@@ -216,6 +216,28 @@
   EXPECT_EQ (count_requests_to (rig, first_desk, 200), 0U);
 }
 
+/* Who read that it drains keeps it in the store for those that didn't, or have started anew. */
+TEST_F (MissedChanges, EntryThatWasReadyAgainBeforeANodeReadThatItDrained)
+{
+  start_nodes (3);
+  world.run (10 * GSPAN_SECOND);
+  Rig &late = *world.rigs[world.rigs[0]->node.weights.lease.held ? 1 : 0];
+  late.paused = true;
+  world.put ("servers", "d1", replica_spec ("desk", 1, 0, "draining").c_str ());
+  world.run (GSPAN_SECOND);
+  world.put ("servers", "d1", replica_spec ("desk", 1, 0).c_str ());
+  world.run (GSPAN_SECOND);
+  late.paused = false;
+  world.run (notice_us);
+  EXPECT_EQ (count_requests_to (late, first_desk, 100), 0U);
+  world.restart (2);
+  world.run (notice_us);
+  EXPECT_EQ (count_requests_to (*world.rigs[2], first_desk, 200), 0U);
+  world.put ("servers", "d1", spec_of (1, "ready", 2).c_str ());
+  world.run (notice_us);
+  EXPECT_TRUE (uses (*world.rigs[1], "d1")) << "a later start";
+}
+
 /* What changed on its last pages is older than the list, and told no more. */
 TEST_F (MissedChanges, ListInPagesBesideWhatAnotherNodeTells)
 {
