--- a/test/leaving_test.cc
+++ b/test/leaving_test.cc
@@ -30,23 +30,6 @@
   {
     return exchange.url.substr (0, exchange.url.find ('/', 7));
   }
-
-  /* Number of desk requests, of 20 that come now, that reach HOST; all are answered. */
-  unsigned
-  count_requests_to (Rig &rig, const std::string &host, guint64 first_id)
-  {
-    unsigned count = 0;
-
-    for (guint64 id = first_id; id < first_id + 20; id++)
-      {
-        send_desk_request (rig, id, "b" + std::to_string (id));
-        if (rig.exchanges.empty ())
-          continue;
-        count += host_of (rig.exchanges.back ()) == host;
-        rig.http_done (rig.exchanges.back (), GSPAN_HTTP_COMPLETE, 200, signed_head, "good");
-      }
-    return count;
-  }
 };
 
 TEST_F (Leaving, ReplicaThatSaysSoInAnAnswerGetsNoLaterRequest)
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -1246,6 +1246,23 @@
                  { "Host: a.example", "X-Attempt-Id: " + attempt, "X-Deadline-Ms: 800" }, "hello");
   }
 
+  /* Of 20 desk requests that come at RIG now, those that reach HOST; all are answered. */
+  unsigned
+  count_requests_to (Rig &rig, const std::string &host, guint64 first_id)
+  {
+    unsigned count = 0;
+
+    for (guint64 id = first_id; id < first_id + 20; id++)
+      {
+        send_desk_request (rig, id, "b" + std::to_string (id));
+        if (rig.exchanges.empty ())
+          continue;
+        count += rig.exchanges.back ().url.find (host + "/") == 0;
+        rig.http_done (rig.exchanges.back (), GSPAN_HTTP_COMPLETE, 200, signed_head, "good");
+      }
+    return count;
+  }
+
   void
   submit_job (Rig &rig, guint64 id, const std::string &job, unsigned items,
               unsigned weights_min = 0)
