test, KNOWN-RED: what a node holds for known, and what it slept through

Four tests say no:

- a node that stood still while a version came and left goes on with its streams.

One test asked, before, that the holder lists the replicas at all, so that what it says of the others isn't empty; that line is back.

--- a/test/feed_test.cc
+++ b/test/feed_test.cc
@@ -182,6 +182,7 @@
   start_nodes (16);
   world.run (25 * GSPAN_SECOND);
   unsigned before = world.calls_of_listeners ("list servers");
+  world.call_counts.clear ();
   for (unsigned i = 0; i < 5; i++)
     {
       world.compact ("servers");
@@ -192,6 +193,7 @@
       world.run (GSPAN_SECOND);
     }
   world.run (2 * GSPAN_SECOND);
+  EXPECT_GT (world.call_counts["list servers"], 0U) << "the holder's";
   EXPECT_EQ (world.calls_of_listeners ("list servers"), before) << "the holder's alone";
   EXPECT_EQ (world.calls_of_listeners ("watch servers"), 0U) << "the holder's alone";
   for (auto &rig : world.rigs)
--- a/test/missed_changes_test.cc
+++ b/test/missed_changes_test.cc
@@ -1,5 +1,7 @@
 #include "test/node_world.h"
 
+#include <set>
+
 /*
  * Changes of the store that its watches don't tell: their history is dropped between two of them,
  * or the list that would have shown them is given up half read. A node learns of each within the
@@ -221,6 +223,41 @@
   EXPECT_TRUE (uses (*world.rigs[1], "d1")) << "a later start";
 }
 
+/* Its empty answer names a revision that the node has seen no proof of. */
+TEST_F (MissedChanges, EmptyAnswerOfAWatchIsNoProofOfTheRevisionThatItNames)
+{
+  Rig &rig = start_nodes ();
+  const GspanFollower &follower = rig.node.catalog.followers[GSPAN_FOLLOW_REPLICAS];
+
+  world.run (5 * GSPAN_SECOND);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      put_unseen ("d2", spec_of (2, "ready", 2 + i));
+      guint64 changed = world.objects["servers"]["d2"].revision;
+      for (unsigned step = 0; step < 200; step++)
+        {
+          world.run (10 * GSPAN_MS);
+          if (follower.revision < changed)
+            continue;
+          EXPECT_EQ (gspan_known_objects_revision (&follower.known, "d2"), changed);
+        }
+    }
+}
+
+/* All nodes read that it drains, and die; a write of before is done while they are down. */
+TEST_F (MissedChanges, EntryThatWasReadyAgainWhileAllNodesWereDead)
+{
+  start_nodes (3);
+  world.run (10 * GSPAN_SECOND);
+  world.put ("servers", "d1", replica_spec ("desk", 1, 0, "draining").c_str ());
+  world.run (GSPAN_SECOND);
+  world.restart_all ();
+  world.put ("servers", "d1", replica_spec ("desk", 1, 0).c_str ());
+  world.run (notice_us);
+  for (auto &rig : world.rigs)
+    EXPECT_EQ (count_requests_to (*rig, first_desk, 100), 0U) << rig->name;
+}
+
 /* What changed on its last pages is older than the list, and told no more. */
 TEST_F (MissedChanges, ListInPagesBesideWhatAnotherNodeTells)
 {
@@ -283,6 +320,8 @@
   std::map<unsigned, bool> has_drained; /* that incarnation */
   std::map<unsigned, bool> is_undone;   /* and its entry was written as ready after that */
   GRand *random = nullptr;
+  unsigned config_version = 3;
+  bool watches_tell = true; /* of each change, unless its history is dropped */
 
   unsigned
   draw (unsigned below)
@@ -299,7 +338,7 @@
   void
   write (unsigned number, const char *state)
   {
-    bool untold = draw (4) == 0;
+    bool untold = draw (4) == 0 && !watches_tell;
     bool drains = strcmp (state, "draining") == 0;
 
     is_undone[number] = is_undone[number] || (has_drained[number] && !drains);
@@ -312,6 +351,8 @@
   void
   change_one (unsigned number)
   {
+    if (draw (8) == 0)
+      world.put ("config", "main", config_spec (++config_version).c_str ());
     switch (draw (5))
       {
       case 0:
@@ -339,7 +380,8 @@
     switch (draw (8))
       {
       case 0:
-        world.compact ("servers");
+        for (const char *kind : { "servers", "config", "nodes", "poison" })
+          world.compact (kind);
         break;
       case 1:
         world.lose_datagrams = !world.lose_datagrams;
@@ -361,14 +403,64 @@
       }
   }
 
+  /* Revision of the last change of the object NAME, which may be gone. */
+  guint64
+  last_change_of (const std::string &kind, const std::string &name) const
+  {
+    guint64 last = 0;
+
+    for (const auto &change : world.history)
+      if (change.second.first == kind && change.second.second == name)
+        last = change.first;
+    return last;
+  }
+
+  /* All changes up to the revision that RIG holds for known have been read. */
+  void
+  check_revision (const Rig &rig, const GspanFollower &follower, guint32 seed)
+  {
+    std::set<std::string> names;
+
+    for (const auto &change : world.history)
+      if (change.second.first == follower.kind)
+        names.insert (change.second.second);
+    for (const auto &name : names)
+      {
+        guint64 changed = last_change_of (follower.kind, name);
+        bool exists = world.objects[follower.kind].count (name) > 0;
+
+        if (changed > follower.revision)
+          continue;
+        EXPECT_EQ (gspan_known_objects_revision (&follower.known, name.c_str ()),
+                   exists ? changed : 0)
+            << "seed " << seed << ", " << rig.name << ", " << follower.kind << " " << name;
+      }
+  }
+
+  /* Runs the world; what each node holds for known is so at each moment, whatever is followed. */
+  void
+  run (guint64 us, guint32 seed)
+  {
+    for (guint64 end = world.now + us; world.now < end;)
+      {
+        world.run (MIN (end - world.now, 50 * GSPAN_MS));
+        if (!watches_tell || HasFailure ())
+          continue;
+        for (auto &rig : world.rigs)
+          for (const auto &follower : rig->node.catalog.followers)
+            if (follower.synced && g_strcmp0 (follower.kind, GSPAN_JOBS_KIND) != 0)
+              check_revision (*rig, follower, seed);
+      }
+  }
+
   void
-  calm_down ()
+  calm_down (guint32 seed)
   {
     world.fault = StoreFault::None;
     world.lose_datagrams = false;
     for (auto &rig : world.rigs)
       rig->paused = rig->cut_from_store = false;
-    world.run (8 * GSPAN_SECOND);
+    run (8 * GSPAN_SECOND, seed);
   }
 
   void
@@ -390,6 +482,7 @@
   play (guint32 seed)
   {
     random = g_rand_new_with_seed (seed);
+    watches_tell = draw (2) == 0;
     world.page_size = draw (2) == 0 ? 500 : 1 + draw (4);
     for (unsigned number = 1; number <= 6; number++)
       {
@@ -397,21 +490,22 @@
         has_drained[number] = is_undone[number] = false;
       }
     start_nodes (3);
+    config_version = 3;
     for (unsigned step = 0; step < 40; step++)
       {
         change_one (1 + draw (6));
         disturb ();
-        world.run (draw (40) * 10 * GSPAN_MS);
+        run (draw (40) * 10 * GSPAN_MS, seed);
       }
-    calm_down ();
+    calm_down (seed);
     for (unsigned step = 0; step < 6; step++)
       {
         change_one (1 + draw (6));
         if (draw (2) == 0)
           world.compact ("servers");
-        world.run (draw (30) * 10 * GSPAN_MS);
+        run (draw (30) * 10 * GSPAN_MS, seed);
       }
-    world.run (notice_us);
+    run (notice_us, seed);
     check (seed);
     g_rand_free (random);
   }
--- a/test/software_test.cc
+++ b/test/software_test.cc
@@ -492,6 +492,29 @@
   EXPECT_EQ (joined, 0U) << "nobody that it reaches knows which version began it";
 }
 
+/* As above, and the replicas of that version have left when the node goes on. */
+TEST_F (Software, StreamTakenUpAtANodeThatWasOutOfStepWhileAnotherVersionCameAndLeft)
+{
+  start_nodes (3);
+  Rig &late = *world.rigs[2];
+
+  world.put ("config", "main", config_spec (4, "streaming").c_str ());
+  world.run (130 * GSPAN_SECOND);
+  late.paused = true;
+  world.lose_datagrams = true;
+  world.put ("servers", "d8", replica_of_version ("desk", 8, "v2").c_str ());
+  world.run (4 * GSPAN_SECOND);
+  world.remove ("servers", "d8");
+  world.run (4 * GSPAN_SECOND);
+  late.paused = false;
+  late.exchanges.clear ();
+  world.run (3 * GSPAN_SECOND);
+  send_stream (late, 1000, "again", 2, "begun-elsewhere");
+  world.run (700 * GSPAN_MS);
+  for (const auto &exchange : late.exchanges)
+    EXPECT_NE (exchange.header ("X-Attempt-Id"), "again") << "it may have begun at v2";
+}
+
 /* The replica started anew at another version; its entry comes after the stream's first event. */
 TEST_F (Software, StreamBegunBeforeTheEntryOfAReplicaThatStartedAnewIsOfItsNewVersion)
 {
