catalog: the revision of an empty answer is not taken for known

What could happen: between an empty answer of a watch and the list that follows, a node held changes for known that it hadn't read, and the node that tells told others so. Since the list put that right within a round trip.

Why it works: an answer without an event moves no revision. One with events does: the store answers 410 where history between is gone.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -392,7 +392,9 @@
         }
       if (follower->watching)
         {
-          gspan_reading_take_events (node, which, reply, outbox);
+          /* The revision of an empty answer proves nothing: the list that follows does. */
+          if (reply->objects->len > 0)
+            gspan_reading_take_events (node, which, reply, outbox);
           plan_after_watch (node, which, reply->objects->len > 0);
         }
       else if (gspan_reading_take_page (node, which, reply, outbox))
