catalog: what was read of a list that was given up is told with the next one

What could happen: the node that tells had read a page of a list that it gave up; the next list showed no difference to what it knew, and so none was told, while the revision that it told covered the change. Others held it for known until the digest showed it to them.

Why it works: what is beyond the revision that others were told is told with the list, read before or not, and with a revision that none of them has.

--- a/catalog/reading.c
+++ b/catalog/reading.c
@@ -117,14 +117,16 @@
   struct GspanFollower *follower = &node->catalog.followers[which];
   struct GspanListing *listing = &follower->listing;
   guint64 known = gspan_known_objects_revision (&follower->known, object->name);
+  bool is_read = known == object->revision && known != 0;
 
   g_hash_table_add (listing->names, g_strdup (object->name));
   listing->newest = MAX (listing->newest, object->revision);
-  if (is_state_alone (which) && known == object->revision && known != 0)
+  /* What was read of a list that was given up is beyond the revision that the others were told. */
+  if (listing->tells_differences && (!is_read || object->revision > follower->revision))
+    gspan_feed_note_change (node, object, MAX (listing->revision, object->revision));
+  if (is_state_alone (which) && is_read)
     return;
   note_missed_change (node, which, object, outbox);
-  if (listing->tells_differences)
-    gspan_feed_note_change (node, object, listing->revision);
   apply (node, which, object, outbox);
 }
 
