catalog, feed: a node claims what another one told only where both know the same

What could happen: the node that tells lists the replicas where its history is gone, and tells what differs from what it knew. A node that had listed them itself in between may know an entry that came and went meanwhile, which the first one never saw: its removal was told by nobody, and the revision that was told was taken for known all the same. The digest showed it a message later.

Why it works: changes are taken in as before, but the revision that is known moves only where the digest of the message is that of what this node then knows; a node that tells and can't say it now sends null. Of builds before, which have none, it is believed as they are. A claim also dates what is known, for streams that are taken up.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -164,12 +164,21 @@
   gspan_listing_abandon (&follower->listing);
   node->catalog.replicas_source = GSPAN_SOURCE_FEED;
   node->catalog.replicas_as_of = node->now - MIN (node->now, age_us);
-  node->catalog.replicas_proven_at
-      = MAX (node->catalog.replicas_proven_at, node->catalog.replicas_as_of);
-  gspan_reading_take_events (node, GSPAN_FOLLOW_REPLICAS, reply, outbox);
+  gspan_reading_apply_events (node, GSPAN_FOLLOW_REPLICAS, reply, outbox);
   follower->next_at = node->catalog.replicas_as_of + replicas_pause (node);
 }
 
+void
+gspan_catalog_claim_replicas (struct GspanNode *node, guint64 revision)
+{
+  struct GspanCatalog *catalog = &node->catalog;
+  struct GspanFollower *follower = &catalog->followers[GSPAN_FOLLOW_REPLICAS];
+
+  follower->revision = MAX (follower->revision, revision);
+  catalog->replicas_proven_at = MAX (catalog->replicas_proven_at, catalog->replicas_as_of);
+  gspan_feed_reset (&catalog->feed, follower->revision);
+}
+
 static void
 list_again (struct GspanFollower *follower)
 {
@@ -201,25 +210,35 @@
          && follower->newest_read <= follower->revision;
 }
 
-bool
-gspan_catalog_check_digest (struct GspanNode *node, guint64 revision, guint64 digest,
-                            struct GspanOutbox *outbox)
+/* What is known here is of REVISION, whatever of it another node has told. */
+static bool
+is_comparable (const struct GspanFollower *follower, guint64 revision)
+{
+  return follower->listing.after == NULL && follower->revision <= revision
+         && follower->newest_read <= revision;
+}
+
+enum GspanComparison
+gspan_catalog_compare_replicas (struct GspanNode *node, guint64 revision, guint64 digest,
+                                struct GspanOutbox *outbox)
 {
   struct GspanFollower *follower = &node->catalog.followers[GSPAN_FOLLOW_REPLICAS];
   struct GspanLine line;
 
-  if (follower->revision != revision || !gspan_catalog_has_digest (&node->catalog)
-      || follower->known.digest == digest)
-    return true;
+  if (!is_comparable (follower, revision))
+    return GSPAN_COMPARISON_NONE;
+  if (follower->known.digest == digest)
+    return GSPAN_COMPARISON_SAME;
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_REPLICAS_DIFFER, 1);
   gspan_line_init (&line, "replicas-differ");
   gspan_line_u64 (&line, "revision", revision);
+  gspan_line_u64 (&line, "known_revision", follower->revision);
   gspan_line_u64 (&line, "known", g_hash_table_size (follower->known.revisions));
   gspan_line_u64 (&line, "list_age_us", node->now - follower->listed_at);
   gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_WARNING, &line);
   follower->in_doubt = true;
   follower->next_at = MAX (node->now, follower->listed_at + LIST_AGAIN_US);
-  return false;
+  return GSPAN_COMPARISON_DIFFERENT;
 }
 
 void
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -114,7 +114,7 @@
 
 /*
  * Takes in changes of replicas that another node has read AGE_US ago; calls under way for them are
- * left.
+ * left. That these are all is claimed apart.
  */
 void gspan_catalog_receive_replicas (struct GspanNode *node, const struct GspanStoreReply *reply,
                                      guint64 age_us, struct GspanOutbox *outbox);
@@ -134,12 +134,23 @@
 /* Lists the configuration and the replicas next, in place of a watch that waits now. */
 void gspan_catalog_list_again (struct GspanCatalog *catalog);
 
+/* Whether another node knows the same replicas as this one. */
+enum GspanComparison
+{
+  GSPAN_COMPARISON_SAME,
+  GSPAN_COMPARISON_DIFFERENT,
+  GSPAN_COMPARISON_NONE /* they don't know them at the same revision */
+};
+
 /*
- * Compares what is known of the replicas with DIGEST, of what another node knew at REVISION. Where
- * they differ, this node lists the replicas. True where they don't, or can't be compared.
+ * Compares the replicas that are known with DIGEST, of what another node knew at REVISION. Where
+ * they differ, this node lists the replicas, and relies on no message before.
  */
-bool gspan_catalog_check_digest (struct GspanNode *node, guint64 revision, guint64 digest,
-                                 struct GspanOutbox *outbox);
+enum GspanComparison gspan_catalog_compare_replicas (struct GspanNode *node, guint64 revision,
+                                                     guint64 digest, struct GspanOutbox *outbox);
+
+/* All changes of the replicas up to REVISION have been taken in, as of what was received last. */
+void gspan_catalog_claim_replicas (struct GspanNode *node, guint64 revision);
 
 /* True where the digest of the replicas that are known is that of the store at their revision. */
 bool gspan_catalog_has_digest (const struct GspanCatalog *catalog);
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -234,8 +234,10 @@
     json_object_set_new (message, "failed_us", json_integer ((json_int_t)(node->now - failed_at)));
   if (lapse_until > node->now)
     json_object_set_new (message, "lapse_us", json_integer ((json_int_t)(lapse_until - node->now)));
-  if (gspan_catalog_has_digest (catalog))
-    json_object_set_new (message, "digest", json_integer ((json_int_t)replicas->known.digest));
+  json_object_set_new (message, "digest",
+                       gspan_catalog_has_digest (catalog)
+                           ? json_integer ((json_int_t)replicas->known.digest)
+                           : json_null ());
   json_object_set_new (message, "lease_revision",
                        json_integer ((json_int_t)node->weights.lease.revision));
   gspan_peers_send_all (node, message, outbox);
@@ -287,13 +289,21 @@
   return true;
 }
 
-/* True unless the node that tells knows other replicas than this one; older builds don't say. */
-static bool
-knows_the_same (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
+/*
+ * Compares what is known with what the node that tells knows. A list may have shown it less than
+ * all changes: of what came and went between, it knows nothing, and this node may.
+ */
+static enum GspanComparison
+compare (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
 {
-  return json_object_get (message, "digest") == NULL
-         || gspan_catalog_check_digest (node, number_of (message, "to"),
-                                        number_of (message, "digest"), outbox);
+  json_t *digest = json_object_get (message, "digest");
+
+  if (digest == NULL) /* a build before this one */
+    return GSPAN_COMPARISON_SAME;
+  if (!json_is_integer (digest))
+    return GSPAN_COMPARISON_NONE;
+  return gspan_catalog_compare_replicas (node, number_of (message, "to"),
+                                         (guint64)json_integer_value (digest), outbox);
 }
 
 void
@@ -319,6 +329,16 @@
   catalog->feed.heard_until = node->now + recent - age;
   if (!take_changes (node, message, age, outbox))
     return;
-  catalog->feed.fresh_until
-      = knows_the_same (node, message, outbox) ? catalog->feed.heard_until : 0;
+  catalog->feed.fresh_until = catalog->feed.heard_until;
+  switch (compare (node, message, outbox))
+    {
+    case GSPAN_COMPARISON_SAME:
+      gspan_catalog_claim_replicas (node, number_of (message, "to"));
+      break;
+    case GSPAN_COMPARISON_DIFFERENT:
+      catalog->feed.fresh_until = 0;
+      break;
+    case GSPAN_COMPARISON_NONE:
+      break;
+    }
 }
--- a/catalog/reading.c
+++ b/catalog/reading.c
@@ -245,8 +245,8 @@
 }
 
 void
-gspan_reading_take_events (struct GspanNode *node, enum GspanFollowed which,
-                           const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
+gspan_reading_apply_events (struct GspanNode *node, enum GspanFollowed which,
+                            const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
 {
   struct GspanFollower *follower = &node->catalog.followers[which];
 
@@ -261,6 +261,15 @@
         apply (node, which, object, outbox);
     }
   node->catalog.many_removed = false;
+}
+
+void
+gspan_reading_take_events (struct GspanNode *node, enum GspanFollowed which,
+                           const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
+{
+  struct GspanFollower *follower = &node->catalog.followers[which];
+
+  gspan_reading_apply_events (node, which, reply, outbox);
   if (which == GSPAN_FOLLOW_REPLICAS)
     gspan_feed_note (node, reply);
   follower->revision = MAX (follower->revision, reply->revision);
--- a/catalog/reading.h
+++ b/catalog/reading.h
@@ -20,6 +20,10 @@
 bool gspan_reading_take_page (struct GspanNode *node, enum GspanFollowed which,
                               const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
 
+/* Takes in changes. The revision that is known stays. */
+void gspan_reading_apply_events (struct GspanNode *node, enum GspanFollowed which,
+                                 const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
+
 /* Takes in all changes since the revision that is known, up to that of REPLY. */
 void gspan_reading_take_events (struct GspanNode *node, enum GspanFollowed which,
                                 const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
