catalog: that an incarnation drains is kept in the store as soon as it is read

Cause: the status that keeps a drain was written where an entry was found undone, by a node that remembered.

Why it works: the node that tells the others writes the status as it reads that an entry drains, once for each. An entry that is undone before that is still unknown to nodes that start later.

--- a/catalog/leaving.c
+++ b/catalog/leaving.c
@@ -92,6 +92,20 @@
   return json_pack ("{s:I}", "leaving", (json_int_t)born);
 }
 
+/*
+ * When this node writes that REPLICA leaves; 0 is never. The node that tells the others does so as
+ * it reads it, before all that know may die; where the entry was undone since, any node does.
+ */
+static guint64
+write_time (const struct GspanNode *node, const struct GspanReplica *replica)
+{
+  if (gspan_feed_publishes (node))
+    return node->now;
+  if (replica->draining)
+    return 0;
+  return node->now + (guint64)g_rand_int_range (node->random, 0, (gint32)WRITE_SPREAD_US);
+}
+
 void
 gspan_leaving_note_entry (struct GspanNode *node, const struct GspanReplica *replica,
                           json_t *status)
@@ -108,12 +122,9 @@
     return;
   incarnation->in_entry = incarnation->in_entry || born == incarnation->born;
   incarnation->write_at = 0;
-  if (!incarnation->in_entry || replica->draining || incarnation->born != replica->born
-      || kept == replica->born)
-    return;
-  incarnation->write_at
-      = node->now + (guint64)g_rand_int_range (node->random, 0, (gint32)WRITE_SPREAD_US);
-  leaving->has_writes = true;
+  if (incarnation->in_entry && incarnation->born == replica->born && kept != replica->born)
+    incarnation->write_at = write_time (node, replica);
+  leaving->has_writes = leaving->has_writes || incarnation->write_at != 0;
 }
 
 static void
--- a/catalog/leaving.h
+++ b/catalog/leaving.h
@@ -29,9 +29,9 @@
                                 const struct GspanWireResponse *answer, struct GspanOutbox *outbox);
 
 /*
- * Notes what the entry of REPLICA says of it, with STATUS, NULL where it has none. Where the entry
- * was written as ready again, the status of its object is to keep the announcement: nodes that
- * start, or that hadn't read the entry in time, know it from there.
+ * Notes what the entry of REPLICA says of it, with STATUS, NULL where it has none. The status of
+ * the entry's object is to keep the announcement, in case the entry is written as ready again:
+ * nodes that start, or that hadn't read the entry in time, know it from there.
  */
 void gspan_leaving_note_entry (struct GspanNode *node, const struct GspanReplica *replica,
                                json_t *status);
