catalog, gateway: a node that slept through a version's life asks the store for it

Cause: a node that has run for two minutes took what it had seen for all that had served; it knew of no gap in that.

Why it works: what a node knows of the replicas has a time from which it is proven. Where that leaps by more than the drain notice, by either clock, a replica may have come and gone unseen, and the two minutes count anew; until then, streams whose origin no node knows wait for the versions that the store keeps, or are refused with 503.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -168,6 +168,31 @@
   follower->next_at = node->catalog.replicas_as_of + replicas_pause (node);
 }
 
+/* A replica that serves is registered for longer than the drain notice. */
+static bool
+ends_gap (const struct GspanNode *node, guint64 at, gint64 wall_ms)
+{
+  const struct GspanCatalog *catalog = &node->catalog;
+  guint64 notice_us = node->limits.drain_notice_us;
+
+  return catalog->replicas_proven_at != 0
+         && (at > catalog->replicas_proven_at + notice_us
+             || wall_ms > catalog->replicas_proven_wall_ms + (gint64)(notice_us / GSPAN_MS));
+}
+
+void
+gspan_catalog_note_proven (struct GspanNode *node, guint64 age_us)
+{
+  struct GspanCatalog *catalog = &node->catalog;
+  guint64 at = node->now - MIN (node->now, age_us);
+  gint64 wall_ms = node->wall_ms - (gint64)(age_us / GSPAN_MS);
+
+  if (ends_gap (node, at, wall_ms))
+    catalog->replicas_gap_at = node->now;
+  catalog->replicas_proven_at = MAX (catalog->replicas_proven_at, at);
+  catalog->replicas_proven_wall_ms = wall_ms;
+}
+
 void
 gspan_catalog_claim_replicas (struct GspanNode *node, guint64 revision)
 {
@@ -175,7 +200,7 @@
   struct GspanFollower *follower = &catalog->followers[GSPAN_FOLLOW_REPLICAS];
 
   follower->revision = MAX (follower->revision, revision);
-  catalog->replicas_proven_at = MAX (catalog->replicas_proven_at, catalog->replicas_as_of);
+  gspan_catalog_note_proven (node, node->now - catalog->replicas_as_of);
   gspan_feed_reset (&catalog->feed, follower->revision);
 }
 
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -83,7 +83,10 @@
   GHashTable *replicas;   /* id to struct GspanReplica */
   guint64 replicas_as_of; /* time at which the store held what is known of them; 0 is never */
   enum GspanReplicaSource replicas_source;
-  guint64 replicas_proven_at; /* no change of them from before then is unknown; 0 is never */
+  guint64 replicas_proven_at;     /* no change of them from before then is unknown; 0 is never */
+  gint64 replicas_proven_wall_ms; /* the same by the wall clock */
+  guint64
+      replicas_gap_at; /* for long until then, a replica may have come and gone unseen; 0 none */
   struct GspanLeaving leaving;
   struct GspanFeed feed;
   struct GspanOddObjects odd_objects;
@@ -161,6 +164,9 @@
 /* Age of what is known of the replicas, in microseconds; G_MAXUINT64 before the first list. */
 guint64 gspan_catalog_replicas_age (const struct GspanCatalog *catalog, guint64 now);
 
+/* The replicas are known as they were AGE_US ago. */
+void gspan_catalog_note_proven (struct GspanNode *node, guint64 age_us);
+
 /* Lists the replicas, unless they are known as of SINCE or a list is under way that will show it.
  */
 void gspan_catalog_want_replicas (struct GspanNode *node, guint64 since);
--- a/catalog/reading.c
+++ b/catalog/reading.c
@@ -208,7 +208,7 @@
   follower->listed_at = listing->began_at;
   follower->listed_wall_ms = listing->began_wall_ms;
   if (which == GSPAN_FOLLOW_REPLICAS)
-    node->catalog.replicas_proven_at = MAX (node->catalog.replicas_proven_at, listing->began_at);
+    gspan_catalog_note_proven (node, node->now - listing->began_at);
 }
 
 bool
--- a/gateway/version_history.c
+++ b/gateway/version_history.c
@@ -25,7 +25,8 @@
 struct Stored
 {
   bool known;
-  bool wanted; /* a call waits for it */
+  bool wanted;     /* a call waits for it */
+  guint64 read_at; /* or told by another node; 0 is not KNOWN */
   GHashTable *versions;
   guint64 revision;      /* 0 is no object */
   guint64 differs_since; /* from what serves; 0 is not */
@@ -86,9 +87,12 @@
 {
   const struct GspanVersionHistory *history = &node->version_history;
   const struct Stored *stored = g_hash_table_lookup (history->services, service);
+  guint64 gap_at = node->catalog.replicas_gap_at;
 
-  return (stored != NULL && stored->known)
-         || (history->began_at != 0 && node->now >= history->began_at + GSPAN_VERSIONS_LATELY_US);
+  /* A version may have come and gone while this node stood still or heard nothing. */
+  return (stored != NULL && stored->known && stored->read_at >= gap_at)
+         || (history->began_at != 0
+             && node->now >= MAX (history->began_at, gap_at) + GSPAN_VERSIONS_LATELY_US);
 }
 
 void
@@ -107,6 +111,7 @@
   size_t index;
 
   stored->known = true;
+  stored->read_at = node->now;
   stored->wanted = false;
   g_hash_table_remove_all (stored->versions);
   json_array_foreach (list, index, value)
--- a/gateway/version_history.h
+++ b/gateway/version_history.h
@@ -31,8 +31,8 @@
 void gspan_version_history_finish (struct GspanVersionHistory *history);
 
 /*
- * True where gspan_versions_lately () holds all that has served SERVICE lately: this node has run
- * for long enough, or has learnt what the store holds.
+ * True where gspan_versions_lately () holds all that has served SERVICE lately: this node has
+ * followed the replicas for long enough without a gap, or has learnt what the store holds since.
  */
 bool gspan_version_history_is_known (const struct GspanNode *node, const char *service);
 
