--- a/test/leaving_test.cc
+++ b/test/leaving_test.cc
@@ -192,3 +192,66 @@
   world.run (2 * GSPAN_SECOND);
   EXPECT_EQ (count_requests_to (rig, "http://10.0.0.1:80", 100), 0U);
 }
+
+/* Requests that wait for room within a limit were given that replica before it drained. */
+TEST_F (Leaving, CallThatWaitsForAPermitIsNotSentToAReplicaThatDrainsMeanwhile)
+{
+  Rig &rig = start_nodes ();
+  const std::string first = "http://10.0.0.1:80";
+  std::vector<std::string> limited = { "X-Server-Stamp: s", "Server-Limit: 2" };
+  guint64 read_at = 0;
+
+  for (guint64 id = 1; id <= 8; id++)
+    {
+      send_desk_request (rig, id, "a" + std::to_string (id));
+      if (!rig.exchanges.empty ())
+        rig.http_done (rig.exchanges.back (), GSPAN_HTTP_COMPLETE, 200, limited, "good");
+      world.run (20 * GSPAN_MS);
+    }
+  world.run (2 * GSPAN_SECOND);
+  for (guint64 id = 10; id <= 30; id++)
+    send_desk_request (rig, id, "b" + std::to_string (id));
+  ASSERT_TRUE (rig.logged ("event=call-waits"));
+  world.put ("servers", "d1", replica_spec ("desk", 1, 0, "draining").c_str ());
+  for (int i = 0; i < 50 && read_at == 0; i++)
+    {
+      auto *replica
+          = static_cast<GspanReplica *> (g_hash_table_lookup (rig.node.catalog.replicas, "d1"));
+
+      world.run (10 * GSPAN_MS);
+      read_at = gspan_replica_is_leaving (replica) ? world.now : 0;
+    }
+  ASSERT_GT (read_at, 0U) << "the node has read it";
+  world.run (2 * GSPAN_SECOND);
+  for (const auto &exchange : rig.exchanges)
+    if (host_of (exchange) == first)
+      {
+        EXPECT_LE (exchange.sent_at_us, read_at);
+      }
+}
+
+TEST_F (Leaving, ItemsThatWaitAreNotSentToAReplicaThatDrainsMeanwhile)
+{
+  Rig &rig = start_nodes ();
+
+  submit_job (rig, 1, "j1", 60);
+  world.run (300 * GSPAN_MS);
+  size_t running = open_runs (rig).size ();
+  ASSERT_GT (running, 0U);
+  ASSERT_LT (running, 60U) << "some wait";
+  world.put ("servers", "m1", replica_spec ("llm", 3, 1, "draining").c_str ());
+  world.run (500 * GSPAN_MS);
+  guint64 read_at = world.now;
+  for (int round = 0; round < 8; round++)
+    {
+      for (const auto &run : open_runs (rig))
+        if (run.sent_at_us < world.now)
+          finish_run (rig, run, 2);
+      world.run (200 * GSPAN_MS);
+      for (const auto &run : open_runs (rig))
+        if (run.sent_at_us > read_at)
+          {
+            EXPECT_NE (host_of (run), "http://10.0.0.3:80");
+          }
+    }
+}
--- a/test/links_test.cc
+++ b/test/links_test.cc
@@ -425,6 +425,24 @@
   EXPECT_EQ (response_to (rig, 1)->status, 503);
 }
 
+/* The node that passes requests on has read that the replicas drain, the sender hasn't yet. */
+TEST_F (Links, RequestIsNotPassedOnToAReplicaThatTheOtherNodeKnowsToDrain)
+{
+  start (2);
+  Rig &rig = *world.rigs[0];
+  Rig &relay = *world.rigs[1];
+
+  rig.cut_from_replicas = true;
+  served ({ &rig }, 2);
+  for (const char *id : { "d1", "d2", "d3" })
+    static_cast<GspanReplica *> (g_hash_table_lookup (relay.node.catalog.replicas, id))->draining
+        = true;
+  send_desk_request (rig, 1, "late");
+  world.run (50 * GSPAN_MS);
+  EXPECT_TRUE (relay.exchanges.empty ());
+  EXPECT_TRUE (relay.logged ("the replica is leaving"));
+}
+
 /* Where another node offers too, a node that drains gets none. */
 TEST_F (Links, NodeThatDrainsIsTheLastToBeChosen)
 {
