soak: stops count what became of what came late, repeatable or not

Fault stop asked for work that may not be repeated only, and passed over connections that were closed with a request unread. Now half of the work may be repeated, a request that goes unread earlier than 0.25 s before the process ends counts as lost, and a run prints the outcomes.

--- a/test/soak/book.py
+++ b/test/soak/book.py
@@ -65,6 +65,7 @@
         self.odd_answers = 0  # with cuts, pauses or bytes too many, and streams that were spoiled
         self.writes_unheard = 0
         self.leaving_judged = 0
+        self.around_stops = {}  # number of requests by what became of them
         self.jobs_refused = 0  # at every try
         self.lag_s = 0.0  # by which the stand-ins were late at most
         self.lags = []  # (time, seconds) of those worth a note
--- a/test/soak/replica.py
+++ b/test/soak/replica.py
@@ -135,7 +135,7 @@
             raise Broken
         if request.path.startswith(("/batch/", "/text/")):
             return await stutter.stream(self, request, writer)
-        if request.path.startswith(stops.PATH):
+        if request.path.startswith(stops.PATHS):
             await asyncio.sleep(stops.work_of(request.path))
         is_score = request.path.startswith((SCORE, FAILING_SCORE))
         arrived = self.world.now()
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -53,7 +53,9 @@
          "targetLatencyMs": 150, "priority": 2, "service": "desk", "maxAttempts": 2},
         {"name": "calls", "host": "a.example", "pathPrefix": "/calls/", "type": "non_idempotent", "timeoutMs": 1100,
          "targetLatencyMs": 150, "priority": 2, "service": "calls", "maxAttempts": 2},
-        {"name": "slow", "host": "a.example", "pathPrefix": stops.PATH, "type": "non_idempotent", "timeoutMs": 12000,
+        {"name": "slow", "host": "a.example", "pathPrefix": stops.ONCE, "type": "non_idempotent", "timeoutMs": 12000,
+         "targetLatencyMs": 150, "priority": 2, "service": "calls", "maxAttempts": 2},
+        {"name": "slow-again", "host": "a.example", "pathPrefix": stops.REPEATABLE, "type": "idempotent", "timeoutMs": 12000,
          "targetLatencyMs": 150, "priority": 2, "service": "calls", "maxAttempts": 2},
         {"name": "text", "host": "a.example", "pathPrefix": "/text/", "type": "streaming", "resumable": True,
          "timeoutMs": 4000, "targetLatencyMs": 300, "priority": 2, "service": "text", "maxAttempts": 2},
@@ -381,7 +383,9 @@
             await asyncio.sleep(0.2)
         self.book.check_leaving_by_answer()
         self.book.check_leaving_by_store(self.leaves_acknowledged)
-        self.book.broken += self.stops.cut({attempt for attempt, _, _ in self.book.arrivals})
+        arrived = {attempt for attempt, _, _ in self.book.arrivals}
+        self.book.broken += self.stops.cut(arrived)
+        self.book.around_stops = self.stops.outcomes(arrived)
         self.book.check_crashing_requests()
         self.book.check_limits()
         self.book.check_software()
@@ -487,7 +491,7 @@
               f"{len(book.streams[True])} of which {sum(book.streams[True])} went on, {book.tries_version_gone} tries without their version, "
               f"endless answers {book.endless}, {book.memory_mb} MB, stand-ins late by at most {book.lag_s:.2f} s, "
               f"after all nodes died {sum(book.taken_up)} of {len(book.taken_up)} streams went on, {book.version_gone} had lost their version, {book.store_gone} met no store, "
-              f"odd answers {book.odd_answers}, writes done unheard {book.writes_unheard}, requests beside replicas that had left {book.leaving_judged}, jobs refused at every try {book.jobs_refused}, "
+              f"odd answers {book.odd_answers}, writes done unheard {book.writes_unheard}, requests beside replicas that had left {book.leaving_judged}, jobs refused at every try {book.jobs_refused}, around planned stops {book.around_stops}, "
               f"served at cut nodes {[round(share, 2) for share in book.cut_shares]}")
     for line in book.broken:
         print(line)
--- a/test/soak/stops.py
+++ b/test/soak/stops.py
@@ -1,15 +1,19 @@
 """Planned stops of single nodes in calm, while requests come that take replicas longer than what is left of the grace."""
 
 import asyncio
+import collections
 import signal
 
 import restarts
 import wire
 
-PATH = "/slow/"  # "/slow/NUMBER-MS": the replica works on it for so long
+ONCE = "/slow/"  # "/slow/NUMBER-MS": may not be repeated; the replica works on it for so long
+REPEATABLE = "/slow-again/"  # as above, and may be
+PATHS = (ONCE, REPEATABLE)
 GRACE_S = 8.0
 EXCUSED_S = 3.0  # requests sent so soon after the signal may be cut where their replica is at work in the last sixth
 DEADLINE_S = 12.0
+UNREAD_S = 0.25  # a request that crosses the end of the process by less may go unread
 CLIENTS = 12
 
 
@@ -20,8 +24,17 @@
         self.ended = []  # (node, time of the signal, time of the process's end)
         self.sent = []  # (attempt, node, sent, work in seconds, answer)
 
+    def outcomes(self, arrived):
+        """What became of requests that were sent between a signal and the end of its process: number by outcome."""
+        counts = collections.Counter()
+        for attempt, node, sent, _, answer in self.sent:
+            if any(stopped == node and since <= sent < until for stopped, since, until in self.ended):
+                status = answer[0] if answer is not None else "cut" if attempt in arrived else "closed unread"
+                counts[status] += 1
+        return dict(counts)
+
     def cut(self, arrived):
-        """Requests that reached a replica and got no answer since their node was stopped, as lines."""
+        """Requests that got no answer since their node was stopped, as lines, but for what may happen."""
         for attempt, node, sent, work_s, answer in self.sent:
             for stopped, since, until in self.ended:
                 if stopped != node or not since - DEADLINE_S < sent < until:
@@ -31,6 +44,8 @@
                 excused = sent <= since + EXCUSED_S and sent + work_s >= since + GRACE_S * 5 / 6
                 if answer is None and attempt in arrived and not excused:
                     yield f"LOST {attempt}: {node} cut it {sent - since:+.2f} s after SIGTERM, work {work_s:.2f} s"
+                if answer is None and attempt not in arrived and since <= sent < until - UNREAD_S:
+                    yield f"LOST {attempt}: {node} closed without reading it {until - sent:.2f} s before its process ended"
                 if answer is not None and answer[0] in (429, 503) and attempt in arrived:
                     yield f"REFUSED {attempt}: {node} answered {answer[0]}, and it ran"
 
@@ -44,7 +59,7 @@
     attempt = f"w{world.attempts}"
     work_s = world.random.choice([0.05, 0.5, 1.5, 3.0, 5.0])
     method = world.random.choice(["GET", "POST"])
-    path = f"{PATH}{number}-{work_s * 1000:.0f}"
+    path = f"{world.random.choice(PATHS)}{number}-{work_s * 1000:.0f}"
     sent = world.now()
     answer = await wire.call(node.front, method, path, {"Host": "a.example", "X-Attempt-Id": attempt,
                                                         "X-Deadline-Ms": int(DEADLINE_S * 1000)},
