test: a drain is told twice since its status says so

The entry is told a second time, with its status. The test asks for four now and, beyond before, for the three names; the form of each is checked as it was.

--- a/test/old_forms_test.cc
+++ b/test/old_forms_test.cc
@@ -1,5 +1,7 @@
 #include "test/node_world.h"
 
+#include <set>
+
 /*
  * Builds run side by side while VMs are replaced, and may be rolled back. What stands here is what
  * build 53a695b writes: this one reads it, and writes nothing that lacks a part of it.
@@ -291,6 +293,7 @@
   json_t *change;
   size_t index;
   unsigned seen = 0;
+  std::set<std::string> names;
   json_array_foreach (json_object_get (feed, "changes"), index, change)
   {
     std::string name = json_string_value (json_object_get (change, "name"));
@@ -298,6 +301,7 @@
 
     EXPECT_TRUE (json_is_integer (json_object_get (change, "revision")));
     seen++;
+    names.insert (name);
     if (name == "d2")
       EXPECT_TRUE (json_is_null (spec)) << "removed";
     else if (name == "odd")
@@ -305,6 +309,7 @@
     else
       expect_form (spec, replica_spec ("desk", 1, 0).c_str (), name);
   }
-  EXPECT_EQ (seen, 3U);
+  EXPECT_EQ (seen, 4U) << "d1 again, whose status says since that it drains";
+  EXPECT_EQ (names, (std::set<std::string>{ "d1", "d2", "odd" }));
   json_decref (feed);
 }
