--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -1,6 +1,7 @@
 #include "catalog/catalog.h"
 
 #include "catalog/apply.h"
+#include "catalog/outage.h"
 #include "catalog/reading.h"
 #include "common/clock.h"
 #include "node/node.h"
@@ -19,13 +20,6 @@
  */
 #define JOBS_PAUSE_US (25 * GSPAN_SECOND)
 
-/*
- * In an outage, entries expire after several heartbeats. Replicas that are alive register again
- * within about two seconds after its end.
- */
-#define OUTAGE_LEAST_US (GSPAN_SECOND)
-#define LAPSE_GRACE_US (2 * GSPAN_SECOND)
-
 /*
  * How long another node is waited for that tells what is new (catalog/feed.h), before this one asks
  * for itself: at its start, a part of the time in which a leaving replica has to be left alone; for
@@ -168,42 +162,6 @@
   follower->next_at = node->catalog.replicas_as_of + replicas_pause (node);
 }
 
-/* A replica that serves is registered for longer than the drain notice. */
-static bool
-ends_gap (const struct GspanNode *node, guint64 at, gint64 wall_ms)
-{
-  const struct GspanCatalog *catalog = &node->catalog;
-  guint64 notice_us = node->limits.drain_notice_us;
-
-  return catalog->replicas_proven_at != 0
-         && (at > catalog->replicas_proven_at + notice_us
-             || wall_ms > catalog->replicas_proven_wall_ms + (gint64)(notice_us / GSPAN_MS));
-}
-
-void
-gspan_catalog_note_proven (struct GspanNode *node, guint64 age_us)
-{
-  struct GspanCatalog *catalog = &node->catalog;
-  guint64 at = node->now - MIN (node->now, age_us);
-  gint64 wall_ms = node->wall_ms - (gint64)(age_us / GSPAN_MS);
-
-  if (ends_gap (node, at, wall_ms))
-    catalog->replicas_gap_at = node->now;
-  catalog->replicas_proven_at = MAX (catalog->replicas_proven_at, at);
-  catalog->replicas_proven_wall_ms = wall_ms;
-}
-
-void
-gspan_catalog_claim_replicas (struct GspanNode *node, guint64 revision)
-{
-  struct GspanCatalog *catalog = &node->catalog;
-  struct GspanFollower *follower = &catalog->followers[GSPAN_FOLLOW_REPLICAS];
-
-  follower->revision = MAX (follower->revision, revision);
-  gspan_catalog_note_proven (node, node->now - catalog->replicas_as_of);
-  gspan_feed_reset (&catalog->feed, follower->revision);
-}
-
 static void
 list_again (struct GspanFollower *follower)
 {
@@ -226,46 +184,6 @@
   follower->wanted_since = since;
 }
 
-bool
-gspan_catalog_has_digest (const struct GspanCatalog *catalog)
-{
-  const struct GspanFollower *follower = &catalog->followers[GSPAN_FOLLOW_REPLICAS];
-
-  return follower->synced && follower->listing.after == NULL
-         && follower->newest_read <= follower->revision;
-}
-
-/* What is known here is of REVISION, whatever of it another node has told. */
-static bool
-is_comparable (const struct GspanFollower *follower, guint64 revision)
-{
-  return follower->listing.after == NULL && follower->revision <= revision
-         && follower->newest_read <= revision;
-}
-
-enum GspanComparison
-gspan_catalog_compare_replicas (struct GspanNode *node, guint64 revision, guint64 digest,
-                                struct GspanOutbox *outbox)
-{
-  struct GspanFollower *follower = &node->catalog.followers[GSPAN_FOLLOW_REPLICAS];
-  struct GspanLine line;
-
-  if (!is_comparable (follower, revision))
-    return GSPAN_COMPARISON_NONE;
-  if (follower->known.digest == digest)
-    return GSPAN_COMPARISON_SAME;
-  gspan_metrics_add (&node->metrics, GSPAN_METRIC_REPLICAS_DIFFER, 1);
-  gspan_line_init (&line, "replicas-differ");
-  gspan_line_u64 (&line, "revision", revision);
-  gspan_line_u64 (&line, "known_revision", follower->revision);
-  gspan_line_u64 (&line, "known", g_hash_table_size (follower->known.revisions));
-  gspan_line_u64 (&line, "list_age_us", node->now - follower->listed_at);
-  gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_WARNING, &line);
-  follower->in_doubt = true;
-  follower->next_at = MAX (node->now, follower->listed_at + LIST_AGAIN_US);
-  return GSPAN_COMPARISON_DIFFERENT;
-}
-
 void
 gspan_catalog_note_newest (struct GspanNode *node, enum GspanFollowed which, guint64 newest)
 {
@@ -293,71 +211,6 @@
   list_again (&catalog->followers[GSPAN_FOLLOW_REPLICAS]);
 }
 
-static void
-set_store_state (struct GspanNode *node, bool fails, enum GspanStoreResult result,
-                 struct GspanOutbox *outbox)
-{
-  struct GspanCatalog *catalog = &node->catalog;
-  struct GspanLine line;
-
-  if (fails)
-    catalog->store_failed_at = node->now;
-  if (fails == catalog->store_fails)
-    return;
-  catalog->store_fails = fails;
-  gspan_line_init (&line, fails ? "store-lost" : "store-regained");
-  gspan_line_cstr (&line, "result", gspan_store_result_name (result));
-  gspan_line_u64 (&line, "failures", catalog->failures);
-  gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_WARNING, &line);
-}
-
-void
-gspan_catalog_store_failed (struct GspanNode *node, const struct GspanStoreCall *call)
-{
-  node->catalog.store_failed_at = node->now;
-  if (call->op != GSPAN_STORE_WATCH && call->sent_at_us > node->catalog.store_ok_at)
-    node->catalog.store_failed = true;
-}
-
-void
-gspan_catalog_note_told_failure (struct GspanCatalog *catalog, const char *teller, guint64 at)
-{
-  if (at <= catalog->told_failed_at)
-    return;
-  catalog->told_failed_at = at;
-  g_free (catalog->told_failed_by);
-  catalog->told_failed_by = g_strdup (teller);
-}
-
-guint64
-gspan_catalog_last_failure (const struct GspanCatalog *catalog, const char *except)
-{
-  if (g_strcmp0 (catalog->told_failed_by, except) == 0)
-    return catalog->store_failed_at;
-  return MAX (catalog->store_failed_at, catalog->told_failed_at);
-}
-
-/* True if an outage ends now that may have been long enough for entries to expire. */
-static bool
-ends_outage (const struct GspanNode *node)
-{
-  const struct GspanCatalog *catalog = &node->catalog;
-
-  return catalog->store_failed
-         && node->now - MAX (catalog->store_ok_at, catalog->replicas_as_of) >= OUTAGE_LEAST_US;
-}
-
-void
-gspan_catalog_store_answered (struct GspanNode *node, struct GspanOutbox *outbox)
-{
-  if (ends_outage (node))
-    node->catalog.lapse_until = node->now + LAPSE_GRACE_US;
-  node->catalog.store_failed = false;
-  node->catalog.store_ok_at = node->now;
-  node->catalog.failures = 0;
-  set_store_state (node, false, GSPAN_STORE_OK, outbox);
-}
-
 /* The follower that asks whether the store is back doesn't wait in an older watch. */
 static void
 start_probing (struct GspanCatalog *catalog)
@@ -465,7 +318,7 @@
         break;
       if (!node->catalog.store_fails && which != GSPAN_FOLLOW_CONFIG)
         start_probing (&node->catalog);
-      set_store_state (node, true, reply->result, outbox);
+      gspan_outage_set (node, true, reply->result, outbox);
       break;
     }
 }
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -106,15 +106,6 @@
 void gspan_catalog_handle (struct GspanNode *node, const struct GspanEvent *event,
                            struct GspanOutbox *outbox);
 
-/*
- * Notes that CALL, of any kind, failed. A watch may be cut at any time, and a call that was sent
- * before the store's last answer failed in an earlier outage; neither says that the store is away.
- */
-void gspan_catalog_store_failed (struct GspanNode *node, const struct GspanStoreCall *call);
-
-/* Notes that the store has answered a call of any kind: it is there. */
-void gspan_catalog_store_answered (struct GspanNode *node, struct GspanOutbox *outbox);
-
 /*
  * Takes in changes of replicas that another node has read AGE_US ago; calls under way for them are
  * left. That these are all is claimed apart.
@@ -122,51 +113,18 @@
 void gspan_catalog_receive_replicas (struct GspanNode *node, const struct GspanStoreReply *reply,
                                      guint64 age_us, struct GspanOutbox *outbox);
 
-/* The node TELLER has told that a call of its own failed at AT. */
-void gspan_catalog_note_told_failure (struct GspanCatalog *catalog, const char *teller, guint64 at);
-
-/*
- * Time of the last failure of a call to the store that this node knows of, but for those that only
- * EXCEPT has told: a node that is cut off from the store is no witness of an outage. 0 is none.
- */
-guint64 gspan_catalog_last_failure (const struct GspanCatalog *catalog, const char *except);
-
 /* Another node has told that the newest object of WHICH has the revision NEWEST. */
 void gspan_catalog_note_newest (struct GspanNode *node, enum GspanFollowed which, guint64 newest);
 
 /* Lists the configuration and the replicas next, in place of a watch that waits now. */
 void gspan_catalog_list_again (struct GspanCatalog *catalog);
 
-/* Whether another node knows the same replicas as this one. */
-enum GspanComparison
-{
-  GSPAN_COMPARISON_SAME,
-  GSPAN_COMPARISON_DIFFERENT,
-  GSPAN_COMPARISON_NONE /* they don't know them at the same revision */
-};
-
-/*
- * Compares the replicas that are known with DIGEST, of what another node knew at REVISION. Where
- * they differ, this node lists the replicas, and relies on no message before.
- */
-enum GspanComparison gspan_catalog_compare_replicas (struct GspanNode *node, guint64 revision,
-                                                     guint64 digest, struct GspanOutbox *outbox);
-
-/* All changes of the replicas up to REVISION have been taken in, as of what was received last. */
-void gspan_catalog_claim_replicas (struct GspanNode *node, guint64 revision);
-
-/* True where the digest of the replicas that are known is that of the store at their revision. */
-bool gspan_catalog_has_digest (const struct GspanCatalog *catalog);
-
 /* Starts or stops following WHICH. */
 void gspan_catalog_want (struct GspanCatalog *catalog, enum GspanFollowed which, bool wanted);
 
 /* Age of what is known of the replicas, in microseconds; G_MAXUINT64 before the first list. */
 guint64 gspan_catalog_replicas_age (const struct GspanCatalog *catalog, guint64 now);
 
-/* The replicas are known as they were AGE_US ago. */
-void gspan_catalog_note_proven (struct GspanNode *node, guint64 age_us);
-
 /* Lists the replicas, unless they are known as of SINCE or a list is under way that will show it.
  */
 void gspan_catalog_want_replicas (struct GspanNode *node, guint64 since);
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "catalog/outage.h"
+#include "catalog/proof.h"
 #include "common/clock.h"
 #include "node/node.h"
 #include "platform/wire.h"
@@ -235,7 +237,7 @@
   if (lapse_until > node->now)
     json_object_set_new (message, "lapse_us", json_integer ((json_int_t)(lapse_until - node->now)));
   json_object_set_new (message, "digest",
-                       gspan_catalog_has_digest (catalog)
+                       gspan_proof_has_digest (catalog)
                            ? json_integer ((json_int_t)replicas->known.digest)
                            : json_null ());
   json_object_set_new (message, "lease_revision",
@@ -301,8 +303,8 @@
     return GSPAN_COMPARISON_SAME;
   if (!json_is_integer (digest))
     return GSPAN_COMPARISON_NONE;
-  return gspan_catalog_compare_replicas (node, number_of (message, "to"),
-                                         (guint64)json_integer_value (digest), outbox);
+  return gspan_proof_compare (node, number_of (message, "to"), (guint64)json_integer_value (digest),
+                              outbox);
 }
 
 void
@@ -320,7 +322,7 @@
   gspan_catalog_note_newest (node, GSPAN_FOLLOW_NODES, number_of (message, "nodes"));
   gspan_catalog_note_newest (node, GSPAN_FOLLOW_VERDICTS, number_of (message, "verdicts"));
   if (json_object_get (message, "failed_us") != NULL)
-    gspan_catalog_note_told_failure (
+    gspan_outage_note_told_failure (
         catalog, json_string_value (json_object_get (json_object_get (message, "lease"), "holder")),
         node->now - MIN (node->now, number_of (message, "failed_us")));
   catalog->lapse_until
@@ -332,7 +334,7 @@
   switch (compare (node, message, outbox))
     {
     case GSPAN_COMPARISON_SAME:
-      gspan_catalog_claim_replicas (node, number_of (message, "to"));
+      gspan_proof_claim (node, number_of (message, "to"));
       break;
     case GSPAN_COMPARISON_DIFFERENT:
       catalog->feed.fresh_until = 0;
--- a/catalog/reading.c
+++ b/catalog/reading.c
@@ -1,6 +1,7 @@
 #include "catalog/reading.h"
 
 #include "catalog/apply.h"
+#include "catalog/proof.h"
 #include "node/node.h"
 #include "platform/wire.h"
 
@@ -208,7 +209,7 @@
   follower->listed_at = listing->began_at;
   follower->listed_wall_ms = listing->began_wall_ms;
   if (which == GSPAN_FOLLOW_REPLICAS)
-    gspan_catalog_note_proven (node, node->now - listing->began_at);
+    gspan_proof_note (node, node->now - listing->began_at);
 }
 
 bool
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "catalog/outage.h"
 #include "common/clock.h"
 #include "jobs/checkpoint.h"
 #include "jobs/jobs.h"
@@ -283,7 +284,7 @@
 static bool
 is_owner_cut_off (const struct GspanNode *node, const struct GspanJob *job)
 {
-  guint64 failed_at = gspan_catalog_last_failure (&node->catalog, job->owner);
+  guint64 failed_at = gspan_outage_last_failure (&node->catalog, job->owner);
 
   return job->owner_stuck
          && (failed_at == 0 || failed_at + OUTAGE_WINDOW_US < job->owner_heartbeat_at_us);
@@ -294,7 +295,7 @@
 monitor_owner (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
 {
   guint rank = takeover_rank (node, job);
-  guint64 failed_at = gspan_catalog_last_failure (&node->catalog, job->owner);
+  guint64 failed_at = gspan_outage_last_failure (&node->catalog, job->owner);
   guint64 silent_since_us = MAX (job->owner_heartbeat_at_us, failed_at);
   bool no_working_owner = job->owner[0] == '\0' || is_owner_cut_off (node, job);
   bool is_candidate = rank < CANDIDATES_MAX;
--- a/node/node.c
+++ b/node/node.c
@@ -1,5 +1,6 @@
 #include "node/node.h"
 
+#include "catalog/outage.h"
 #include "common/clock.h"
 #include "jobs/placement.h"
 #include "platform/wire.h"
@@ -255,9 +256,9 @@
   gspan_odd_objects_log_reply (node, event->u.store.call->kind, event->u.store.reply, outbox);
   result = event->u.store.reply->result;
   if (result == GSPAN_STORE_UNAVAILABLE || result == GSPAN_STORE_UNKNOWN)
-    gspan_catalog_store_failed (node, event->u.store.call);
+    gspan_outage_note_failure (node, event->u.store.call);
   else
-    gspan_catalog_store_answered (node, outbox);
+    gspan_outage_note_answer (node, outbox);
 }
 
 static void
