--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -11,9 +11,11 @@
 
 
 class Replica:
-    def __init__(self, store, record, name, service, model="m0", slots=16, events=24, event_s=0.04):
+    def __init__(self, store, record, name, service, model="m0", slots=16, events=24, event_s=0.04,
+                 software="v1"):
         self.store, self.record, self.name, self.service, self.model = store, record, name, service, model
         self.slots, self.events, self.event_s = slots, events, event_s
+        self.software = software
         self.version = 1
         self.beats = 0
         self.orders_accepted = 0
@@ -37,14 +39,34 @@
         self.beating.cancel()
         self.server.stop()
 
+    def crash(self):
+        """Ends without a word; its entry stays until it lapses after three heartbeats, or until the next start writes it."""
+        self.record(f"replica {self.name}: crashes")
+        port = self.server.port
+        self.stop()
+        self.server = Server(self.serve)
+        self.server.port = port
+
+    async def start_again(self, software, first_beat_after_s):
+        """Starts in place, under the same id and at the same address; its first beat comes FIRST_BEAT_AFTER_S later."""
+        self.software = software
+        self.born = int(time.time() * 1000)
+        self.orders_accepted = 0
+        await self.server.start(port=self.server.port)
+        self.record(f"replica {self.name}: has started again in place, as version {software} of its software")
+        self.beating = asyncio.create_task(self.beat(first_beat_after_s))
+
     def register(self):
+        if self.beats == 0 or self.store.get("servers", self.name)["spec"]["born"] != self.born:
+            self.record(f"replica {self.name}: writes its entry, version {self.software} of its software")
         self.beats += 1
         self.store.put("servers", self.name, {
-            "service": self.service, "address": f"127.0.0.1:{self.server.port}", "zone": "bratislava", "version": "v1",
+            "service": self.service, "address": f"127.0.0.1:{self.server.port}", "zone": "bratislava", "version": self.software,
             "slots": self.slots, "state": "ready", "coldLeftMs": 0, "phase": "both", "born": self.born,
             "models": [{"name": self.model, "version": self.version, "adapters": []}], "seqNo": self.beats})
 
-    async def beat(self):
+    async def beat(self, after_s=0.0):
+        await asyncio.sleep(after_s)
         while True:
             self.register()
             await asyncio.sleep(HEARTBEAT_S)
@@ -88,11 +110,12 @@
         """Streams the events of a request, from the one after Last-Event-Id on."""
         item = request.headers.get("x-attempt-id", "")
         first = int(request.headers.get("last-event-id", 0)) + 1
+        software = self.software
         self.stamps += 1
         sent = {**echo, "X-Server-Stamp": f"{self.name}.{self.stamps}", "X-Weight-Versions": self.version,
                 "Content-Type": "text/event-stream"}
         sent.update({"Transfer-Encoding": "chunked"} if self.framed else {"Connection": "close"})
-        self.record(f"replica {self.name}: runs {item} from event {first} on")
+        self.record(f"replica {self.name}: runs {item} from event {first} on, version {software} of its software")
         self.active += 1
         self.running[item] = self.running.get(item, 0) + 1
         try:
@@ -100,7 +123,7 @@
             for number in range(first, self.events + 1):
                 await asyncio.sleep(self.event_s)
                 self.last_run[item] = time.monotonic()
-                self.write(writer, f"id: {number}\ndata: {item}-{number}\n\n".encode())
+                self.write(writer, f"id: {number}\ndata: {item}-{number} by {software}\n\n".encode())
                 await writer.drain()
             if self.framed:
                 writer.write(b"0\r\n\r\n")
