review: streams that nobody may go on with after a second version came (case 4, LOST)

What breaks: the origins of streams are kept by one node alone until it has read of a second version; where all processes are killed before that is in the store, all take-ups are refused: 0 of 16 went on, while 12 of 12 new streams began.

--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -17,6 +17,7 @@
         self.changed = asyncio.Event()
         self.servers = {}
         self.loses_answer = None  # (node, request) -> True: the call is done and not answered
+        self.slow_s = 0.0  # by which answers come later
         self.cut_off = set()  # nodes whose calls don't arrive, and whose answers don't leave
 
     async def open_port(self, node):
@@ -69,6 +70,8 @@
             raise LoseAnswer
         loses = self.loses_answer is not None and self.loses_answer(node, request)
         status, answer = await self.act(request)
+        if self.slow_s:
+            await asyncio.sleep(self.slow_s)
         if loses:
             raise LoseAnswer
         if node in self.cut_off:
