--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,7 @@
 import signal
 import time
 
-from world import HOST, TROUBLE, model_service, rollout_route, run_case
+from world import HOST, TROUBLE, CantRun, model_service, rollout_route, run_case
 from http11 import call
 
 STABLE_S = 3.0  # stableMs
@@ -118,7 +118,7 @@
                         json.dumps(step(job)).encode())
     world.record(f"trainer: step {job} at {owner.name}: {answer[0] if answer else 'no answer'}")
     if answer is None or answer[0] != 202:
-        return None
+        raise CantRun("the step wasn't accepted")
     removed = None
     results = []
     reading = asyncio.create_task(read_results(world, job, nodes, results, sent + STEP_S))
@@ -129,6 +129,7 @@
         world.record(f"platform: {owner.name} is gone for good")
         await asyncio.sleep(1.0)
         nodes.append(await world.add_node("edge-bratislava-9"))
+        removed = time.monotonic()  # steady state is counted from the successor's start, the last that was disturbed
     await reading
     timed_out = time.monotonic()
     complete = complete_groups(results)
@@ -139,7 +140,7 @@
 
 
 def judge(world, job, timed_out, removed, results):
-    """Items that no replica has finished, and that were at none from STABLE_S after the removal to the step's end."""
+    """Items that no replica has finished, and that were at none for LYING_S of steady state until the step's end."""
     replicas = world.replicas
     steady = (removed or 0.0) + STABLE_S
     listed = {result["id"] for result in results}
@@ -154,7 +155,8 @@
     busy = [f"{replica.active}/{replica.slots}" for replica in replicas]
     world.record(f"items lying at no replica for {LYING_S} s of steady state: {len(lying)}; begun: {begun}; places taken "
                  f"at the replicas: {', '.join(busy)}")
-    if not lying or begun == 0:
+    has_room = all(2 * replica.active < replica.slots for replica in replicas)
+    if not lying or begun == 0 or not has_room:  # no version is named in this case
         return None
     return (f"LOST: the step ran out of time while {len(lying)} of its {GROUPS * SIZE} items had been at no replica for "
             f"over {LYING_S:.0f} s of steady state (places taken at the replicas: {', '.join(busy)})")
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 
@@ -86,6 +87,9 @@
     record = Record(os.path.join(folder, "record.txt"))
 
     async def run():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # what was started ends then, too
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as scratch:
             world = World(scratch, record)
             try:
@@ -97,7 +101,7 @@
 
     try:
         found = asyncio.run(run())
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         record(f"the case couldn't run: {error!r}")
         print(f"the case couldn't run: {error!r}")
         sys.exit(CANT_RUN)
