gateway: a store call that fails once refuses no stream that is taken up

Callers who took streams up were refused (503) where one read of the store failed: the next read came 0.5 s later, while such a caller waits for the store for 0.4 s. The next read comes after 0.1 s now. While the store is known to be away none is made, as before.

RejoinedStreams.StoreFailsOneCallAtTheQuestion failed before: 14 of 16 streams went on, 16 now.

--- a/gateway/origin_store.c
+++ b/gateway/origin_store.c
@@ -10,6 +10,7 @@
   (3 * GSPAN_MS) /* all nodes together write some 300 times a second */
 #define MAY_WAIT_US (GSPAN_SECOND)
 #define RETRY_US (500 * GSPAN_MS)
+#define LIST_RETRY_US (100 * GSPAN_MS) /* well within a caller's wait for the store */
 #define LIST_SOON_US (300 * GSPAN_MS)
 #define EMPTY_US (5 * GSPAN_SECOND)      /* with nothing to keep, until the object is removed */
 #define LIST_EVERY_US (5 * GSPAN_SECOND) /* what lives knows the newer origins and says so */
@@ -260,7 +261,7 @@
   struct GspanOriginStore *store = &node->origin_store;
 
   g_clear_pointer (&store->after, g_free);
-  store->next_list_at = node->now + RETRY_US;
+  store->next_list_at = node->now + LIST_RETRY_US;
   if (reply->result != GSPAN_STORE_OK)
     return;
   for (guint i = 0; i < reply->objects->len; i++)
--- a/gateway/version_history.c
+++ b/gateway/version_history.c
@@ -9,6 +9,7 @@
 #define LOOK_US (200 * GSPAN_MS)
 #define WRITE_EVERY_US (200 * GSPAN_MS)
 #define RETRY_US (500 * GSPAN_MS)
+#define READ_RETRY_US (100 * GSPAN_MS) /* well within a caller's wait for the store */
 #define START_US (GSPAN_SECOND) /* until the other nodes are known */
 /* Between the first nodes that write, and between the others, which mostly have been told. */
 #define FIRST_RANK_US (GSPAN_SECOND)
@@ -427,6 +428,8 @@
     on_written (node, service, writes, base, outbox);
   else if (writes == NULL && answered)
     on_read (node, service, reply, outbox);
+  else if (writes == NULL)
+    history->next_call_at = node->now + READ_RETRY_US;
   else
     history->next_call_at = node->now + RETRY_US; /* and reads first */
   g_clear_pointer (&writes, g_hash_table_unref);
