gateway: a stream begins once the store names its service's base

The base, the version of streams that nobody knows, was written by a timer: a second after the start at the earliest, by one node, the next one a second later. Streams that had begun before it was in the store were lost with the nodes. Nothing bound their beginning to that write.

The first stream of a service now waits until the store names the base, 0.4 s at most, and has the node write it at once; a conflict means that another node has just done so and is read again without a pause. Where the store is away or an older build runs beside, streams begin as before, with the line event=origin-unrecorded. Once the base is known nothing waits.

RejoinedStreams.AllNodesDieInTheFirstSecondsOfTheFleet failed before: 0 of 16 streams went on at each of five moments, 16 of 16 now.

--- a/gateway/origin_records.c
+++ b/gateway/origin_records.c
@@ -76,12 +76,36 @@
     gspan_version_history_want (node, service);
 }
 
+/*
+ * True where CALL may begin at SOFTWARE, the only version of its service. The store has to name it
+ * as the base: if all nodes died with a second version there, the stream would be of neither.
+ */
+static bool
+allow_only_version (struct GspanNode *node, struct GspanCall *call, const char *software,
+                    struct GspanOutbox *outbox)
+{
+  if (gspan_version_history_names_base (node, call->service, software)
+      || gspan_peers_has_build_without_records (node))
+    return true;
+  if (call->record_until == 0)
+    call->record_until = MIN (node->now + WAIT_US, call->state.deadline_us);
+  if (node->catalog.store_fails || node->now >= call->record_until)
+    {
+      log_unrecorded (call, software, outbox);
+      return true;
+    }
+  gspan_version_history_need_base (node, call->service);
+  return false;
+}
+
 bool
 gspan_origin_records_allow (struct GspanNode *node, struct GspanCall *call, const char *software,
                             struct GspanOutbox *outbox)
 {
-  if (!may_begin_stream (call) || !gspan_versions_is_mixed (node, call->service))
+  if (!may_begin_stream (call))
     return true;
+  if (!gspan_versions_is_mixed (node, call->service))
+    return allow_only_version (node, call, software, outbox);
   read_base_again (node, call->service);
   if (needs_no_record (node, call, software))
     return true;
--- a/gateway/version_history.c
+++ b/gateway/version_history.c
@@ -27,6 +27,7 @@
 {
   bool known;
   bool wanted;     /* a call waits for it */
+  bool needs_base; /* a stream waits until it names a base */
   guint64 read_at; /* or told by another node; 0 is not KNOWN */
   GHashTable *versions;
   char *base;            /* NULL is none */
@@ -126,6 +127,22 @@
   return stored->base;
 }
 
+bool
+gspan_version_history_names_base (const struct GspanNode *node, const char *service,
+                                  const char *software)
+{
+  const struct Stored *stored = g_hash_table_lookup (node->version_history.services, service);
+
+  return stored != NULL && g_strcmp0 (stored->base, software) == 0;
+}
+
+void
+gspan_version_history_need_base (struct GspanNode *node, const char *service)
+{
+  stored_of (&node->version_history, service)->needs_base = true;
+  node->version_history.next_look_at = 0;
+}
+
 void
 gspan_version_history_want (struct GspanNode *node, const char *service)
 {
@@ -300,6 +317,8 @@
   guint64 rank = gspan_peers_takeover_rank (node, service, "");
   guint64 wait = MIN (rank, FIRST_RANKS) * FIRST_RANK_US;
 
+  if (stored->needs_base)
+    return 0;
   if (rank > FIRST_RANKS)
     wait += (rank - FIRST_RANKS) * RANK_US;
   return MAX (stored->differs_since + wait, node->version_history.began_at + START_US);
@@ -318,7 +337,10 @@
   bool differs = g_hash_table_size (lately) > 0 && !is_up_to_date (node, stored, lately);
 
   if (!differs)
-    stored->differs_since = 0;
+    {
+      stored->differs_since = 0;
+      stored->needs_base = false;
+    }
   else if (stored->differs_since == 0)
     stored->differs_since = node->now;
   if (history->call == 0 && node->now >= history->next_call_at
@@ -430,7 +452,7 @@
     on_read (node, service, reply, outbox);
   else if (writes == NULL)
     history->next_call_at = node->now + READ_RETRY_US;
-  else
+  else if (reply->result != GSPAN_STORE_CONFLICT) /* another node has just written it */
     history->next_call_at = node->now + RETRY_US; /* and reads first */
   g_clear_pointer (&writes, g_hash_table_unref);
   g_free (base);
--- a/gateway/version_history.h
+++ b/gateway/version_history.h
@@ -54,6 +54,13 @@
 bool gspan_version_history_is_read_since (const struct GspanNode *node, const char *service,
                                           guint64 since);
 
+/* True where the object of SERVICE, as last read or written, names SOFTWARE as its base. */
+bool gspan_version_history_names_base (const struct GspanNode *node, const char *service,
+                                       const char *software);
+
+/* A stream waits until the object of SERVICE names a base: has it written without delay. */
+void gspan_version_history_need_base (struct GspanNode *node, const char *service);
+
 /* Has the object of SERVICE read. */
 void gspan_version_history_want (struct GspanNode *node, const char *service);
 
--- a/node/peers.c
+++ b/node/peers.c
@@ -203,20 +203,25 @@
 }
 
 bool
-gspan_peers_all_record_origins (const struct GspanNode *node)
+gspan_peers_has_build_without_records (const struct GspanNode *node)
 {
   GHashTableIter iter;
   gpointer value;
 
-  if (!node->catalog.followers[GSPAN_FOLLOW_NODES].synced)
-    return false;
   g_hash_table_iter_init (&iter, node->peers.items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       if (!((const struct GspanPeer *)value)->records_origins)
-        return false;
+        return true;
     }
-  return true;
+  return false;
+}
+
+bool
+gspan_peers_all_record_origins (const struct GspanNode *node)
+{
+  return node->catalog.followers[GSPAN_FOLLOW_NODES].synced
+         && !gspan_peers_has_build_without_records (node);
 }
 
 static void
--- a/node/peers.h
+++ b/node/peers.h
@@ -65,6 +65,9 @@
 /* True where the entries of all nodes are known, and all record the origins of streams. */
 bool gspan_peers_all_record_origins (const struct GspanNode *node);
 
+/* True where a node is known whose build records none. */
+bool gspan_peers_has_build_without_records (const struct GspanNode *node);
+
 /* Sends MESSAGE to all other nodes. */
 void gspan_peers_send_all (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox);
 
--- a/test/rejoined_streams_test.cc
+++ b/test/rejoined_streams_test.cc
@@ -25,6 +25,18 @@
     put_second (second);
   }
 
+  /* A fleet's first start, with replica d1 alone; the nodes have just become ready. */
+  void
+  start_fleet (unsigned nodes)
+  {
+    world.put ("config", "main", config_spec (4, "streaming").c_str ());
+    world.put ("servers", "d1", replica_spec ("desk", 1, 0).c_str ());
+    for (unsigned i = 0; i < nodes; i++)
+      world.add ("vm-" + std::to_string (i + 1));
+    for (unsigned i = 0; i < 300 && !all_know ("d1"); i++)
+      world.run (10 * GSPAN_MS);
+  }
+
   void
   put_second (const char *software, guint64 run_us = 2 * GSPAN_SECOND)
   {
@@ -213,6 +225,27 @@
   EXPECT_EQ (gone_on, 16U);
 }
 
+/* Streams begin as soon as the nodes are ready, and all die once a second version is registered. */
+TEST_F (RejoinedStreams, AllNodesDieInTheFirstSecondsOfTheFleet)
+{
+  for (unsigned ms : { 0, 100, 300, 600, 900 })
+    {
+      world.clear ();
+      began.clear ();
+      gone_on = joined = 0;
+      start_fleet (3);
+      begin_streams (16, 0);
+      world.latency_us = 370 * GSPAN_MS;
+      put_second ("v2", ms * GSPAN_MS);
+      world.latency_us = 4 * GSPAN_MS;
+      world.restart_all ();
+      world.run (3 * GSPAN_SECOND);
+      take_up ();
+      EXPECT_EQ (joined, 0U) << ms;
+      EXPECT_EQ (gone_on, 16U) << ms;
+    }
+}
+
 /* The entries 3006 and 3430: no node reached the store as the second version came and all died. */
 TEST_F (RejoinedStreams, AllNodesDieWhileTheStoreIsAwayAndASecondVersionComes)
 {
