gateway: streams are recorded where their service never had a base

A service that has two versions from its first start has no base. Its streams began without a record, so after the death of all nodes each one was refused (LOST), and if a base was written in that moment by a node that saw one version alone, streams of the other one could have been joined to it. Such streams are recorded before they begin now, as those of versions other than the base are. A take-up then counts records made just before, as it does beside a base.

--- a/gateway/origin_records.c
+++ b/gateway/origin_records.c
@@ -55,7 +55,10 @@
   return recorded;
 }
 
-/* True where nothing has to be, or can be, recorded for CALL to begin at SOFTWARE. */
+/*
+ * True where nothing has to be, or can be, recorded for CALL to begin at SOFTWARE. Without a base
+ * nothing tells the version of a stream but its record; builds before this one make none.
+ */
 static bool
 needs_no_record (const struct GspanNode *node, struct GspanCall *call, const char *software)
 {
@@ -64,7 +67,8 @@
   if (call->has_record) /* it has to say SOFTWARE then, even if that is the base */
     return is_recorded (node, call, software);
   if (base == NULL)
-    return gspan_version_history_is_read (node, call->service);
+    return gspan_version_history_is_read (node, call->service)
+           && !gspan_peers_all_record_origins (node);
   return strcmp (base, software) == 0;
 }
 
--- a/gateway/resume.c
+++ b/gateway/resume.c
@@ -53,7 +53,7 @@
 /*
  * True where all is known that the store could tell of the stream, which no node knows: where the
  * service has several versions, its base and the origins that were kept, else whether it had others
- * lately. Where there is a base, an origin that was recorded just before counts too. That
+ * lately. Where all nodes record origins, one that was recorded just before counts too. That
  * it has one alone is believed of a list that was asked for after the caller took the stream up:
  * this node may have been out of step, and the replica that began the stream be newer than its
  * list.
@@ -63,7 +63,7 @@
 {
   if (gspan_versions_is_mixed (node, call->service))
     return gspan_version_history_is_read_since (node, call->service, call->started)
-           && (gspan_version_history_base (node, call->service) != NULL
+           && (gspan_peers_all_record_origins (node)
                    ? gspan_origin_store_is_read_since (node, call->started)
                    : gspan_origin_store_is_read (node, call->started));
   return gspan_version_history_is_known (node, call->service)
@@ -84,7 +84,7 @@
     {
       if (!gspan_version_history_is_read_since (node, call->service, call->started))
         gspan_version_history_want (node, call->service);
-      gspan_origin_store_want (node, gspan_version_history_base (node, call->service) != NULL);
+      gspan_origin_store_want (node, gspan_peers_all_record_origins (node));
       return true;
     }
   if (!gspan_version_history_is_known (node, call->service))
--- a/test/rejoined_streams_test.cc
+++ b/test/rejoined_streams_test.cc
@@ -205,26 +205,6 @@
     }
 }
 
-/* One call that fails must not refuse streams whose callers can wait for the next one. */
-TEST_F (RejoinedStreams, StoreFailsOneCallAtTheQuestion)
-{
-  std::set<const Rig *> failed;
-
-  start (3);
-  begin_streams (16, 0);
-  world.lose_datagrams = true;
-  world.restart_all ();
-  world.lose_datagrams = false;
-  world.run (3 * GSPAN_SECOND);
-  world.fault_of = [&failed] (const Rig &rig, const GspanStoreCall &call) {
-    bool first = strcmp (call.kind, "streams") == 0 && failed.insert (&rig).second;
-    return first ? StoreFault::Busy : StoreFault::None;
-  };
-  take_up ();
-  EXPECT_EQ (joined, 0U);
-  EXPECT_EQ (gone_on, 16U);
-}
-
 /* Streams begin as soon as the nodes are ready, and all die once a second version is registered. */
 TEST_F (RejoinedStreams, AllNodesDieInTheFirstSecondsOfTheFleet)
 {
@@ -246,6 +226,42 @@
     }
 }
 
+/* No version was ever alone, so there is no base; each stream has to be recorded. */
+TEST_F (RejoinedStreams, AllNodesDieWhereTwoVersionsServedFromTheStart)
+{
+  put_second ("v2", 0);
+  start_fleet (3);
+  world.run (3 * GSPAN_SECOND);
+  begin_streams (40, 0);
+  world.lose_datagrams = true;
+  world.restart_all ();
+  world.lose_datagrams = false;
+  world.run (3 * GSPAN_SECOND);
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_EQ (gone_on, 40U);
+}
+
+/* One call that fails must not refuse streams whose callers can wait for the next one. */
+TEST_F (RejoinedStreams, StoreFailsOneCallAtTheQuestion)
+{
+  std::set<const Rig *> failed;
+
+  start (3);
+  begin_streams (16, 0);
+  world.lose_datagrams = true;
+  world.restart_all ();
+  world.lose_datagrams = false;
+  world.run (3 * GSPAN_SECOND);
+  world.fault_of = [&failed] (const Rig &rig, const GspanStoreCall &call) {
+    bool first = strcmp (call.kind, "streams") == 0 && failed.insert (&rig).second;
+    return first ? StoreFault::Busy : StoreFault::None;
+  };
+  take_up ();
+  EXPECT_EQ (joined, 0U);
+  EXPECT_EQ (gone_on, 16U);
+}
+
 /* The entries 3006 and 3430: no node reached the store as the second version came and all died. */
 TEST_F (RejoinedStreams, AllNodesDieWhileTheStoreIsAwayAndASecondVersionComes)
 {
