--- a/gateway/resume.c
+++ b/gateway/resume.c
@@ -22,6 +22,7 @@
 log_resumption (const struct GspanNode *node, const struct GspanCall *call, const char *software,
                 struct GspanOutbox *outbox)
 {
+  const char *base = gspan_version_history_base (node, call->service);
   struct GspanLine line;
 
   gspan_line_init (&line, "call-resumes");
@@ -30,6 +31,11 @@
   gspan_line_cstr (&line, "service", call->service);
   gspan_line_cstr (&line, "software", software != NULL ? software : "");
   gspan_line_u64 (&line, "several_versions", gspan_versions_is_mixed (node, call->service));
+  gspan_line_cstr (&line, "base", base != NULL ? base : "");
+  gspan_line_u64 (&line, "versions_read",
+                  gspan_version_history_is_read_since (node, call->service, call->started));
+  gspan_line_u64 (&line, "origins_read", gspan_origin_store_is_read_since (node, call->started));
+  gspan_line_u64 (&line, "all_record", gspan_peers_all_record_origins (node));
   gspan_line_u64 (&line, "last_event", call->last_event);
   gspan_line_u64 (&line, "asked", call->origin_until != 0);
   gspan_line_u64 (&line, "asked_store", call->store_until != 0);
--- a/gateway/version_history.c
+++ b/gateway/version_history.c
@@ -10,7 +10,7 @@
 #define WRITE_EVERY_US (200 * GSPAN_MS)
 #define RETRY_US (500 * GSPAN_MS)
 #define READ_RETRY_US (100 * GSPAN_MS) /* well within a caller's wait for the store */
-#define START_US (GSPAN_SECOND) /* until the other nodes are known */
+#define START_US (GSPAN_SECOND)        /* until the other nodes are known */
 /* Between the first nodes that write, and between the others, which mostly have been told. */
 #define FIRST_RANK_US (GSPAN_SECOND)
 #define RANK_US (100 * GSPAN_MS)
--- a/test/software_test.cc
+++ b/test/software_test.cc
@@ -96,13 +96,15 @@
 
   static constexpr unsigned RECORD_WAIT_MS = 420; /* until a stream begins, recorded or not */
 
-  /* The request of ATTEMPT that RIG has sent; nullptr is none. Silent streams may have moved since. */
+  /* The request of ATTEMPT that RIG has sent; nullptr is none. Silent streams may have moved since.
+   */
   static const Exchange *
   sent (const Rig &rig, const std::string &attempt)
   {
-    auto found = std::find_if (
-        rig.exchanges.begin (), rig.exchanges.end (),
-        [&] (const auto &exchange) { return exchange.header ("X-Attempt-Id") == attempt; });
+    auto found
+        = std::find_if (rig.exchanges.begin (), rig.exchanges.end (), [&] (const auto &exchange) {
+            return exchange.header ("X-Attempt-Id") == attempt;
+          });
 
     return found != rig.exchanges.end () ? &*found : nullptr;
   }
