accounts: requests need the API key of an account, and jobs are their account's

Where the configuration lists accounts, a request needs a key of one of them (401 else, 404 first where there is no route) unless its route admits callers without one. A request whose key is taken away is not sent again. The head of a job names its account; to others the job doesn't exist. Without accounts nothing is checked and headers go on as they came.

--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -35,6 +35,9 @@
   gspan_line_u64 (&line, "version", config.number);
   gspan_line_u64 (&line, "before", catalog->config.number);
   gspan_line_u64 (&line, "routes", config.routes->len);
+  gspan_line_u64 (&line, "accounts", config.accounts.items->len);
+  gspan_line_u64 (&line, "keys", g_hash_table_size (config.accounts.by_digest));
+  gspan_line_u64 (&line, "keys_ignored", config.accounts.keys_ignored);
   gspan_line_u64 (&line, "revision", object->revision);
   gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_NOTICE, &line);
   gspan_config_finish (&catalog->config);
--- a/catalog/config.c
+++ b/catalog/config.c
@@ -39,6 +39,7 @@
   *config = (struct GspanConfig){ 0 };
   config->routes = g_ptr_array_new_with_free_func (route_free);
   config->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  gspan_accounts_init (&config->accounts);
 }
 
 void
@@ -46,6 +47,7 @@
 {
   g_ptr_array_unref (config->routes);
   g_hash_table_unref (config->services);
+  gspan_accounts_finish (&config->accounts);
 }
 
 struct GspanConfigRoute *
--- a/catalog/config.h
+++ b/catalog/config.h
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "accounts/accounts.h"
 #include "common/str.h"
 
 /* What the operator has configured: routes of callers to services. */
@@ -35,7 +36,8 @@
   guint64 give_up_after_us; /* BATCH: an item may be given up this long after it; 0 is never */
   guint attempts_max;
   guint priority;
-  bool single_version; /* BATCH: one version of the weights for each result */
+  bool single_version;  /* BATCH: one version of the weights for each result */
+  bool allow_anonymous; /* callers without a key are let in */
 };
 
 struct GspanConfigService
@@ -51,8 +53,9 @@
   guint64 number; /* rises with each change; 0 where none is known */
   GPtrArray *routes;
   GHashTable *services; /* name to struct GspanConfigService */
-  guint64 body_max;     /* bytes */
-  guint64 idle_us;      /* a caller's connection may stay idle for so long */
+  struct GspanAccounts accounts;
+  guint64 body_max; /* bytes */
+  guint64 idle_us;  /* a caller's connection may stay idle for so long */
 };
 
 void gspan_config_init (struct GspanConfig *config);
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -35,6 +35,8 @@
   [GSPAN_METRIC_GOSSIP_SENT] = { "gspan_gossip_sent_total", "datagrams sent to other members" },
   [GSPAN_METRIC_GOSSIP_SENT_BYTES]
   = { "gspan_gossip_sent_bytes_total", "bytes in datagrams sent to other members" },
+  [GSPAN_METRIC_ACCOUNTS_REFUSED]
+  = { "gspan_accounts_refused_total", "requests without the API key of a known account" },
   [GSPAN_METRIC_CALLERS_REFUSED]
   = { "gspan_callers_refused_total", "requests without a token of a known caller or operator" },
   [GSPAN_METRIC_PEERS_REFUSED]
--- a/gateway/attempts.c
+++ b/gateway/attempts.c
@@ -2,6 +2,7 @@
 
 #include "catalog/pick.h"
 #include "common/clock.h"
+#include "gateway/authorize.h"
 #include "gateway/origin_records.h"
 #include "node/node.h"
 #include "platform/wire.h"
@@ -89,6 +90,8 @@
   gspan_wire_write_attempt_headers (&call->headers, replica->id, http->timeout_us,
                                     call->state.response_started ? call->last_event : 0,
                                     &http->headers);
+  if (node->catalog.config.accounts.enabled)
+    gspan_wire_set_account (&http->headers, call->account);
   gspan_line_init (&line, "call-attempt");
   gspan_line_cstr (&line, "id", call->caller_id);
   gspan_line_cstr (&line, "upstream", replica->id);
@@ -289,7 +292,7 @@
   bool by_relay;
 
   call->retry_at = 0;
-  if (gspan_call_refused_until (node, call) != 0)
+  if (gspan_call_refused_until (node, call) != 0 || !gspan_authorize_call_again (node, call))
     return false;
   if (waits_for_evidence (node, call))
     return true;
--- a/gateway/calls.c
+++ b/gateway/calls.c
@@ -30,6 +30,8 @@
   struct GspanCall *call = data;
 
   g_free (call->caller_id);
+  g_free (call->account);
+  g_free (call->key_digest);
   g_free (call->route);
   g_free (call->service);
   g_free (call->method);
@@ -65,6 +67,8 @@
 {
   gspan_line_init (line, event);
   gspan_line_cstr (line, "id", call->caller_id);
+  if (call->account != NULL)
+    gspan_line_cstr (line, "account", call->account);
   gspan_line_cstr (line, "route", call->route);
   gspan_line_cstr (line, "service", call->service);
   gspan_line_cstr (line, "outcome", outcome);
--- a/gateway/calls.h
+++ b/gateway/calls.h
@@ -18,6 +18,9 @@
   guint64 id;
   guint64 request;
   char *caller_id;
+  char *account;     /* client account that it is of; NULL is none */
+  char *key_digest;  /* of the API key that it came with; NULL is none */
+  bool is_anonymous; /* its route lets callers without a key in */
   char *route;
   char *service;
   char *method;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -6,6 +6,7 @@
 #include "common/clock.h"
 #include "gateway/answers.h"
 #include "gateway/attempts.h"
+#include "gateway/authorize.h"
 #include "gateway/resume.h"
 #include "node/node.h"
 #include "platform/wire.h"
@@ -54,6 +55,13 @@
   gspan_wire_add_retry_after (&action->u.reply.headers, wait_us);
 }
 
+void
+gspan_gateway_refuse_while_starting (struct GspanNode *node, guint64 request,
+                                     struct GspanOutbox *outbox)
+{
+  gspan_gateway_refuse (node, request, "this node is starting", STARTING_WAIT_US, outbox);
+}
+
 /* Answers at once that the call has not run, and when it may come back. */
 static void
 refuse_poison (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
@@ -78,8 +86,10 @@
 
 /* Why CALL, which no replica takes now, is refused. */
 static const char *
-why_refused (const struct GspanNode *node, const struct GspanCall *call)
+why_refused (const struct GspanNode *node, struct GspanCall *call)
 {
+  if (!gspan_authorize_call_again (node, call))
+    return "its API key has been taken away";
   if (call->retry_at != 0)
     return "no replica has room within its limit";
   return node->links.cut ? "this node reaches no replica" : "no replica is up";
@@ -110,10 +120,21 @@
   return node->now + limit;
 }
 
+static void
+set_account (struct GspanNode *node, struct GspanCall *call, struct GspanAccountCheck *check,
+             const struct GspanConfigRoute *route)
+{
+  call->is_anonymous = route->allow_anonymous;
+  call->key_digest = g_steal_pointer (&check->digest);
+  call->account = check->account != NULL ? g_strdup (check->account->name) : NULL;
+  if (node->catalog.config.accounts.enabled)
+    gspan_wire_set_account (&call->headers, NULL); /* the key is kept nowhere */
+}
+
 static void
 start_call (struct GspanNode *node, const struct GspanEventRequest *request,
             const struct GspanWireRequest *wire, const struct GspanConfigRoute *route,
-            struct GspanOutbox *outbox)
+            struct GspanAccountCheck *check, struct GspanOutbox *outbox)
 {
   const char *service = gspan_config_pick_service (route, g_rand_int (node->random));
   struct GspanCall *call = g_new0 (struct GspanCall, 1);
@@ -129,6 +150,7 @@
   for (guint i = 0; i < request->headers->items->len; i++)
     g_ptr_array_add (call->headers.items,
                      g_strdup (g_ptr_array_index (request->headers->items, i)));
+  set_account (node, call, check, route);
   call->body = g_bytes_ref (request->body);
   call->fingerprint = gspan_poison_requests_fingerprint (call->service, call->path,
                                                          gspan_str_from_bytes (request->body));
@@ -161,23 +183,27 @@
             struct GspanOutbox *outbox)
 {
   const struct GspanConfigRoute *route;
+  struct GspanAccountCheck check = { 0 };
   struct GspanWireRequest wire;
 
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_DESK_REQUESTS, 1);
   if (!gspan_catalog_known (&node->catalog))
     {
-      gspan_gateway_refuse (node, request->request, "this node is starting", STARTING_WAIT_US,
-                            outbox);
+      gspan_gateway_refuse_while_starting (node, request->request, outbox);
       return;
     }
   gspan_wire_read_request (request->headers, &wire);
   route = gspan_config_match (&node->catalog.config, wire.host, request->path);
   if (route == NULL)
     gspan_gateway_reply_error (request->request, 404, "no route has this host and path", outbox);
+  else if (!gspan_authorize_request (node, request, route, &check, outbox))
+    ; /* it has been answered */
   else if (route->repeat == GSPAN_REPEAT_BATCH)
-    gspan_jobs_submit (node, request, &wire, route, outbox);
+    gspan_jobs_submit (node, request, &wire, route,
+                       check.account != NULL ? check.account->name : NULL, outbox);
   else
-    start_call (node, request, &wire, route, outbox);
+    start_call (node, request, &wire, route, &check, outbox);
+  gspan_account_check_finish (&check);
 }
 
 /* True if the call may crash replicas. It is then sent to one at a time. */
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -37,6 +37,10 @@
 void gspan_gateway_refuse (struct GspanNode *node, guint64 request, const char *why,
                            guint64 wait_us, struct GspanOutbox *outbox);
 
+/* The same, of a node that doesn't know its configuration yet. */
+void gspan_gateway_refuse_while_starting (struct GspanNode *node, guint64 request,
+                                          struct GspanOutbox *outbox);
+
 /* Answers REQUEST with STATUS and a text for people. */
 void gspan_gateway_reply_error (guint64 request, int status, const char *text,
                                 struct GspanOutbox *outbox);
--- a/jobs/accept.c
+++ b/jobs/accept.c
@@ -28,6 +28,7 @@
   STATUS_ACCEPTED = 202
 };
 
+static const char no_job_text[] = "no such job";
 static const char unsettled_text[] = "it isn't known whether the store took the job";
 
 struct GspanSubmission
@@ -198,13 +199,14 @@
 static void
 start_submission (struct GspanNode *node, const struct GspanEventRequest *request, const char *id,
                   const struct GspanWireRequest *wire, const struct GspanConfigRoute *route,
-                  struct GspanOutbox *outbox)
+                  const char *account, struct GspanOutbox *outbox)
 {
   struct GspanJob *job = parse_submission (node, request, id, wire, outbox);
   struct GspanSubmission *submission;
 
   if (job == NULL)
     return;
+  job->account = g_strdup (account);
   submission = g_new0 (struct GspanSubmission, 1);
   submission->job = job;
   submission->body = g_bytes_ref (request->body);
@@ -237,17 +239,21 @@
 void
 gspan_jobs_submit (struct GspanNode *node, const struct GspanEventRequest *request,
                    const struct GspanWireRequest *wire, const struct GspanConfigRoute *route,
-                   struct GspanOutbox *outbox)
+                   const char *account, struct GspanOutbox *outbox)
 {
   char *id = gspan_str_dup (wire->attempt_id);
   struct GspanSubmission *submission = g_hash_table_lookup (node->jobs.submissions, id);
+  const struct GspanJob *known = gspan_jobs_find (&node->jobs, id);
 
   if (!gspan_str_equal (request->method, GSPAN_STR ("POST")))
     gspan_gateway_reply_error (request->request, 405, "a batch job is submitted by POST", outbox);
   else if (!gspan_job_id_is_valid (id))
     gspan_gateway_reply_error (request->request, 400, "the job's id is missing or not a name",
                                outbox);
-  else if (gspan_jobs_find (&node->jobs, id) != NULL)
+  else if ((known != NULL && !gspan_job_is_open_to (node, known, account))
+           || (submission != NULL && !gspan_job_is_open_to (node, submission->job, account)))
+    gspan_gateway_reply_error (request->request, 404, no_job_text, outbox);
+  else if (known != NULL)
     gspan_gateway_reply_error (request->request, STATUS_ACCEPTED, "accepted before", outbox);
   else if (submission != NULL)
     g_array_append_val (submission->requests, request->request);
@@ -256,10 +262,23 @@
   else if (node->catalog.store_fails)
     decline (node, request->request, id, "the platform's store is away", RETRY_AFTER_US, outbox);
   else
-    start_submission (node, request, id, wire, route, outbox);
+    start_submission (node, request, id, wire, route, account, outbox);
   g_free (id);
 }
 
+/* True where another account has a job of the same id, which HEAD or this node tells. */
+static bool
+is_of_another_account (struct GspanNode *node, const struct GspanSubmission *submission,
+                       const struct GspanStoreObject *head)
+{
+  const struct GspanJob *known = gspan_jobs_find (&node->jobs, submission->job->id);
+  const char *account = known != NULL ? known->account : NULL;
+
+  if (head != NULL)
+    account = json_string_value (json_object_get (head->spec, "account"));
+  return account != NULL && g_strcmp0 (account, submission->job->account) != 0;
+}
+
 /*
  * Sends 202 and ends SUBMISSION. REPLY is that of the create, which makes this node run the job;
  * NULL where the head became known here otherwise.
@@ -271,10 +290,14 @@
   const struct GspanStoreObject *head = reply != NULL ? gspan_store_reply_first (reply) : NULL;
   struct GspanJob *job = submission->job;
   struct GspanJob *known = gspan_jobs_find (&node->jobs, job->id);
+  bool foreign = is_of_another_account (node, submission, head);
 
-  log_submission (node, submission, "accepted", reply, outbox);
-  gspan_metrics_add (&node->metrics, GSPAN_METRIC_JOBS_ACCEPTED, 1);
-  reply_all (submission, STATUS_ACCEPTED, "accepted", outbox);
+  log_submission (node, submission, foreign ? "another account's" : "accepted", reply, outbox);
+  gspan_metrics_add (&node->metrics, GSPAN_METRIC_JOBS_ACCEPTED, !foreign);
+  if (foreign)
+    reply_all (submission, 404, no_job_text, outbox);
+  else
+    reply_all (submission, STATUS_ACCEPTED, "accepted", outbox);
   g_hash_table_remove (node->jobs.unsettled_heads, job->id);
   g_hash_table_steal (node->jobs.submissions, job->id);
   /* A head that the watch has brought already, or that another node created, is only applied. */
--- a/jobs/job.c
+++ b/jobs/job.c
@@ -117,6 +117,7 @@
   g_free (job->content_kind);
   g_free (job->host);
   g_free (job->path);
+  g_free (job->account);
   g_free (job->owner);
   g_free (job->next_page_after);
   json_decref (job->checkpoint);
@@ -138,6 +139,7 @@
   const char *host = NULL;
   const char *path = NULL;
   const char *owner = NULL;
+  const char *account = json_string_value (json_object_get (spec, "account"));
   json_int_t parts;
   json_int_t total;
   json_int_t received;
@@ -150,6 +152,11 @@
   g_free (job->host);
   g_free (job->path);
   g_free (job->owner);
+  if (account != NULL) /* a build before this one leaves it out as it writes */
+    {
+      g_free (job->account);
+      job->account = g_strdup (account);
+    }
   job->host = g_strdup (host);
   job->path = g_strdup (path);
   job->owner = g_strdup (owner);
@@ -163,9 +170,14 @@
 json_t *
 gspan_job_encode_head (const struct GspanJob *job, const char *owner)
 {
-  return json_pack ("{s:s, s:s, s:s, s:I, s:I, s:I}", "host", job->host, "path", job->path, "owner",
-                    owner, "parts", (json_int_t)job->part_count, "total",
-                    (json_int_t)job->item_count, "received_ms", (json_int_t)job->received_ms);
+  json_t *head
+      = json_pack ("{s:s, s:s, s:s, s:I, s:I, s:I}", "host", job->host, "path", job->path, "owner",
+                   owner, "parts", (json_int_t)job->part_count, "total",
+                   (json_int_t)job->item_count, "received_ms", (json_int_t)job->received_ms);
+
+  if (job->account != NULL)
+    json_object_set_new (head, "account", json_string (job->account));
+  return head;
 }
 
 bool
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -71,7 +71,8 @@
   char *content_kind; /* kind of the job's parts, segments and checkpoint */
   char *host;         /* host and path that the job was submitted to; they select its route */
   char *path;
-  char *owner; /* name of the node that runs the job; empty after a handover */
+  char *account; /* client account that submitted it; NULL is none */
+  char *owner;   /* name of the node that runs the job; empty after a handover */
   guint64 head_revision;
   guint part_count;
   guint item_count;
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -16,6 +16,7 @@
   struct GspanJobCall *call = data;
 
   g_free (call->job_id);
+  g_free (call->account);
   gspan_wire_path_finish (&call->target);
   g_free (call);
 }
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -37,6 +37,7 @@
   char *job_id;
   guint64 request;               /* READ_HEAD and END: the caller's request */
   struct GspanWireTarget target; /* READ_HEAD: what the caller requested */
+  char *account;                 /* READ_HEAD: the caller's account; NULL is none */
   bool is_fresh_read;            /* READ_HEAD: the store may not reply with stale data */
 };
 
@@ -87,13 +88,14 @@
 void gspan_submission_free (gpointer submission);
 
 /*
- * Handles the submission of a job. The response is sent once the store has the job (202) or surely
+ * Handles the submission of a job by ACCOUNT; NULL is none. Another account's job of the same id
+ * is 404 to the caller. The response is sent once the store has the job (202) or surely
  * doesn't and never will by this node (503); if neither can be told in the caller's time, it is
  * 502.
  */
 void gspan_jobs_submit (struct GspanNode *node, const struct GspanEventRequest *request,
                         const struct GspanWireRequest *wire, const struct GspanConfigRoute *route,
-                        struct GspanOutbox *outbox);
+                        const char *account, struct GspanOutbox *outbox);
 void gspan_accept_call_done (struct GspanNode *node, const struct GspanJobCall *call,
                              const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
 
@@ -105,7 +107,11 @@
 
 /* serve.c: requests that read results and items, or end a job. */
 
-void gspan_serve_request (struct GspanNode *node, guint64 request,
+/* True where callers of ACCOUNT, NULL is none, may use JOB; to others it doesn't exist. */
+bool gspan_job_is_open_to (const struct GspanNode *node, const struct GspanJob *job,
+                           const char *account);
+
+void gspan_serve_request (struct GspanNode *node, guint64 request, const char *account,
                           const struct GspanWireTarget *target, struct GspanOutbox *outbox);
 void gspan_serve_call_done (struct GspanNode *node, const struct GspanJobCall *call,
                             const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
--- a/jobs/rewards.c
+++ b/jobs/rewards.c
@@ -196,6 +196,8 @@
   http->tcp_keepalive = true;
   http->required_header = gspan_wire_attempt_id_line (gspan_str_from (reward->id));
   gspan_wire_write_reward_headers (reward, replica->id, timeout_us, &http->headers);
+  if (node->catalog.config.accounts.enabled)
+    gspan_wire_set_account (&http->headers, job->account);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_REWARD_CALLS, 1);
   log_start (call, gspan_exchanges_relay_of (node, ref.id), outbox);
 }
--- a/jobs/run.c
+++ b/jobs/run.c
@@ -216,6 +216,8 @@
   http->required_header = gspan_wire_attempt_id_line (gspan_str_from (item->submitted->id));
   gspan_wire_write_run_headers (item->submitted, job->host, replica->id, item->last_event_id,
                                 &http->headers);
+  if (node->catalog.config.accounts.enabled)
+    gspan_wire_set_account (&http->headers, job->account);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_RUNS, 1);
   log_start (run, gspan_exchanges_relay_of (node, ref.id), outbox);
 }
--- a/jobs/serve.c
+++ b/jobs/serve.c
@@ -9,6 +9,9 @@
 #define STORE_WAIT_MAX_US (GSPAN_SECOND) /* for a read of the store before the response is 503 */
 #define RETRY_AFTER_US (300 * GSPAN_MS)
 
+static const char no_job_text[] = "no such job";
+static const char store_away_text[] = "the platform's store is away";
+
 enum
 {
   RESPONSE_TEXT_MAX = 700000 /* bytes of result texts; keeps the JSON of a response below 1 MB */
@@ -78,8 +81,7 @@
   if (has_new_results (job, reader) || may_send_empty_page (node, job, reader))
     send_results (job, reader->request, reader->after, outbox);
   else if (node->now >= reader->wait_until_us + STORE_WAIT_MAX_US || node->catalog.store_fails)
-    gspan_gateway_refuse (node, reader->request, "the platform's store is away", RETRY_AFTER_US,
-                          outbox);
+    gspan_gateway_refuse (node, reader->request, store_away_text, RETRY_AFTER_US, outbox);
   else
     return false;
   return true;
@@ -128,8 +130,7 @@
     }
   if (node->now < reader->deadline_us && !node->catalog.store_fails)
     return false;
-  gspan_gateway_refuse (node, reader->request, "the platform's store is away", RETRY_AFTER_US,
-                        outbox);
+  gspan_gateway_refuse (node, reader->request, store_away_text, RETRY_AFTER_US, outbox);
   return true;
 }
 
@@ -206,12 +207,13 @@
 }
 
 /*
- * Reads the head of a job that isn't known here from the store, to serve REQUEST after that. Unless
- * IS_FRESH_READ, the store may reply with stale data.
+ * Reads the head of a job that isn't known here from the store, to serve REQUEST of ACCOUNT after
+ * that. Unless IS_FRESH_READ, the store may reply with stale data.
  */
 static void
-read_head_for_caller (struct GspanNode *node, guint64 request, const struct GspanWireTarget *target,
-                      bool is_fresh_read, struct GspanOutbox *outbox)
+read_head_for_caller (struct GspanNode *node, guint64 request, const char *account,
+                      const struct GspanWireTarget *target, bool is_fresh_read,
+                      struct GspanOutbox *outbox)
 {
   struct GspanJobCall *job_call;
   struct GspanStoreCall *call
@@ -221,6 +223,7 @@
   call->allow_stale = !is_fresh_read;
   job_call->is_fresh_read = is_fresh_read;
   job_call->request = request;
+  job_call->account = g_strdup (account);
   job_call->target.kind = target->kind;
   job_call->target.job = g_strdup (target->job);
   job_call->target.item = g_strdup (target->item);
@@ -228,35 +231,54 @@
   job_call->target.wait_max_us = target->wait_max_us;
 }
 
+bool
+gspan_job_is_open_to (const struct GspanNode *node, const struct GspanJob *job, const char *account)
+{
+  return !node->catalog.config.accounts.enabled || job->account == NULL
+         || g_strcmp0 (job->account, account) == 0;
+}
+
 static void
-serve_known_job (struct GspanNode *node, struct GspanJob *job, guint64 request,
+serve_known_job (struct GspanNode *node, struct GspanJob *job, guint64 request, const char *account,
                  const struct GspanWireTarget *target, struct GspanOutbox *outbox)
 {
+  if (!gspan_job_is_open_to (node, job, account))
+    {
+      gspan_gateway_reply_error (request, 404, no_job_text, outbox);
+      return;
+    }
   job->last_active_us = node->now;
   if (target->kind == GSPAN_WIRE_PATH_RESULTS)
     add_reader (node, job, request, target, outbox);
-  else
+  else if (target->kind == GSPAN_WIRE_PATH_ITEM)
     add_item_reader (node, job, request, target, outbox);
+  else if (job->ended)
+    gspan_gateway_reply_error (request, 200, "ended before", outbox);
+  else if (!node->catalog.store_fails)
+    end_job (node, job->id, request, outbox);
+  else
+    gspan_gateway_refuse (node, request, store_away_text, RETRY_AFTER_US, outbox);
 }
 
+/* A job that isn't known here may be another account's: its head is read before it is ended. */
 void
-gspan_serve_request (struct GspanNode *node, guint64 request, const struct GspanWireTarget *target,
-                     struct GspanOutbox *outbox)
+gspan_serve_request (struct GspanNode *node, guint64 request, const char *account,
+                     const struct GspanWireTarget *target, struct GspanOutbox *outbox)
 {
   struct GspanJob *job = gspan_jobs_find (&node->jobs, target->job);
+  bool ends_any_job
+      = target->kind == GSPAN_WIRE_PATH_END_JOB && !node->catalog.config.accounts.enabled;
 
   if (!gspan_job_id_is_valid (target->job))
-    gspan_gateway_reply_error (request, 404, "no such job", outbox);
-  else if (target->kind == GSPAN_WIRE_PATH_END_JOB && job != NULL && job->ended)
-    gspan_gateway_reply_error (request, 200, "ended before", outbox);
-  else if (target->kind == GSPAN_WIRE_PATH_END_JOB && !node->catalog.store_fails)
+    gspan_gateway_reply_error (request, 404, no_job_text, outbox);
+  else if (job != NULL)
+    serve_known_job (node, job, request, account, target, outbox);
+  else if (node->catalog.store_fails)
+    gspan_gateway_refuse (node, request, store_away_text, RETRY_AFTER_US, outbox);
+  else if (ends_any_job)
     end_job (node, target->job, request, outbox);
-  else if (target->kind != GSPAN_WIRE_PATH_END_JOB && job != NULL)
-    serve_known_job (node, job, request, target, outbox);
-  else if (!node->catalog.store_fails)
-    read_head_for_caller (node, request, target, false, outbox);
   else
-    gspan_gateway_refuse (node, request, "the platform's store is away", RETRY_AFTER_US, outbox);
+    read_head_for_caller (node, request, account, target, false, outbox);
 }
 
 static void
@@ -281,7 +303,7 @@
         gspan_owner_notify_end (node, job, outbox);
     }
   else if (reply->result == GSPAN_STORE_MISSING)
-    gspan_gateway_reply_error (call->request, 404, "no such job", outbox);
+    gspan_gateway_reply_error (call->request, 404, no_job_text, outbox);
   else
     gspan_gateway_reply_error (call->request, 502, "the store did not say whether the job is ended",
                                outbox);
@@ -303,14 +325,13 @@
     gspan_jobs_apply_head (node, head, outbox);
   job = gspan_jobs_find (&node->jobs, call->job_id);
   if (job != NULL)
-    serve_known_job (node, job, call->request, &call->target, outbox);
+    serve_known_job (node, job, call->request, call->account, &call->target, outbox);
   else if (!call->is_fresh_read && reply->result == GSPAN_STORE_MISSING)
-    read_head_for_caller (node, call->request, &call->target, true, outbox);
+    read_head_for_caller (node, call->request, call->account, &call->target, true, outbox);
   else if (reply->result == GSPAN_STORE_MISSING)
-    gspan_gateway_reply_error (call->request, 404, "no such job", outbox);
+    gspan_gateway_reply_error (call->request, 404, no_job_text, outbox);
   else
-    gspan_gateway_refuse (node, call->request, "the platform's store is away", RETRY_AFTER_US,
-                          outbox);
+    gspan_gateway_refuse (node, call->request, store_away_text, RETRY_AFTER_US, outbox);
 }
 
 void
--- a/node/node.c
+++ b/node/node.c
@@ -2,6 +2,7 @@
 
 #include "catalog/outage.h"
 #include "common/clock.h"
+#include "gateway/authorize.h"
 #include "jobs/placement.h"
 #include "platform/wire.h"
 
@@ -77,6 +78,20 @@
   return ++node->next_id;
 }
 
+static void
+serve_job_request (struct GspanNode *node, const struct GspanEventRequest *request,
+                   const struct GspanWireTarget *target, struct GspanOutbox *outbox)
+{
+  struct GspanAccountCheck check = { 0 };
+
+  if (node->catalog.config.number == 0)
+    gspan_gateway_refuse_while_starting (node, request->request, outbox);
+  else if (gspan_authorize_request (node, request, NULL, &check, outbox))
+    gspan_serve_request (node, request->request, check.account != NULL ? check.account->name : NULL,
+                         target, outbox);
+  gspan_account_check_finish (&check);
+}
+
 /* Requests on jobs go by their path; all others by the configuration's routes. */
 static void
 take_request (struct GspanNode *node, const struct GspanEvent *event, struct GspanOutbox *outbox)
@@ -90,7 +105,7 @@
     case GSPAN_WIRE_PATH_RESULTS:
     case GSPAN_WIRE_PATH_ITEM:
     case GSPAN_WIRE_PATH_END_JOB:
-      gspan_serve_request (node, request->request, &target, outbox);
+      serve_job_request (node, request, &target, outbox);
       break;
     case GSPAN_WIRE_PATH_READY:
     case GSPAN_WIRE_PATH_OTHER:
