duties: the holder of the orders lease reports the usage of client accounts

Each node counts by account and window and tells the holder by datagram until the holder acknowledges the window's end; the holder's own counts go to the two nodes that would follow it. The holder writes a window's sums to the store before it sends them, so a follower sends the same ones again; it sends under its fencing token and leaves a new holder the lease's pause, as with orders. duties.address and duties.usage_window_s are new settings, unset by default.

Tests: usage_test (9): deaths and standstills of the holder, lost datagrams, a platform that is away or refuses, a store that is away or whose answers are lost, a node that can't tell.

--- a/board/board.c
+++ b/board/board.c
@@ -134,6 +134,7 @@
     case GSPAN_OWNER_LINKS:
     case GSPAN_OWNER_RELAY:
     case GSPAN_OWNER_STREAMS:
+    case GSPAN_OWNER_DUTIES:
       break;
     }
 }
--- a/board/message.h
+++ b/board/message.h
@@ -33,7 +33,8 @@
   GSPAN_OWNER_VERDICTS,
   GSPAN_OWNER_LINKS,
   GSPAN_OWNER_RELAY,
-  GSPAN_OWNER_STREAMS
+  GSPAN_OWNER_STREAMS,
+  GSPAN_OWNER_DUTIES
 };
 
 /* Names one operation: ID is chosen by OWNER and unique among its open operations. */
--- a/cmd/gspan-node.c
+++ b/cmd/gspan-node.c
@@ -55,6 +55,7 @@
   config.self.udp_address = settings->peers;
   config.self.relay_address = settings->relay[0] != '\0' ? settings->relay : NULL;
   config.self.relay_key = relay_key;
+  config.self.duties_address = settings->duties[0] != '\0' ? settings->duties : NULL;
   config.self.takes_requests = settings->callers[0] != '\0';
   config.self.keeps_disk = settings->keeps_disk != 0;
   config.limits.lease_us = (guint64)(settings->lease_ms * (double)GSPAN_MS);
@@ -62,6 +63,7 @@
   config.limits.drain_notice_us = (guint64)(settings->drain_notice_ms * (double)GSPAN_MS);
   config.limits.heartbeat_us = (guint64)(settings->heartbeat_ms * (double)GSPAN_MS);
   config.limits.grace_us = (guint64)(settings->grace_s * (double)GSPAN_SECOND);
+  config.limits.usage_window_ms = (guint64)(settings->usage_window_s * 1000.0);
   config.limits.object_max_bytes = (guint64)settings->value_max;
   config.seed = settings->seed != 0 ? (guint32)settings->seed : g_random_int ();
   gspan_node_init (&node, &config);
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -21,6 +21,10 @@
   [GSPAN_METRIC_SAMPLES_DISCARDED]
   = { "gspan_samples_discarded_total", "samples dropped as stale or of an uncertain version" },
   [GSPAN_METRIC_ORDERS] = { "gspan_orders_total", "orders sent to engines" },
+  [GSPAN_METRIC_DUTY_CALLS]
+  = { "gspan_duty_calls_total", "calls to the platform for the whole fleet" },
+  [GSPAN_METRIC_DUTY_CALLS_FAILED]
+  = { "gspan_duty_calls_failed_total", "of these, without an answer or with a failure" },
   [GSPAN_METRIC_ORDERS_FAILED] = { "gspan_orders_failed_total", "orders without a good answer" },
   [GSPAN_METRIC_PLATFORM_READS]
   = { "gspan_platform_reads_total", "reads of the platform, watches too" },
--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -252,6 +252,8 @@
   rejected = is_rejected (answer, &wire, good);
   not_run = answer->result == GSPAN_HTTP_NOT_SENT || (rejected && answer->send_count <= 1);
   call->state.now = node->now;
+  if (!rejected && (wire.signed_by_replica || answer->result == GSPAN_HTTP_LOST))
+    gspan_usage_reports_note_run (node, call);
   if (whole && wire.signed_by_replica && !rejected)
     gspan_crash_reports_note_answer (node, call->fingerprint, attempt->replica, outbox);
   if (end_if_whole (node, attempt, answer, outbox))
@@ -401,6 +403,8 @@
   struct PassOn to = { node, attempt, outbox };
 
   attempt->pieces++;
+  if (call->stream && attempt->passes_on)
+    gspan_usage_reports_note_run (node, call);
   if (!attempt->has_head)
     gspan_answers_handle_head (node, attempt, answer, outbox);
   if (!attempt->passes_on)
--- a/gateway/calls.h
+++ b/gateway/calls.h
@@ -21,6 +21,7 @@
   char *account;     /* client account that it is of; NULL is none */
   char *key_digest;  /* of the API key that it came with; NULL is none */
   bool is_anonymous; /* its route lets callers without a key in */
+  bool is_counted;   /* in its account's usage */
   char *route;
   char *service;
   char *method;
--- a/node/node.c
+++ b/node/node.c
@@ -45,11 +45,13 @@
   gspan_runner_init (&node->runner);
   gspan_rewards_init (&node->rewards);
   gspan_weights_init (&node->weights);
+  gspan_usage_reports_init (&node->usage_reports, config->limits.usage_window_ms);
 }
 
 void
 gspan_node_finish (struct GspanNode *node)
 {
+  gspan_usage_reports_finish (&node->usage_reports);
   gspan_weights_finish (&node->weights);
   gspan_rewards_finish (&node->rewards);
   gspan_runner_finish (&node->runner);
@@ -139,6 +141,9 @@
     case GSPAN_OWNER_WEIGHTS:
       gspan_weights_handle (node, event, outbox);
       break;
+    case GSPAN_OWNER_DUTIES:
+      gspan_usage_reports_handle (node, event, outbox);
+      break;
     case GSPAN_OWNER_VERDICTS:
       gspan_verdicts_handle (node, event, outbox);
       break;
@@ -198,6 +203,7 @@
   gspan_runner_handle (node, event, outbox);
   gspan_rewards_handle (node, event, outbox);
   gspan_weights_handle (node, event, outbox);
+  gspan_usage_reports_handle (node, event, outbox);
 }
 
 static void
@@ -260,6 +266,10 @@
     gspan_streams_receive_ask (node, message, outbox);
   else if (g_strcmp0 (kind, "relay-ask") == 0)
     gspan_relay_server_receive_ask (node, message, outbox);
+  else if (g_strcmp0 (kind, "usage") == 0)
+    gspan_usage_reports_receive (node, message, outbox);
+  else if (g_strcmp0 (kind, "usage-ack") == 0)
+    gspan_usage_reports_receive_ack (node, message);
   else if (g_strcmp0 (kind, "relay-offer") == 0)
     take_relay_offer (node, message, outbox);
   else
--- a/node/node.h
+++ b/node/node.h
@@ -6,6 +6,7 @@
 #include "catalog/permits.h"
 #include "common/metrics.h"
 #include "desk/poison_requests.h"
+#include "duties/usage_reports.h"
 #include "gateway/crash_reports.h"
 #include "gateway/gateway.h"
 #include "gateway/origin_store.h"
@@ -35,6 +36,7 @@
   const char
       *relay_address;    /* "IP:PORT" where other nodes send requests to pass on; NULL is none */
   const char *relay_key; /* secret of this start that such requests have to bear */
+  const char *duties_address; /* "IP:PORT" of the platform's own calls; NULL is none */
 };
 
 /* Bounds from the settings, in microseconds but for the object's size. */
@@ -46,6 +48,7 @@
   guint64 object_max_bytes; /* bytes of an object in the store */
   guint64 heartbeat_us;     /* an upstream renews its entry so often; it lapses after three */
   guint64 grace_us;         /* after SIGTERM the process is killed so long later */
+  guint64 usage_window_ms;  /* usage of accounts is reported for each such time; 0 is not */
 };
 
 /*
@@ -84,6 +87,7 @@
   struct GspanRunner runner;
   struct GspanRewards rewards;
   struct GspanWeights weights;
+  struct GspanUsageReports usage_reports;
 };
 
 struct GspanNodeConfig
--- a/node/peers.c
+++ b/node/peers.c
@@ -65,6 +65,7 @@
   peer->relay_key = g_strdup (relay_key);
   peer->revision = object->revision;
   peer->sends_heartbeats = json_is_true (json_object_get (object->spec, "heartbeats"));
+  peer->counts_usage = json_is_true (json_object_get (object->spec, "counts_usage"));
   peer->records_origins = json_is_true (json_object_get (object->spec, "records_origins"));
   peer->heard_at = node->now;
   return peer;
--- a/node/peers.h
+++ b/node/peers.h
@@ -24,6 +24,7 @@
   char *relay_key;       /* that such requests have to bear */
   guint64 revision;      /* of its entry in the store */
   bool sends_heartbeats; /* builds before this one don't */
+  bool counts_usage;     /* of client accounts (duties/usage_reports.h) */
   bool records_origins;  /* of streams, before they begin (gateway/origin_records.h); likewise */
   bool draining;         /* as it has said itself */
   guint64 heard_at;      /* its last datagram, or the first sight of this entry */
--- a/settings/fleet.h
+++ b/settings/fleet.h
@@ -15,10 +15,12 @@
   char *outgoing;
   char *relay;
   char *platform;
+  char *duties;
   char *log_level;
   gint64 keeps_disk;
   gint64 value_max;
   double lease_ms;
+  double usage_window_s;
   double job_kept_s;
   gint64 body_max;
   gint64 connections;
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -190,6 +190,8 @@
   guint64 latency_us = 4 * GSPAN_MS;
   size_t page_size = 500;
   bool lose_datagrams = false;
+  const char *duties_address = nullptr; /* of nodes that are added from then on */
+  guint64 usage_window_ms = 0;          /* likewise */
   std::function<bool (const Rig &from, const std::string &to)> loses_datagram; /* TO: address */
   std::map<std::string, std::string> last_datagram;                            /* kind to text */
   guint64 create_reply_delay_us = 0; /* creations are done in time, their answers take longer */
@@ -934,8 +936,9 @@
   config.self.relay_address = relay_.c_str ();
   config.self.relay_key = relay_key_.c_str ();
   config.self.takes_requests = true;
-  config.limits = { 3 * GSPAN_SECOND, 120 * GSPAN_SECOND, 2 * GSPAN_SECOND,
-                    1 << 20,          1200 * GSPAN_MS,    8 * GSPAN_SECOND };
+  config.limits = { 3 * GSPAN_SECOND, 120 * GSPAN_SECOND, 2 * GSPAN_SECOND,  1 << 20,
+                    1200 * GSPAN_MS,  8 * GSPAN_SECOND,   of.usage_window_ms };
+  config.self.duties_address = of.duties_address;
   config.seed = seed;
   gspan_node_init (&node, &config);
 }
--- a/weights/order_lease.c
+++ b/weights/order_lease.c
@@ -6,7 +6,6 @@
 #include "node/node.h"
 
 #define LEASE_KIND "leases"
-#define LEASE_NAME "orders"
 #define POLL_US (GSPAN_SECOND)           /* of nodes that don't hold it */
 #define POLL_SILENT_US (200 * GSPAN_MS)  /* as above, once a renewal is overdue */
 #define POLL_SPARE_US (5 * GSPAN_SECOND) /* of those that would be the last to take it */
@@ -67,7 +66,7 @@
   struct GspanLine line;
 
   gspan_line_init (&line, event);
-  gspan_line_cstr (&line, "lease", LEASE_NAME);
+  gspan_line_cstr (&line, "lease", GSPAN_ORDER_LEASE_NAME);
   gspan_line_cstr (&line, "holder", lease->holder != NULL ? lease->holder : "");
   gspan_line_u64 (&line, "fence", lease->fence);
   gspan_line_u64 (&line, "revision", lease->revision);
@@ -81,7 +80,7 @@
   struct GspanOrderLease *lease = &node->weights.lease;
   struct GspanRef ref = { GSPAN_OWNER_WEIGHTS, gspan_node_next_id (node) };
   struct GspanStoreCall *call
-      = gspan_outbox_store (outbox, ref, GSPAN_STORE_GET, LEASE_KIND, LEASE_NAME);
+      = gspan_outbox_store (outbox, ref, GSPAN_STORE_GET, LEASE_KIND, GSPAN_ORDER_LEASE_NAME);
 
   call->allow_stale = !lease->held && !lease->must_read;
   lease->call = ref.id;
@@ -109,7 +108,8 @@
 {
   struct GspanOrderLease *lease = &node->weights.lease;
   struct GspanRef ref = { GSPAN_OWNER_WEIGHTS, gspan_node_next_id (node) };
-  struct GspanStoreCall *call = gspan_outbox_store (outbox, ref, op, LEASE_KIND, LEASE_NAME);
+  struct GspanStoreCall *call
+      = gspan_outbox_store (outbox, ref, op, LEASE_KIND, GSPAN_ORDER_LEASE_NAME);
   guint64 last = MIN (node->now, last_order_of (node));
 
   lease->renewals++;
@@ -222,7 +222,7 @@
 {
   const char *holder = node->weights.lease.holder;
 
-  return gspan_peers_takeover_rank (node, LEASE_NAME, holder != NULL ? holder : "");
+  return gspan_peers_takeover_rank (node, GSPAN_ORDER_LEASE_NAME, holder != NULL ? holder : "");
 }
 
 static guint64
--- a/weights/order_lease.h
+++ b/weights/order_lease.h
@@ -4,6 +4,8 @@
 
 struct GspanNode;
 
+#define GSPAN_ORDER_LEASE_NAME "orders" /* of the object; followers are ranked by it */
+
 /*
  * The lease of the node that gives orders to replicas, an object of the store. The holder renews it
  * by conditional writes; another node takes it over where it has seen no renewal for the lease's
