http: what clients make a process hold is bounded by its machine

Clients whose bodies never end, or that don't read, took a process far beyond its machine's memory and kept ordinary callers out. Bodies were kept in buffers that doubled, copied once more as they were handed over, and counted nowhere; at paths that nobody serves as well. Idle and unread connections held their places for a minute and more, and the balancer's door had no time limit at all.

One budget of the process, a fifth of the machine's memory, is taken before bytes are kept and given back as a request ends; a part is left for small requests. A body without room isn't read; one without progress gives way; a request that waits for 10 s is refused (503, not run). Bodies that nobody will look at aren't kept. Connections that wait for their client give way to new ones. A job's JSON values are counted before it is decoded. limits.memory_mb and limits.descriptors are new; at their defaults the bounds of before hold.

--- a/board/message.h
+++ b/board/message.h
@@ -107,7 +107,8 @@
   struct GspanStr path; /* with its query */
   const struct GspanHeaders *headers;
   GBytes *body;
-  const char *firm; /* that the caller's token names; NULL where callers aren't checked */
+  const char *firm;  /* that the caller's token names; NULL where callers aren't checked */
+  bool body_dropped; /* BODY isn't what the caller sent: the request may only be refused */
 };
 
 /* What says where the body of an answer ends. */
--- a/cmd/gspan-node.c
+++ b/cmd/gspan-node.c
@@ -41,6 +41,7 @@
 {
   struct GspanNodeConfig config = { 0 };
   struct GspanError error = { 0 };
+  struct GspanMachine machine;
   struct GspanNodeShell *shell;
   char relay_key[2 * RELAY_KEY_BYTES + 1];
   struct GspanNode node;
@@ -63,11 +64,15 @@
   config.limits.drain_notice_us = (guint64)(settings->drain_notice_ms * (double)GSPAN_MS);
   config.limits.heartbeat_us = (guint64)(settings->heartbeat_ms * (double)GSPAN_MS);
   config.limits.grace_us = (guint64)(settings->grace_s * (double)GSPAN_SECOND);
+  gspan_machine_divide (&machine, (guint64)settings->memory_mb, (guint)settings->descriptors,
+                        (gsize)settings->body_max, (guint)settings->connections);
+  config.limits.held_answers_max = machine.held_bytes;
+  config.limits.job_values_max = machine.job_values;
   config.limits.usage_window_ms = (guint64)(settings->usage_window_s * 1000.0);
   config.limits.object_max_bytes = (guint64)settings->value_max;
   config.seed = settings->seed != 0 ? (guint32)settings->seed : g_random_int ();
   gspan_node_init (&node, &config);
-  shell = gspan_node_shell_new (settings, file, &node, &error);
+  shell = gspan_node_shell_new (settings, file, &machine, &node, &error);
   if (shell == NULL)
     {
       fprintf (stderr, "gspan-node: %s\n", error.message);
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -39,6 +39,14 @@
   [GSPAN_METRIC_GOSSIP_SENT] = { "gspan_gossip_sent_total", "datagrams sent to other members" },
   [GSPAN_METRIC_GOSSIP_SENT_BYTES]
   = { "gspan_gossip_sent_bytes_total", "bytes in datagrams sent to other members" },
+  [GSPAN_METRIC_CLIENTS_TOO_LARGE]
+  = { "gspan_clients_too_large_total", "request bodies above their limit (413)" },
+  [GSPAN_METRIC_CLIENTS_NO_ROOM]
+  = { "gspan_clients_no_room_total", "requests refused for want of memory (503, not run)" },
+  [GSPAN_METRIC_CLIENTS_STALLED]
+  = { "gspan_clients_stalled_total", "connections closed whose request made no progress" },
+  [GSPAN_METRIC_CLIENTS_SURPLUS]
+  = { "gspan_clients_surplus_total", "idle connections closed since there were too many" },
   [GSPAN_METRIC_ACCOUNTS_REFUSED]
   = { "gspan_accounts_refused_total", "requests without the API key of a known account" },
   [GSPAN_METRIC_CALLERS_REFUSED]
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -197,7 +197,9 @@
   if (route == NULL)
     gspan_gateway_reply_error (request->request, 404, "no route has this host and path", outbox);
   else if (!gspan_authorize_request (node, request, route, &check, outbox))
-    ; /* it has been answered */
+    ;                             /* it has been answered */
+  else if (request->body_dropped) /* it had no route, or its key no account, as its head came */
+    gspan_gateway_refuse (node, request->request, "its body wasn't kept", 0, outbox);
   else if (route->repeat == GSPAN_REPEAT_BATCH)
     gspan_jobs_submit (node, request, &wire, route,
                        check.account != NULL ? check.account->name : NULL, outbox);
--- a/http/client.c
+++ b/http/client.c
@@ -448,8 +448,8 @@
   client->exchanges = g_hash_table_new_full (ref_hash, ref_equal, NULL, exchange_free);
   client->starting = g_ptr_array_new ();
   client->doomed = g_ptr_array_new_with_free_func (exchange_free);
-  gspan_collection_init (&client->answers);
-  gspan_collection_init (&client->platform_answers);
+  gspan_collection_init (&client->answers, ANSWERS_MAX);
+  gspan_collection_init (&client->platform_answers, ANSWERS_MAX);
   gspan_sent_ids_init (&client->sent_ids);
   gspan_stray_upstreams_init (&client->strays);
   gspan_tcp_table_init (&client->sockets);
@@ -461,6 +461,15 @@
   return client;
 }
 
+void
+gspan_http_client_set_bounds (struct GspanHttpClient *client, size_t answers, size_t platform,
+                              guint kept)
+{
+  client->answers.most = answers;
+  client->platform_answers.most = platform;
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long)kept);
+}
+
 void
 gspan_http_client_set_source (struct GspanHttpClient *client, const char *ip)
 {
--- a/http/client.h
+++ b/http/client.h
@@ -12,6 +12,13 @@
 struct GspanHttpClient *gspan_http_client_new (struct ev_loop *loop,
                                                GspanHttpClientCallback callback, void *user);
 
+/*
+ * Bounds the bytes of memory for answers that are collected, those of the platform's store apart,
+ * and the idle connections that are kept.
+ */
+void gspan_http_client_set_bounds (struct GspanHttpClient *client, size_t answers, size_t platform,
+                                   guint kept);
+
 /* Has connections come from the address IP from now on; empty is any. */
 void gspan_http_client_set_source (struct GspanHttpClient *client, const char *ip);
 void gspan_http_client_free (struct GspanHttpClient *client);
--- a/http/collected.c
+++ b/http/collected.c
@@ -2,14 +2,13 @@
 
 enum
 {
-  ANSWER_MAX = 8 << 20,  /* bytes of an answer */
-  ANSWERS_MAX = 32 << 20 /* bytes of memory for all of a collection */
+  ANSWER_MAX = 8 << 20 /* bytes of an answer */
 };
 
 void
-gspan_collection_init (struct GspanCollection *collection)
+gspan_collection_init (struct GspanCollection *collection, size_t most)
 {
-  *collection = (struct GspanCollection){ 0 };
+  *collection = (struct GspanCollection){ .most = most };
 }
 
 void
@@ -83,7 +82,7 @@
   collection->held -= held_by (answer);
   g_string_append_len (answer->bytes, data, (gssize)len);
   collection->held += held_by (answer);
-  while (collection->held > ANSWERS_MAX)
+  while (collection->held > collection->most)
     give_up (longest (collection));
   return !answer->is_too_long;
 }
--- a/http/collected.h
+++ b/http/collected.h
@@ -5,14 +5,15 @@
 
 /*
  * Answers that are collected until they are whole. Each may have 8 MB; all of a collection together
- * take 32 MB of memory. Beyond that the longest are given up, so that short answers are collected
- * whatever else comes.
+ * take so much memory as it is given. Beyond that the longest are given up, so that short answers
+ * are collected whatever else comes.
  */
 
 struct GspanCollection
 {
   GQueue answers; /* struct GspanCollected */
   size_t held;    /* bytes of memory */
+  size_t most;    /* of these */
 };
 
 /* One answer, in memory that its owner keeps in place. */
@@ -24,7 +25,7 @@
   bool is_too_long; /* given up; nothing is held of it */
 };
 
-void gspan_collection_init (struct GspanCollection *collection);
+void gspan_collection_init (struct GspanCollection *collection, size_t most);
 
 void gspan_collected_init (struct GspanCollected *answer, struct GspanCollection *collection);
 
--- a/http/server.c
+++ b/http/server.c
@@ -9,16 +9,24 @@
 
 #include "common/address.h"
 #include "common/clock.h"
+#include "http/body.h"
+#include "http/connections.h"
 #include "http/mhd_loop.h"
 #include "http/tcp.h"
 
 enum
 {
   STREAM_BLOCK = 16384,
-  CONNECTION_MEMORY = 32768 /* bytes; holds a request's head */
+  CONNECTION_MEMORY = 32768, /* bytes; holds a request's head */
+  ROOM_STEP = 64 << 10,      /* bytes; a body that waits goes on once so much is free */
+  HEAD_COPIES = 3,           /* of a head's fields, here and on the way to a replica */
+  FIELD_BYTES = 64           /* of memory for each of these, beside its text */
 };
 
 #define WATCH_S 0.1
+#define ROOM_WAIT_US (500 * GSPAN_MS) /* for room; then a body without progress gives its own */
+#define ROOM_WAIT_MAX_US (10 * GSPAN_SECOND) /* then the request is refused */
+#define ROOM_RETRY_US (GSPAN_SECOND)
 #define BOUND_FROM ((size_t)16 << 10) /* bytes; shorter outputs needn't be added up */
 
 enum RequestState
@@ -30,13 +38,6 @@
   REQUEST_STREAMING, /* the answer's head is known or queued, data may follow */
 };
 
-/* One caller's connection, from its acceptance on. */
-struct Connection
-{
-  int fd;
-  guint64 reading_since; /* start of the head or body being read; 0 while a request is at work */
-};
-
 struct Request
 {
   guint64 id;
@@ -46,10 +47,12 @@
   char *method;
   GString *path;
   struct GspanHeaders headers;
-  GString *body;
+  struct GspanBody body;
+  size_t head_room;     /* bytes of the budget for the head */
+  guint64 held_back_at; /* the body isn't read since then, for want of room; 0 is read */
+  bool is_refused;      /* for want of room; the rest of its body isn't kept */
   bool is_http_1_0; /* a stream to the caller has no sign of its end but that of the connection */
   bool until_close; /* the answer has none either, whoever the caller is */
-  bool too_large;
   bool suspended;
   bool queued;
   int status;
@@ -68,8 +71,11 @@
   struct MHD_Daemon *daemon;
   struct GspanHttpLimits limits;
   struct GspanHttpHandler handler;
-  GHashTable *requests;    /* id to struct Request */
-  GHashTable *connections; /* set of struct Connection, owns them */
+  GHashTable *requests; /* id to struct Request */
+  struct GspanConnections connections;
+  struct GspanBudget unbounded; /* where the limits name no budget */
+  GQueue held_back; /* struct Request whose bodies wait for room, the first at the head */
+  struct GspanHttpRefusals refusals;
   guint64 next_id;
   guint16 port;
   bool closing; /* answers close their connections */
@@ -77,7 +83,7 @@
   ev_timer watch;
 };
 
-static struct Connection *
+static struct GspanConnection *
 connection_of (struct MHD_Connection *connection)
 {
   const union MHD_ConnectionInfo *info
@@ -111,7 +117,7 @@
   request->path = g_string_new (target);
   gspan_headers_init (&request->headers);
   gspan_headers_init (&request->reply_headers);
-  request->body = g_string_new (NULL);
+  gspan_body_init (&request->body, request->server->limits.budget);
   request->out = g_string_new (NULL);
   request->id = ++request->server->next_id;
   g_hash_table_insert (request->server->requests, &request->id, request);
@@ -122,11 +128,29 @@
 take_head (struct Request *request, const char *method)
 {
   struct MHD_Connection *connection = request->connection;
+  guint64 announced = 0;
 
   request->state = REQUEST_READING;
   request->method = g_strdup (method);
   MHD_get_connection_values (connection, MHD_HEADER_KIND, copy_header, request);
-  connection_of (connection)->reading_since = gspan_clock_now ();
+  gspan_headers_get_u64 (&request->headers, "Content-Length", &announced);
+  request->body.announced = MIN (announced, G_MAXSIZE);
+  gspan_connection_begin (connection_of (connection), true, gspan_clock_now ());
+}
+
+/* Takes room for what the head takes, here and on its way. */
+static bool
+take_head_room (struct Request *request)
+{
+  size_t bytes = request->path->len;
+
+  for (guint i = 0; i < request->headers.items->len; i++)
+    bytes += strlen (g_ptr_array_index (request->headers.items, i)) + FIELD_BYTES;
+  bytes *= HEAD_COPIES;
+  if (!gspan_budget_take (request->server->limits.budget, bytes, 0))
+    return false;
+  request->head_room = bytes;
+  return true;
 }
 
 static void
@@ -134,11 +158,14 @@
 {
   struct Request *request = data;
 
+  if (request->held_back_at != 0)
+    g_queue_remove (&request->server->held_back, request);
+  gspan_budget_give (request->server->limits.budget, request->head_room);
   g_free (request->method);
   g_string_free (request->path, TRUE);
   gspan_headers_finish (&request->headers);
   gspan_headers_finish (&request->reply_headers);
-  g_string_free (request->body, TRUE);
+  gspan_body_finish (&request->body);
   if (request->out != NULL)
     g_string_free (request->out, TRUE);
   g_free (request);
@@ -195,6 +222,8 @@
   size_t count = MIN (left, max);
 
   (void)position;
+  gspan_connection_note_answer (connection_of (request->connection), left > count, count > 0,
+                                gspan_clock_now ());
   if (count > 0)
     {
       memcpy (buffer, request->out->str + request->out_taken, count);
@@ -256,39 +285,140 @@
     MHD_add_response_header (response, "Connection", "close");
   result = MHD_queue_response (request->connection, (unsigned)request->status, response);
   MHD_destroy_response (response);
+  gspan_connection_note_answer (connection_of (request->connection),
+                                request->state == REQUEST_ANSWERED, false, gspan_clock_now ());
   request->queued = true;
   return result;
 }
 
+/* What the handler gets of REQUEST, but for its body. */
+static struct GspanHttpIncoming
+incoming_of (const struct Request *request)
+{
+  struct GspanHttpIncoming incoming = { 0 };
+
+  incoming.id = request->id;
+  incoming.method = gspan_str_from (request->method);
+  incoming.path = (struct GspanStr){ request->path->str, request->path->len };
+  incoming.headers = &request->headers;
+  return incoming;
+}
+
 static void
 hand_over (struct Request *request)
 {
   struct GspanHttpServer *server = request->server;
-  struct GspanHttpIncoming incoming = { 0 };
+  struct GspanHttpIncoming incoming = incoming_of (request);
 
   request->state = REQUEST_WAITING;
   connection_of (request->connection)->reading_since = 0;
   request_suspend (request);
-  incoming.id = request->id;
-  incoming.method = gspan_str_from (request->method);
-  incoming.path = (struct GspanStr){ request->path->str, request->path->len };
-  incoming.headers = &request->headers;
-  incoming.body = g_bytes_new (request->body->str, request->body->len);
+  incoming.body_dropped = request->body.is_dropped && request->body.received > 0;
+  incoming.body = gspan_body_steal (&request->body);
   server->handler.request (server->handler.user, &incoming);
   g_bytes_unref (incoming.body);
 }
 
 static void
-refuse_too_large (struct Request *request)
+refuse (struct Request *request, int status, const char *field, const char *message)
 {
-  static const char text[] = "{\"error\":{\"field\":\"body\",\"message\":\"too large\"}}";
-
   request->state = REQUEST_ANSWERED;
-  request->status = 413;
-  g_string_assign (request->out, text);
+  request->status = status;
+  g_string_printf (request->out, "{\"error\":{\"field\":\"%s\",\"message\":\"%s\"}}", field,
+                   message);
   gspan_headers_add (&request->reply_headers, "Content-Type", GSPAN_STR ("application/json"));
 }
 
+static void
+refuse_too_large (struct Request *request)
+{
+  request->server->refusals.too_large++;
+  refuse (request, 413, "body", "too large");
+}
+
+/* The request has not run and never will. */
+static void
+refuse_for_room (struct Request *request)
+{
+  request->server->refusals.no_room++;
+  refuse (request, 503, "request", "too much is being read");
+  gspan_headers_add_u64 (&request->reply_headers, "Retry-After", ROOM_RETRY_US / GSPAN_SECOND);
+}
+
+static bool
+keeps_body (const struct Request *request)
+{
+  const struct GspanHttpHandler *handler = &request->server->handler;
+  struct GspanHttpIncoming head = incoming_of (request);
+
+  return handler->keeps_body == NULL || handler->keeps_body (handler->user, &head);
+}
+
+/* Stops reading the body of REQUEST until there is room for more of it. */
+static void
+hold_back (struct Request *request)
+{
+  if (request->held_back_at == 0)
+    {
+      request->held_back_at = gspan_clock_now ();
+      g_queue_push_tail (&request->server->held_back, request);
+    }
+  connection_of (request->connection)->is_held_back = true;
+  request_suspend (request);
+}
+
+/* Goes on reading the body of REQUEST. */
+static void
+let_go_on (struct Request *request)
+{
+  g_queue_remove (&request->server->held_back, request);
+  request->held_back_at = 0;
+  gspan_connection_begin (connection_of (request->connection), true, gspan_clock_now ());
+  request_resume (request);
+}
+
+/* Goes on with bodies that have waited for room, the first first. */
+static void
+go_on_with_bodies (struct GspanHttpServer *server)
+{
+  struct Request *first = g_queue_peek_head (&server->held_back);
+
+  while (first != NULL && gspan_budget_has_room (server->limits.budget, ROOM_STEP))
+    {
+      let_go_on (first);
+      first = g_queue_peek_head (&server->held_back);
+    }
+}
+
+static void
+read_body (struct Request *request, const char *data, size_t *size)
+{
+  enum GspanBodyResult result
+      = gspan_body_add (&request->body, data, *size, request->server->limits.body_max);
+
+  if (result == GSPAN_BODY_NO_ROOM)
+    {
+      hold_back (request);
+      return;
+    }
+  gspan_connection_note_body (connection_of (request->connection), request->body.received,
+                              gspan_clock_now ());
+  *size = 0;
+}
+
+/* The whole request has come. True where it was handed over, false where its answer is known. */
+static bool
+finish_reading (struct Request *request)
+{
+  if (request->body.is_too_long)
+    refuse_too_large (request);
+  else if (request->is_refused)
+    refuse_for_room (request);
+  else
+    hand_over (request);
+  return request->state == REQUEST_WAITING;
+}
+
 /* True where the request's own Content-Length is above the bound: its body needn't be read. */
 static bool
 announces_too_much (const struct Request *request)
@@ -299,42 +429,43 @@
          && length > request->server->limits.body_max;
 }
 
+/* The head of REQUEST has come. */
+static enum MHD_Result
+begin_reading (struct Request *request)
+{
+  if (announces_too_much (request))
+    refuse_too_large (request);
+  else if (!take_head_room (request))
+    refuse_for_room (request);
+  else if (!keeps_body (request))
+    gspan_body_drop (&request->body);
+  return request->state == REQUEST_READING ? MHD_YES : queue_response (request);
+}
+
 static enum MHD_Result
 on_access (void *user, struct MHD_Connection *connection, const char *url, const char *method,
            const char *version, const char *data, size_t *data_size, void **context)
 {
-  struct GspanHttpServer *server = user;
   struct Request *request = *context;
 
+  (void)user;
   (void)connection;
   (void)url;
   if (request->state == REQUEST_HEAD)
     {
       request->is_http_1_0 = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
       take_head (request, method);
-      if (!announces_too_much (request))
-        return MHD_YES;
-      refuse_too_large (request);
-      return queue_response (request);
+      return begin_reading (request);
     }
   if (request->gone)
     return MHD_NO;
   if (*data_size > 0)
     {
-      if (request->body->len + *data_size > server->limits.body_max)
-        request->too_large = true;
-      else
-        g_string_append_len (request->body, data, (gssize)*data_size);
-      *data_size = 0;
-      return MHD_YES;
-    }
-  if (request->state == REQUEST_READING && request->too_large)
-    refuse_too_large (request);
-  if (request->state == REQUEST_READING)
-    {
-      hand_over (request);
+      read_body (request, data, data_size);
       return MHD_YES;
     }
+  if (request->state == REQUEST_READING && finish_reading (request))
+    return MHD_YES;
   if (!request->queued && request->state != REQUEST_WAITING)
     return queue_response (request);
   return MHD_YES;
@@ -352,11 +483,12 @@
   if (request == NULL)
     return;
   id = request->id;
-  connection_of (connection)->reading_since = gspan_clock_now ();
+  gspan_connection_begin (connection_of (connection), false, gspan_clock_now ());
   gone = !request->gone && code != MHD_REQUEST_TERMINATED_COMPLETED_OK
          && request->state > REQUEST_READING;
   *context = NULL;
   g_hash_table_remove (server->requests, &id);
+  go_on_with_bodies (server);
   if (gone)
     server->handler.gone (server->handler.user, id);
 }
@@ -366,18 +498,18 @@
                enum MHD_ConnectionNotificationCode code)
 {
   struct GspanHttpServer *server = user;
-  struct Connection *item = *context;
 
   if (code == MHD_CONNECTION_NOTIFY_CLOSED)
     {
-      g_hash_table_remove (server->connections, item);
+      gspan_connections_remove (&server->connections, *context);
       return;
     }
-  item = g_new0 (struct Connection, 1);
-  item->fd = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-  item->reading_since = gspan_clock_now ();
-  g_hash_table_add (server->connections, item);
-  *context = item;
+  *context = gspan_connections_add (
+      &server->connections,
+      MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd,
+      gspan_clock_now ());
+  server->refusals.surplus
+      += gspan_connections_close_surplus (&server->connections, gspan_clock_now ());
 }
 
 /* Tells the handler that the caller went away, and lets libmicrohttpd close the connection. */
@@ -386,31 +518,34 @@
 {
   struct GspanHttpServer *server = request->server;
   guint64 id = request->id;
+  bool is_known = request->state > REQUEST_READING;
 
   request->gone = true;
   request->cut = true;
   request_resume (request);
-  server->handler.gone (server->handler.user, id);
+  if (is_known)
+    server->handler.gone (server->handler.user, id);
 }
 
-/* Closes connections whose request takes too long to come in; libmicrohttpd then drops them. */
+/*
+ * Makes room where bodies have waited for it: one that has made no progress is closed, and one that
+ * has waited for too long is refused.
+ */
 static void
-close_slow_senders (struct GspanHttpServer *server)
+make_room (struct GspanHttpServer *server, guint64 now)
 {
-  guint64 limit = (guint64)server->limits.read_timeout_ms * GSPAN_MS;
-  guint64 now = gspan_clock_now ();
-  GHashTableIter iter;
-  gpointer key;
+  struct Request *first;
 
-  if (limit == 0)
-    return;
-  g_hash_table_iter_init (&iter, server->connections);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
+  go_on_with_bodies (server);
+  first = g_queue_peek_head (&server->held_back);
+  if (first != NULL && now - first->held_back_at > ROOM_WAIT_US)
+    server->refusals.stalled += gspan_connections_close_stalled_body (&server->connections, now);
+  while (first != NULL && now - first->held_back_at > ROOM_WAIT_MAX_US)
     {
-      struct Connection *connection = key;
-
-      if (connection->reading_since != 0 && now - connection->reading_since > limit)
-        shutdown (connection->fd, SHUT_RDWR);
+      first->is_refused = true;
+      gspan_body_drop (&first->body);
+      let_go_on (first);
+      first = g_queue_peek_head (&server->held_back);
     }
 }
 
@@ -456,10 +591,13 @@
 on_watch (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct GspanHttpServer *server = watcher->data;
+  guint64 now = gspan_clock_now ();
 
   (void)loop;
   (void)events;
-  close_slow_senders (server);
+  server->refusals.stalled += gspan_connections_close_slow (&server->connections, now);
+  server->refusals.surplus += gspan_connections_close_surplus (&server->connections, now);
+  make_room (server, now);
   if (g_hash_table_size (server->requests) > 0)
     find_gone_callers (server);
 }
@@ -482,7 +620,11 @@
   server->limits = *limits;
   server->handler = *handler;
   server->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, request_free);
-  server->connections = g_hash_table_new_full (NULL, NULL, g_free, NULL);
+  gspan_connections_init (&server->connections, limits->connections,
+                          (guint64)limits->read_timeout_ms * GSPAN_MS);
+  gspan_budget_init (&server->unbounded, G_MAXSIZE);
+  if (server->limits.budget == NULL)
+    server->limits.budget = &server->unbounded;
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, server,
       MHD_OPTION_SOCK_ADDR, &where, MHD_OPTION_URI_LOG_CALLBACK, on_target, server,
@@ -494,7 +636,7 @@
     {
       gspan_error_set (error, GSPAN_ERROR_SYSTEM, "%s: can't listen", address);
       g_hash_table_unref (server->requests);
-      g_hash_table_unref (server->connections);
+      gspan_connections_finish (&server->connections);
       g_free (server);
       return NULL;
     }
@@ -525,7 +667,7 @@
     }
   MHD_stop_daemon (server->daemon);
   g_hash_table_unref (server->requests);
-  g_hash_table_unref (server->connections);
+  gspan_connections_finish (&server->connections);
   g_free (server);
 }
 
@@ -535,6 +677,12 @@
   return server->port;
 }
 
+struct GspanHttpRefusals
+gspan_http_server_refusals (const struct GspanHttpServer *server)
+{
+  return server->refusals;
+}
+
 guint
 gspan_http_server_open_requests (const struct GspanHttpServer *server)
 {
@@ -677,6 +825,7 @@
     return NULL;
   return request;
 }
+
 void
 gspan_http_server_data (struct GspanHttpServer *server, guint64 id, GBytes *data)
 {
--- a/http/server.h
+++ b/http/server.h
@@ -3,6 +3,7 @@
 #include <ev.h>
 #include "common/error.h"
 #include "common/headers.h"
+#include "http/budget.h"
 
 /*
  * HTTP server on a libev loop, by libmicrohttpd. Requests are handed over whole, by number; the
@@ -17,6 +18,7 @@
   struct GspanStr path; /* with its query */
   const struct GspanHeaders *headers;
   GBytes *body;
+  bool body_dropped; /* it had one that wasn't kept */
 };
 
 struct GspanHttpHandler
@@ -24,6 +26,12 @@
   void (*request) (void *user, const struct GspanHttpIncoming *incoming);
   void (*gone) (void *user, guint64 id); /* the caller went away before its answer ended */
   void *user;
+
+  /*
+   * False where nobody will look at the body of the request whose head has come: it is read and not
+   * kept, and REQUEST gets none. NULL keeps all.
+   */
+  bool (*keeps_body) (void *user, const struct GspanHttpIncoming *head);
 };
 
 struct GspanHttpLimits
@@ -34,6 +42,16 @@
   guint read_timeout_ms; /* longest for a request's head, and for its body; 0 is no limit */
   size_t stream_max;     /* bytes of a stream that wait for a slow caller; above them it is cut */
   size_t outputs_max;    /* bytes of memory for all that waits; above, the longest is cut; 0: any */
+  struct GspanBudget *budget; /* for heads and bodies, perhaps of several servers; NULL: no bound */
+};
+
+/* Clients that were turned away so far. */
+struct GspanHttpRefusals
+{
+  guint64 too_large; /* bodies above the limit: 413 */
+  guint64 no_room;   /* no room in the budget in time: 503, not run */
+  guint64 stalled;   /* bodies without progress, closed */
+  guint64 surplus;   /* connections without progress, closed since there were too many */
 };
 
 /* Listens on ADDRESS ("IP:PORT"; port 0 asks the kernel). NULL with ERROR set on failure. */
@@ -48,6 +66,8 @@
 
 guint16 gspan_http_server_port (const struct GspanHttpServer *server);
 
+struct GspanHttpRefusals gspan_http_server_refusals (const struct GspanHttpServer *server);
+
 /* Requests that wait for the end of their answer. */
 guint gspan_http_server_open_requests (const struct GspanHttpServer *server);
 
--- a/jobs/accept.c
+++ b/jobs/accept.c
@@ -4,6 +4,7 @@
 #include "gateway/gateway.h"
 #include "jobs/jobs.h"
 #include "node/node.h"
+#include "platform/json.h"
 
 /*
  * Accepts submitted jobs. The parts of the content are created first; creating the head, only if
@@ -160,15 +161,23 @@
   return !is_unsettled (node, id);
 }
 
-/* Returns the job that REQUEST submits, or NULL after a response of 400 if it isn't valid. */
+/* Returns the job that REQUEST submits, or NULL after a response of 400 if it isn't valid.
+ */
 static struct GspanJob *
 parse_submission (struct GspanNode *node, const struct GspanEventRequest *request, const char *id,
                   const struct GspanWireRequest *wire, struct GspanOutbox *outbox)
 {
   struct GspanStr body = gspan_str_from_bytes (request->body);
-  struct GspanJob *job = gspan_job_new (id);
   struct GspanError error = { 0 };
+  struct GspanJob *job;
 
+  /* Many short values take far more memory once they are decoded than their text. */
+  if (gspan_json_count_values (body) > node->limits.job_values_max)
+    {
+      gspan_gateway_reply_error (request->request, 400, "too many JSON values", outbox);
+      return NULL;
+    }
+  job = gspan_job_new (id);
   if (!gspan_job_load_submission (job, wire->host, request->path, body, &error))
     {
       gspan_gateway_reply_error (request->request, 400, error.message, outbox);
--- a/links/relay_server.c
+++ b/links/relay_server.c
@@ -209,6 +209,15 @@
   return differs == 0;
 }
 
+bool
+gspan_relay_server_admits (const struct GspanNode *node, const struct GspanHeaders *headers)
+{
+  struct GspanRelayRequest relay;
+
+  gspan_relay_read_request (headers, &relay);
+  return is_own_key (node, relay.key);
+}
+
 /* The replica that RELAY names, as this node knows it; NULL with WHY set where it can't be used. */
 static struct GspanReplica *
 find_replica (const struct GspanNode *node, const struct GspanRelayRequest *relay, const char **why)
--- a/links/relay_server.h
+++ b/links/relay_server.h
@@ -39,3 +39,6 @@
 
 /* Requests that are being passed on. */
 guint gspan_relay_server_open (const struct GspanRelayServer *server);
+
+/* True where the request with HEADERS bears this node's key: it may come from another node. */
+bool gspan_relay_server_admits (const struct GspanNode *node, const struct GspanHeaders *headers);
--- a/node/held_answers.c
+++ b/node/held_answers.c
@@ -6,7 +6,6 @@
 
 enum
 {
-  HELD_MAX = 16 << 20,     /* bytes of memory for all */
   UNCHECKED_MAX = 64 << 10 /* bytes after which all are added up again */
 };
 
@@ -79,7 +78,7 @@
   struct GspanRun *run = longest_run (node, &total);
   size_t of_attempt = attempt != NULL ? held_by_attempt (attempt) : 0;
 
-  if (total <= HELD_MAX)
+  if (total <= node->limits.held_answers_max)
     return false;
   if (run != NULL && memory_of (run->events.pending) > of_attempt)
     gspan_runner_break_off (node, run, outbox);
--- a/node/node.c
+++ b/node/node.c
@@ -367,6 +367,31 @@
   gspan_exchanges_route (node, outbox);
 }
 
+bool
+gspan_node_wants_body (const struct GspanNode *node, struct GspanStr method, struct GspanStr path,
+                       const struct GspanHeaders *headers)
+{
+  const struct GspanConfig *config = &node->catalog.config;
+  const struct GspanConfigRoute *route;
+  struct GspanAccountCheck check = { 0 };
+  struct GspanWireRequest wire;
+  struct GspanWireTarget target;
+  bool other;
+  bool refused;
+
+  gspan_wire_read_path (method, path, headers, &target);
+  other = target.kind == GSPAN_WIRE_PATH_OTHER;
+  gspan_wire_path_finish (&target);
+  gspan_wire_read_request (headers, &wire);
+  route = other ? gspan_config_match (config, wire.host, path) : NULL;
+  if (route == NULL)
+    return false;
+  gspan_accounts_check (&config->accounts, headers, route->allow_anonymous, &check);
+  refused = gspan_account_verdict_is_refusal (check.verdict);
+  gspan_account_check_finish (&check);
+  return !refused;
+}
+
 guint64
 gspan_node_answers_until (const struct GspanNode *node)
 {
--- a/node/node.h
+++ b/node/node.h
@@ -48,6 +48,8 @@
   guint64 object_max_bytes; /* bytes of an object in the store */
   guint64 heartbeat_us;     /* an upstream renews its entry so often; it lapses after three */
   guint64 grace_us;         /* after SIGTERM the process is killed so long later */
+  guint64 held_answers_max; /* bytes of memory (node/held_answers.h) */
+  guint64 job_values_max;   /* JSON values in a submitted job */
   guint64 usage_window_ms;  /* usage of accounts is reported for each such time; 0 is not */
 };
 
@@ -113,6 +115,13 @@
  */
 guint64 gspan_node_answers_until (const struct GspanNode *node);
 
+/*
+ * True where the body of a request with this head is of use: its path has a route, and its caller
+ * may use it. Else it is answered without.
+ */
+bool gspan_node_wants_body (const struct GspanNode *node, struct GspanStr method,
+                            struct GspanStr path, const struct GspanHeaders *headers);
+
 /* True where it knows the configuration and the replicas, and takes new requests. */
 bool gspan_node_ready (const struct GspanNode *node);
 
--- a/node/shell.c
+++ b/node/shell.c
@@ -18,10 +18,8 @@
   CALLER_IDLE_TIMEOUT_S = 120, /* above the idle time that the configuration allows callers */
   CALLER_READ_TIMEOUT_MS = 60000,
   CALLER_STREAM_MAX = 1 << 20,
-  CALLER_OUTPUTS_MAX = 32 << 20,
-  SERVICE_CONNECTIONS = 64, /* of the balancer and of readers of metrics */
-  SERVICE_BODY_MAX = 1024,
-  RELAY_CONNECTIONS = 512,
+  SERVICE_BODY_MAX = 1024, /* of the balancer and of readers of metrics */
+  SERVICE_READ_TIMEOUT_MS = 2000,
   RELAY_IDLE_TIMEOUT_S = 20 /* above the age at which the client takes a kept connection no more */
 };
 
@@ -34,7 +32,11 @@
 {
   const struct GspanFleetSettings *settings;
   const char *settings_file;
+  const struct GspanMachine *machine;
   struct GspanNode *node;
+  struct GspanBudget budget; /* for what callers and other nodes send */
+  guint64 refusals_noted;    /* clients that were turned away, as logged last */
+  guint64 refusals_noted_at;
   struct GspanLogRing log;
   struct ev_loop *loop;
   struct GspanHttpServer *callers; /* NULL where the node takes no requests */
@@ -280,6 +282,22 @@
   take_gone (user, GSPAN_EVENT_CALLER_DISCONNECTED, id);
 }
 
+static bool
+keeps_body (void *user, const struct GspanHttpIncoming *head)
+{
+  const struct GspanNodeShell *shell = user;
+
+  return gspan_node_wants_body (shell->node, head->method, head->path, head->headers);
+}
+
+static bool
+keeps_relay_body (void *user, const struct GspanHttpIncoming *head)
+{
+  const struct GspanNodeShell *shell = user;
+
+  return gspan_relay_server_admits (shell->node, head->headers);
+}
+
 static void
 on_relay_request (void *user, const struct GspanHttpIncoming *incoming)
 {
@@ -308,6 +326,45 @@
   gspan_wire_path_finish (&target);
 }
 
+static void
+add_refusals (const struct GspanHttpServer *server, struct GspanHttpRefusals *sum)
+{
+  struct GspanHttpRefusals refusals;
+
+  if (server == NULL)
+    return;
+  refusals = gspan_http_server_refusals (server);
+  sum->too_large += refusals.too_large;
+  sum->no_room += refusals.no_room;
+  sum->stalled += refusals.stalled;
+  sum->surplus += refusals.surplus;
+}
+
+/* Clients that were turned away by all servers so far. */
+static struct GspanHttpRefusals
+refusals_of (const struct GspanNodeShell *shell)
+{
+  struct GspanHttpRefusals sum = { 0 };
+
+  add_refusals (shell->callers, &sum);
+  add_refusals (shell->relay, &sum);
+  add_refusals (shell->ready, &sum);
+  add_refusals (shell->metrics, &sum);
+  return sum;
+}
+
+static void
+update_refusals (struct GspanNodeShell *shell)
+{
+  struct GspanHttpRefusals sum = refusals_of (shell);
+  struct GspanMetrics *metrics = &shell->node->metrics;
+
+  metrics->values[GSPAN_METRIC_CLIENTS_TOO_LARGE] = sum.too_large;
+  metrics->values[GSPAN_METRIC_CLIENTS_NO_ROOM] = sum.no_room;
+  metrics->values[GSPAN_METRIC_CLIENTS_STALLED] = sum.stalled;
+  metrics->values[GSPAN_METRIC_CLIENTS_SURPLUS] = sum.surplus;
+}
+
 static void
 on_metrics_request (void *user, const struct GspanHttpIncoming *incoming)
 {
@@ -322,6 +379,7 @@
     }
   gspan_node_update_gauges (shell->node);
   metrics->values[GSPAN_METRIC_LOG_LINES_DROPPED] = shell->log.dropped_total;
+  update_refusals (shell);
   if (shell->callers != NULL)
     gspan_metrics_set (metrics, GSPAN_GAUGE_OPEN_REQUESTS,
                        gspan_http_server_open_requests (shell->callers));
@@ -347,6 +405,28 @@
   return !gspan_node_has_open_work (shell->node) && !shell->node->weights.lease.held;
 }
 
+/* One line a second at most tells how many clients were turned away, and why. */
+static void
+log_refusals (struct GspanNodeShell *shell)
+{
+  struct GspanHttpRefusals sum = refusals_of (shell);
+  guint64 total = sum.too_large + sum.no_room + sum.stalled + sum.surplus;
+  guint64 now = gspan_clock_now ();
+  struct GspanLine line;
+
+  if (total == shell->refusals_noted || now < shell->refusals_noted_at + GSPAN_SECOND)
+    return;
+  shell->refusals_noted = total;
+  shell->refusals_noted_at = now;
+  gspan_line_init (&line, "client-refused");
+  gspan_line_u64 (&line, "too_large", sum.too_large);
+  gspan_line_u64 (&line, "no_room", sum.no_room);
+  gspan_line_u64 (&line, "stalled", sum.stalled);
+  gspan_line_u64 (&line, "surplus", sum.surplus);
+  gspan_line_u64 (&line, "held_bytes", shell->budget.held);
+  log_line (shell, GSPAN_PRIORITY_WARNING, &line);
+}
+
 static void
 check_drain (struct GspanNodeShell *shell)
 {
@@ -370,6 +450,7 @@
   (void)events;
   event.kind = GSPAN_EVENT_TICK;
   run_event (shell, &event);
+  log_refusals (shell);
   gspan_log_ring_flush (&shell->log);
   check_drain (shell);
   watcher->repeat = gspan_node_has_open_work (shell->node) ? TICK_BUSY_S : TICK_IDLE_S;
@@ -454,10 +535,15 @@
               void (*request) (void *, const struct GspanHttpIncoming *),
               struct GspanHttpServer **server, struct GspanError *error)
 {
-  struct GspanHttpHandler handler = { request, ignore_gone, shell };
-  struct GspanHttpLimits limits
-      = { SERVICE_BODY_MAX,  SERVICE_CONNECTIONS, CALLER_IDLE_TIMEOUT_S, 0,
-          CALLER_STREAM_MAX, CALLER_OUTPUTS_MAX };
+  struct GspanHttpHandler handler = { request, ignore_gone, shell, NULL };
+  struct GspanHttpLimits limits = {
+    .body_max = SERVICE_BODY_MAX,
+    .connections = shell->machine->service,
+    .idle_timeout_s = CALLER_IDLE_TIMEOUT_S,
+    .read_timeout_ms = SERVICE_READ_TIMEOUT_MS,
+    .stream_max = CALLER_STREAM_MAX,
+    .outputs_max = shell->machine->output_bytes,
+  };
 
   if (address[0] == '\0')
     return true;
@@ -469,11 +555,18 @@
 open_listeners (struct GspanNodeShell *shell, struct GspanError *error)
 {
   const struct GspanFleetSettings *settings = shell->settings;
-  struct GspanHttpHandler handler = { on_request, on_gone, shell };
-  struct GspanHttpHandler relay_handler = { on_relay_request, on_relay_gone, shell };
-  struct GspanHttpLimits limits = { (size_t)settings->body_max, (guint)settings->connections,
-                                    CALLER_IDLE_TIMEOUT_S,      CALLER_READ_TIMEOUT_MS,
-                                    CALLER_STREAM_MAX,          CALLER_OUTPUTS_MAX };
+  struct GspanHttpHandler handler = { on_request, on_gone, shell, keeps_body };
+  struct GspanHttpHandler relay_handler
+      = { on_relay_request, on_relay_gone, shell, keeps_relay_body };
+  struct GspanHttpLimits limits = {
+    .body_max = (size_t)settings->body_max,
+    .connections = shell->machine->callers,
+    .idle_timeout_s = CALLER_IDLE_TIMEOUT_S,
+    .read_timeout_ms = CALLER_READ_TIMEOUT_MS,
+    .stream_max = CALLER_STREAM_MAX,
+    .outputs_max = shell->machine->output_bytes,
+    .budget = &shell->budget,
+  };
 
   if (settings->callers[0] != '\0')
     {
@@ -484,7 +577,7 @@
     }
   if (settings->relay[0] != '\0')
     {
-      limits.connections = RELAY_CONNECTIONS;
+      limits.connections = shell->machine->relay;
       limits.idle_timeout_s = RELAY_IDLE_TIMEOUT_S;
       shell->relay
           = gspan_http_server_new (shell->loop, settings->relay, &limits, &relay_handler, error);
@@ -500,19 +593,24 @@
 
 struct GspanNodeShell *
 gspan_node_shell_new (const struct GspanFleetSettings *settings, const char *settings_file,
-                      struct GspanNode *node, struct GspanError *error)
+                      const struct GspanMachine *machine, struct GspanNode *node,
+                      struct GspanError *error)
 {
   struct GspanNodeShell *shell = g_new0 (struct GspanNodeShell, 1);
 
   shell->settings = settings;
   shell->settings_file = settings_file;
+  shell->machine = machine;
   shell->node = node;
+  gspan_budget_init (&shell->budget, machine->request_bytes);
   gspan_log_ring_init (&shell->log, STDOUT_FILENO, gspan_fleet_log_level (settings),
                        (guint)settings->log_lines);
   shell->loop = ev_default_loop (0);
   shell->store_calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, store_call_free);
   shell->client = gspan_http_client_new (shell->loop, on_exchange, shell);
   gspan_http_client_set_source (shell->client, settings->outgoing);
+  gspan_http_client_set_bounds (shell->client, machine->collected_bytes, machine->platform_bytes,
+                                machine->kept);
   if (!open_listeners (shell, error))
     {
       gspan_node_shell_free (shell);
--- a/node/shell.h
+++ b/node/shell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/error.h"
+#include "node/machine.h"
 #include "node/node.h"
 #include "settings/fleet.h"
 
@@ -9,8 +10,9 @@
 
 /* NULL with ERROR set where an address can't be listened on. All is borrowed. */
 struct GspanNodeShell *gspan_node_shell_new (const struct GspanFleetSettings *settings,
-                                             const char *settings_file, struct GspanNode *node,
-                                             struct GspanError *error);
+                                             const char *settings_file,
+                                             const struct GspanMachine *machine,
+                                             struct GspanNode *node, struct GspanError *error);
 void gspan_node_shell_free (struct GspanNodeShell *shell);
 
 /* Runs until SIGTERM or SIGINT and the drain after it. */
--- a/settings/fleet.c
+++ b/settings/fleet.c
@@ -44,6 +44,13 @@
     "largest request body", FIELD (body_max) },
   { "limits.connections", GSPAN_OPTION_INTEGER, "connections", 1, 100000, NULL, "2000",
     "open connections of callers at once", FIELD (connections) },
+  { "limits.memory_mb", GSPAN_OPTION_INTEGER, "MB", 32, 1048576, NULL, "256",
+    "memory of the machine; what clients can make the process hold is bounded by parts of it",
+    FIELD (memory_mb) },
+  { "limits.descriptors", GSPAN_OPTION_INTEGER, "descriptors", 0, 1048576, NULL, "0",
+    "open descriptors of the process at most; connections are bounded by parts of them; 0 is no "
+    "bound",
+    FIELD (descriptors) },
   { "limits.grace_s", GSPAN_OPTION_FRACTION, "s", 1, 3600, NULL, "8",
     "from SIGTERM to the end of the process at the latest", FIELD (grace_s) },
   { "limits.drain_notice_ms", GSPAN_OPTION_FRACTION, "ms", 100, 60000, NULL, "2000",
--- a/settings/fleet.h
+++ b/settings/fleet.h
@@ -24,6 +24,8 @@
   double job_kept_s;
   gint64 body_max;
   gint64 connections;
+  gint64 memory_mb;
+  gint64 descriptors;
   double grace_s;
   double drain_notice_ms;
   double heartbeat_ms;
--- a/shell/actions.c
+++ b/shell/actions.c
@@ -92,6 +92,7 @@
   event.u.request.path = incoming->path;
   event.u.request.headers = incoming->headers;
   event.u.request.body = incoming->body;
+  event.u.request.body_dropped = incoming->body_dropped;
   return event;
 }
 
--- a/shell/shell.c
+++ b/shell/shell.c
@@ -325,13 +325,14 @@
 static bool
 open_listeners (struct GspanShell *shell, struct GspanError *error)
 {
-  struct GspanHttpHandler handler = { on_request, on_gone, shell };
+  struct GspanHttpHandler handler = { on_request, on_gone, shell, NULL };
   struct GspanHttpLimits limits = { (size_t)shell->settings->body_max,
                                     (guint)shell->settings->connections,
                                     CALLER_IDLE_TIMEOUT_S,
                                     CALLER_READ_TIMEOUT_MS,
                                     CALLER_STREAM_MAX,
-                                    CALLER_OUTPUTS_MAX };
+                                    CALLER_OUTPUTS_MAX,
+                                    NULL };
 
   shell->server
       = gspan_http_server_new (shell->loop, shell->settings->http, &limits, &handler, error);
--- a/standin/main.c
+++ b/standin/main.c
@@ -128,8 +128,8 @@
 static bool
 open_standin (struct GspanStandin *standin)
 {
-  struct GspanHttpLimits limits = { BODY_MAX, CONNECTIONS, 0, 0, 0, 0 };
-  struct GspanHttpHandler handler = { on_request, on_gone, standin };
+  struct GspanHttpLimits limits = { BODY_MAX, CONNECTIONS, 0, 0, 0, 0, NULL };
+  struct GspanHttpHandler handler = { on_request, on_gone, standin, NULL };
   struct GspanError error = { 0 };
 
   standin->loop = ev_default_loop (0);
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -468,7 +468,7 @@
   SetUp () override
   {
     GspanHttpLimits limits = { 1000, 50, 0, 300, 100000, OUTPUTS_MAX };
-    GspanHttpHandler handler = { on_request, on_gone, this };
+    GspanHttpHandler handler = { on_request, on_gone, this, nullptr };
 
     server = gspan_http_server_new (wire.loop, "127.0.0.1:0", &limits, &handler, nullptr);
   }
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -936,8 +936,9 @@
   config.self.relay_address = relay_.c_str ();
   config.self.relay_key = relay_key_.c_str ();
   config.self.takes_requests = true;
-  config.limits = { 3 * GSPAN_SECOND, 120 * GSPAN_SECOND, 2 * GSPAN_SECOND,  1 << 20,
-                    1200 * GSPAN_MS,  8 * GSPAN_SECOND,   of.usage_window_ms };
+  config.limits = { 3 * GSPAN_SECOND,  120 * GSPAN_SECOND, 2 * GSPAN_SECOND, 1 << 20,
+                    1200 * GSPAN_MS,   8 * GSPAN_SECOND,   16 << 20,         100000,
+                    of.usage_window_ms };
   config.self.duties_address = of.duties_address;
   config.seed = seed;
   gspan_node_init (&node, &config);
--- a/test/relay_answers_test.cc
+++ b/test/relay_answers_test.cc
@@ -93,7 +93,7 @@
   SetUp () override
   {
     GspanHttpLimits limits = { 1000, 50, 0, 2000, 100000 };
-    GspanHttpHandler handler = { on_request, on_gone, this };
+    GspanHttpHandler handler = { on_request, on_gone, this, nullptr };
 
     server = gspan_http_server_new (wire.loop, "127.0.0.1:0", &limits, &handler, nullptr);
     client = gspan_http_client_new (wire.loop, on_event, this);
