jobs: in a large fleet the jobs of a service are run by one strong node

The accepting node now names a dispatcher of the service in the job's head, tells it, and runs the job itself where that doesn't answer in half a second.

ReplacedFleet.CandidatesThatDied... took the accepting node for the owner; it asks for the owner now.

--- a/jobs/accept.c
+++ b/jobs/accept.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "gateway/gateway.h"
+#include "jobs/dispatcher.h"
 #include "jobs/jobs.h"
 #include "node/node.h"
 #include "platform/json.h"
@@ -36,6 +37,7 @@
 {
   struct GspanJob *job;
   GBytes *body;
+  char *dispatcher;  /* node that is to run the job; NULL until the head is created */
   GArray *requests;  /* guint64: requests that wait for the response */
   guint part_number; /* part being created */
   guint64 started_at_us;
@@ -55,6 +57,7 @@
     gspan_job_free (submission->job);
   g_bytes_unref (submission->body);
   g_array_unref (submission->requests);
+  g_free (submission->dispatcher);
   g_free (submission);
 }
 
@@ -131,7 +134,9 @@
       = gspan_jobs_start_call (node, GSPAN_JOB_PUT_HEAD, submission->job->id, GSPAN_STORE_CREATE,
                                GSPAN_JOBS_KIND, submission->job->id, outbox, &job_call);
 
-  call->value = gspan_job_encode_head (submission->job, node->self.name);
+  if (submission->dispatcher == NULL) /* a head that is created again names the same owner */
+    submission->dispatcher = g_strdup (gspan_dispatcher_of (node, submission->job));
+  call->value = gspan_job_encode_head (submission->job, submission->dispatcher);
   submission->call = job_call->id;
   submission->next_put_at_us = 0;
 }
@@ -300,6 +305,7 @@
   struct GspanJob *job = submission->job;
   struct GspanJob *known = gspan_jobs_find (&node->jobs, job->id);
   bool foreign = is_of_another_account (node, submission, head);
+  char *job_id = g_strdup (job->id);
 
   log_submission (node, submission, foreign ? "another account's" : "accepted", reply, outbox);
   gspan_metrics_add (&node->metrics, GSPAN_METRIC_JOBS_ACCEPTED, !foreign);
@@ -318,6 +324,9 @@
     }
   if (head != NULL)
     gspan_jobs_apply_head (node, head, outbox);
+  if (head != NULL && !foreign) /* a conflict may be with this node's own create */
+    gspan_owner_begin_handover (node, job_id, outbox);
+  g_free (job_id);
   gspan_submission_free (submission);
 }
 
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -133,8 +133,10 @@
   guint64 last_active_us;  /* last request of a caller or change of ownership */
 
   guint64 head_write_call;
-  guint64 owner_heartbeat_at_us;     /* last heartbeat of the owner, or last attempt to change it */
-  guint64 candidate_since_us;        /* this node is a takeover candidate; 0 if it isn't */
+  guint handover_tries; /* the owner, for which this node accepted the job, was told so often */
+  guint64 handover_next_at_us;   /* when it is told again; 0 where it has answered, or isn't told */
+  guint64 owner_heartbeat_at_us; /* last heartbeat of the owner, or last attempt to change it */
+  guint64 candidate_since_us;    /* this node is a takeover candidate; 0 if it isn't */
   guint64 heartbeat_requested_at_us; /* other nodes: last request for a heartbeat */
   guint64 heartbeat_sent_at_us;      /* owner: last heartbeat to the takeover candidates */
   bool stuck_reported; /* owner: reported to the candidates that it cannot append segments */
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -138,6 +138,13 @@
 
 /* owner.c: ownership of jobs. */
 
+/*
+ * This node has accepted the job ID. Where another one is to run it, that is told until it answers;
+ * where it doesn't, this node takes the job over.
+ */
+void gspan_owner_begin_handover (struct GspanNode *node, const char *id,
+                                 struct GspanOutbox *outbox);
+
 /* Starts or stops running JOB here after its head has changed. */
 void gspan_owner_update (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox);
 void gspan_owner_tick (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox);
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -20,7 +20,8 @@
 
 enum
 {
-  CANDIDATES_MAX = 2
+  CANDIDATES_MAX = 2,
+  HANDOVER_TRIES_MAX = 4
 };
 
 #define HEARTBEAT_INTERVAL_US (400 * GSPAN_MS)
@@ -33,6 +34,7 @@
 #define RANK_DELAY_US (700 * GSPAN_MS)      /* added to the timeout for each earlier rank */
 #define APPEND_STALL_US (GSPAN_SECOND)      /* after so long without a working append it is stuck */
 #define RETRY_DELAY_US (300 * GSPAN_MS)
+#define HANDOVER_INTERVAL_US (120 * GSPAN_MS) /* several round trips between any two nodes */
 
 /*
  * A store failure at this node up to so long before the owner's last report counts as the same
@@ -345,6 +347,47 @@
     }
 }
 
+static void
+tell_dispatcher (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
+{
+  json_t *message = message_with_head (node, job, "taken");
+
+  job->handover_tries++;
+  job->handover_next_at_us = node->now + HANDOVER_INTERVAL_US;
+  gspan_peers_send (node, job->owner, message, outbox);
+  send_message (node, job->owner, "ask", job->id, outbox);
+  json_decref (message);
+}
+
+void
+gspan_owner_begin_handover (struct GspanNode *node, const char *id, struct GspanOutbox *outbox)
+{
+  struct GspanJob *job = gspan_jobs_find (&node->jobs, id);
+
+  if (job == NULL || job->is_owner || job->ended || job->owner[0] == '\0')
+    return;
+  job->handover_tries = 0;
+  tell_dispatcher (node, job, outbox);
+}
+
+/* Tells the owner again that hasn't answered since this node accepted JOB, or takes its place. */
+static void
+continue_handover (struct GspanNode *node, struct GspanJob *job, struct GspanOutbox *outbox)
+{
+  if (node->now < job->handover_next_at_us)
+    return;
+  if (job->handover_tries < HANDOVER_TRIES_MAX)
+    {
+      tell_dispatcher (node, job, outbox);
+      return;
+    }
+  job->handover_next_at_us = 0;
+  if (job->head_write_call != 0 || node->catalog.store_fails)
+    return;
+  log_job (job, "job-owner-silent", outbox);
+  write_owner (node, job, node->self.name, outbox);
+}
+
 /*
  * Hands JOB over while this node drains: stops its runs, writes a last checkpoint, commits what is
  * ready, and then clears the owner.
@@ -377,7 +420,9 @@
     hand_over (node, job, outbox);
   else if (job->is_owner)
     tick_owned_job (node, job, outbox);
-  else if (!job->is_owner && !node->draining)
+  else if (job->handover_next_at_us != 0)
+    continue_handover (node, job, outbox);
+  else if (!node->draining)
     monitor_owner (node, job, outbox);
 }
 
@@ -433,6 +478,8 @@
   else if (strcmp (kind, "runs") == 0 || strcmp (kind, "stuck") == 0)
     {
       job->owner_heartbeat_at_us = node->now;
+      if (strcmp (from, job->owner) == 0)
+        job->handover_next_at_us = 0;
       job->owner_stuck = strcmp (kind, "stuck") == 0;
     }
   else if (strcmp (kind, "reads") == 0 || strcmp (kind, "listed") == 0)
--- a/node/node.h
+++ b/node/node.h
@@ -37,6 +37,7 @@
       *relay_address;    /* "IP:PORT" where other nodes send requests to pass on; NULL is none */
   const char *relay_key; /* secret of this start that such requests have to bear */
   const char *duties_address; /* "IP:PORT" of the platform's own calls; NULL is none */
+  guint cpu_milli;            /* its VM's share of a processor, in thousandths; 0 is not known */
 };
 
 /* Bounds from the settings, in microseconds but for the object's size. */
--- a/node/peers.c
+++ b/node/peers.c
@@ -65,6 +65,7 @@
   peer->relay_key = g_strdup (relay_key);
   peer->revision = object->revision;
   peer->sends_heartbeats = json_is_true (json_object_get (object->spec, "heartbeats"));
+  peer->cpu_milli = (guint)json_integer_value (json_object_get (object->spec, "cpu_milli"));
   peer->counts_usage = json_is_true (json_object_get (object->spec, "counts_usage"));
   peer->records_origins = json_is_true (json_object_get (object->spec, "records_origins"));
   peer->heard_at = node->now;
@@ -149,8 +150,8 @@
     report_retirement (node, outbox);
 }
 
-static guint64
-weight_of (const char *job, const char *name)
+guint64
+gspan_peers_weight (const char *job, const char *name)
 {
   return XXH64 (name, strlen (name), XXH64 (job, strlen (job), 0));
 }
@@ -158,7 +159,7 @@
 guint
 gspan_peers_takeover_rank (const struct GspanNode *node, const char *job, const char *owner)
 {
-  guint64 own = weight_of (job, node->self.name);
+  guint64 own = gspan_peers_weight (job, node->self.name);
   guint rank = 0;
   GHashTableIter iter;
   gpointer key;
@@ -168,7 +169,7 @@
   while (g_hash_table_iter_next (&iter, &key, &peer))
     {
       if (strcmp (key, owner) != 0 && strcmp (key, node->self.name) != 0
-          && gspan_heartbeats_is_present (node, peer) && weight_of (job, key) > own)
+          && gspan_heartbeats_is_present (node, peer) && gspan_peers_weight (job, key) > own)
         rank++;
     }
   return rank;
@@ -190,7 +191,7 @@
 
       if (strcmp (key, owner) == 0 || !gspan_heartbeats_is_present (node, peer))
         continue;
-      while (at > 0 && weight_of (job, names[at - 1]) < weight_of (job, key))
+      while (at > 0 && gspan_peers_weight (job, names[at - 1]) < gspan_peers_weight (job, key))
         {
           if (at < count)
             names[at] = names[at - 1];
--- a/node/peers.h
+++ b/node/peers.h
@@ -24,6 +24,7 @@
   char *relay_key;       /* that such requests have to bear */
   guint64 revision;      /* of its entry in the store */
   bool sends_heartbeats; /* builds before this one don't */
+  guint cpu_milli;       /* its share of a processor, in thousandths; 0 is not known */
   bool counts_usage;     /* of client accounts (duties/usage_reports.h) */
   bool records_origins;  /* of streams, before they begin (gateway/origin_records.h); likewise */
   bool draining;         /* as it has said itself */
@@ -59,6 +60,9 @@
  */
 guint gspan_peers_takeover_rank (const struct GspanNode *node, const char *job, const char *owner);
 
+/* What that order is drawn from: the greatest weight comes first. */
+guint64 gspan_peers_weight (const char *job, const char *name);
+
 /* Names of the first COUNT in that order, which are borrowed; fewer where there are fewer. */
 guint gspan_peers_takeover_candidates (const struct GspanNode *node, const char *job,
                                        const char *owner, const char **names, guint count);
--- a/node/registration.c
+++ b/node/registration.c
@@ -51,6 +51,8 @@
   call->revision = revision;
   call->value = json_pack ("{s:s, s:s, s:b, s:b}", "udp", node->self.udp_address, "zone",
                            node->self.zone, "heartbeats", 1, "records_origins", 1);
+  if (node->self.cpu_milli > 0)
+    json_object_set_new (call->value, "cpu_milli", json_integer (node->self.cpu_milli));
   if (node->self.takes_requests && gspan_usage_reports_enabled (node))
     json_object_set_new (call->value, "counts_usage", json_true ());
   if (node->self.relay_address == NULL)
--- a/settings/fleet.h
+++ b/settings/fleet.h
@@ -19,6 +19,7 @@
   char *log_level;
   gint64 keeps_disk;
   gint64 value_max;
+  double cpu_share;
   double lease_ms;
   double usage_window_s;
   double job_kept_s;
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -192,6 +192,7 @@
   bool lose_datagrams = false;
   const char *duties_address = nullptr; /* of nodes that are added from then on */
   guint64 usage_window_ms = 0;          /* likewise */
+  std::function<guint (const std::string &name)> cpu_milli_of; /* likewise; unset is not known */
   std::function<bool (const Rig &from, const std::string &to)> loses_datagram; /* TO: address */
   std::map<std::string, std::string> last_datagram;                            /* kind to text */
   guint64 create_reply_delay_us = 0; /* creations are done in time, their answers take longer */
@@ -940,6 +941,7 @@
                     1200 * GSPAN_MS,   8 * GSPAN_SECOND,   16 << 20,         100000,
                     of.usage_window_ms };
   config.self.duties_address = of.duties_address;
+  config.self.cpu_milli = of.cpu_milli_of ? of.cpu_milli_of (called) : 0;
   config.seed = seed;
   gspan_node_init (&node, &config);
 }
--- a/test/replaced_fleet_test.cc
+++ b/test/replaced_fleet_test.cc
@@ -83,6 +83,36 @@
     return { names.begin (), names.begin () + found };
   }
 
+  size_t
+  index_of (const std::string &name) const
+  {
+    size_t index = 0;
+
+    while (world.rigs[index]->name != name)
+      index++;
+    return index;
+  }
+
+  Rig &
+  rig_called (const std::string &name)
+  {
+    return rig_at (index_of (name));
+  }
+
+  /* Name of the node that runs JOB; empty where none does. */
+  std::string
+  owner_of (const std::string &job) const
+  {
+    for (const auto &rig : world.rigs)
+      {
+        const GspanJob *known = gspan_jobs_find (&rig->node.jobs, job.c_str ());
+
+        if (known != nullptr && known->is_owner)
+          return rig->name;
+      }
+    return "";
+  }
+
   unsigned
   owners_of (const std::string &job) const
   {
@@ -295,16 +325,15 @@
   start_fleet (80);
   submit_job (rig_at (0), 1, "j1", 4);
   world.run (3 * GSPAN_SECOND);
-  std::vector<std::string> dying = candidates_of (rig_at (0), "j1", 2);
+  std::string owner = owner_of ("j1");
+  std::vector<std::string> dying = candidates_of (rig_called (owner), "j1", 2);
   for (const auto &name : dying)
-    for (size_t i = 0; i < world.rigs.size (); i++)
-      if (rig_at (i).name == name)
-        take_away (i--);
+    take_away (index_of (name));
   world.run (2500 * GSPAN_MS);
-  for (const auto &name : candidates_of (rig_at (0), "j1", 2))
+  for (const auto &name : candidates_of (rig_called (owner), "j1", 2))
     EXPECT_FALSE (is_gone (name));
-  ASSERT_EQ (rig_at (0).name, "vm-1");
-  take_away (0);
+  ASSERT_EQ (owner_of ("j1"), owner);
+  take_away (index_of (owner));
   world.run (5 * GSPAN_SECOND); /* LOST allows items to lie for so long */
   EXPECT_EQ (owners_of ("j1"), 1U);
 }
