duties: the holder of the orders lease orders replicas from the platform

Cause: services that may be scaled (`scaling` in the configuration) kept the replicas that they began with: lost and reclaimed ones were never replaced, and those that no load needed were paid for.

Change: `scaling` of services, and `spot` and `leaves_ms` of entries, are read. Nodes tell the holder their open requests and items by service once a second (duties/demand.h). A pure planner (duties/capacity.h) turns replicas, demand and configuration into counts by zone and kind; the holder sends them as POST /scale (duties/capacity_orders.h), sends the same again where there is no answer, and tells the two nodes that would follow it what still starts. Off unless duties.scaling is set.

Replicas that start and load by processes weren't run.

--- a/catalog/config.c
+++ b/catalog/config.c
@@ -23,12 +23,22 @@
   g_free (route);
 }
 
+static void
+zone_free (gpointer data)
+{
+  struct GspanConfigZone *zone = data;
+
+  g_free (zone->name);
+  g_free (zone);
+}
+
 static void
 service_free (gpointer data)
 {
   struct GspanConfigService *service = data;
 
   g_free (service->name);
+  g_ptr_array_unref (service->scaling.zones);
   g_ptr_array_unref (service->models);
   g_free (service);
 }
@@ -67,10 +77,21 @@
 
   service->name = g_strdup (name);
   service->models = g_ptr_array_new_with_free_func (g_free);
+  service->scaling.zones = g_ptr_array_new_with_free_func (zone_free);
   g_hash_table_replace (config->services, service->name, service);
   return service;
 }
 
+void
+gspan_config_add_zone (struct GspanConfigService *service, const char *name, double price)
+{
+  struct GspanConfigZone *zone = g_new0 (struct GspanConfigZone, 1);
+
+  zone->name = g_strdup (name);
+  zone->price = price;
+  g_ptr_array_add (service->scaling.zones, zone);
+}
+
 static bool
 host_matches (const char *host, struct GspanStr asked)
 {
--- a/catalog/config.h
+++ b/catalog/config.h
@@ -40,12 +40,31 @@
   bool allow_anonymous; /* callers without a key are let in */
 };
 
+struct GspanConfigZone
+{
+  char *name;
+  double price; /* of a replica there, for each second */
+};
+
+/* How many replicas of a service may be ordered. Counts are for each zone, spot replicas included.
+ */
+struct GspanConfigScaling
+{
+  bool enabled; /* else the service is never ordered */
+  guint replicas_min;
+  guint replicas_max;
+  guint64 boot_us;   /* from an order to the service of its replicas */
+  double spot_price; /* part of a zone's price; 0 has no spot replicas */
+  GPtrArray *zones;  /* struct GspanConfigZone, in which replicas may be ordered */
+};
+
 struct GspanConfigService
 {
   char *name;
   guint slots;        /* requests that a replica runs at once; 0 is not known */
   guint64 tokens_max; /* of a replica's memory; 0 is not known */
   GPtrArray *models;  /* names; empty for a plain service */
+  struct GspanConfigScaling scaling;
 };
 
 struct GspanConfig
@@ -62,6 +81,7 @@
 void gspan_config_finish (struct GspanConfig *config);
 struct GspanConfigRoute *gspan_config_add_route (struct GspanConfig *config);
 struct GspanConfigService *gspan_config_add_service (struct GspanConfig *config, const char *name);
+void gspan_config_add_zone (struct GspanConfigService *service, const char *name, double price);
 
 /* The route of HOST with the longest prefix of PATH; NULL where there is none. */
 const struct GspanConfigRoute *gspan_config_match (const struct GspanConfig *config,
--- a/catalog/replica.h
+++ b/catalog/replica.h
@@ -34,6 +34,8 @@
   bool draining;       /* as its entry says */
   bool entry_unusable; /* its entry can't be read now, or is another writer's */
   bool removed;        /* no longer registered */
+  bool spot;           /* it costs less, and the platform may reclaim it */
+  guint64 leaves_ms;   /* DRAINING: when it is gone, in its entry's words; 0 is not said */
   guint64 born;        /* Unix milliseconds of its start; 0 is not known */
   GPtrArray *models;   /* struct GspanReplicaModel */
 
--- a/cmd/gspan-node.c
+++ b/cmd/gspan-node.c
@@ -56,6 +56,7 @@
   config.self.relay_address = settings->relay[0] != '\0' ? settings->relay : NULL;
   config.self.relay_key = relay_key;
   config.self.duties_address = settings->duties[0] != '\0' ? settings->duties : NULL;
+  config.self.orders_capacity = settings->scaling != 0;
   config.self.takes_requests = settings->callers[0] != '\0';
   config.self.keeps_disk = settings->keeps_disk != 0;
   config.limits.lease_us = (guint64)(settings->lease_ms * (double)GSPAN_MS);
--- a/node/node.c
+++ b/node/node.c
@@ -46,11 +46,13 @@
   gspan_rewards_init (&node->rewards);
   gspan_weights_init (&node->weights);
   gspan_usage_reports_init (&node->usage_reports, config->limits.usage_window_ms);
+  gspan_capacity_orders_init (&node->capacity_orders);
 }
 
 void
 gspan_node_finish (struct GspanNode *node)
 {
+  gspan_capacity_orders_finish (&node->capacity_orders);
   gspan_usage_reports_finish (&node->usage_reports);
   gspan_weights_finish (&node->weights);
   gspan_rewards_finish (&node->rewards);
@@ -143,6 +145,7 @@
       break;
     case GSPAN_OWNER_DUTIES:
       gspan_usage_reports_handle (node, event, outbox);
+      gspan_capacity_orders_handle (node, event, outbox);
       break;
     case GSPAN_OWNER_VERDICTS:
       gspan_verdicts_handle (node, event, outbox);
@@ -204,6 +207,7 @@
   gspan_rewards_handle (node, event, outbox);
   gspan_weights_handle (node, event, outbox);
   gspan_usage_reports_handle (node, event, outbox);
+  gspan_capacity_orders_handle (node, event, outbox);
 }
 
 static void
@@ -270,6 +274,10 @@
     gspan_usage_reports_receive (node, message, outbox);
   else if (g_strcmp0 (kind, "usage-ack") == 0)
     gspan_usage_reports_receive_ack (node, message);
+  else if (g_strcmp0 (kind, "demand") == 0)
+    gspan_demand_receive (node, message);
+  else if (g_strcmp0 (kind, "capacity") == 0)
+    gspan_capacity_orders_receive (node, message);
   else if (g_strcmp0 (kind, "relay-offer") == 0)
     take_relay_offer (node, message, outbox);
   else
--- a/node/node.h
+++ b/node/node.h
@@ -6,6 +6,7 @@
 #include "catalog/permits.h"
 #include "common/metrics.h"
 #include "desk/poison_requests.h"
+#include "duties/capacity_orders.h"
 #include "duties/usage_reports.h"
 #include "gateway/crash_reports.h"
 #include "gateway/gateway.h"
@@ -37,6 +38,7 @@
       *relay_address;    /* "IP:PORT" where other nodes send requests to pass on; NULL is none */
   const char *relay_key; /* secret of this start that such requests have to bear */
   const char *duties_address; /* "IP:PORT" of the platform's own calls; NULL is none */
+  bool orders_capacity;       /* takes part in orders of replicas (duties/capacity_orders.h) */
 };
 
 /* Bounds from the settings, in microseconds but for the object's size. */
@@ -88,6 +90,7 @@
   struct GspanRewards rewards;
   struct GspanWeights weights;
   struct GspanUsageReports usage_reports;
+  struct GspanCapacityOrders capacity_orders;
 };
 
 struct GspanNodeConfig
--- a/settings/fleet.c
+++ b/settings/fleet.c
@@ -36,6 +36,8 @@
   { "duties.usage_window_s", GSPAN_OPTION_FRACTION, "s", 0, 86400, NULL, "0",
     "the requests of each client account are reported for each such time; 0 reports none",
     FIELD (usage_window_s) },
+  { "duties.scaling", GSPAN_OPTION_BOOLEAN, NULL, 0, 0, NULL, "false",
+    "replicas are ordered for the services whose configuration allows it", FIELD (scaling) },
   { "lease.duration_ms", GSPAN_OPTION_FRACTION, "ms", 500, 60000, NULL, "3000",
     "orders of two holders of the lease are at least so far apart", FIELD (lease_ms) },
   { "jobs.kept_s", GSPAN_OPTION_FRACTION, "s", 1, 86400, NULL, "120",
--- a/settings/fleet.h
+++ b/settings/fleet.h
@@ -21,6 +21,7 @@
   gint64 value_max;
   double lease_ms;
   double usage_window_s;
+  gint64 scaling;
   double job_kept_s;
   gint64 body_max;
   gint64 connections;
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -192,7 +192,9 @@
   bool lose_datagrams = false;
   const char *duties_address = nullptr; /* of nodes that are added from then on */
   guint64 usage_window_ms = 0;          /* likewise */
+  bool orders_capacity = false;         /* likewise */
   std::function<bool (const Rig &from, const std::string &to)> loses_datagram; /* TO: address */
+  std::function<bool (const Rig &from, const std::string &kind)> loses_kind;   /* of datagram */
   std::map<std::string, std::string> last_datagram;                            /* kind to text */
   guint64 create_reply_delay_us = 0; /* creations are done in time, their answers take longer */
   std::map<std::string, std::map<std::string, StoredObject>> objects;
@@ -939,6 +941,7 @@
   config.limits = { 3 * GSPAN_SECOND, 120 * GSPAN_SECOND, 2 * GSPAN_SECOND,  1 << 20,
                     1200 * GSPAN_MS,  8 * GSPAN_SECOND,   of.usage_window_ms };
   config.self.duties_address = of.duties_address;
+  config.self.orders_capacity = of.orders_capacity;
   config.seed = seed;
   gspan_node_init (&node, &config);
 }
@@ -1081,9 +1084,11 @@
             World *in = &world;
 
             size_t kind = text.find ("\"kind\":\"") + strlen ("\"kind\":\"");
-            world.last_datagram[text.substr (kind, text.find ('"', kind) - kind)] = text;
+            std::string kind_name = text.substr (kind, text.find ('"', kind) - kind);
+            world.last_datagram[kind_name] = text;
             EXPECT_LE (text.size (), 16384U) << "a receiver takes no more (shell/udp.c)";
-            if (world.lose_datagrams || (world.loses_datagram && world.loses_datagram (*this, to)))
+            if (world.lose_datagrams || (world.loses_datagram && world.loses_datagram (*this, to))
+                || (world.loses_kind && world.loses_kind (*this, kind_name)))
               break;
             world.scheduled.push_back ({ world.now + GSPAN_MS, [in, to, text] {
                                           for (auto &rig : in->rigs)
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -55,6 +55,19 @@
   return result;
 }
 
+/* Orders cost money: they are sent only where the settings say so. */
+TEST (FleetSettings, ReplicasAreOrderedOnlyWhereItIsSet)
+{
+  for (bool set : { false, true })
+    {
+      GspanFleetSettings settings{};
+
+      EXPECT_EQ (load_fleet (set ? "[duties]\nscaling = true\n" : "[duties]\n", &settings), "");
+      EXPECT_EQ (settings.scaling, set);
+      gspan_options_finish (gspan_fleet_options, gspan_fleet_option_count, &settings);
+    }
+}
+
 TEST (FleetSettings, BoundsMayBeFractions)
 {
   GspanFleetSettings settings{};
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -448,7 +448,10 @@
   if (!gspan_order_lease_settled (lease, node->now))
     return;
   deal_out_replicas (node);
-  gspan_order_lease_want (lease, has_orders (node) || gspan_usage_reports_wanted (node), node->now);
+  gspan_order_lease_want (lease,
+                          has_orders (node) || gspan_usage_reports_wanted (node)
+                              || gspan_capacity_orders_wanted (node),
+                          node->now);
   if (gspan_order_lease_allows (lease, node->now))
     start_loads (node, outbox);
 }
