--- a/node/node.h
+++ b/node/node.h
@@ -6,6 +6,7 @@
 #include "catalog/permits.h"
 #include "common/metrics.h"
 #include "desk/poison_requests.h"
+#include "duties/capacity_orders.h"
 #include "duties/usage_reports.h"
 #include "gateway/crash_reports.h"
 #include "gateway/gateway.h"
@@ -38,6 +39,7 @@
   const char *relay_key; /* secret of this start that such requests have to bear */
   const char *duties_address; /* "IP:PORT" of the platform's own calls; NULL is none */
   guint cpu_milli;            /* its VM's share of a processor, in thousandths; 0 is not known */
+  bool orders_capacity;       /* takes part in orders of replicas (duties/capacity_orders.h) */
 };
 
 /* Bounds from the settings, in microseconds but for the object's size. */
@@ -91,6 +93,7 @@
   struct GspanRewards rewards;
   struct GspanWeights weights;
   struct GspanUsageReports usage_reports;
+  struct GspanCapacityOrders capacity_orders;
 };
 
 struct GspanNodeConfig
--- a/settings/fleet.h
+++ b/settings/fleet.h
@@ -22,6 +22,7 @@
   double cpu_share;
   double lease_ms;
   double usage_window_s;
+  gint64 scaling;
   double job_kept_s;
   gint64 body_max;
   gint64 connections;
