gateway: second attempts follow a quantile, within a share of requests

The second attempt beside a slow first one followed half of the route's target, without a bound: where all replicas of a service turn slow, each of its idempotent requests is sent twice, just when there is no room for it.

With hedge.share_percent (new, unset by default: as before) the second attempt follows the time within which 95 of 100 attempts at the service ended in the last minute (half of the target below 20 samples), and each request earns its service the share, of which each second attempt takes one: in any period no more than the share of its requests and 3. None while the usable replicas that the node knows have over 0.8 of their slots taken by its own requests. An attempt that may have run and fails beside another open one is not replaced outside of the share. A call whose attempt went over links that the node knows to be down still goes through another node, whatever the share. event=hedge says what was decided and why, once for each call and reason; gspan_hedges_* count it.

Tests: hedge-test (17), without a network: the share in any 10 s (property and node), none under overload, for what may not run twice, or beyond maxAttempts, as before where unset, the loser cancelled in the turn of the answer, a delay that grows where many first attempts lose. The operations page's test also checks settings of the table hedge.

--- a/catalog/pick.c
+++ b/catalog/pick.c
@@ -86,6 +86,27 @@
   return best;
 }
 
+struct GspanPickLoad
+gspan_pick_load (GHashTable *replicas, const char *service, guint64 now)
+{
+  struct GspanPickLoad load = { 0 };
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, replicas);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct GspanReplica *replica = value;
+
+      if (strcmp (replica->service, service) != 0 || replica->reach == GSPAN_REACH_NONE
+          || !gspan_replica_usable (replica, now))
+        continue;
+      load.open += replica->open;
+      load.slots += MAX (1, replica->slots);
+    }
+  return load;
+}
+
 /* True where only a failure may keep it from getting requests now. */
 static bool
 stays (const struct GspanReplica *replica, const char *service)
--- a/catalog/pick.h
+++ b/catalog/pick.h
@@ -34,9 +34,19 @@
   GPtrArray *without_permit; /* gets those that lack only that, struct GspanReplica; may be NULL */
 };
 
+/* Requests at replicas, as far as this node knows. */
+struct GspanPickLoad
+{
+  guint64 open; /* its own */
+  guint64 slots;
+};
+
 /* The best of REPLICAS (id to struct GspanReplica); NULL where none may get the request now. */
 struct GspanReplica *gspan_pick_replica (GHashTable *replicas, const struct GspanPickQuery *query);
 
+/* The load of those replicas of SERVICE that may get a request now. */
+struct GspanPickLoad gspan_pick_load (GHashTable *replicas, const char *service, guint64 now);
+
 /* True if replicas of SERVICE with that version of their SOFTWARE are there to stay. */
 bool gspan_pick_has_software (GHashTable *replicas, const char *service, const char *software);
 
--- a/cmd/gspan-node.c
+++ b/cmd/gspan-node.c
@@ -64,6 +64,8 @@
   config.limits.heartbeat_us = (guint64)(settings->heartbeat_ms * (double)GSPAN_MS);
   config.limits.grace_us = (guint64)(settings->grace_s * (double)GSPAN_SECOND);
   config.limits.usage_window_ms = (guint64)(settings->usage_window_s * 1000.0);
+  config.limits.has_hedge_share = settings->hedge_share_percent >= 0;
+  config.limits.hedge_share_percent = (guint)MAX (0, settings->hedge_share_percent);
   config.limits.object_max_bytes = (guint64)settings->value_max;
   config.seed = settings->seed != 0 ? (guint32)settings->seed : g_random_int ();
   gspan_node_init (&node, &config);
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -15,6 +15,14 @@
   [GSPAN_METRIC_DESK_RETRIES] = { "gspan_desk_retries_total", "second and later attempts" },
   [GSPAN_METRIC_DESK_POISON]
   = { "gspan_desk_poison_total", "calls given up since their content crashes upstreams" },
+  [GSPAN_METRIC_HEDGES]
+  = { "gspan_hedges_total", "second attempts sent while the first was open and slow" },
+  [GSPAN_METRIC_HEDGES_WON]
+  = { "gspan_hedges_won_total", "of these, those that brought the caller's answer" },
+  [GSPAN_METRIC_HEDGES_NO_BUDGET]
+  = { "gspan_hedges_no_budget_total", "calls whose second attempt the operator's share held back" },
+  [GSPAN_METRIC_HEDGES_BUSY]
+  = { "gspan_hedges_busy_total", "calls whose second attempt the load of the upstreams held back" },
   [GSPAN_METRIC_PULLS] = { "gspan_pulls_total", "batches asked for by trainers" },
   [GSPAN_METRIC_BATCHES] = { "gspan_batches_total", "batches handed over" },
   [GSPAN_METRIC_SAMPLES_GENERATED] = { "gspan_samples_generated_total", "samples generated whole" },
--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -263,6 +263,7 @@
   if (good && wire.signed_by_replica && !call->state.response_started)
     {
       gspan_replica_worked (attempt->replica);
+      gspan_hedging_note_answer (node, attempt);
       pass_answer (node, call, answer, body, outbox);
       g_bytes_unref (body);
       return;
@@ -270,11 +271,14 @@
   blame (node, attempt, answer, &wire, outbox);
   log_failure (node, attempt, answer, not_run, wire.signed_by_replica, outbox);
   call->may_have_run = call->may_have_run || !not_run;
+  if (answer->result == GSPAN_HTTP_TIMEOUT)
+    gspan_hedging_note_timeout (node, attempt);
   if (answer->result == GSPAN_HTTP_NOT_SENT)
     take_back (call, attempt->replica);
   why = why_failed (attempt, answer, not_run);
   gspan_call_forget_attempt (node, attempt);
   if ((!may_go_on (call) || !gspan_hedge_may_retry (&call->state, not_run)
+       || !gspan_hedging_replaces (node, call, not_run)
        || !gspan_attempts_try_next (node, call, outbox))
       && call->open->len == 0)
     {
--- a/gateway/attempts.c
+++ b/gateway/attempts.c
@@ -76,6 +76,7 @@
   call->state.last_sent_at_us = node->now;
   if (call->state.attempts > 1)
     gspan_metrics_add (&node->metrics, GSPAN_METRIC_DESK_RETRIES, 1);
+  gspan_hedging_note_sent (node, call);
   http->method = g_strdup (call->method);
   http->url = g_strdup_printf ("http://%s%s", replica->address, call->path);
   http->body = g_bytes_ref (call->body);
@@ -225,6 +226,23 @@
   return node->links.cut && !gspan_relay_offers_any (node);
 }
 
+static void
+begin_doubt (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
+{
+  if (call->doubted_at != 0)
+    return;
+  call->doubted_at = node->now;
+  gspan_links_check_one (node, outbox);
+}
+
+void
+gspan_attempts_doubt_links (struct GspanNode *node, struct GspanCall *call,
+                            struct GspanOutbox *outbox)
+{
+  if (gspan_relay_offers_possible (node) && is_in_doubt (node, call))
+    begin_doubt (node, call, outbox);
+}
+
 /*
  * True while CALL waits to know whether the own links stand, or for a node that passes it on. It
  * does where its earlier attempts have brought nothing, and where the links are known to be down.
@@ -234,11 +252,7 @@
 {
   if (!gspan_relay_offers_possible (node) || (!is_cut_off (node) && !is_in_doubt (node, call)))
     return false;
-  if (call->doubted_at == 0)
-    {
-      call->doubted_at = node->now;
-      gspan_links_check_one (node, outbox);
-    }
+  begin_doubt (node, call, outbox);
   if (node->links.cut && gspan_relay_offers_any (node))
     return false;
   if (!node->links.cut && node->now < call->doubted_at + OWN_CHECK_US)
--- a/gateway/attempts.h
+++ b/gateway/attempts.h
@@ -12,3 +12,11 @@
  */
 bool gspan_attempts_try_next (struct GspanNode *node, struct GspanCall *call,
                               struct GspanOutbox *outbox);
+
+/*
+ * Has the own links checked, once for CALL, where its attempts have brought nothing and no replica
+ * was heard since. For calls that get no further attempt for now, so that a link that is down is
+ * found all the same.
+ */
+void gspan_attempts_doubt_links (struct GspanNode *node, struct GspanCall *call,
+                                 struct GspanOutbox *outbox);
--- a/gateway/calls.h
+++ b/gateway/calls.h
@@ -38,6 +38,8 @@
   guint not_sent;     /* attempts of which no byte left */
   guint64 retry_at;   /* none is to be had in time before then; 0 is not known */
   bool may_have_run;
+  bool is_in_share;    /* counted among the requests that second attempts are a share of */
+  guint hedge_reasons; /* bits of the decisions on a second attempt that were logged */
   bool stream;
   bool is_events;       /* its answer, which has begun, is a stream of events */
   bool has_events;      /* of a stream: some have been passed on */
@@ -62,6 +64,7 @@
   struct GspanReplica *replica;
   guint64 sent;
   bool is_suspect;   /* the request may crash the replica */
+  bool is_hedge;     /* sent beside another that was slow */
   GString *body;     /* of a stream's answer that isn't passed on as it comes */
   guint pieces;      /* of a stream's answer, received so far */
   guint64 after;     /* event that the answer has to go on after; 0 is none */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -17,8 +17,9 @@
 static const char stopping[] = "this node is shutting down";
 
 void
-gspan_gateway_init (struct GspanGateway *gateway)
+gspan_gateway_init (struct GspanGateway *gateway, bool has_share, guint share_percent)
 {
+  gspan_hedging_init (&gateway->hedging, has_share, share_percent);
   gateway->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, gspan_call_free);
   gateway->by_request = g_hash_table_new (g_int64_hash, g_int64_equal);
   gateway->attempts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, gspan_attempt_free);
@@ -27,6 +28,7 @@
 void
 gspan_gateway_finish (struct GspanGateway *gateway)
 {
+  gspan_hedging_finish (&gateway->hedging);
   g_hash_table_unref (gateway->attempts);
   g_hash_table_unref (gateway->by_request);
   g_hash_table_unref (gateway->calls);
@@ -214,6 +216,13 @@
          >= GSPAN_POISON_CRASH_THRESHOLD;
 }
 
+static void
+note_timeouts (struct GspanNode *node, const struct GspanCall *call)
+{
+  for (guint i = 0; i < call->open->len; i++)
+    gspan_hedging_note_timeout (node, g_ptr_array_index (call->open, i));
+}
+
 static void
 check_call (struct GspanNode *node, struct GspanCall *call, struct GspanOutbox *outbox)
 {
@@ -221,6 +230,7 @@
   call->state.open_attempts = call->open->len;
   if (node->now >= call->state.deadline_us)
     {
+      note_timeouts (node, call);
       gspan_call_note_silence (node, call, outbox);
       /* an attempt that is still open when time is up may have run */
       call->may_have_run = call->may_have_run || call->open->len > 0;
@@ -241,8 +251,8 @@
   else
     {
       gspan_call_note_long_silence (node, call, outbox);
-      if (gspan_hedge_due (&call->state) && !may_crash (node, call))
-        gspan_attempts_try_next (node, call, outbox);
+      if (!may_crash (node, call))
+        gspan_hedging_check (node, call, outbox);
     }
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "board/message.h"
+#include "gateway/hedging.h"
 
 struct GspanNode;
 struct GspanReplica;
@@ -16,9 +17,11 @@
   GHashTable *calls;      /* own id to struct GspanCall, owns them */
   GHashTable *by_request; /* request to struct GspanCall */
   GHashTable *attempts;   /* id to struct GspanAttempt */
+  struct GspanHedging hedging;
 };
 
-void gspan_gateway_init (struct GspanGateway *gateway);
+/* HAS_SHARE: second attempts are bounded by SHARE_PERCENT of the requests of their service. */
+void gspan_gateway_init (struct GspanGateway *gateway, bool has_share, guint share_percent);
 void gspan_gateway_finish (struct GspanGateway *gateway);
 
 /* Takes REQUEST, events of attempts, callers that went away, and ticks. */
--- a/gateway/hedge.h
+++ b/gateway/hedge.h
@@ -21,13 +21,20 @@
   guint64 deadline_us;
   guint attempts; /* so far */
   guint attempts_max;
-  guint open_attempts;   /* attempts without an answer */
-  bool response_started; /* of a stream */
+  guint open_attempts;      /* attempts without an answer */
+  bool response_started;    /* of a stream */
+  guint64 usual_latency_us; /* what most attempts at the service take; 0 is not known */
 };
 
-/* True where a second attempt should start beside the open one. */
+/*
+ * True where a second attempt should start beside the open one: where that has taken longer than
+ * most do or, as long as this isn't known, half of the target.
+ */
 bool gspan_hedge_due (const struct GspanHedgeState *state);
 
+/* True where replicas with SLOTS in all, OPEN of them taken, have no room for second attempts. */
+bool gspan_hedge_is_overload (guint64 open, guint64 slots);
+
 /*
  * True where an attempt may follow one that failed; NOT_RUN says that it surely didn't run. Where
  * it did, only what may be repeated goes out again.
--- a/node/node.c
+++ b/node/node.c
@@ -36,7 +36,8 @@
   gspan_exchanges_init (&node->exchanges);
   gspan_relay_offers_init (&node->relay_offers);
   gspan_relay_server_init (&node->relay_server);
-  gspan_gateway_init (&node->gateway);
+  gspan_gateway_init (&node->gateway, config->limits.has_hedge_share,
+                      config->limits.hedge_share_percent);
   gspan_streams_init (&node->streams);
   gspan_origin_store_init (&node->origin_store);
   gspan_versions_init (&node->versions);
--- a/node/node.h
+++ b/node/node.h
@@ -39,7 +39,7 @@
   const char *duties_address; /* "IP:PORT" of the platform's own calls; NULL is none */
 };
 
-/* Bounds from the settings, in microseconds but for the object's size. */
+/* Bounds from the settings, in microseconds where no unit is named. */
 struct GspanNodeLimits
 {
   guint64 lease_us;         /* orders of two holders are at least so far apart */
@@ -49,6 +49,8 @@
   guint64 heartbeat_us;     /* an upstream renews its entry so often; it lapses after three */
   guint64 grace_us;         /* after SIGTERM the process is killed so long later */
   guint64 usage_window_ms;  /* usage of accounts is reported for each such time; 0 is not */
+  bool has_hedge_share;     /* second attempts are bounded by a share of the requests: */
+  guint hedge_share_percent;
 };
 
 /*
--- a/settings/fleet.c
+++ b/settings/fleet.c
@@ -1,5 +1,6 @@
 #include "settings/fleet.h"
 
+#include "gateway/hedge_budget.h"
 #include "settings/node.h"
 
 #define FIELD(name) offsetof (struct GspanFleetSettings, name)
@@ -44,6 +45,10 @@
     "largest request body", FIELD (body_max) },
   { "limits.connections", GSPAN_OPTION_INTEGER, "connections", 1, 100000, NULL, "2000",
     "open connections of callers at once", FIELD (connections) },
+  { "hedge.share_percent", GSPAN_OPTION_INTEGER, "percent", -1, GSPAN_HEDGE_SHARE_MAX, NULL, "-1",
+    "second attempts beside slow first ones, of the requests of a service, at most; 0 sends none; "
+    "-1 sends one after half of the target latency, without a bound",
+    FIELD (hedge_share_percent) },
   { "limits.grace_s", GSPAN_OPTION_FRACTION, "s", 1, 3600, NULL, "8",
     "from SIGTERM to the end of the process at the latest", FIELD (grace_s) },
   { "limits.drain_notice_ms", GSPAN_OPTION_FRACTION, "ms", 100, 60000, NULL, "2000",
--- a/settings/fleet.h
+++ b/settings/fleet.h
@@ -24,6 +24,7 @@
   double job_kept_s;
   gint64 body_max;
   gint64 connections;
+  gint64 hedge_share_percent;
   double grace_s;
   double drain_notice_ms;
   double heartbeat_ms;
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -192,6 +192,7 @@
   bool lose_datagrams = false;
   const char *duties_address = nullptr; /* of nodes that are added from then on */
   guint64 usage_window_ms = 0;          /* likewise */
+  int hedge_share_percent = -1;         /* likewise; -1 is none */
   std::function<bool (const Rig &from, const std::string &to)> loses_datagram; /* TO: address */
   std::map<std::string, std::string> last_datagram;                            /* kind to text */
   guint64 create_reply_delay_us = 0; /* creations are done in time, their answers take longer */
@@ -938,6 +939,8 @@
   config.self.takes_requests = true;
   config.limits = { 3 * GSPAN_SECOND, 120 * GSPAN_SECOND, 2 * GSPAN_SECOND,  1 << 20,
                     1200 * GSPAN_MS,  8 * GSPAN_SECOND,   of.usage_window_ms };
+  config.limits.has_hedge_share = of.hedge_share_percent >= 0;
+  config.limits.hedge_share_percent = (guint)std::max (0, of.hedge_share_percent);
   config.self.duties_address = of.duties_address;
   config.seed = seed;
   gspan_node_init (&node, &config);
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -80,6 +80,28 @@
   gspan_options_finish (gspan_fleet_options, gspan_fleet_option_count, &settings);
 }
 
+/* Guards deployments without the setting: -1 keeps second attempts as they are, 0 would end them.
+ */
+TEST (FleetSettings, ShareOfSecondAttemptsIsUnsetUnlessItIsGiven)
+{
+  for (auto [text, share] : { std::pair<const char *, gint64>{ "", -1 },
+                              { "[hedge]\nshare_percent=0\n", 0 },
+                              { "[hedge]\nshare_percent=50\n", 50 } })
+    {
+      GspanFleetSettings settings{};
+
+      EXPECT_EQ (load_fleet (text, &settings), "");
+      EXPECT_EQ (settings.hedge_share_percent, share);
+      gspan_options_finish (gspan_fleet_options, gspan_fleet_option_count, &settings);
+    }
+  GspanFleetSettings settings{};
+
+  EXPECT_NE (load_fleet ("[hedge]\nshare_percent=51\n", &settings)
+                 .find ("hedge.share_percent: 51 is out of range, allowed is -1 to 50 percent"),
+             std::string::npos);
+  gspan_options_finish (gspan_fleet_options, gspan_fleet_option_count, &settings);
+}
+
 static const char good[]
     = "[node]\nname=\"a\"\nfirm=\"b\"\nzone=\"c\"\n[listen]\nhttp=\"127.0.0.1:1\"\n"
       "rpc=\"127.0.0.1:2\"\n[platform]\naddress=\"127.0.0.1:3\"\n";
