--- a/cmd/gspan-node.c
+++ b/cmd/gspan-node.c
@@ -71,6 +71,8 @@
   config.limits.held_answers_max = machine.held_bytes;
   config.limits.job_values_max = machine.job_values;
   config.limits.usage_window_ms = (guint64)(settings->usage_window_s * 1000.0);
+  config.limits.has_hedge_share = settings->hedge_share_percent >= 0;
+  config.limits.hedge_share_percent = (guint)MAX (0, settings->hedge_share_percent);
   config.limits.object_max_bytes = (guint64)settings->value_max;
   config.seed = settings->seed != 0 ? (guint32)settings->seed : g_random_int ();
   gspan_node_init (&node, &config);
--- a/node/node.h
+++ b/node/node.h
@@ -42,7 +42,7 @@
   bool orders_capacity;       /* takes part in orders of replicas (duties/capacity_orders.h) */
 };
 
-/* Bounds from the settings, in microseconds but for the object's size. */
+/* Bounds from the settings, in microseconds where no unit is named. */
 struct GspanNodeLimits
 {
   guint64 lease_us;         /* orders of two holders are at least so far apart */
@@ -54,6 +54,8 @@
   guint64 held_answers_max; /* bytes of memory (node/held_answers.h) */
   guint64 job_values_max;   /* JSON values in a submitted job */
   guint64 usage_window_ms;  /* usage of accounts is reported for each such time; 0 is not */
+  bool has_hedge_share;     /* second attempts are bounded by a share of the requests: */
+  guint hedge_share_percent;
 };
 
 /*
--- a/settings/fleet.h
+++ b/settings/fleet.h
@@ -28,6 +28,7 @@
   gint64 connections;
   gint64 memory_mb;
   gint64 descriptors;
+  gint64 hedge_share_percent;
   double grace_s;
   double drain_notice_ms;
   double heartbeat_ms;
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -194,6 +194,7 @@
   guint64 usage_window_ms = 0;          /* likewise */
   std::function<guint (const std::string &name)> cpu_milli_of; /* likewise; unset is not known */
   bool orders_capacity = false;                                /* likewise */
+  int hedge_share_percent = -1;                                /* likewise; -1 is none */
   std::function<bool (const Rig &from, const std::string &to)> loses_datagram; /* TO: address */
   std::function<bool (const Rig &from, const std::string &kind)> loses_kind;   /* of datagram */
   std::map<std::string, std::string> last_datagram;                            /* kind to text */
@@ -942,6 +943,8 @@
   config.limits = { 3 * GSPAN_SECOND,  120 * GSPAN_SECOND, 2 * GSPAN_SECOND, 1 << 20,
                     1200 * GSPAN_MS,   8 * GSPAN_SECOND,   16 << 20,         100000,
                     of.usage_window_ms };
+  config.limits.has_hedge_share = of.hedge_share_percent >= 0;
+  config.limits.hedge_share_percent = (guint)std::max (0, of.hedge_share_percent);
   config.self.duties_address = of.duties_address;
   config.self.cpu_milli = of.cpu_milli_of ? of.cpu_milli_of (called) : 0;
   config.self.orders_capacity = of.orders_capacity;
