http: bodies that wait for room are refused one by one, and none waits for ever

Of large requests that arrived together and needed more room than there was, all were refused after 10 s, though the room of the first would have served the others. Some were neither served nor refused for as long as their clients stayed.

A body went on as soon as 64 KB were free, while its next step was a quarter of what it held, megabytes for a large one. It found no room, was held back again, and its wait began anew, as did its progress, so neither the wait's bound nor the closing of stalled bodies came to pass. All that had waited for 10 s were refused in one go, without a look at the room that the first of them had given back.

Where a step finds no room a body now takes what it needs for the bytes at hand; a wait lasts until bytes are kept; as many go on as there is room for; and the others go on after each refusal. Server.OneOfTwoBodiesThatWaitForEachOthersRoomIsServed and Body.TakesLessThanAStepWhereThereIsRoomForThat failed before.

--- a/http/body.c
+++ b/http/body.c
@@ -48,7 +48,12 @@
   if (len <= body->allocated)
     return true;
   if (!gspan_budget_take (body->budget, size - body->allocated, body->allocated))
-    return false;
+    {
+      /* Where a whole step finds no room, less may. */
+      size = len;
+      if (!gspan_budget_take (body->budget, size - body->allocated, body->allocated))
+        return false;
+    }
   body->data = g_realloc (body->data, size);
   body->allocated = size;
   return true;
--- a/http/server.c
+++ b/http/server.c
@@ -48,9 +48,10 @@
   GString *path;
   struct GspanHeaders headers;
   struct GspanBody body;
-  size_t head_room;     /* bytes of the budget for the head */
-  guint64 held_back_at; /* the body isn't read since then, for want of room; 0 is read */
-  bool is_refused;      /* for want of room; the rest of its body isn't kept */
+  size_t head_room;      /* bytes of the budget for the head */
+  bool is_held_back;     /* the body isn't read, for want of room */
+  guint64 no_room_since; /* the body has found no room since then; 0 is it has */
+  bool is_refused;       /* for want of room; the rest of its body isn't kept */
   bool is_http_1_0; /* a stream to the caller has no sign of its end but that of the connection */
   bool until_close; /* the answer has none either, whoever the caller is */
   bool suspended;
@@ -74,7 +75,7 @@
   GHashTable *requests; /* id to struct Request */
   struct GspanConnections connections;
   struct GspanBudget unbounded; /* where the limits name no budget */
-  GQueue held_back; /* struct Request whose bodies wait for room, the first at the head */
+  GQueue held_back; /* struct Request whose bodies wait for room, the longest wait at the head */
   struct GspanHttpRefusals refusals;
   guint64 next_id;
   guint16 port;
@@ -158,7 +159,7 @@
 {
   struct Request *request = data;
 
-  if (request->held_back_at != 0)
+  if (request->is_held_back)
     g_queue_remove (&request->server->held_back, request);
   gspan_budget_give (request->server->limits.budget, request->head_room);
   g_free (request->method);
@@ -354,15 +355,30 @@
   return handler->keeps_body == NULL || handler->keeps_body (handler->user, &head);
 }
 
-/* Stops reading the body of REQUEST until there is room for more of it. */
+static gint
+compare_waits (gconstpointer a, gconstpointer b, gpointer user)
+{
+  const struct Request *x = a;
+  const struct Request *y = b;
+
+  (void)user;
+  if (x->no_room_since == y->no_room_since)
+    return 0;
+  return x->no_room_since < y->no_room_since ? -1 : 1;
+}
+
+/*
+ * Stops reading the body of REQUEST until there is room for more of it. Its wait goes on from where
+ * it began if another took the room that it was to have.
+ */
 static void
 hold_back (struct Request *request)
 {
-  if (request->held_back_at == 0)
-    {
-      request->held_back_at = gspan_clock_now ();
-      g_queue_push_tail (&request->server->held_back, request);
-    }
+  if (request->no_room_since == 0)
+    request->no_room_since = gspan_clock_now ();
+  if (!request->is_held_back)
+    g_queue_insert_sorted (&request->server->held_back, request, compare_waits, NULL);
+  request->is_held_back = true;
   connection_of (request->connection)->is_held_back = true;
   request_suspend (request);
 }
@@ -372,21 +388,23 @@
 let_go_on (struct Request *request)
 {
   g_queue_remove (&request->server->held_back, request);
-  request->held_back_at = 0;
+  request->is_held_back = false;
   gspan_connection_begin (connection_of (request->connection), true, gspan_clock_now ());
   request_resume (request);
 }
 
-/* Goes on with bodies that have waited for room, the first first. */
+/* Goes on with as many bodies as there is room for, the longest wait first. */
 static void
 go_on_with_bodies (struct GspanHttpServer *server)
 {
   struct Request *first = g_queue_peek_head (&server->held_back);
+  size_t room = ROOM_STEP;
 
-  while (first != NULL && gspan_budget_has_room (server->limits.budget, ROOM_STEP))
+  while (first != NULL && gspan_budget_has_room (server->limits.budget, room))
     {
       let_go_on (first);
       first = g_queue_peek_head (&server->held_back);
+      room += ROOM_STEP;
     }
 }
 
@@ -401,6 +419,7 @@
       hold_back (request);
       return;
     }
+  request->no_room_since = 0;
   gspan_connection_note_body (connection_of (request->connection), request->body.received,
                               gspan_clock_now ());
   *size = 0;
@@ -538,13 +557,14 @@
 
   go_on_with_bodies (server);
   first = g_queue_peek_head (&server->held_back);
-  if (first != NULL && now - first->held_back_at > ROOM_WAIT_US)
+  if (first != NULL && now - first->no_room_since > ROOM_WAIT_US)
     server->refusals.stalled += gspan_connections_close_stalled_body (&server->connections, now);
-  while (first != NULL && now - first->held_back_at > ROOM_WAIT_MAX_US)
+  while (first != NULL && now - first->no_room_since > ROOM_WAIT_MAX_US)
     {
       first->is_refused = true;
       gspan_body_drop (&first->body);
       let_go_on (first);
+      go_on_with_bodies (server); /* there may be room for the others now */
       first = g_queue_peek_head (&server->held_back);
     }
 }
--- a/test/client_limits_test.cc
+++ b/test/client_limits_test.cc
@@ -88,6 +88,22 @@
   gspan_body_finish (&body);
 }
 
+/* A large body grows in large steps; one that finds no room for a step must not wait for ever. */
+TEST (Body, TakesLessThanAStepWhereThereIsRoomForThat)
+{
+  struct GspanBudget budget;
+  struct GspanBody body;
+  std::string data (400000, 'x');
+
+  gspan_budget_init (&budget, MB);
+  gspan_body_init (&body, &budget);
+  ASSERT_EQ (gspan_body_add (&body, data.data (), data.size (), 2 * MB), GSPAN_BODY_ADDED);
+  ASSERT_TRUE (gspan_budget_take (&budget, MB - budget.small_for - budget.held - 70000, MB));
+  EXPECT_EQ (gspan_body_add (&body, data.data (), 60000, 2 * MB), GSPAN_BODY_ADDED);
+  EXPECT_EQ (body.len, 460000U);
+  gspan_body_finish (&body);
+}
+
 TEST (Connections, TheOneWithoutProgressForLongestGivesWay)
 {
   struct GspanConnections connections;
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -565,6 +565,54 @@
     }
 }
 
+/* Bodies that waited for each other's room were both refused, or held back again for ever. */
+TEST_F (Server, OneOfTwoBodiesThatWaitForEachOthersRoomIsServed)
+{
+  GspanBudget budget{};
+  GspanHttpLimits limits = { 1 << 20, 50, 0, 60000, 100000, OUTPUTS_MAX, &budget };
+  GspanHttpHandler handler = { on_request, on_gone, this, nullptr };
+  std::string body (600000, 'x');
+
+  gspan_budget_init (&budget, 1 << 20);
+  gspan_http_server_free (server);
+  server = gspan_http_server_new (wire.loop, "127.0.0.1:0", &limits, &handler, nullptr);
+  {
+    WireCaller callers[] = { WireCaller (port ()), WireCaller (port ()) };
+    std::string text = post (body);
+    size_t sent[2] = {};
+    size_t answered = 0;
+    bool refused = false;
+    auto all_answered = [&] {
+      for (size_t i = 0; i < 2; i++)
+        {
+          ssize_t count = send (callers[i].fd, text.data () + sent[i],
+                                std::min<size_t> (text.size () - sent[i], 20000), MSG_NOSIGNAL);
+
+          sent[i] += count > 0 ? (size_t)count : 0;
+        }
+      for (; answered < taken.size (); answered++)
+        {
+          EXPECT_EQ (taken[answered].second, body);
+          reply (taken[answered].first, "served");
+        }
+      size_t heard = 0;
+      for (WireCaller &caller : callers)
+        {
+          refused = refused || caller.hears ("too much is being read");
+          heard += caller.hears ("served") || caller.hears ("too much is being read");
+        }
+      return heard == 2;
+    };
+
+    /* the first wait may take 10 s, longer than one look */
+    EXPECT_TRUE (wire.run_until (all_answered) || wire.run_until (all_answered));
+    EXPECT_EQ (taken.size (), 1U);
+    EXPECT_TRUE (refused);
+  }
+  EXPECT_TRUE (wire.run_until ([&] { return gspan_http_server_open_requests (server) == 0; }));
+  EXPECT_EQ (budget.held, 0U);
+}
+
 TEST_F (Server, CallerWhoLeavesWhileItsRequestWaitsIsNoticedOnce)
 {
   WireCaller caller (port ());
