http: a request whose header's name ends with a space is refused

"X-Tenant : other" went on to the replica as the caller wrote it, beside the system's own X-Tenant, and so did "Authorization : Bearer KEY". libmicrohttpd takes a space before the colon for a part of the name, so neither was found among the fields to be checked and removed; a replica that is lenient takes them for the fields that they look like.

Such a request is now answered 400 before its body is read, as HTTP asks of servers. Server.BadInputIsRefusedAndNobodyElseHarmed has a row for a space and one for a tab, which failed before.

--- a/http/server.c
+++ b/http/server.c
@@ -52,6 +52,7 @@
   bool is_held_back;     /* the body isn't read, for want of room */
   guint64 no_room_since; /* the body has found no room since then; 0 is it has */
   bool is_refused;       /* for want of room; the rest of its body isn't kept */
+  bool is_malformed;     /* a header's name isn't one */
   bool is_http_1_0; /* a stream to the caller has no sign of its end but that of the connection */
   bool until_close; /* the answer has none either, whoever the caller is */
   bool suspended;
@@ -93,12 +94,27 @@
   return info->socket_context;
 }
 
+/*
+ * libmicrohttpd takes spaces before the colon for a part of the name. Readers of the header further
+ * on may not, and would see one that was never checked here.
+ */
+static bool
+is_name (const char *text)
+{
+  const char *at = text;
+
+  while (g_ascii_isgraph (*at))
+    at++;
+  return at != text && *at == '\0';
+}
+
 static enum MHD_Result
 copy_header (void *user, enum MHD_ValueKind kind, const char *key, const char *value)
 {
   struct Request *request = user;
 
   (void)kind;
+  request->is_malformed = request->is_malformed || !is_name (key);
   gspan_headers_add (&request->headers, key, gspan_str_from (value));
   return MHD_YES;
 }
@@ -452,7 +468,9 @@
 static enum MHD_Result
 begin_reading (struct Request *request)
 {
-  if (announces_too_much (request))
+  if (request->is_malformed)
+    refuse (request, 400, "request", "a header's name is malformed");
+  else if (announces_too_much (request))
     refuse_too_large (request);
   else if (!take_head_room (request))
     refuse_for_room (request);
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -548,6 +548,8 @@
       " 400 " },
     { "malformed length", head + "Content-Length: -3\r\n\r\n{}", " 400 " },
     { "header flood", head + "X: " + std::string (40000, 'x') + "\r\n\r\n", " 431 " },
+    { "space after a name", head + "X-Tenant : a\r\nContent-Length: 2\r\n\r\n{}", " 400 " },
+    { "tab after a name", head + "X-Tenant\t: a\r\nContent-Length: 2\r\n\r\n{}", " 400 " },
     { "no HTTP", "\x16\x03\x01 nonsense\r\n\r\n", "" },
     { "slow head", "POST /x HT", "" },
     { "slow body", head + "Content-Length: 9\r\n\r\n{", "" },
