duties: usage is taken from the fleet's nodes only, and what is kept of it is bounded

Anybody could send a datagram of kind "usage" to the port of the peers: its counts went into the reports, windows far ahead filled the table so that the shares of other nodes were ignored for good, accounts and starts were kept without a bound, and the acknowledgement went to whatever address the datagram named. An acknowledgement by anybody ended the telling of a share.

Both messages are now taken only from nodes in the store's list, about windows of the last minute or so, and answers go to the address in that list. A node may have 8 starts in a window, and a share 1,024 accounts. Usage.WordOfAStrangerIsNotTaken, Usage.WindowsFarFromNowAreNotKept and Usage.WhatOneNodeTellsOfAWindowIsBounded failed before.

A sender that names a known node is still believed, as with the other datagrams of the fleet.

--- a/duties/usage.c
+++ b/duties/usage.c
@@ -4,7 +4,9 @@
 
 enum
 {
-  WINDOWS_MAX = 64 /* that are known at once; others' messages add no more */
+  WINDOWS_MAX = 64,   /* that are known at once; others' messages add no more */
+  STARTS_MAX = 8,     /* of one node in a window, likewise */
+  ACCOUNTS_MAX = 1024 /* in a share, likewise */
 };
 
 static void
@@ -71,18 +73,27 @@
   return window;
 }
 
-struct GspanUsageShare *
-gspan_usage_share (struct GspanUsage *usage, guint64 number, const char *node, guint64 start)
+static struct GspanUsageShare *
+find_share (const struct GspanUsageWindow *window, const char *node, guint64 start)
 {
-  struct GspanUsageWindow *window = add_window (usage, number);
-  struct GspanUsageShare *share;
-
-  for (guint i = 0; i < window->shares->len; i++)
+  for (guint i = 0; window != NULL && i < window->shares->len; i++)
     {
-      share = g_ptr_array_index (window->shares, i);
+      struct GspanUsageShare *share = g_ptr_array_index (window->shares, i);
+
       if (share->start == start && strcmp (share->node, node) == 0)
         return share;
     }
+  return NULL;
+}
+
+struct GspanUsageShare *
+gspan_usage_share (struct GspanUsage *usage, guint64 number, const char *node, guint64 start)
+{
+  struct GspanUsageWindow *window = add_window (usage, number);
+  struct GspanUsageShare *share = find_share (window, node, start);
+
+  if (share != NULL)
+    return share;
   share = g_new0 (struct GspanUsageShare, 1);
   share->node = g_strdup (node);
   share->start = start;
@@ -112,6 +123,43 @@
   share->untold = true;
 }
 
+static guint
+count_starts (const struct GspanUsageWindow *window, const char *node)
+{
+  guint count = 0;
+
+  for (guint i = 0; window != NULL && i < window->shares->len; i++)
+    {
+      const struct GspanUsageShare *share = g_ptr_array_index (window->shares, i);
+
+      count += strcmp (share->node, node) == 0;
+    }
+  return count;
+}
+
+/* True where a message of NODE's START may add what it takes to know its share of NUMBER. */
+static bool
+may_add_share (const struct GspanUsage *usage, guint64 number, const char *node, guint64 start)
+{
+  const struct GspanUsageWindow *window = find_window (usage, number);
+
+  if (window == NULL)
+    return g_hash_table_size (usage->windows) < WINDOWS_MAX;
+  return find_share (window, node, start) != NULL || count_starts (window, node) < STARTS_MAX;
+}
+
+/* Takes in that ACCOUNT had COUNT requests, unless more are known. */
+static void
+raise_count (struct GspanUsageShare *share, const char *account, json_int_t count)
+{
+  guint64 known = count_of (share, account);
+
+  if (count <= 0 || (guint64)count <= known
+      || (known == 0 && g_hash_table_size (share->counts) >= ACCOUNTS_MAX))
+    return;
+  set_count (share, account, (guint64)count);
+}
+
 bool
 gspan_usage_merge (struct GspanUsage *usage, guint64 number, const char *node, guint64 start,
                    json_t *counts, bool ended, guint accounts)
@@ -120,16 +168,11 @@
   const char *account;
   json_t *value;
 
-  if (find_window (usage, number) == NULL && g_hash_table_size (usage->windows) >= WINDOWS_MAX)
+  if (!may_add_share (usage, number, node, start))
     return false;
   share = gspan_usage_share (usage, number, node, start);
   json_object_foreach (counts, account, value)
-  {
-    json_int_t count = json_integer_value (value);
-
-    if (count > 0 && (guint64)count > count_of (share, account))
-      set_count (share, account, (guint64)count);
-  }
+      raise_count (share, account, json_integer_value (value));
   share->ended = share->ended || (ended && g_hash_table_size (share->counts) >= accounts);
   return share->ended;
 }
--- a/duties/usage.h
+++ b/duties/usage.h
@@ -51,7 +51,8 @@
 /*
  * Takes in COUNTS, a JSON object, that NODE's START has told of window NUMBER; smaller counts than
  * known are older ones. ACCOUNTS is how many accounts an ended share has, 0 for one that hasn't
- * ended: it is whole once so many are known. Returns true once the share has ended.
+ * ended: it is whole once so many are known. Returns true once the share has ended. What is kept of
+ * messages is bounded; beyond that they are ignored.
  */
 bool gspan_usage_merge (struct GspanUsage *usage, guint64 number, const char *node, guint64 start,
                         json_t *counts, bool ended, guint accounts);
--- a/duties/usage_reports.c
+++ b/duties/usage_reports.c
@@ -163,20 +163,41 @@
     }
 }
 
+/* True where WINDOW is one that nodes tell of now; their clocks may differ by a little. */
+static bool
+is_told_now (const struct GspanNode *node, json_int_t window)
+{
+  guint64 now = window_now (node);
+
+  return window > 0 && (guint64)window + KEPT_WINDOWS >= now && (guint64)window <= now + 1;
+}
+
+/*
+ * True where MESSAGE is of another node of the fleet, about a window that is told of now: anybody
+ * may send to the port that it came by.
+ */
+static bool
+is_taken (const struct GspanNode *node, json_t *message)
+{
+  const char *from = json_string_value (json_object_get (message, "from"));
+
+  return gspan_usage_reports_enabled (node) && from != NULL && strcmp (from, node->self.name) != 0
+         && json_integer_value (json_object_get (message, "format")) == FORMAT_VERSION
+         && g_hash_table_contains (node->peers.items, from)
+         && is_told_now (node, json_integer_value (json_object_get (message, "window")));
+}
+
 void
 gspan_usage_reports_receive (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
 {
   const char *from = json_string_value (json_object_get (message, "from"));
-  const char *udp = json_string_value (json_object_get (message, "udp"));
   json_int_t start = json_integer_value (json_object_get (message, "start"));
   json_int_t window = json_integer_value (json_object_get (message, "window"));
   json_int_t accounts = json_integer_value (json_object_get (message, "accounts"));
   bool ended = json_is_true (json_object_get (message, "ended"));
   json_t *answer;
 
-  if (json_integer_value (json_object_get (message, "format")) != FORMAT_VERSION || from == NULL
-      || udp == NULL || window <= 0 || accounts < 0 || !gspan_usage_reports_enabled (node)
-      || strcmp (from, node->self.name) == 0)
+  if (!is_taken (node, message) || accounts < 0)
     return;
   ended = gspan_usage_merge (&node->usage_reports.usage, (guint64)window, from, (guint64)start,
                              json_object_get (message, "counts"), ended, (guint)accounts);
@@ -185,7 +206,7 @@
   answer = new_message (node, "usage-ack");
   json_object_set_new (answer, "window", json_integer (window));
   json_object_set_new (answer, "fence", json_integer ((json_int_t)node->weights.lease.fence));
-  gspan_peers_send_to (udp, answer, outbox);
+  gspan_peers_send (node, from, answer, outbox);
   json_decref (answer);
 }
 
@@ -195,9 +216,8 @@
   json_int_t window = json_integer_value (json_object_get (message, "window"));
   json_int_t fence = json_integer_value (json_object_get (message, "fence"));
 
-  if (json_integer_value (json_object_get (message, "format")) != FORMAT_VERSION || window <= 0
-      || fence <= 0 || !gspan_usage_reports_enabled (node) || (guint64)window > window_now (node)
-      || (guint64)window + KEPT_WINDOWS < window_now (node))
+  if (!is_taken (node, message) || fence <= 0 || (guint64)window < node->usage_reports.first_window
+      || (guint64)window > window_now (node))
     return;
   own_share (node, (guint64)window)->told_fence = (guint64)fence;
 }
--- a/test/usage_test.cc
+++ b/test/usage_test.cc
@@ -251,6 +251,68 @@
   EXPECT_EQ (reports.count (window), 1U);
 }
 
+/* Anybody may send to the port of the peers: no stranger's word may count, or be kept. */
+TEST_F (Usage, WordOfAStrangerIsNotTaken)
+{
+  start ();
+  load (6 * GSPAN_SECOND);
+  for (auto &rig : world.rigs)
+    for (guint64 window = (guint64)world.wall_ms / WINDOW_MS - 1; window < 2000000000; window *= 2)
+      rig->datagram ("{\"kind\":\"usage\",\"format\":1,\"from\":\"ghost\",\"udp\":\"10.9.9.9:1\","
+                     "\"start\":1,\"window\":"
+                     + std::to_string (window)
+                     + ",\"ended\":true,\"accounts\":1,\"counts\":{\"a\":1000000}}");
+  EXPECT_EQ (world.last_datagram["usage-ack"].find ("ghost"), std::string::npos);
+  load (6 * GSPAN_SECOND);
+  run (12 * GSPAN_SECOND);
+  EXPECT_EQ (count_true (), truth.size ());
+}
+
+/* The windows of a node whose clock is far off must not keep out those that are to be reported. */
+TEST_F (Usage, WindowsFarFromNowAreNotKept)
+{
+  start ();
+  for (auto &rig : world.rigs)
+    {
+      const char *from = world.rigs[rig == world.rigs[0] ? 1 : 0]->node.self.name;
+
+      for (guint64 ahead = 100; ahead < 200; ahead++)
+        rig->datagram ("{\"kind\":\"usage\",\"format\":1,\"from\":\"" + std::string (from)
+                       + "\",\"udp\":\"10.9.9.9:1\",\"start\":1,\"window\":"
+                       + std::to_string ((guint64)world.wall_ms / WINDOW_MS + ahead)
+                       + ",\"ended\":true,\"accounts\":1,\"counts\":{\"a\":5}}");
+      EXPECT_LE (g_hash_table_size (rig->node.usage_reports.usage.windows), 12U);
+    }
+  load (8 * GSPAN_SECOND);
+  run (12 * GSPAN_SECOND);
+  EXPECT_EQ (count_true (), truth.size ());
+}
+
+TEST_F (Usage, WhatOneNodeTellsOfAWindowIsBounded)
+{
+  struct GspanUsage usage;
+  const struct GspanUsageWindow *window;
+  guint64 number = 7;
+  json_t *counts = json_object ();
+
+  for (int i = 0; i < 5000; i++)
+    json_object_set_new (counts, ("a" + std::to_string (i)).c_str (), json_integer (1));
+  gspan_usage_init (&usage, WINDOW_MS);
+  for (guint64 start = 1; start < 100; start++)
+    gspan_usage_merge (&usage, number, "n", start, counts, false, 0);
+  window = (const struct GspanUsageWindow *)g_hash_table_lookup (usage.windows, &number);
+  ASSERT_NE (window, nullptr);
+  EXPECT_LE (window->shares->len, 8U);
+  for (guint i = 0; i < window->shares->len; i++)
+    {
+      auto *share = (const struct GspanUsageShare *)g_ptr_array_index (window->shares, i);
+
+      EXPECT_LE (g_hash_table_size (share->counts), 1024U);
+    }
+  json_decref (counts);
+  gspan_usage_finish (&usage);
+}
+
 TEST_F (Usage, SharesOnlyGrowAndAreWholeOnceAllAccountsAreKnown)
 {
   struct GspanUsage usage;
