jobs: a job isn't accepted over the parts that another account has stored

An account that used the id of another account's failed submission got 202; its job ran the other's items, and it could read their bodies. The parts are stored before the head, by id only. A part that stood was taken for one of an earlier try of the same caller, and after a create of the head with unknown outcome the parts weren't looked at at all.

A part now names its account. Where accounts are configured, a part that stands has to be of the submitting account, or, if a build before this one wrote it, to have the same content; else the answer is 404 and no head is created. The store need not tell what stands in a conflict; then the part is read. Without accounts nothing changes. Accounts.ContentThatAnotherAccountLeftIsNeitherRunNorShown and Accounts.JobOfUnknownFateIsNotTakenOverByAnotherAccount failed before.

--- a/jobs/accept.c
+++ b/jobs/accept.c
@@ -44,6 +44,7 @@
   guint64 next_put_at_us; /* without a call in flight: when the head is created once more */
   guint settle_tries;
   bool part_retried; /* the create call of this part was repeated after an unknown outcome */
+  bool reads_part;   /* CALL reads the part that stands in place of this one */
 };
 
 void
@@ -118,11 +119,27 @@
                                submission->job->content_kind, name, outbox, &job_call);
 
   call->value = json_pack ("{s:s}", "content", text);
+  if (submission->job->account != NULL)
+    json_object_set_new (call->value, "account", json_string (submission->job->account));
   submission->call = job_call->id;
   g_free (text);
   g_free (name);
 }
 
+/* Reads the part that stands where this submission's was to be created. */
+static void
+read_part (struct GspanNode *node, struct GspanSubmission *submission, struct GspanOutbox *outbox)
+{
+  char *name = gspan_job_part_name (submission->part_number);
+  struct GspanJobCall *job_call;
+
+  gspan_jobs_start_call (node, GSPAN_JOB_PUT_PART, submission->job->id, GSPAN_STORE_GET,
+                         submission->job->content_kind, name, outbox, &job_call);
+  submission->call = job_call->id;
+  submission->reads_part = true;
+  g_free (name);
+}
+
 static void
 put_head (struct GspanNode *node, struct GspanSubmission *submission, struct GspanOutbox *outbox)
 {
@@ -224,7 +241,8 @@
   submission->answer_by_us = answer_by (node, wire, route);
   g_array_append_val (submission->requests, request->request);
   g_hash_table_insert (node->jobs.submissions, job->id, submission);
-  if (!is_unsettled (node, job->id))
+  /* the parts may be another account's */
+  if (!is_unsettled (node, job->id) || node->catalog.config.accounts.enabled)
     {
       put_part (node, submission, outbox);
       return;
@@ -344,19 +362,96 @@
   g_hash_table_remove (node->jobs.submissions, submission->job->id);
 }
 
+/* True where PART, which stands, holds what SUBMISSION was to create there. */
+static bool
+has_same_content (const struct GspanNode *node, const struct GspanSubmission *submission,
+                  const struct GspanStoreObject *part)
+{
+  const char *text = json_string_value (json_object_get (part->spec, "content"));
+  struct GspanStr body = gspan_str_from_bytes (submission->body);
+  size_t start = part_size (node) * submission->part_number;
+  gsize len = 0;
+  guchar *bytes = text != NULL ? g_base64_decode (text, &len) : NULL;
+  bool same = bytes != NULL && len == MIN (part_size (node), body.len - start)
+              && memcmp (bytes, body.data + start, len) == 0;
+
+  g_free (bytes);
+  return same;
+}
+
+/*
+ * True where PART, which stands, is of the account that submits now. A build before this one names
+ * no account in it.
+ */
+static bool
+is_own_part (const struct GspanNode *node, const struct GspanSubmission *submission,
+             const struct GspanStoreObject *part)
+{
+  const char *account = json_string_value (json_object_get (part->spec, "account"));
+
+  return g_strcmp0 (account, submission->job->account) == 0
+         || (account == NULL && has_same_content (node, submission, part));
+}
+
+static void
+go_on_after_part (struct GspanNode *node, struct GspanSubmission *submission,
+                  struct GspanOutbox *outbox)
+{
+  submission->part_number++;
+  submission->part_retried = false;
+  if (submission->part_number < submission->job->part_count)
+    put_part (node, submission, outbox);
+  else
+    put_head (node, submission, outbox);
+}
+
+/* PART stands in place of the one that was to be created; NULL where the store didn't tell it. */
+static void
+on_part_stands (struct GspanNode *node, struct GspanSubmission *submission,
+                const struct GspanStoreObject *part, struct GspanOutbox *outbox)
+{
+  bool needs_check = node->catalog.config.accounts.enabled;
+
+  if (needs_check && part == NULL)
+    read_part (node, submission, outbox);
+  else if (!needs_check || is_own_part (node, submission, part))
+    go_on_after_part (node, submission, outbox);
+  else
+    {
+      log_submission (node, submission, "another account's", NULL, outbox);
+      reply_all (submission, 404, no_job_text, outbox);
+      g_hash_table_remove (node->jobs.submissions, submission->job->id);
+    }
+}
+
+/* The part that stands was read. */
+static void
+on_part_read (struct GspanNode *node, struct GspanSubmission *submission,
+              const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
+{
+  const struct GspanStoreObject *part = gspan_store_reply_first (reply);
+
+  if (reply->result == GSPAN_STORE_OK && part != NULL)
+    on_part_stands (node, submission, part, outbox);
+  else if (reply->result == GSPAN_STORE_MISSING)
+    put_part (node, submission, outbox);
+  else
+    give_up (node, submission, reply, outbox);
+}
+
 static void
 on_part_done (struct GspanNode *node, struct GspanSubmission *submission,
               const struct GspanStoreReply *reply, struct GspanOutbox *outbox)
 {
-  if (reply->result == GSPAN_STORE_OK || reply->result == GSPAN_STORE_CONFLICT)
+  if (submission->reads_part)
     {
-      submission->part_number++;
-      submission->part_retried = false;
-      if (submission->part_number < submission->job->part_count)
-        put_part (node, submission, outbox);
-      else
-        put_head (node, submission, outbox);
+      submission->reads_part = false;
+      on_part_read (node, submission, reply, outbox);
     }
+  else if (reply->result == GSPAN_STORE_OK)
+    go_on_after_part (node, submission, outbox);
+  else if (reply->result == GSPAN_STORE_CONFLICT)
+    on_part_stands (node, submission, gspan_store_reply_first (reply), outbox);
   else if (reply->result == GSPAN_STORE_UNKNOWN && !submission->part_retried)
     {
       submission->part_retried = true;
--- a/test/accounts_test.cc
+++ b/test/accounts_test.cc
@@ -223,6 +223,53 @@
   EXPECT_EQ (get (rig, "/api/lots/j1?after=0", "key-a1"), 200);
 }
 
+/*
+ * The parts of a job are stored before its head: where that failed, the job of the next account
+ * that used the id had the first one's bodies.
+ */
+TEST_F (Accounts, ContentThatAnotherAccountLeftIsNeitherRunNorShown)
+{
+  Rig &rig = start (2);
+  Rig &other = *world.rigs[1];
+
+  for (bool bare : { false, true })
+    {
+      const std::string job = bare ? "j2" : "j1";
+      std::vector<std::string> headers = { "X-Attempt-Id: " + job, "Authorization: Bearer key-a1" };
+
+      world.conflicts_are_bare = bare;
+      world.fault_of = [] (const Rig &, const GspanStoreCall &call) {
+        return strcmp (call.kind, "jobs") == 0 && call.op == GSPAN_STORE_CREATE ? StoreFault::Busy
+                                                                                : StoreFault::None;
+      };
+      EXPECT_EQ (send (rig, headers, "POST", "/batch/" + job, job_body (5, 0)), 503);
+      world.fault_of = nullptr;
+      EXPECT_EQ (submit (other, job, "key-b"), 404);
+      EXPECT_EQ (get (other, "/api/items/" + job + "?id=i0", "key-b"), 404);
+      EXPECT_EQ (world.objects["jobs"].count (job), 0U);
+      EXPECT_EQ (send (other, headers, "POST", "/batch/" + job, job_body (5, 0)), 202);
+      EXPECT_EQ (get (other, "/api/items/" + job + "?id=i0", "key-a1"), 200);
+    }
+}
+
+/* A create of the head whose outcome isn't known must not let another account's job skip its parts.
+ */
+TEST_F (Accounts, JobOfUnknownFateIsNotTakenOverByAnotherAccount)
+{
+  Rig &rig = start ();
+  bool fails = true;
+
+  world.fault_of = [&] (const Rig &, const GspanStoreCall &call) {
+    bool head = strcmp (call.kind, "jobs") == 0 && call.op == GSPAN_STORE_CREATE;
+
+    return head && fails ? StoreFault::LostBefore : StoreFault::None;
+  };
+  EXPECT_EQ (submit (rig, "j1", "key-a1"), 502);
+  fails = false;
+  EXPECT_EQ (submit (rig, "j1", "key-b"), 404);
+  EXPECT_EQ (world.objects["jobs"].count ("j1"), 0U);
+}
+
 /* Items bear the account of their job, whatever their trainer wrote into their headers. */
 TEST_F (Accounts, ItemsRunForTheAccountOfTheirJob)
 {
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -190,6 +190,7 @@
   guint64 latency_us = 4 * GSPAN_MS;
   size_t page_size = 500;
   bool lose_datagrams = false;
+  bool conflicts_are_bare = false;      /* a create that conflicts isn't told what stands */
   const char *duties_address = nullptr; /* of nodes that are added from then on */
   guint64 usage_window_ms = 0;          /* likewise */
   std::function<bool (const Rig &from, const std::string &to)> loses_datagram; /* TO: address */
@@ -703,7 +704,8 @@
         if (found != kind.end ())
           {
             reply->result = GSPAN_STORE_CONFLICT;
-            fill (reply, found->first, &found->second);
+            if (!conflicts_are_bare)
+              fill (reply, found->first, &found->second);
             break;
           }
         write (call, kind[call.name], true, reply);
