http: a server that may have one connection keeps it

With limits.connections = 1, or descriptors few enough that a part of them is one, each connection was closed as it came: one is kept free for new ones, which left none. At least one is now kept. Connections.TheOnlyOneThatIsAllowedIsKept failed before.

--- a/http/connections.c
+++ b/http/connections.c
@@ -18,7 +18,7 @@
 gspan_connections_init (struct GspanConnections *connections, guint limit, guint64 read_timeout_us)
 {
   connections->items = g_hash_table_new_full (NULL, NULL, g_free, NULL);
-  connections->most = limit - MAX (1, limit / SPARE_DIVISOR);
+  connections->most = MAX (1, limit - MAX (1, limit / SPARE_DIVISOR));
   connections->read_timeout_us = read_timeout_us;
 }
 
--- a/test/client_limits_test.cc
+++ b/test/client_limits_test.cc
@@ -135,6 +135,19 @@
   gspan_connections_finish (&connections);
 }
 
+/* A server that may have one connection closed it as soon as it came. */
+TEST (Connections, TheOnlyOneThatIsAllowedIsKept)
+{
+  struct GspanConnections connections;
+  struct GspanConnection *item;
+
+  gspan_connections_init (&connections, 1, 60 * GSPAN_SECOND);
+  item = gspan_connections_add (&connections, -1, GSPAN_SECOND);
+  EXPECT_FALSE (gspan_connections_close_surplus (&connections, 2 * GSPAN_SECOND));
+  EXPECT_FALSE (item->is_closing);
+  gspan_connections_finish (&connections);
+}
+
 TEST (Connections, BodyOfAByteASecondIsClosed)
 {
   struct GspanConnections connections;
