node: settings that don't name the machine keep their 2,000 connections

A node without limits.memory_mb took 1,024 connections of callers where limits.connections says 2,000, its default, and closed idle ones above 921: an eighth of the default memory of 256 MB, at 32 KB each. The design says that at the defaults the bounds of before hold.

The bound is now a quarter of the memory. Machine.DefaultsAllowTheConnectionsOfBefore failed before.

--- a/node/machine.c
+++ b/node/machine.c
@@ -17,8 +17,8 @@
   HELD_PART = 16,
   HELD_MAX_MB = 16,
   VALUES_PART = 8,
-  VALUE_BYTES = 320, /* of an empty JSON object, the largest for its text */
-  CONNECTIONS_PART = 8,
+  VALUE_BYTES = 320,           /* of an empty JSON object, the largest for its text */
+  CONNECTIONS_PART = 4,        /* admits the default of limits.connections at that of memory_mb */
   CONNECTION_BYTES = 32 << 10, /* for a head that is read (http/server.c) */
   OWN_DESCRIPTORS = 50,
   CALLERS_DESCRIPTORS = 3, /* part, as each may need one to a replica */
--- a/test/client_limits_test.cc
+++ b/test/client_limits_test.cc
@@ -184,6 +184,15 @@
     }
 }
 
+/* Settings of before, which say nothing of the machine, keep the connections that they had. */
+TEST (Machine, DefaultsAllowTheConnectionsOfBefore)
+{
+  struct GspanMachine machine;
+
+  gspan_machine_divide (&machine, 256, 0, 32 * MB, 2000);
+  EXPECT_EQ (machine.callers, 2000U);
+}
+
 TEST (Json, MarksInStringsAreNoValues)
 {
   std::string text = R"({"a\"{[,:":[1,2,{}],"b":"x,y"})";
