http: a small body that was held back goes on in the room left for small ones

A small request that came in a burst, while large bodies held all the rest, got 503 after 10 s though the room for small requests was free again within a moment. Bodies that were held back went on only once a large one could.

A body now remembers what it found no room for, and goes on once that fits by its own rule: a small one in the whole room, a large one beside the reserve. Server.SmallBodyGoesOnInTheRoomLeftForSmallOnes failed before.

--- a/http/body.c
+++ b/http/body.c
@@ -68,7 +68,10 @@
       gspan_body_drop (body);
     }
   if (!body->is_dropped && !grow (body, body->len + len, max))
-    return GSPAN_BODY_NO_ROOM;
+    {
+      body->wanted = body->len + len;
+      return GSPAN_BODY_NO_ROOM;
+    }
   body->received += len;
   if (body->is_dropped)
     return body->is_too_long ? GSPAN_BODY_TOO_LONG : GSPAN_BODY_ADDED;
--- a/http/body.h
+++ b/http/body.h
@@ -25,6 +25,7 @@
   size_t allocated;
   size_t announced; /* by the request; 0 is not known */
   size_t received;  /* kept or not */
+  size_t wanted;    /* bytes of memory that it found no room for last */
   bool is_dropped;  /* bytes are counted, not kept */
   bool is_too_long;
 };
--- a/http/budget.c
+++ b/http/budget.c
@@ -23,17 +23,15 @@
 }
 
 bool
-gspan_budget_has_room (const struct GspanBudget *budget, size_t bytes)
+gspan_budget_has_room (const struct GspanBudget *budget, size_t bytes, bool small)
 {
-  return fits (budget, bytes, budget->limit - budget->small_for);
+  return fits (budget, bytes, small ? budget->limit : budget->limit - budget->small_for);
 }
 
 bool
 gspan_budget_take (struct GspanBudget *budget, size_t bytes, size_t held)
 {
-  bool small = held + bytes <= GSPAN_BUDGET_SMALL;
-
-  if (!fits (budget, bytes, small ? budget->limit : budget->limit - budget->small_for))
+  if (!gspan_budget_has_room (budget, bytes, held + bytes <= GSPAN_BUDGET_SMALL))
     return false;
   budget->held += bytes;
   return true;
--- a/http/budget.h
+++ b/http/budget.h
@@ -31,6 +31,6 @@
  */
 bool gspan_budget_take (struct GspanBudget *budget, size_t bytes, size_t held);
 
-/* True where a request that isn't small could take BYTES now. */
-bool gspan_budget_has_room (const struct GspanBudget *budget, size_t bytes);
+/* True where a request, which is SMALL or not, could take BYTES now. */
+bool gspan_budget_has_room (const struct GspanBudget *budget, size_t bytes, bool small);
 void gspan_budget_give (struct GspanBudget *budget, size_t bytes);
--- a/http/server.c
+++ b/http/server.c
@@ -409,18 +409,35 @@
   request_resume (request);
 }
 
+/*
+ * True where there is room for the body of REQUEST to go on, beside PROMISED bytes, which are
+ * raised then.
+ */
+static bool
+may_go_on (const struct Request *request, size_t *promised)
+{
+  const struct GspanBody *body = &request->body;
+  bool small = body->wanted <= GSPAN_BUDGET_SMALL;
+  size_t bytes = *promised + (small ? body->wanted - body->allocated : ROOM_STEP);
+
+  if (!gspan_budget_has_room (body->budget, bytes, small))
+    return false;
+  *promised = bytes;
+  return true;
+}
+
 /* Goes on with as many bodies as there is room for, the longest wait first. */
 static void
 go_on_with_bodies (struct GspanHttpServer *server)
 {
-  struct Request *first = g_queue_peek_head (&server->held_back);
-  size_t room = ROOM_STEP;
+  GList *next;
+  size_t promised = 0;
 
-  while (first != NULL && gspan_budget_has_room (server->limits.budget, room))
+  for (GList *link = server->held_back.head; link != NULL; link = next)
     {
-      let_go_on (first);
-      first = g_queue_peek_head (&server->held_back);
-      room += ROOM_STEP;
+      next = link->next;
+      if (may_go_on (link->data, &promised))
+        let_go_on (link->data);
     }
 }
 
--- a/test/client_limits_test.cc
+++ b/test/client_limits_test.cc
@@ -25,7 +25,7 @@
   EXPECT_FALSE (gspan_budget_take (&budget, 1000, GSPAN_BUDGET_SMALL));
   EXPECT_TRUE (gspan_budget_take (&budget, 1000, 0));
   gspan_budget_give (&budget, 6 * MB);
-  EXPECT_TRUE (gspan_budget_has_room (&budget, 5 * MB));
+  EXPECT_TRUE (gspan_budget_has_room (&budget, 5 * MB, false));
   EXPECT_EQ (budget.held, 1000U);
 }
 
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -615,6 +615,33 @@
   EXPECT_EQ (budget.held, 0U);
 }
 
+/* A small body that was held back waited for room that only large ones need. */
+TEST_F (Server, SmallBodyGoesOnInTheRoomLeftForSmallOnes)
+{
+  GspanBudget budget{};
+  GspanHttpLimits limits = { 1 << 20, 50, 0, 60000, 100000, OUTPUTS_MAX, &budget };
+  GspanHttpHandler handler = { on_request, on_gone, this, nullptr };
+
+  gspan_budget_init (&budget, 1 << 20);
+  gspan_http_server_free (server);
+  server = gspan_http_server_new (wire.loop, "127.0.0.1:0", &limits, &handler, nullptr);
+  {
+    WireCaller caller (port ());
+    const guint64 until = gspan_clock_now () + 5 * GSPAN_SECOND;
+    const size_t small = budget.small_for - 2000;
+
+    ASSERT_TRUE (gspan_budget_take (&budget, budget.limit - budget.small_for, budget.limit));
+    budget.held += small; /* of other small requests */
+    caller.say (post (std::string (30000, 'x')));
+    wire.run_until ([&] { return gspan_clock_now () + 9 * GSPAN_SECOND / 2 > until; });
+    EXPECT_TRUE (taken.empty ());
+    gspan_budget_give (&budget, small);
+    EXPECT_TRUE (wire.run_until ([&] { return !taken.empty () || gspan_clock_now () > until; }));
+    EXPECT_EQ (taken.size (), 1U);
+  }
+  EXPECT_TRUE (wire.run_until ([&] { return gspan_http_server_open_requests (server) == 0; }));
+}
+
 TEST_F (Server, CallerWhoLeavesWhileItsRequestWaitsIsNoticedOnce)
 {
   WireCaller caller (port ());
