test: the holder of usage reports dies while many windows wait

Guards against a new holder that closes windows long over before the others have told it their shares. Passes without a change to the product.

--- a/test/usage_test.cc
+++ b/test/usage_test.cc
@@ -196,6 +196,23 @@
   EXPECT_GE (count_true () + 1, truth.size ());
 }
 
+/*
+ * Windows that are long over, as the platform was away, are closed by a new holder only once the
+ * others have told it what they counted.
+ */
+TEST_F (Usage, NewHolderWaitsForTheSharesOfWindowsThatAreLongOver)
+{
+  start (4);
+  load (6 * GSPAN_SECOND, 1);
+  platform_status = 0;
+  load (16 * GSPAN_SECOND, 1);
+  holder ().paused = true;
+  platform_status = 200;
+  run (24 * GSPAN_SECOND);
+  expect_consistent ();
+  EXPECT_GE (count_true () + 1, truth.size ());
+}
+
 TEST_F (Usage, PlatformThatIsAwayGetsTheReportsLater)
 {
   start ();
