--- a/http/body.c
+++ b/http/body.c
@@ -48,7 +48,12 @@
   if (len <= body->allocated)
     return true;
   if (!gspan_budget_take (body->budget, size - body->allocated, body->allocated))
-    return false;
+    {
+      /* Where a whole step finds no room, less may. */
+      size = len;
+      if (!gspan_budget_take (body->budget, size - body->allocated, body->allocated))
+        return false;
+    }
   body->data = g_realloc (body->data, size);
   body->allocated = size;
   return true;
@@ -63,7 +68,10 @@
       gspan_body_drop (body);
     }
   if (!body->is_dropped && !grow (body, body->len + len, max))
-    return GSPAN_BODY_NO_ROOM;
+    {
+      body->wanted = body->len + len;
+      return GSPAN_BODY_NO_ROOM;
+    }
   body->received += len;
   if (body->is_dropped)
     return body->is_too_long ? GSPAN_BODY_TOO_LONG : GSPAN_BODY_ADDED;
--- a/test/client_limits_test.cc
+++ b/test/client_limits_test.cc
@@ -25,7 +25,7 @@
   EXPECT_FALSE (gspan_budget_take (&budget, 1000, GSPAN_BUDGET_SMALL));
   EXPECT_TRUE (gspan_budget_take (&budget, 1000, 0));
   gspan_budget_give (&budget, 6 * MB);
-  EXPECT_TRUE (gspan_budget_has_room (&budget, 5 * MB));
+  EXPECT_TRUE (gspan_budget_has_room (&budget, 5 * MB, false));
   EXPECT_EQ (budget.held, 1000U);
 }
 
@@ -88,6 +88,22 @@
   gspan_body_finish (&body);
 }
 
+/* A large body grows in large steps; one that finds no room for a step must not wait for ever. */
+TEST (Body, TakesLessThanAStepWhereThereIsRoomForThat)
+{
+  struct GspanBudget budget;
+  struct GspanBody body;
+  std::string data (400000, 'x');
+
+  gspan_budget_init (&budget, MB);
+  gspan_body_init (&body, &budget);
+  ASSERT_EQ (gspan_body_add (&body, data.data (), data.size (), 2 * MB), GSPAN_BODY_ADDED);
+  ASSERT_TRUE (gspan_budget_take (&budget, MB - budget.small_for - budget.held - 70000, MB));
+  EXPECT_EQ (gspan_body_add (&body, data.data (), 60000, 2 * MB), GSPAN_BODY_ADDED);
+  EXPECT_EQ (body.len, 460000U);
+  gspan_body_finish (&body);
+}
+
 TEST (Connections, TheOneWithoutProgressForLongestGivesWay)
 {
   struct GspanConnections connections;
@@ -119,6 +135,19 @@
   gspan_connections_finish (&connections);
 }
 
+/* A server that may have one connection closed it as soon as it came. */
+TEST (Connections, TheOnlyOneThatIsAllowedIsKept)
+{
+  struct GspanConnections connections;
+  struct GspanConnection *item;
+
+  gspan_connections_init (&connections, 1, 60 * GSPAN_SECOND);
+  item = gspan_connections_add (&connections, -1, GSPAN_SECOND);
+  EXPECT_FALSE (gspan_connections_close_surplus (&connections, 2 * GSPAN_SECOND));
+  EXPECT_FALSE (item->is_closing);
+  gspan_connections_finish (&connections);
+}
+
 TEST (Connections, BodyOfAByteASecondIsClosed)
 {
   struct GspanConnections connections;
@@ -155,6 +184,15 @@
     }
 }
 
+/* Settings of before, which say nothing of the machine, keep the connections that they had. */
+TEST (Machine, DefaultsAllowTheConnectionsOfBefore)
+{
+  struct GspanMachine machine;
+
+  gspan_machine_divide (&machine, 256, 0, 32 * MB, 2000);
+  EXPECT_EQ (machine.callers, 2000U);
+}
+
 TEST (Json, MarksInStringsAreNoValues)
 {
   std::string text = R"({"a\"{[,:":[1,2,{}],"b":"x,y"})";
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -548,6 +548,8 @@
       " 400 " },
     { "malformed length", head + "Content-Length: -3\r\n\r\n{}", " 400 " },
     { "header flood", head + "X: " + std::string (40000, 'x') + "\r\n\r\n", " 431 " },
+    { "space after a name", head + "X-Tenant : a\r\nContent-Length: 2\r\n\r\n{}", " 400 " },
+    { "tab after a name", head + "X-Tenant\t: a\r\nContent-Length: 2\r\n\r\n{}", " 400 " },
     { "no HTTP", "\x16\x03\x01 nonsense\r\n\r\n", "" },
     { "slow head", "POST /x HT", "" },
     { "slow body", head + "Content-Length: 9\r\n\r\n{", "" },
@@ -565,6 +567,81 @@
     }
 }
 
+/* Bodies that waited for each other's room were both refused, or held back again for ever. */
+TEST_F (Server, OneOfTwoBodiesThatWaitForEachOthersRoomIsServed)
+{
+  GspanBudget budget{};
+  GspanHttpLimits limits = { 1 << 20, 50, 0, 60000, 100000, OUTPUTS_MAX, &budget };
+  GspanHttpHandler handler = { on_request, on_gone, this, nullptr };
+  std::string body (600000, 'x');
+
+  gspan_budget_init (&budget, 1 << 20);
+  gspan_http_server_free (server);
+  server = gspan_http_server_new (wire.loop, "127.0.0.1:0", &limits, &handler, nullptr);
+  {
+    WireCaller callers[] = { WireCaller (port ()), WireCaller (port ()) };
+    std::string text = post (body);
+    size_t sent[2] = {};
+    size_t answered = 0;
+    bool refused = false;
+    auto all_answered = [&] {
+      for (size_t i = 0; i < 2; i++)
+        {
+          ssize_t count = send (callers[i].fd, text.data () + sent[i],
+                                std::min<size_t> (text.size () - sent[i], 20000), MSG_NOSIGNAL);
+
+          sent[i] += count > 0 ? (size_t)count : 0;
+        }
+      for (; answered < taken.size (); answered++)
+        {
+          EXPECT_EQ (taken[answered].second, body);
+          reply (taken[answered].first, "served");
+        }
+      size_t heard = 0;
+      for (WireCaller &caller : callers)
+        {
+          refused = refused || caller.hears ("too much is being read");
+          heard += caller.hears ("served") || caller.hears ("too much is being read");
+        }
+      return heard == 2;
+    };
+
+    /* the first wait may take 10 s, longer than one look */
+    EXPECT_TRUE (wire.run_until (all_answered) || wire.run_until (all_answered));
+    EXPECT_EQ (taken.size (), 1U);
+    EXPECT_TRUE (refused);
+  }
+  EXPECT_TRUE (wire.run_until ([&] { return gspan_http_server_open_requests (server) == 0; }));
+  EXPECT_EQ (budget.held, 0U);
+}
+
+/* A small body that was held back waited for room that only large ones need. */
+TEST_F (Server, SmallBodyGoesOnInTheRoomLeftForSmallOnes)
+{
+  GspanBudget budget{};
+  GspanHttpLimits limits = { 1 << 20, 50, 0, 60000, 100000, OUTPUTS_MAX, &budget };
+  GspanHttpHandler handler = { on_request, on_gone, this, nullptr };
+
+  gspan_budget_init (&budget, 1 << 20);
+  gspan_http_server_free (server);
+  server = gspan_http_server_new (wire.loop, "127.0.0.1:0", &limits, &handler, nullptr);
+  {
+    WireCaller caller (port ());
+    const guint64 until = gspan_clock_now () + 5 * GSPAN_SECOND;
+    const size_t small = budget.small_for - 2000;
+
+    ASSERT_TRUE (gspan_budget_take (&budget, budget.limit - budget.small_for, budget.limit));
+    budget.held += small; /* of other small requests */
+    caller.say (post (std::string (30000, 'x')));
+    wire.run_until ([&] { return gspan_clock_now () + 9 * GSPAN_SECOND / 2 > until; });
+    EXPECT_TRUE (taken.empty ());
+    gspan_budget_give (&budget, small);
+    EXPECT_TRUE (wire.run_until ([&] { return !taken.empty () || gspan_clock_now () > until; }));
+    EXPECT_EQ (taken.size (), 1U);
+  }
+  EXPECT_TRUE (wire.run_until ([&] { return gspan_http_server_open_requests (server) == 0; }));
+}
+
 TEST_F (Server, CallerWhoLeavesWhileItsRequestWaitsIsNoticedOnce)
 {
   WireCaller caller (port ());
