--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -180,6 +180,22 @@
     start_first (node, call, outbox);
 }
 
+/* Takes a request whose caller may use ROUTE. */
+static void
+take_allowed (struct GspanNode *node, const struct GspanEventRequest *request,
+              const struct GspanWireRequest *wire, const struct GspanConfigRoute *route,
+              struct GspanAccountCheck *check, struct GspanOutbox *outbox)
+{
+  const char *account = check->account != NULL ? check->account->name : NULL;
+
+  if (request->body_dropped) /* it had no route, or its key no account, as its head came */
+    gspan_gateway_refuse (node, request->request, "its body wasn't kept", 0, outbox);
+  else if (route->repeat == GSPAN_REPEAT_BATCH)
+    gspan_jobs_submit (node, request, wire, route, account, outbox);
+  else
+    start_call (node, request, wire, route, check, outbox);
+}
+
 static void
 on_request (struct GspanNode *node, const struct GspanEventRequest *request,
             struct GspanOutbox *outbox)
@@ -198,15 +214,8 @@
   route = gspan_config_match (&node->catalog.config, wire.host, request->path);
   if (route == NULL)
     gspan_gateway_reply_error (request->request, 404, "no route has this host and path", outbox);
-  else if (!gspan_authorize_request (node, request, route, &check, outbox))
-    ;                             /* it has been answered */
-  else if (request->body_dropped) /* it had no route, or its key no account, as its head came */
-    gspan_gateway_refuse (node, request->request, "its body wasn't kept", 0, outbox);
-  else if (route->repeat == GSPAN_REPEAT_BATCH)
-    gspan_jobs_submit (node, request, &wire, route,
-                       check.account != NULL ? check.account->name : NULL, outbox);
-  else
-    start_call (node, request, &wire, route, &check, outbox);
+  else if (gspan_authorize_request (node, request, route, &check, outbox))
+    take_allowed (node, request, &wire, route, &check, outbox);
   gspan_account_check_finish (&check);
 }
 
--- a/http/server.c
+++ b/http/server.c
@@ -16,6 +16,7 @@
 
 enum
 {
+  ROOM_RETRY_S = 1,
   STREAM_BLOCK = 16384,
   CONNECTION_MEMORY = 32768, /* bytes; holds a request's head */
   ROOM_STEP = 64 << 10,      /* bytes; a body that waits goes on once so much is free */
@@ -26,8 +27,7 @@
 #define WATCH_S 0.1
 #define ROOM_WAIT_US (500 * GSPAN_MS) /* for room; then a body without progress gives its own */
 #define ROOM_WAIT_MAX_US (10 * GSPAN_SECOND) /* then the request is refused */
-#define ROOM_RETRY_US (GSPAN_SECOND)
-#define BOUND_FROM ((size_t)16 << 10) /* bytes; shorter outputs needn't be added up */
+#define BOUND_FROM ((size_t)16 << 10)        /* bytes; shorter outputs needn't be added up */
 
 enum RequestState
 {
@@ -359,7 +359,7 @@
 {
   request->server->refusals.no_room++;
   refuse (request, 503, "request", "too much is being read");
-  gspan_headers_add_u64 (&request->reply_headers, "Retry-After", ROOM_RETRY_US / GSPAN_SECOND);
+  gspan_headers_add_u64 (&request->reply_headers, "Retry-After", ROOM_RETRY_S);
 }
 
 static bool
--- a/node/machine.c
+++ b/node/machine.c
@@ -21,9 +21,9 @@
   CONNECTIONS_PART = 4,        /* admits the default of limits.connections at that of memory_mb */
   CONNECTION_BYTES = 32 << 10, /* for a head that is read (http/server.c) */
   OWN_DESCRIPTORS = 50,
-  CALLERS_DESCRIPTORS = 3, /* part, as each may need one to a replica */
-  OTHER_DESCRIPTORS = 16,  /* part */
-  KEPT_DESCRIPTORS = 8,    /* part */
+  CALLERS_DIVISOR = 3, /* part, as each may need one to a replica */
+  OTHER_DIVISOR = 16,  /* part */
+  KEPT_DIVISOR = 8,    /* part */
   KEPT_MAX = 512,
   RELAY_MAX = 512,
   SERVICE_MAX = 64
@@ -47,10 +47,10 @@
 {
   guint free = descriptors > OWN_DESCRIPTORS ? descriptors - OWN_DESCRIPTORS : 1;
 
-  machine->callers = MIN (machine->callers, MAX (1, free / CALLERS_DESCRIPTORS));
-  machine->relay = MIN (machine->relay, MAX (1, descriptors / OTHER_DESCRIPTORS));
-  machine->service = MIN (machine->service, MAX (1, descriptors / OTHER_DESCRIPTORS));
-  machine->kept = MIN (machine->kept, MAX (1, descriptors / KEPT_DESCRIPTORS));
+  machine->callers = MIN (machine->callers, MAX (1, free / CALLERS_DIVISOR));
+  machine->relay = MIN (machine->relay, MAX (1, descriptors / OTHER_DIVISOR));
+  machine->service = MIN (machine->service, MAX (1, descriptors / OTHER_DIVISOR));
+  machine->kept = MIN (machine->kept, MAX (1, descriptors / KEPT_DIVISOR));
 }
 
 void
--- a/node/shell.c
+++ b/node/shell.c
@@ -630,13 +630,13 @@
 void
 gspan_node_shell_free (struct GspanNodeShell *shell)
 {
-  if (shell->udp != NULL)
-    gspan_udp_free (shell->udp);
   server_free (shell->callers);
   server_free (shell->relay);
   server_free (shell->ready);
   server_free (shell->metrics);
   gspan_http_client_free (shell->client);
+  if (shell->udp != NULL) /* what the servers end may tell other nodes */
+    gspan_udp_free (shell->udp);
   g_hash_table_unref (shell->store_calls);
   gspan_log_ring_finish (&shell->log);
   g_free (shell);
