--- a/jobs/dispatcher.c
+++ b/jobs/dispatcher.c
@@ -35,40 +35,6 @@
   return count;
 }
 
-/*
- * Names of the first COUNT present nodes in an order that all draw alike for SERVICE, among those
- * with at least LEAST_CPU. They are borrowed.
- */
-static guint
-draw_dispatchers (const struct GspanNode *node, const char *service, guint least_cpu,
-                  const char **names, guint count)
-{
-  guint found = 0;
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, node->peers.items);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    {
-      const struct GspanPeer *peer = value;
-      guint64 weight = gspan_peers_weight (service, key);
-      guint at = found;
-
-      if (peer->cpu_milli < least_cpu || !gspan_heartbeats_is_present (node, peer))
-        continue;
-      for (; at > 0 && gspan_peers_weight (service, names[at - 1]) < weight; at--)
-        {
-          if (at < count)
-            names[at] = names[at - 1];
-        }
-      if (at < count)
-        names[at] = key;
-      found = MIN (found + 1, count);
-    }
-  return found;
-}
-
 static guint
 count_replicas (const struct GspanNode *node, const char *service)
 {
@@ -112,7 +78,7 @@
       || count_present (node, &most_cpu) < NODES_LEAST)
     return node->self.name;
   wanted = MIN (DISPATCHERS_MAX, 1 + count_replicas (node, service) / REPLICAS_EACH);
-  count = draw_dispatchers (node, service, most_cpu * STRONG_PERCENT / 100, names, wanted);
+  count = gspan_peers_draw (node, service, "", most_cpu * STRONG_PERCENT / 100, names, wanted);
   /* All jobs of a route go to one dispatcher. */
   return count > 0 ? names[g_str_hash (route->name) % count] : node->self.name;
 }
--- a/node/machine.c
+++ b/node/machine.c
@@ -5,8 +5,6 @@
 enum
 {
   REQUESTS_PART = 5,
-  BODY_ROOM_DIVISOR
-  = 4,               /* of a body's size is needed beside it, as it grows and for small requests */
   SMALL_ROOM_MB = 8, /* beside one large body (http/budget.h) */
   HEADS_ROOM_MB = 1,
   OUTPUTS_PART = 8,
--- a/node/peers.c
+++ b/node/peers.c
@@ -150,8 +150,8 @@
     report_retirement (node, outbox);
 }
 
-guint64
-gspan_peers_weight (const char *job, const char *name)
+static guint64
+weight_of (const char *job, const char *name)
 {
   return XXH64 (name, strlen (name), XXH64 (job, strlen (job), 0));
 }
@@ -159,7 +159,7 @@
 guint
 gspan_peers_takeover_rank (const struct GspanNode *node, const char *job, const char *owner)
 {
-  guint64 own = gspan_peers_weight (job, node->self.name);
+  guint64 own = weight_of (job, node->self.name);
   guint rank = 0;
   GHashTableIter iter;
   gpointer key;
@@ -169,41 +169,50 @@
   while (g_hash_table_iter_next (&iter, &key, &peer))
     {
       if (strcmp (key, owner) != 0 && strcmp (key, node->self.name) != 0
-          && gspan_heartbeats_is_present (node, peer) && gspan_peers_weight (job, key) > own)
+          && gspan_heartbeats_is_present (node, peer) && weight_of (job, key) > own)
         rank++;
     }
   return rank;
 }
 
 guint
-gspan_peers_takeover_candidates (const struct GspanNode *node, const char *job, const char *owner,
-                                 const char **names, guint count)
+gspan_peers_draw (const struct GspanNode *node, const char *key, const char *excluded,
+                  guint least_cpu_milli, const char **names, guint count)
 {
   guint found = 0;
   GHashTableIter iter;
-  gpointer key;
-  gpointer peer;
+  gpointer name;
+  gpointer value;
 
   g_hash_table_iter_init (&iter, node->peers.items);
-  while (g_hash_table_iter_next (&iter, &key, &peer))
+  while (g_hash_table_iter_next (&iter, &name, &value))
     {
+      const struct GspanPeer *peer = value;
       guint at = found;
 
-      if (strcmp (key, owner) == 0 || !gspan_heartbeats_is_present (node, peer))
+      if (strcmp (name, excluded) == 0 || peer->cpu_milli < least_cpu_milli
+          || !gspan_heartbeats_is_present (node, peer))
         continue;
-      while (at > 0 && gspan_peers_weight (job, names[at - 1]) < gspan_peers_weight (job, key))
+      while (at > 0 && weight_of (key, names[at - 1]) < weight_of (key, name))
         {
           if (at < count)
             names[at] = names[at - 1];
           at--;
         }
       if (at < count)
-        names[at] = key;
+        names[at] = name;
       found = MIN (found + 1, count);
     }
   return found;
 }
 
+guint
+gspan_peers_takeover_candidates (const struct GspanNode *node, const char *job, const char *owner,
+                                 const char **names, guint count)
+{
+  return gspan_peers_draw (node, job, owner, 0, names, count);
+}
+
 bool
 gspan_peers_has_build_without_records (const struct GspanNode *node)
 {
--- a/node/peers.h
+++ b/node/peers.h
@@ -60,13 +60,17 @@
  */
 guint gspan_peers_takeover_rank (const struct GspanNode *node, const char *job, const char *owner);
 
-/* What that order is drawn from: the greatest weight comes first. */
-guint64 gspan_peers_weight (const char *job, const char *name);
-
 /* Names of the first COUNT in that order, which are borrowed; fewer where there are fewer. */
 guint gspan_peers_takeover_candidates (const struct GspanNode *node, const char *job,
                                        const char *owner, const char **names, guint count);
 
+/*
+ * Names of the first COUNT present nodes in the order drawn for KEY, without EXCLUDED and those
+ * with less of a processor than LEAST_CPU_MILLI. They are borrowed.
+ */
+guint gspan_peers_draw (const struct GspanNode *node, const char *key, const char *excluded,
+                        guint least_cpu_milli, const char **names, guint count);
+
 /* True where the entries of all nodes are known, and all record the origins of streams. */
 bool gspan_peers_all_record_origins (const struct GspanNode *node);
 
