--- a/duties/usage_reports.h
+++ b/duties/usage_reports.h
@@ -24,7 +24,7 @@
 {
   GSPAN_USAGE_READ,  /* what the holder before has written isn't known */
   GSPAN_USAGE_CLOSE, /* the next window isn't closed */
-  GSPAN_USAGE_SEND   /* WRITTEN has to be sent */
+  GSPAN_USAGE_SEND   /* the window written last has to be sent */
 };
 
 struct GspanUsageReports
