--- a/cmd/gspan-node.c
+++ b/cmd/gspan-node.c
@@ -59,6 +59,7 @@
   config.self.duties_address = settings->duties[0] != '\0' ? settings->duties : NULL;
   config.self.orders_capacity = settings->scaling != 0;
   config.self.takes_requests = settings->callers[0] != '\0';
+  config.self.dispatches_jobs = settings->dispatchers != 0;
   config.self.cpu_milli = (guint)(settings->cpu_share * 1000.0);
   config.self.keeps_disk = settings->keeps_disk != 0;
   config.limits.lease_us = (guint64)(settings->lease_ms * (double)GSPAN_MS);
--- a/jobs/dispatcher.c
+++ b/jobs/dispatcher.c
@@ -7,32 +7,28 @@
 
 enum
 {
-  NODES_LEAST = 24,    /* present: in a smaller fleet each node runs jobs often enough */
   REPLICAS_EACH = 64,  /* of a service, for each of its dispatchers */
   STRONG_PERCENT = 75, /* of the strongest node's processor share; weak ones fall behind */
   DISPATCHERS_MAX = 64 /* of a service */
 };
 
-/* Present nodes, and the processor share that the strongest of them has, in thousandths. */
+/* The processor share that the strongest of the present nodes has, in thousandths. */
 static guint
-count_present (const struct GspanNode *node, guint *most_cpu)
+most_cpu_present (const struct GspanNode *node)
 {
-  guint count = 0;
+  guint most = 0;
   GHashTableIter iter;
   gpointer value;
 
-  *most_cpu = 0;
   g_hash_table_iter_init (&iter, node->peers.items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct GspanPeer *peer = value;
 
-      if (!gspan_heartbeats_is_present (node, peer))
-        continue;
-      count++;
-      *most_cpu = MAX (*most_cpu, peer->cpu_milli);
+      if (gspan_heartbeats_is_present (node, peer))
+        most = MAX (most, peer->cpu_milli);
     }
-  return count;
+  return most;
 }
 
 static guint
@@ -70,15 +66,14 @@
   const struct GspanConfigRoute *route = gspan_jobs_route_of (node, job);
   const char *service = route != NULL ? main_service (route) : NULL;
   const char *names[DISPATCHERS_MAX];
-  guint most_cpu;
+  guint least_cpu;
   guint wanted;
   guint count;
 
-  if (service == NULL || gspan_heartbeats_is_isolated (node)
-      || count_present (node, &most_cpu) < NODES_LEAST)
+  if (!node->self.dispatches_jobs || service == NULL || gspan_heartbeats_is_isolated (node))
     return node->self.name;
+  least_cpu = most_cpu_present (node) * STRONG_PERCENT / 100;
   wanted = MIN (DISPATCHERS_MAX, 1 + count_replicas (node, service) / REPLICAS_EACH);
-  count = gspan_peers_draw (node, service, "", most_cpu * STRONG_PERCENT / 100, names, wanted);
-  /* All jobs of a route go to one dispatcher. */
-  return count > 0 ? names[g_str_hash (route->name) % count] : node->self.name;
+  count = gspan_peers_draw (node, service, "", least_cpu, names, wanted);
+  return count > 0 ? names[g_str_hash (job->id) % count] : node->self.name;
 }
--- a/node/node.h
+++ b/node/node.h
@@ -38,6 +38,7 @@
       *relay_address;    /* "IP:PORT" where other nodes send requests to pass on; NULL is none */
   const char *relay_key; /* secret of this start that such requests have to bear */
   const char *duties_address; /* "IP:PORT" of the platform's own calls; NULL is none */
+  bool dispatches_jobs;       /* jobs are run by dispatchers (jobs/dispatcher.h) */
   guint cpu_milli;            /* its VM's share of a processor, in thousandths; 0 is not known */
   bool orders_capacity;       /* takes part in orders of replicas (duties/capacity_orders.h) */
 };
--- a/settings/fleet.c
+++ b/settings/fleet.c
@@ -46,6 +46,10 @@
     "orders of two holders of the lease are at least so far apart", FIELD (lease_ms) },
   { "jobs.kept_s", GSPAN_OPTION_FRACTION, "s", 1, 86400, NULL, "120",
     "a batch job's results stay readable for so long after its submission", FIELD (job_kept_s) },
+  { "jobs.dispatchers", GSPAN_OPTION_BOOLEAN, NULL, 0, 0, NULL, "false",
+    "the batch jobs of a service are run by a few of the strongest nodes, not where they come; the "
+    "same at all nodes",
+    FIELD (dispatchers) },
   { "limits.body_max", GSPAN_OPTION_INTEGER, "bytes", 1024, 1073741824, NULL, "33554432",
     "largest request body", FIELD (body_max) },
   { "limits.connections", GSPAN_OPTION_INTEGER, "connections", 1, 100000, NULL, "2000",
--- a/settings/fleet.h
+++ b/settings/fleet.h
@@ -24,6 +24,7 @@
   double usage_window_s;
   gint64 scaling;
   double job_kept_s;
+  gint64 dispatchers;
   gint64 body_max;
   gint64 connections;
   gint64 memory_mb;
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -193,6 +193,7 @@
   bool conflicts_are_bare = false;      /* a create that conflicts isn't told what stands */
   const char *duties_address = nullptr; /* of nodes that are added from then on */
   guint64 usage_window_ms = 0;          /* likewise */
+  bool dispatches_jobs = false;         /* likewise */
   std::function<guint (const std::string &name)> cpu_milli_of; /* likewise; unset is not known */
   bool orders_capacity = false;                                /* likewise */
   int hedge_share_percent = -1;                                /* likewise; -1 is none */
@@ -948,6 +949,7 @@
   config.limits.has_hedge_share = of.hedge_share_percent >= 0;
   config.limits.hedge_share_percent = (guint)std::max (0, of.hedge_share_percent);
   config.self.duties_address = of.duties_address;
+  config.self.dispatches_jobs = of.dispatches_jobs;
   config.self.cpu_milli = of.cpu_milli_of ? of.cpu_milli_of (called) : 0;
   config.self.orders_capacity = of.orders_capacity;
   config.seed = seed;
