--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,87 +1,98 @@
-"""A node is killed while it passes streams on that have no length: their callers must not take them for whole."""
+"""All replicas of a service crash while they work on a request that many callers send: it is refused everywhere from then on."""
 
 import asyncio
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
-from bench import DESK, HOST, TROUBLE, default_config, run, wire  # noqa: E402 pylint: disable=wrong-import-position
+from bench import DESK, LLM, TROUBLE, run  # noqa: E402 pylint: disable=wrong-import-position
 from upstreams import Replica  # noqa: E402 pylint: disable=wrong-import-position
 
-PIECES = 20
-PIECE_S = 0.1
-KILL_AT_S = 1.05  # after the clients' requests
-CLIENTS = 6
-ROUTE = {"name": "r-stream", "host": HOST, "pathPrefix": "/hilo77/", "type": "streaming", "timeoutMs": 8000,
-         "targetLatencyMs": 400, "priority": 1, "service": DESK, "maxAttempts": 2}
-
-
-def event(number):
-    return f"id: {number}\ndata: piece {number}\n\n".encode()
-
-
-class Streamer(Replica):
-    """Sends events; those of every other request in an answer without a length, that ends with its connection."""
-
-    async def answer(self, request, writer):
-        framed = request.path.endswith("framed")
-        headers = {**self.headers(request), "Content-Type": "text/event-stream"}
-        headers["Transfer-Encoding" if framed else "Connection"] = "chunked" if framed else "close"
-        writer.write(wire.format_head("HTTP/1.1 200 OK", headers))
-        for number in range(1, PIECES + 1):
-            await asyncio.sleep(PIECE_S)
-            piece = event(number)
-            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece) if framed else piece)
-            await writer.drain()
-        if framed:
-            writer.write(b"0\r\n\r\n")
-        self.world.note(f"{self.name}: whole answer to {request.headers['x-attempt-id']}")
-
-
-async def read_answer(reader):
-    """Status, signature, body, and whether the answer is complete by HTTP."""
-    status, headers = await wire.read_answer_head(reader)
-    body = b""
-    try:
-        async for piece in wire.read_pieces(reader, headers, at_end_of_connection=True):
-            body += piece
-    except (OSError, asyncio.IncompleteReadError, wire.Garbled) as error:
-        return status, headers, body, f"incomplete ({type(error).__name__})"
-    return status, headers, body, "complete"
-
-
-async def ask(world, node, number):
-    attempt = f"a{number}"
-    path = f"/hilo77/{number}-{'framed' if number % 2 else 'plain'}"
-    reader, writer = await asyncio.open_connection(node.address, node.ports["front"])
-    writer.write(wire.format_head(f"POST {path} HTTP/1.1", {"Host": HOST, "X-Attempt-Id": attempt, "X-Deadline-Ms": 8000,
-                                                            "Content-Length": 0}))
-    try:
-        status, headers, body, end = await asyncio.wait_for(read_answer(reader), 10)
-    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
-        world.note(f"{attempt} {path}: no answer, {type(error).__name__}")
-        return
-    finally:
-        writer.transport.abort()
-    whole = b"".join(event(n) for n in range(1, PIECES + 1))
-    world.note(f"{attempt} {path}: {status}, stamp {headers.get('x-server-stamp')}, {len(body)} of {len(whole)} bytes, {end}")
-    if 200 <= status < 300 and "x-server-stamp" in headers and end == "complete" and body != whole:
-        world.breaks("MIXED", f"{attempt} got a complete {status} with {len(body)} of {len(whole)} bytes")
+REPLICAS = 3
+WORK_S = 0.1
+REQUESTS_PER_S = 80
+CRASH_AT_S = 8.0
+LAPSE_S = 3.6  # three heartbeats, until the store removes the entries
+BACK_S = 4.5  # until the replicas are back
+FINAL_FAULT_AT_S = 16.0  # all processes of the system are killed
+DOWN_S = 1.0
+RECOVERY_S = 12.0
+END_S = 45.0
+DEADLINE_S = 0.8
+
+
+async def crash(world, replicas):
+    world.note("all replicas of the desk service crash")
+    for replica in replicas:
+        replica.stop()
+    await asyncio.sleep(LAPSE_S)
+    for replica in replicas:
+        await world.store.remove("servers", replica.name)
+    await asyncio.sleep(BACK_S - LAPSE_S)
+    for number in range(REPLICAS):
+        await Replica(world, f"i-new-{number}", DESK, work_s=WORK_S).start()
+    world.note("replicas are back, under new ids")
+
+
+async def final_fault(world):
+    for node in world.nodes:
+        node.kill()
+    await asyncio.sleep(DOWN_S)
+    for node in world.nodes:
+        node.start()
+
+
+async def ask(world, number, outcomes):
+    """One request with its retry at another node; notes when it was sent and whether it was served."""
+    sent = world.now()
+    edges = world.edges()
+    status = None
+    for attempt in range(2):
+        node = edges[(number + attempt) % len(edges)]
+        answer = await world.call(node, "POST", "/lohu930/day-rate", {"X-Attempt-Id": f"q{number}x{attempt}", "X-Deadline-Ms": 800},
+                                  b'{"role":"extra"}', timeout_s=DEADLINE_S)
+        status = answer[0] if answer else None
+        if status == 200 or world.now() - sent > DEADLINE_S * 2 / 3:
+            break
+        await asyncio.sleep(0.1)
+    outcomes.append((sent, status))
+
+
+def share(world, outcomes, what, begin, end):
+    statuses = [status for sent, status in outcomes if begin <= sent < end]
+    served = statuses.count(200)
+    world.note(f"{what}: {served} of {len(statuses)} requests served; " +
+               ", ".join(f"{statuses.count(s)} x {s}" for s in sorted(set(statuses), key=str)))
+    return served / max(1, len(statuses))
 
 
 async def play(world):
-    world.config = default_config()
-    world.config["routes"].append(ROUTE)
-    for number in range(3):
-        await Streamer(world, f"i-{number}", DESK).start()
-    node = await world.add_node("edge-1")
-    await world.add_node("edge-2")
+    replicas = [Replica(world, f"i-{number}", DESK, work_s=WORK_S) for number in range(REPLICAS)]
+    for replica in replicas:
+        await replica.start()
+    for number in range(2):
+        await Replica(world, f"m-{number}", LLM).start()
+    for number in range(1, 4):
+        await world.add_node(f"edge-{number}")
+    await world.add_node("storage-1", "storage", memory_mb=330)
     await world.start_nodes()
-    clients = [asyncio.create_task(ask(world, node, number)) for number in range(CLIENTS)]
-    await asyncio.sleep(KILL_AT_S)
-    if TROUBLE:
-        node.kill(stay_down=False)
-    await asyncio.gather(*clients)
-
-
-run(play, 40)
+    begin = world.now()
+    outcomes = []
+    tasks = []
+    events = [(CRASH_AT_S, lambda: crash(world, replicas)), (FINAL_FAULT_AT_S, lambda: final_fault(world))] if TROUBLE else []
+    number = 0
+    while world.now() < begin + END_S:
+        if events and world.now() >= begin + events[0][0]:
+            tasks.append(asyncio.create_task(events.pop(0)[1]()))
+        number += 1
+        tasks.append(asyncio.create_task(ask(world, number, outcomes)))
+        await asyncio.sleep(1 / REQUESTS_PER_S)
+    await asyncio.gather(*tasks)
+    before = share(world, outcomes, "before the final fault", begin, begin + FINAL_FAULT_AT_S)
+    after = share(world, outcomes, f"sent {RECOVERY_S:.0f} s after the machines were back, or later",
+                  begin + FINAL_FAULT_AT_S + DOWN_S + RECOVERY_S, begin + END_S - 1)
+    if before >= 0.25 and after < 0.25:
+        world.breaks("RECOVER", f"{after:.2f} of the requests are served, {before:.2f} were before the final fault")
+
+
+run(play, 80)
