--- a/review/7/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec python3 "$(dirname "$0")/play.py"
