review/7: streams that began unrecorded go on at another version

While the store is silent, streams of the newer software version begin without a record of their origin; all processes are killed, and the take-ups go on at the older version.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/play.py"
