--- a/review/lib-2/bench.py
+++ b/review/lib-2/bench.py
@@ -237,12 +237,14 @@
     async def main():
         nonlocal code
         world = World(folder)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             if not os.path.exists(PROGRAM):
                 raise RuntimeError("target/gspan-node isn't built")
             await asyncio.wait_for(play(world), seconds)
             code = 1 if world.broken else 0
-        except Exception as error:  # pylint: disable=broad-except
+        except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
             world.note(f"could not run: {type(error).__name__} {error}")
             code = 2
         finally:
