gateway: no stream begins at a version that nothing proves

Cause: a stream of another version than the base waited 0.4 s for its record in the store and then began without it, while a silent store is known only after 1.5 s. Whoever isn't recorded is taken for one of the base once all nodes have died.

Change: a stream begins at the base, or with a record that the store has confirmed. Until then - a record that no write has held is withdrawn once the store is late, and the stream begins at the base; - one that was sent may be done seconds later, so the stream is refused as not run after 0.4 s, and its caller's next try begins at the base; - a write that the store refused has done nothing; one whose answer was lost is looked for in the node's own object 0.1 s later; - where the base isn't known or has no replica, the stream waits for half of its time before it is refused.

Why it works: each write names the revision that it replaces, so one that comes late is turned away once a later write or read is confirmed; no attempt begins at one version while a record of another may yet be written.

--- a/gateway/attempts.c
+++ b/gateway/attempts.c
@@ -316,10 +316,19 @@
   call->doubted_at = 0;
   if (is_cut_off (node))
     return false;
+  gspan_origin_records_withdraw (node, call, outbox);
   replica = pick_or_wait (node, call, &waits, outbox);
-  if (replica != NULL && !gspan_origin_records_allow (node, call, replica->software, outbox))
-    return true;
-  if (replica != NULL)
-    send_attempt (node, call, replica, by_relay, outbox);
-  return replica != NULL || waits;
+  if (replica == NULL)
+    return waits;
+  switch (gspan_origin_records_check (node, call, replica->software, outbox))
+    {
+    case GSPAN_STREAM_REFUSED:
+      return false;
+    case GSPAN_STREAM_MAY_START:
+      send_attempt (node, call, replica, by_relay, outbox);
+      break;
+    case GSPAN_STREAM_WAITS:
+      break;
+    }
+  return true;
 }
--- a/gateway/calls.h
+++ b/gateway/calls.h
@@ -48,10 +48,10 @@
   guint64 closed_after; /* event after which only a connection's end ended an answer; 0 is none */
   struct GspanEvents events;
   char *software;       /* version that the stream goes on at; NULL is any */
-  bool has_record;      /* its origin was given to be recorded, at some version */
-  bool was_recorded;    /* the store has had some version as its origin */
-  char *recorded;       /* that version, while its replicas are asked; NULL is any */
-  guint64 record_until; /* it waits until then for the record; 0 is not waiting */
+  guint claims;         /* versions that were given to be recorded as its origin, one by one */
+  char *recorded;       /* the last of them, while its replicas are asked; NULL is any */
+  guint64 record_since; /* it waits for that record since then; 0 is not waiting */
+  const char *refusal;  /* why it may begin nowhere now; static, NULL is no such reason */
   char *resumes; /* attempt that brought the first event of a stream taken up; NULL is none */
   guint64 origin_until; /* other nodes are asked for RESUMES until then; 0 is not asked */
   guint64 store_until;  /* the store is, likewise */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -92,6 +92,8 @@
 {
   if (!gspan_authorize_call_again (node, call))
     return "its API key has been taken away";
+  if (call->refusal != NULL)
+    return call->refusal;
   if (call->retry_at != 0)
     return "no replica has room within its limit";
   return node->links.cut ? "this node reaches no replica" : "no replica is up";
--- a/gateway/origin_store.c
+++ b/gateway/origin_store.c
@@ -10,6 +10,7 @@
   (3 * GSPAN_MS) /* all nodes together write some 300 times a second */
 #define MAY_WAIT_US (GSPAN_SECOND)
 #define RETRY_US (500 * GSPAN_MS)
+#define READ_OWN_US (100 * GSPAN_MS)   /* after a write without an answer: streams wait for it */
 #define LIST_RETRY_US (100 * GSPAN_MS) /* well within a caller's wait for the store */
 #define LIST_SOON_US (300 * GSPAN_MS)
 #define EMPTY_US (5 * GSPAN_SECOND)      /* with nothing to keep, until the object is removed */
@@ -63,6 +64,15 @@
   return gspan_peers_takeover_candidates (node, shard, node->self.name, names, others);
 }
 
+bool
+gspan_origin_store_is_late (const struct GspanNode *node)
+{
+  const struct GspanOriginStore *store = &node->origin_store;
+
+  return node->catalog.store_fails || store->write_failed
+         || (store->call != 0 && node->now >= store->called_at + GSPAN_ORIGIN_STORE_LATE_US);
+}
+
 bool
 gspan_origin_store_is_read (const struct GspanNode *node, guint64 since)
 {
@@ -116,7 +126,7 @@
                 + BYTES_BESIDE_STRINGS;
       if (*bytes > most)
         break;
-      origin->write = write;
+      gspan_streams_note_sent (node, origin, write);
       json_array_append_new (
           list, json_pack ("[s, s, s]", origin->attempt, origin->service, origin->software));
     }
@@ -147,19 +157,6 @@
   }
 }
 
-/* The origins that the last write held, and that haven't changed since, are in the store. */
-static void
-note_recorded (struct GspanNode *node)
-{
-  for (GList *item = node->streams.order.head; item != NULL; item = item->next)
-    {
-      struct GspanOrigin *origin = item->data;
-
-      origin->recorded
-          = origin->recorded || (origin->write != 0 && origin->write == node->origin_store.write);
-    }
-}
-
 static guint64
 write_interval (const struct GspanNode *node)
 {
@@ -176,6 +173,7 @@
   struct GspanRef ref = { GSPAN_OWNER_STREAMS, gspan_node_next_id (node) };
 
   store->call = ref.id;
+  store->called_at = node->now;
   store->op = op;
   return gspan_outbox_store (outbox, ref, op, GSPAN_ORIGIN_STORE_KIND, name);
 }
@@ -279,20 +277,31 @@
   log_listed (node, outbox);
 }
 
+static bool
+is_own_write (enum GspanStoreOp op)
+{
+  return op == GSPAN_STORE_CREATE || op == GSPAN_STORE_REPLACE;
+}
+
 /*
  * A conflict, or any failure, leaves it open what the store holds of this node: it is read before
- * the next write.
+ * the next write, and soon where that write may have been done.
  */
 static void
 on_own_failed (struct GspanNode *node, enum GspanStoreResult result)
 {
   struct GspanOriginStore *store = &node->origin_store;
+  bool in_doubt = is_own_write (store->op) && result != GSPAN_STORE_UNAVAILABLE;
 
+  if (is_own_write (store->op))
+    gspan_streams_note_not_written (&node->streams, store->write, in_doubt);
   store->own_read = false;
   store->may_exist = true;
   store->changed = store->changed || store->op != GSPAN_STORE_REMOVE;
-  if (result != GSPAN_STORE_CONFLICT)
-    store->next_call_at = node->now + RETRY_US;
+  if (result == GSPAN_STORE_CONFLICT)
+    return;
+  store->write_failed = store->write_failed || store->op != GSPAN_STORE_REMOVE;
+  store->next_call_at = node->now + (in_doubt ? READ_OWN_US : RETRY_US);
 }
 
 static void
@@ -306,6 +315,8 @@
     store->revision = 0;
   if (missing)
     {
+      if (is_own_write (store->op))
+        gspan_streams_note_not_written (&node->streams, store->write, false);
       store->changed = store->changed || store->op == GSPAN_STORE_REPLACE;
       store->revision = 0;
       store->own_read = true;
@@ -318,7 +329,8 @@
     {
       store->revision = object != NULL ? object->revision : 0;
       store->own_read = object != NULL;
-      note_recorded (node);
+      store->write_failed = false;
+      gspan_streams_note_written (&node->streams, store->write);
     }
 }
 
--- a/gateway/origin_store.h
+++ b/gateway/origin_store.h
@@ -13,11 +13,14 @@
  */
 
 #define GSPAN_ORIGIN_STORE_KIND "streams"
+#define GSPAN_ORIGIN_STORE_LATE_US (400 * G_TIME_SPAN_MILLISECOND) /* for the store's answer */
 
 struct GspanOriginStore
 {
   guint64 call; /* to the store, under way; 0 is none */
   enum GspanStoreOp op;
+  guint64 called_at; /* CALL was sent */
+  bool write_failed; /* the last write, or the read before it, and none has been done since */
   guint64 next_call_at;
   guint64 may_wait_until; /* changes that may wait are written then; 0 is none */
   bool changed;           /* what this node keeps, since its last write */
@@ -43,6 +46,12 @@
 guint gspan_origin_store_keepers (const struct GspanNode *node, const char *attempt,
                                   const char **names);
 
+/*
+ * True where no record is to be expected soon: the store fails, it has turned the last write away
+ * or lost its answer, or a call has had none for 0.4 s.
+ */
+bool gspan_origin_store_is_late (const struct GspanNode *node);
+
 /* True where all that was kept at SINCE, or five seconds before, has been read. */
 bool gspan_origin_store_is_read (const struct GspanNode *node, guint64 since);
 
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -88,8 +88,10 @@
     return;
   g_free (origin->software);
   origin->software = g_strdup (software);
+  origin->in_doubt = origin->in_doubt || origin->recorded || origin->sent_at != 0;
   origin->recorded = false;
   origin->write = 0;
+  origin->sent_at = 0;
 }
 
 /* Adds an origin; NULL where it is known. */
@@ -132,6 +134,14 @@
   return origin != NULL ? origin : g_hash_table_lookup (node->streams.origins, attempt);
 }
 
+/* The store has ORIGIN; writes that were sent before meet a newer revision. */
+static void
+note_recorded (struct GspanOrigin *origin)
+{
+  origin->recorded = true;
+  origin->in_doubt = false;
+}
+
 /* Has the origin of ATTEMPT, if it is known, kept in the store. */
 static void
 keep (struct GspanNode *node, const char *attempt)
@@ -149,12 +159,13 @@
 gspan_streams_add_kept (struct GspanNode *node, const char *attempt, const char *service,
                         const char *software, bool own)
 {
-  struct GspanOrigin *origin = add (node, attempt, service, software);
+  struct GspanOrigin *origin = add_or_find (node, attempt, service, software);
 
-  if (origin != NULL)
-    origin->recorded = own;
-  if (own)
-    keep (node, attempt);
+  if (origin == NULL || !own)
+    return;
+  if (strcmp (origin->software, software) == 0)
+    note_recorded (origin);
+  keep (node, attempt);
 }
 
 void
@@ -180,6 +191,68 @@
   return origin != NULL && origin->recorded && strcmp (origin->software, software) == 0;
 }
 
+guint64
+gspan_streams_sent_at (const struct GspanStreams *streams, const char *attempt)
+{
+  const struct GspanOrigin *origin = g_hash_table_lookup (streams->origins, attempt);
+
+  return origin != NULL ? origin->sent_at : 0;
+}
+
+static void
+stop_keeping (struct GspanStreams *streams, struct GspanOrigin *origin)
+{
+  streams->kept_count -= origin->kept;
+  origin->kept = false;
+}
+
+bool
+gspan_streams_withdraw (struct GspanNode *node, const char *attempt)
+{
+  struct GspanOrigin *origin = g_hash_table_lookup (node->streams.origins, attempt);
+
+  if (origin == NULL || origin->began || origin->recorded || origin->in_doubt
+      || origin->sent_at != 0)
+    return false;
+  stop_keeping (&node->streams, origin);
+  return true;
+}
+
+void
+gspan_streams_note_sent (const struct GspanNode *node, struct GspanOrigin *origin, guint64 write)
+{
+  origin->write = write;
+  if (origin->sent_at == 0)
+    origin->sent_at = node->now;
+}
+
+void
+gspan_streams_note_written (struct GspanStreams *streams, guint64 write)
+{
+  for (GList *item = streams->order.head; item != NULL; item = item->next)
+    {
+      struct GspanOrigin *origin = item->data;
+
+      if (origin->write == write)
+        note_recorded (origin);
+    }
+}
+
+void
+gspan_streams_note_not_written (struct GspanStreams *streams, guint64 write, bool in_doubt)
+{
+  for (GList *item = streams->order.head; item != NULL; item = item->next)
+    {
+      struct GspanOrigin *origin = item->data;
+
+      if (origin->write != write)
+        continue;
+      origin->in_doubt = origin->in_doubt || in_doubt;
+      if (!origin->in_doubt)
+        origin->sent_at = 0;
+    }
+}
+
 static json_t *
 encode (const struct GspanOrigin *origin)
 {
@@ -315,8 +388,7 @@
   if (origin == NULL)
     return;
   dequeue (origin);
-  node->streams.kept_count -= origin->kept;
-  origin->kept = false;
+  stop_keeping (&node->streams, origin);
 }
 
 void
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -24,6 +24,8 @@
   bool began;       /* its first event is being passed on, so that its version is settled */
   bool recorded;    /* the store has it, as it is here, by this node */
   guint64 write;    /* of this node's object, the last that held it; 0 is none */
+  guint64 sent_at;  /* the first write that may have put it into the store; 0 is none */
+  bool in_doubt;    /* a write that held it, as it is or was, had no answer: it may be done yet */
   guint tell_again; /* 0 for those that others have told */
   GQueue *queue;    /* of the two below; NULL is neither */
   GList *link;      /* in QUEUE */
@@ -65,6 +67,25 @@
 bool gspan_streams_is_recorded (const struct GspanStreams *streams, const char *attempt,
                                 const char *software);
 
+/*
+ * Time at which ATTEMPT's origin was first sent to the store, as it is; 0 is that it wasn't, or
+ * that the store has done none of those writes.
+ */
+guint64 gspan_streams_sent_at (const struct GspanStreams *streams, const char *attempt);
+
+/* Forgets that ATTEMPT was to be recorded. False where the store may have it, now or later. */
+bool gspan_streams_withdraw (struct GspanNode *node, const char *attempt);
+
+/* The write WRITE of this node's object, which is about to be sent, holds ORIGIN. */
+void gspan_streams_note_sent (const struct GspanNode *node, struct GspanOrigin *origin,
+                              guint64 write);
+
+/* The store has done WRITE: it has the origins that this held and that haven't changed since. */
+void gspan_streams_note_written (struct GspanStreams *streams, guint64 write);
+
+/* WRITE has failed. The store hasn't done it; where IN_DOUBT it may have, or do so later. */
+void gspan_streams_note_not_written (struct GspanStreams *streams, guint64 write, bool in_doubt);
+
 /* The stream of ATTEMPT has been passed on to its end: nobody will take it up. */
 void gspan_streams_note_end (struct GspanNode *node, const char *attempt);
 
@@ -74,7 +95,7 @@
 /* Software version that began the stream of ATTEMPT; NULL where it isn't known. */
 const char *gspan_streams_find (const struct GspanStreams *streams, const char *attempt);
 
-/* Adds what the store holds of ATTEMPT; OWN says that this node kept it there. */
+/* Takes in what the store holds of ATTEMPT; OWN says that this node kept it there. */
 void gspan_streams_add_kept (struct GspanNode *node, const char *attempt, const char *service,
                              const char *software, bool own);
 
