gateway: the only version to be seen isn't taken for the base

What callers saw (a test, not a report): all nodes have restarted, the replicas of the base are away for a moment, and the store doesn't answer for the versions that served. Streams begin at the other version. All nodes die, the base is back: 16 of 16 streams go on at it.

Cause: check_only_version () let a stream begin after 0.4 s, or at once where the store fails, though the store may name another version as the base.

Change: such a stream begins once the object of versions, as read or told, names its version. Where the object names no base it begins after 0.4 s as before: it would be refused after the deaths, never joined. Else it waits for half of its time and is refused as not run.

Evidence: UnprovedStreams.BaseThatIsAwayIsNotRead, 16 of 16 joined before, none now; the unit tests pass.

--- a/gateway/origin_records.c
+++ b/gateway/origin_records.c
@@ -147,12 +147,8 @@
       || gspan_peers_has_build_without_records (node))
     return GSPAN_STREAM_MAY_START;
   start_waiting (node, call);
-  if (node->catalog.store_fails
-      || node->now >= MIN (call->record_since + WAIT_US, call->state.deadline_us))
-    {
-      log_decision (node, call, "origin-unrecorded", software, outbox);
-      return GSPAN_STREAM_MAY_START;
-    }
+  if (is_overdue (node, call) || (node->catalog.store_fails && may_begin_unrecorded (node, call)))
+    return stop_waiting (node, call, software, outbox);
   gspan_version_history_need_base (node, call->service);
   return GSPAN_STREAM_WAITS;
 }
--- a/test/unproved_streams_test.cc
+++ b/test/unproved_streams_test.cc
@@ -158,6 +158,20 @@
   EXPECT_EQ (joined, 0U);
 }
 
+/* As above, where the replicas of the base are away for a moment: one version is to be seen. */
+TEST_F (UnprovedStreams, BaseThatIsAwayIsNotRead)
+{
+  start (3);
+  world.remove ("servers", "d1");
+  world.restart_all ();
+  fail_calls_for_streams ();
+  world.run (2 * GSPAN_SECOND);
+  offer_streams (16, 2 * GSPAN_SECOND);
+  world.put ("servers", "d1", replica_spec ("desk", 1, 0).c_str ());
+  die_and_go_on ();
+  EXPECT_EQ (joined, 0U);
+}
+
 /* The base has no replica while streams of the second version begin, and has one afterwards. */
 TEST_F (UnprovedStreams, BaseComesBackAfterAllNodesDied)
 {
