http: a head without a valid status is no answer

What callers saw: a replica that answers with the status 600 or 999, signed and whole, has it passed on as "600 Non-Standard Status". A status of 000, which the users saw on other systems, didn't reach a caller here: libcurl reports no answer for it.

Cause: the head's status was believed as libcurl read it. RFC 9110, section 15, calls statuses outside 100 to 599 invalid.

Change: a status line without three digits from 100 to 599 ends the exchange as lost before its fields or bytes are told.

Evidence: Answers.HeadWithoutAValidStatusIsNoAnswer fails before for 600 and 999 in all four forms, and passes now with the other ten status lines.

--- a/http/answer_head.c
+++ b/http/answer_head.c
@@ -5,7 +5,8 @@
 enum
 {
   BYTES_MAX = 64 << 10,
-  EMPTY_LINE_MAX = 2 /* bytes of an empty line with its end */
+  EMPTY_LINE_MAX = 2, /* bytes of an empty line with its end */
+  STATUS_DIGITS = 3
 };
 
 void
@@ -91,6 +92,28 @@
   return false;
 }
 
+/*
+ * True where the status line LINE has a status from 100 to 599, as in "HTTP/1.1 200 OK"; RFC 9110,
+ * section 15, calls others invalid.
+ */
+static bool
+has_valid_status (struct GspanStr line)
+{
+  size_t at = 0;
+  size_t digits = 0;
+
+  while (at < line.len && line.data[at] != ' ')
+    at++;
+  while (at < line.len && line.data[at] == ' ')
+    at++;
+  while (at + digits < line.len && g_ascii_isdigit (line.data[at + digits]))
+    digits++;
+  if (digits != STATUS_DIGITS || line.data[at] < '1' || line.data[at] > '5')
+    return false;
+  at += digits;
+  return at == line.len || g_ascii_isspace (line.data[at]);
+}
+
 enum GspanHeadResult
 gspan_answer_head_take (struct GspanAnswerHead *head, struct GspanFraming *framing,
                         struct GspanStr line, int status)
@@ -105,6 +128,8 @@
     return GSPAN_HEAD_FOREIGN;
   if (!head->has_status)
     {
+      if (!has_valid_status (line))
+        return GSPAN_HEAD_FOREIGN;
       head->has_status = true;
       gspan_headers_clear (&head->headers);
       gspan_framing_begin_head (framing);
--- a/http/answer_head.h
+++ b/http/answer_head.h
@@ -6,7 +6,8 @@
 /*
  * Reads the heads of one answer line by line: provisional ones, the final one, and trailers, which
  * are dropped. Tells an answer to another request by the header line that each answer to this one
- * repeats, and one that was cut off by the status line of the next one within its head.
+ * repeats, and one that was cut off by the status line of the next one within its head. A head
+ * without a valid status belongs to no request either.
  */
 struct GspanAnswerHead
 {
@@ -21,7 +22,7 @@
 enum GspanHeadResult
 {
   GSPAN_HEAD_OK,
-  GSPAN_HEAD_FOREIGN, /* the answer belongs to another request */
+  GSPAN_HEAD_FOREIGN, /* the answer belongs to another request, or is none */
   GSPAN_HEAD_TOO_LONG
 };
 
--- a/test/answers_test.cc
+++ b/test/answers_test.cc
@@ -282,6 +282,37 @@
     }
 }
 
+/* Issue 55: a replica in trouble sent the status 000, and it reached a client as an answer. */
+TEST_F (Answers, HeadWithoutAValidStatusIsNoAnswer)
+{
+  const std::string fields = id_name + "a\r\nX-Server-Stamp: s\r\nContent-Length: 4\r\n\r\ntext";
+  const std::vector<std::string> invalid
+      = { "000", "0", "099", "20", "-1", "600", "999", "2000", "abc", "2 0", "+20", "" };
+  WireServer server (wire);
+
+  for (const std::string &status : invalid)
+    for (const char *reason : { " X", "" })
+      for (bool stream : { false, true })
+        {
+          const std::string where
+              = "status '" + status + "'" + reason + (stream ? ", streamed" : "");
+
+          server.by_path["/"] = { "HTTP/1.1 " + status + reason + "\r\n" + fields, true, false };
+          const Ended &got = call (server, "/", "a", stream);
+          EXPECT_EQ (got.result, GSPAN_HTTP_LOST) << where;
+          EXPECT_TRUE (got.status < 100 || got.status > 599) << where;
+          EXPECT_EQ (got.body, "") << where;
+          EXPECT_EQ (got.headers, "") << where;
+        }
+  for (const char *status : { "200", "299", "404", "599" })
+    {
+      server.by_path["/"] = { std::string ("HTTP/1.1 ") + status + "\r\n" + fields, true, false };
+      const Ended &got = call (server, "/", "a");
+      EXPECT_EQ (got.result, GSPAN_HTTP_COMPLETE) << status;
+      EXPECT_EQ (got.status, std::stoi (status));
+    }
+}
+
 /* What comes after an answer to "one" that is whole. */
 struct Extra
 {
