gateway: a stream whose rest can't be asked for is broken off

Cause: gspan_call_give_up () took one answer that its connection had ended for the stream's end where nothing more had come, though nobody had answered the question for its rest. Where the attempts were used up it wasn't asked at all, and a stream cut before its first event ended as complete and empty.

Change: only a second answer that ends after the same event ends such a stream as complete; else it is broken off. The replica itself may be asked, so that services of one replica have whole streams.

Two tests are replaced, since they held the fault as right ("by HTTP it is whole, and nobody is left to ask"): a rest that was asked for in vain, and a deadline while it is asked for.

--- a/gateway/answers.c
+++ b/gateway/answers.c
@@ -125,6 +125,16 @@
     gspan_crash_reports_note_silence (node, content, replica, node->now - attempt->sent, outbox);
 }
 
+/* REPLICA may be asked again. */
+static void
+forget_try (struct GspanCall *call, const struct GspanReplica *replica)
+{
+  guint at;
+
+  if (g_ptr_array_find_with_equal_func (call->tried, replica->id, g_str_equal, &at))
+    g_ptr_array_remove_index (call->tried, at);
+}
+
 /*
  * The attempt at REPLICA never left this node: the replica may be tried again, another way, and the
  * attempt isn't one of those that the route allows.
@@ -132,13 +142,10 @@
 static void
 take_back (struct GspanCall *call, const struct GspanReplica *replica)
 {
-  guint at;
-
   if (call->not_sent++ >= NOT_SENT_MAX)
     return;
   call->state.attempts--;
-  if (g_ptr_array_find_with_equal_func (call->tried, replica->id, g_str_equal, &at))
-    g_ptr_array_remove_index (call->tried, at);
+  forget_try (call, replica);
 }
 
 /* The replica says so; it speaks of the last sending only. */
@@ -178,17 +185,20 @@
   return !call->state.response_started || (call->is_events && !call->is_unnumbered);
 }
 
-/* True where the stream may be asked for what follows its last event. */
+/*
+ * True where ANSWER, which its connection has ended, leaves it open whether the stream is whole:
+ * the caller was promised an end, and no answer ended after the same event before.
+ */
 static bool
-may_ask_for_rest (const struct GspanCall *call)
+may_lack_rest (const struct GspanCall *call, const struct GspanEventHttp *answer)
 {
-  return call->is_events && !call->is_unnumbered && call->last_event > 0
-         && gspan_hedge_may_retry (&call->state, false);
+  return ends_with_connection (answer) && call->is_events && !call->is_unnumbered
+         && !call->until_close && !gspan_call_has_ended (call);
 }
 
 /*
- * Asks for what follows where ANSWER, by its connection only, ended a stream that may have been cut
- * there, and none did so after the same event before. False where the stream is to end.
+ * Asks for what may follow the last event, or breaks the stream off where that can't be asked for.
+ * False where the stream is to end.
  */
 static bool
 ask_for_rest (struct GspanNode *node, struct GspanAttempt *attempt,
@@ -196,14 +206,18 @@
 {
   struct GspanCall *call = attempt->call;
 
-  if (!ends_with_connection (answer) || gspan_call_has_ended (call) || !may_ask_for_rest (call))
+  if (!may_lack_rest (call, answer))
     return false;
+  call->is_closed = true;
   call->closed_after = call->last_event;
   gspan_call_log (node, call, "call-end-unknown", "only its connection ended it", answer->status,
                   outbox);
   gspan_replica_worked (attempt->replica);
+  forget_try (call, attempt->replica); /* it may be the only one */
   gspan_call_forget_attempt (node, attempt);
-  if (!gspan_attempts_try_next (node, call, outbox) && call->open->len == 0)
+  if ((!gspan_hedge_may_retry (&call->state, false)
+       || !gspan_attempts_try_next (node, call, outbox))
+      && call->open->len == 0)
     gspan_call_give_up (node, call, "the rest can't be asked for", 0, outbox);
   return true;
 }
@@ -319,9 +333,9 @@
   action->u.reply.request = call->request;
   action->u.reply.status = answer->status;
   /* the end of a stream that may be asked for its rest is known better than that */
-  action->u.reply.until_close
-      = ends_with_connection (answer)
-        && !(call->is_events && call->state.attempts < call->state.attempts_max);
+  call->until_close = ends_with_connection (answer)
+                      && !(call->is_events && call->state.attempts < call->state.attempts_max);
+  action->u.reply.until_close = call->until_close;
   copy_answer_headers (answer->headers, &action->u.reply.headers);
 }
 
--- a/gateway/calls.c
+++ b/gateway/calls.c
@@ -182,7 +182,7 @@
 bool
 gspan_call_has_ended (const struct GspanCall *call)
 {
-  return call->closed_after != 0 && call->closed_after == call->last_event;
+  return call->is_closed && call->closed_after == call->last_event;
 }
 
 void
@@ -196,14 +196,7 @@
   soonest = MAX (soonest, call->retry_at);
   wait = soonest > node->now ? soonest - node->now : 0;
   wait += BUSY_WAIT_US + g_rand_int_range (node->random, 0, (gint32)BUSY_WAIT_US);
-  if (gspan_call_has_ended (call)) /* what might follow was asked for in vain */
-    {
-      gspan_call_log (node, call, "call-answered", "complete", 0, outbox);
-      gspan_call_observe (node, call, GSPAN_METRIC_DESK_COMPLETE);
-      action = gspan_outbox_add (outbox, GSPAN_ACTION_REPLY_END, (struct GspanRef){ 0 });
-      action->u.reply.request = call->request;
-    }
-  else if (call->state.response_started)
+  if (call->state.response_started)
     {
       gspan_call_log (node, call, "call-cut", why, 0, outbox);
       gspan_call_observe (node, call, GSPAN_METRIC_DESK_UNKNOWN);
--- a/gateway/calls.h
+++ b/gateway/calls.h
@@ -45,7 +45,9 @@
   bool has_events;      /* of a stream: some have been passed on */
   bool is_unnumbered;   /* one had no id to go on after */
   guint64 last_event;   /* passed on to the caller, of a stream */
-  guint64 closed_after; /* event after which only a connection's end ended an answer; 0 is none */
+  bool until_close;     /* the caller's answer, which has begun, ends with its connection */
+  bool is_closed;       /* only a connection's end has ended an answer */
+  guint64 closed_after; /* the event after which it did; 0 is before the first */
   struct GspanEvents events;
   char *software;       /* version that the stream goes on at; NULL is any */
   guint claims;         /* versions that were given to be recorded as its origin, one by one */
@@ -90,7 +92,11 @@
 void gspan_call_log (const struct GspanNode *node, const struct GspanCall *call, const char *event,
                      const char *outcome, int status, struct GspanOutbox *outbox);
 
-/* True where an answer has ended the stream after the last event that was passed on. */
+/*
+ * True where only its connection has ended an answer after the last event that was passed on. The
+ * stream may have been cut there: another answer that ends so after the same event shows that it
+ * wasn't.
+ */
 bool gspan_call_has_ended (const struct GspanCall *call);
 
 /* Logs that the call was answered with ANSWER. */
--- a/test/closed_streams_test.cc
+++ b/test/closed_streams_test.cc
@@ -91,8 +91,8 @@
   EXPECT_TRUE (rig.exchanges.empty ());
 }
 
-/* By HTTP it is whole, and nobody is left to ask. */
-TEST_F (ClosedStreams, StreamEndsWhereItsRestIsAskedForInVain)
+/* review/8: all replicas had crashed, and the stream was ended as whole without its rest. */
+TEST_F (ClosedStreams, StreamIsBrokenOffWhereItsRestIsAskedForInVain)
 {
   Rig &rig = start ();
 
@@ -101,18 +101,77 @@
   answer (rig, 3, 2, GSPAN_HTTP_LOST);
   answer (rig, 3, 2, GSPAN_HTTP_LOST);
   world.run (GSPAN_SECOND);
-  EXPECT_EQ (last_status (rig, 1), 0);
+  EXPECT_EQ (last_status (rig, 1), -1);
   EXPECT_EQ (rig.streamed_bytes, sse (1) + sse (2));
 }
 
-TEST_F (ClosedStreams, StreamEndsAtItsDeadlineWhileItsRestIsAskedFor)
+/* As above, where nobody is left to ask. */
+TEST_F (ClosedStreams, StreamIsBrokenOffWhereNoReplicaIsLeft)
+{
+  Rig &rig = start ();
+
+  send_stream (rig, 1);
+  for (const char *replica : { "d1", "d2", "d3" })
+    world.remove ("servers", replica);
+  world.run (3 * GSPAN_SECOND / 10);
+  answer (rig, 1, 2);
+  world.run (GSPAN_SECOND);
+  EXPECT_EQ (last_status (rig, 1), -1);
+}
+
+/* As above, where the route allows no further attempt. */
+TEST_F (ClosedStreams, StreamIsBrokenOffWhereItsAttemptsAreUsedUp)
+{
+  Rig &rig = start (1, 2);
+
+  send_stream (rig, 1);
+  answer (rig, 1, 2, GSPAN_HTTP_LOST);
+  answer (rig, 3, 4);
+  EXPECT_EQ (last_status (rig, 1), -1);
+  EXPECT_EQ (rig.streamed_bytes, sse (1) + sse (2) + sse (3) + sse (4));
+}
+
+TEST_F (ClosedStreams, StreamIsBrokenOffAtItsDeadlineWhileItsRestIsAskedFor)
 {
   Rig &rig = start ();
 
   send_stream (rig, 1);
   answer (rig, 1, 2);
   world.run (GSPAN_SECOND);
+  EXPECT_EQ (last_status (rig, 1), -1);
+}
+
+/* The replica was cut before its first event; one that has none ends so twice. */
+TEST_F (ClosedStreams, StreamThatEndsBeforeItsFirstEventIsAskedForAgain)
+{
+  Rig &rig = start ();
+
+  send_stream (rig, 1);
+  answer (rig, 1, 0);
+  EXPECT_EQ (last_status (rig, 1), 200) << "not ended";
+  answer (rig, 1, 2);
+  answer (rig, 3, 2);
   EXPECT_EQ (last_status (rig, 1), 0);
+  EXPECT_EQ (rig.streamed_bytes, sse (1) + sse (2));
+  send_stream (rig, 2);
+  answer (rig, 1, 0);
+  answer (rig, 1, 0);
+  EXPECT_EQ (last_status (rig, 2), 0);
+}
+
+/* It is asked itself: a service of one replica has whole streams, too. */
+TEST_F (ClosedStreams, TheOnlyReplicaIsAskedForTheRest)
+{
+  Rig &rig = start ();
+
+  world.remove ("servers", "d2");
+  world.remove ("servers", "d3");
+  world.run (GSPAN_SECOND);
+  send_stream (rig, 1);
+  answer (rig, 1, 2);
+  answer (rig, 3, 2);
+  EXPECT_EQ (last_status (rig, 1), 0);
+  EXPECT_EQ (rig.streamed_bytes, sse (1) + sse (2));
 }
 
 /* More events came, and then a break. */
