http: answers that end with their connection are reset by a kill

Cause: the process itself reset what it broke off; where it was killed the kernel closed its connections by FIN.

Change: the socket of such an answer has SO_LINGER with 0 s until the last block is with the kernel, so that its end by a kill is a reset.

--- a/http/server.c
+++ b/http/server.c
@@ -262,6 +262,8 @@
   if (request->ended)
     {
       request->given = true; /* the last block has been sent, or this wouldn't be called */
+      if (ends_with_connection (request))
+        gspan_tcp_set_reset_on_close (connection_of (request->connection)->fd, false);
       return MHD_CONTENT_READER_END_OF_STREAM;
     }
   request_suspend (request);
@@ -308,6 +310,8 @@
   add_reply_headers (response, &request->reply_headers);
   if (request->server->closing)
     MHD_add_response_header (response, "Connection", "close");
+  if (ends_with_connection (request)) /* a kill of this process may not look like its end */
+    gspan_tcp_set_reset_on_close (connection_of (request->connection)->fd, true);
   result = MHD_queue_response (request->connection, (unsigned)request->status, response);
   MHD_destroy_response (response);
   gspan_connection_note_answer (connection_of (request->connection),
--- a/http/tcp.c
+++ b/http/tcp.c
@@ -58,6 +58,14 @@
   return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+void
+gspan_tcp_set_reset_on_close (int fd, bool reset)
+{
+  const struct linger linger = { .l_onoff = reset, .l_linger = 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 bool
 gspan_tcp_reset (int fd)
 {
--- a/http/tcp.h
+++ b/http/tcp.h
@@ -22,5 +22,11 @@
 /* True if bytes wait to be read from the socket FD. */
 bool gspan_tcp_has_input (int fd);
 
+/*
+ * Whether the connection of the socket FD ends by a reset when it is closed, also where the process
+ * is killed. Bytes that the peer hasn't acknowledged are lost then.
+ */
+void gspan_tcp_set_reset_on_close (int fd, bool reset);
+
 /* Ends the connection of the socket FD, which stays open, by a reset. False where it has none. */
 bool gspan_tcp_reset (int fd);
--- a/test/caller_answers_test.cc
+++ b/test/caller_answers_test.cc
@@ -1,6 +1,9 @@
 #include "test/bench.h"
 #include "test/wire.h"
 
+#include <csignal>
+#include <sys/wait.h>
+
 extern "C"
 {
 #include "http/server.h"
@@ -198,6 +201,65 @@
   SetUp ();
 }
 
+/*
+ * A process that serves one answer which ends with its connection: a part of it, and no more. Gives
+ * its port to the pipe PORT.
+ */
+[[noreturn]] static void
+serve_a_part (int port)
+{
+  static GspanHttpServer *server;
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  GspanHttpLimits limits = { 1000, 50, 0, 2000, 100000, 0 };
+  GspanHttpHandler handler{};
+
+  handler.request = [] (void *, const GspanHttpIncoming *incoming) {
+    GspanHeaders none{};
+    GBytes *bytes = g_bytes_new_static ("a part", 6);
+
+    gspan_headers_init (&none);
+    gspan_http_server_end_by_close (server, incoming->id);
+    gspan_http_server_begin (server, incoming->id, 200, &none);
+    gspan_http_server_data (server, incoming->id, bytes);
+    g_bytes_unref (bytes);
+    gspan_headers_finish (&none);
+  };
+  handler.gone = [] (void *, guint64) {};
+  server = gspan_http_server_new (loop, "127.0.0.1:0", &limits, &handler, nullptr);
+  uint16_t number = gspan_http_server_port (server);
+  (void)!write (port, &number, sizeof number);
+  ev_run (loop, 0);
+  _exit (0);
+}
+
+/* review/2: the kernel ended the connections of a killed process by FIN, as if they were whole. */
+TEST_F (CallerAnswers, AnswerThatItsConnectionIsToEndIsResetWhereTheProcessIsKilled)
+{
+  for (const CallerRow &row : caller_rows)
+    {
+      int ends[2];
+      uint16_t port = 0;
+
+      ASSERT_EQ (pipe (ends), 0);
+      const pid_t child = fork ();
+      if (child == 0)
+        serve_a_part (ends[1]);
+      ASSERT_EQ (read (ends[0], &port, sizeof port), (ssize_t)sizeof port);
+      {
+        WireCaller caller (port);
+
+        caller.say (row.request);
+        EXPECT_TRUE (wire.run_until ([&] { return caller.hears ("a part"); })) << row.name;
+        kill (child, SIGKILL);
+        waitpid (child, nullptr, 0);
+        EXPECT_TRUE (wire.run_until ([&] { return caller.hears (""); })) << row.name;
+        EXPECT_FALSE (looks_whole (caller.got, caller.reset)) << row.name << "\n" << caller.got;
+      }
+      close (ends[0]);
+      close (ends[1]);
+    }
+}
+
 TEST_F (CallerAnswers, StreamThatEndsIsWhole)
 {
   for (const CallerRow &row : caller_rows)
