--- a/gateway/version_history.c
+++ b/gateway/version_history.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "gateway/version_set.h"
 #include "gateway/versions.h"
 #include "node/node.h"
 
@@ -35,12 +36,6 @@
   guint64 differs_since; /* from what serves; 0 is not */
 };
 
-static GHashTable *
-new_set (void)
-{
-  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-}
-
 static void
 stored_free (gpointer data)
 {
@@ -82,7 +77,7 @@
   if (stored != NULL)
     return stored;
   stored = g_new0 (struct Stored, 1);
-  stored->versions = new_set ();
+  stored->versions = gspan_version_set_new ();
   g_hash_table_insert (history->services, g_strdup (service), stored);
   return stored;
 }
@@ -178,25 +173,13 @@
   }
 }
 
-static json_t *
-encode_set (GHashTable *set)
-{
-  json_t *list = json_array ();
-  GHashTableIter iter;
-  gpointer key;
-
-  g_hash_table_iter_init (&iter, set);
-  while (g_hash_table_iter_next (&iter, &key, NULL) && json_array_size (list) < VERSIONS_MAX)
-    json_array_append_new (list, json_string (key));
-  return list;
-}
-
 static void
 tell_others (struct GspanNode *node, const char *service, struct GspanOutbox *outbox)
 {
   const struct Stored *stored = stored_of (&node->version_history, service);
-  json_t *message = json_pack ("{s:s, s:i, s:s, s:o}", "kind", "software", "format", FORMAT_VERSION,
-                               "service", service, "versions", encode_set (stored->versions));
+  json_t *message
+      = json_pack ("{s:s, s:i, s:s, s:o}", "kind", "software", "format", FORMAT_VERSION, "service",
+                   service, "versions", gspan_version_set_encode (stored->versions));
 
   if (stored->base != NULL)
     json_object_set_new (message, "base", json_string (stored->base));
@@ -234,52 +217,18 @@
   if (writes == NULL)
     return;
   call->revision = stored_of (history, service)->revision;
-  call->value = json_pack ("{s:i, s:o}", "format", FORMAT_VERSION, "versions", encode_set (writes));
+  call->value = json_pack ("{s:i, s:o}", "format", FORMAT_VERSION, "versions",
+                           gspan_version_set_encode (writes));
   if (base != NULL)
     json_object_set_new (call->value, "base", json_string (base));
 }
 
-static bool
-is_same (GHashTable *one, GHashTable *other)
-{
-  GHashTableIter iter;
-  gpointer key;
-
-  if (g_hash_table_size (one) != g_hash_table_size (other))
-    return false;
-  g_hash_table_iter_init (&iter, one);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      if (!g_hash_table_contains (other, key))
-        return false;
-    }
-  return true;
-}
-
-static gint
-compare_names (gconstpointer a, gconstpointer b)
-{
-  return strcmp (a, b);
-}
-
-/* The versions that SERVICE has had lately, as many as are kept. Released with g_hash_table_unref.
+/* The versions that SERVICE has had lately, as many as are kept; free with g_hash_table_unref ().
  */
 static GHashTable *
 versions_to_keep (const struct GspanNode *node, const char *service)
 {
-  GHashTable *lately = gspan_versions_lately (node, service);
-  GHashTable *kept;
-  GList *names;
-
-  if (g_hash_table_size (lately) <= VERSIONS_MAX)
-    return lately;
-  kept = new_set ();
-  names = g_list_sort (g_hash_table_get_keys (lately), compare_names);
-  for (GList *item = names; g_hash_table_size (kept) < VERSIONS_MAX; item = item->next)
-    g_hash_table_add (kept, g_strdup (item->data));
-  g_list_free (names);
-  g_hash_table_unref (lately);
-  return kept;
+  return gspan_version_set_keep_first (gspan_versions_lately (node, service), VERSIONS_MAX);
 }
 
 /*
@@ -305,7 +254,7 @@
 static bool
 is_up_to_date (const struct GspanNode *node, const struct Stored *stored, GHashTable *lately)
 {
-  return stored->known && is_same (stored->versions, lately)
+  return stored->known && gspan_version_set_equal (stored->versions, lately)
          && g_strcmp0 (stored->base, base_to_keep (node, stored, lately)) == 0;
 }
 
@@ -410,7 +359,7 @@
 log_written (const char *service, GHashTable *versions, const char *base,
              struct GspanOutbox *outbox)
 {
-  json_t *list = encode_set (versions);
+  json_t *list = gspan_version_set_encode (versions);
   char *text = json_dumps (list, JSON_COMPACT);
   struct GspanLine line;
 
@@ -427,7 +376,7 @@
 on_written (struct GspanNode *node, const char *service, GHashTable *versions, const char *base,
             struct GspanOutbox *outbox)
 {
-  json_t *list = encode_set (versions);
+  json_t *list = gspan_version_set_encode (versions);
 
   node->version_history.next_call_at = node->now + WRITE_EVERY_US;
   take_versions (node, service, list, base);
--- a/gateway/versions.c
+++ b/gateway/versions.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "gateway/version_set.h"
 #include "node/node.h"
 
 void
@@ -145,7 +146,7 @@
 GHashTable *
 gspan_versions_lately (const struct GspanNode *node, const char *service)
 {
-  GHashTable *set = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GHashTable *set = gspan_version_set_new ();
 
   visit (node, service, add_to_set, set);
   return set;
