node: the server of a reply is looked up for replies only

do_action () read u.reply.to_node of every action, which is another member of the union for most of them (undefined; a fuzzer under sanitizers reported it, without an effect seen). No test fails before: the value went unused.

--- a/node/shell.c
+++ b/node/shell.c
@@ -103,8 +103,6 @@
 static void
 do_action (struct GspanNodeShell *shell, struct GspanAction *action)
 {
-  struct GspanHttpServer *server = action->u.reply.to_node ? shell->relay : shell->callers;
-
   switch (action->kind)
     {
     case GSPAN_ACTION_REPLY:
@@ -112,7 +110,7 @@
     case GSPAN_ACTION_REPLY_DATA:
     case GSPAN_ACTION_REPLY_END:
     case GSPAN_ACTION_REPLY_ABORT:
-      gspan_actions_reply (server, action);
+      gspan_actions_reply (action->u.reply.to_node ? shell->relay : shell->callers, action);
       break;
     case GSPAN_ACTION_HTTP:
       gspan_actions_start_http (shell->client, action->ref, &action->u.http, on_event, shell);
