catalog: reads that are overdue are logged and counted

A node that never learned a change of the store said nothing: its calls were answered, or given up and begun anew. read-overdue names the kind, the call under way and how long the node has waited; gspan_upstreams_age_ms is the age of what is proven of the replicas. store-lost and store-regained say for how long the store hadn't answered the node.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -146,6 +146,12 @@
   return catalog->replicas_as_of != 0 ? now - catalog->replicas_as_of : G_MAXUINT64;
 }
 
+guint64
+gspan_catalog_proof_age (const struct GspanCatalog *catalog, guint64 now)
+{
+  return catalog->replicas_proven_at != 0 ? now - catalog->replicas_proven_at : 0;
+}
+
 void
 gspan_catalog_receive_replicas (struct GspanNode *node, const struct GspanStoreReply *reply,
                                 guint64 age_us, struct GspanOutbox *outbox)
@@ -190,6 +196,8 @@
   struct GspanFollower *follower = &node->catalog.followers[which];
   bool missing = newest > follower->newest;
 
+  if (missing && follower->fed_newest <= follower->newest)
+    follower->missing_since = node->now;
   follower->fed_newest = newest;
   if (node->catalog.store_fails || !follower->synced)
     return;
@@ -453,6 +461,7 @@
   gspan_apply_remove_lapsed (node, outbox);
   gspan_leaving_tick (node, outbox);
   gspan_feed_tick (node, outbox);
+  gspan_overdue_tick (node, outbox);
   for (guint i = 0; i < GSPAN_FOLLOW_COUNT; i++)
     {
       if (may_call (node, i))
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -6,6 +6,7 @@
 #include "catalog/known_objects.h"
 #include "catalog/leaving.h"
 #include "catalog/odd_objects.h"
+#include "catalog/overdue.h"
 #include "catalog/replica.h"
 
 struct GspanNode;
@@ -66,6 +67,7 @@
   guint64 newest;        /* revision of the newest object read, but for unfinished lists */
   guint64 newest_read;   /* as above, with these */
   guint64 fed_newest;    /* as above, as another node has told (catalog/feed.h) */
+  guint64 missing_since; /* something newer than NEWEST was first told; while it is missing */
   guint64 next_at;       /* the next call isn't made before */
   guint64 revision;      /* all changes up to it are known, as far as the store has told */
   guint64 listed_at;     /* the last whole list was asked for; 0 is never */
@@ -74,6 +76,7 @@
   bool in_doubt;         /* another node knows other objects: only a list is believed now */
   struct GspanKnownObjects known;
   struct GspanListing listing;
+  struct GspanOverdue overdue;
 };
 
 struct GspanCatalog
@@ -125,6 +128,9 @@
 /* Age of what is known of the replicas, in microseconds; G_MAXUINT64 before the first list. */
 guint64 gspan_catalog_replicas_age (const struct GspanCatalog *catalog, guint64 now);
 
+/* Age of the last proof that no change of the replicas is unknown, in microseconds; 0 before it. */
+guint64 gspan_catalog_proof_age (const struct GspanCatalog *catalog, guint64 now);
+
 /* Lists the replicas, unless they are known as of SINCE or a list is under way that will show it.
  */
 void gspan_catalog_want_replicas (struct GspanNode *node, guint64 since);
--- a/catalog/outage.c
+++ b/catalog/outage.c
@@ -25,6 +25,7 @@
   gspan_line_init (&line, fails ? "store-lost" : "store-regained");
   gspan_line_cstr (&line, "result", gspan_store_result_name (result));
   gspan_line_u64 (&line, "failures", catalog->failures);
+  gspan_line_u64 (&line, "silent_us", node->now - catalog->store_ok_at);
   gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_WARNING, &line);
 }
 
@@ -70,7 +71,7 @@
   if (ends_outage (node))
     node->catalog.lapse_until = node->now + LAPSE_GRACE_US;
   node->catalog.store_failed = false;
-  node->catalog.store_ok_at = node->now;
   node->catalog.failures = 0;
   gspan_outage_set (node, false, GSPAN_STORE_OK, outbox);
+  node->catalog.store_ok_at = node->now;
 }
--- /dev/null
+++ b/catalog/overdue.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <glib.h>
+
+struct GspanNode;
+struct GspanOutbox;
+
+/*
+ * Notices that this node hasn't learned what the store says for longer than it should, although the
+ * store answers it: by a list that never ends, or by one that isn't begun.
+ */
+
+/* When an overdue read is logged next, by kind followed; 0 is at once. */
+struct GspanOverdue
+{
+  guint64 log_at;
+};
+
+/*
+ * Logs and counts each kind whose last proof (replicas), or whose first message that something
+ * newer exists (other kinds), is older than twice the drain notice; again after as long.
+ */
+void gspan_overdue_tick (struct GspanNode *node, struct GspanOutbox *outbox);
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -96,6 +96,8 @@
   = { "gspan_store_changes_missed_total", "changes of the store that only a later list showed" },
   [GSPAN_METRIC_REPLICAS_DIFFER]
   = { "gspan_replicas_differ_total", "messages of a node that knew other upstreams than this one" },
+  [GSPAN_METRIC_READS_OVERDUE]
+  = { "gspan_store_reads_overdue_total", "times that a change of the store was long overdue here" },
   [GSPAN_METRIC_DRAINS_WITHDRAWN]
   = { "gspan_drains_withdrawn_total", "entries of draining upstreams written as ready again" },
   [GSPAN_METRIC_LOG_LINES_DROPPED]
@@ -123,6 +125,8 @@
   [GSPAN_GAUGE_LINKS_DOWN] = { "gspan_links_down", "upstreams that the last check didn't reach" },
   [GSPAN_GAUGE_RELAYED_FOR_OTHERS]
   = { "gspan_relaying_for_others", "requests of other nodes being passed on" },
+  [GSPAN_GAUGE_UPSTREAMS_AGE]
+  = { "gspan_upstreams_age_ms", "since when the upstreams are proven to be as they are known" },
 };
 
 static const struct Description histograms[GSPAN_HISTOGRAM_COUNT] = {
--- a/node/node.c
+++ b/node/node.c
@@ -448,6 +448,8 @@
                      gspan_limits_count (&node->rate_limits));
   gspan_metrics_set (metrics, GSPAN_GAUGE_RELAYED_FOR_OTHERS,
                      gspan_relay_server_open (&node->relay_server));
+  gspan_metrics_set (metrics, GSPAN_GAUGE_UPSTREAMS_AGE,
+                     gspan_catalog_proof_age (&node->catalog, node->now) / GSPAN_MS);
   gspan_metrics_set (metrics, GSPAN_GAUGE_LINKS_CUT, node->links.cut);
   gspan_metrics_set (metrics, GSPAN_GAUGE_LINKS_DOWN, g_hash_table_size (node->links.down));
 }
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -188,6 +188,7 @@
   StoreFault fault = StoreFault::None;
   std::function<StoreFault (const Rig &, const GspanStoreCall &)> fault_of; /* instead, by call */
   guint64 latency_us = 4 * GSPAN_MS;
+  std::function<guint64 (const Rig &, const GspanStoreCall &)> latency_of; /* instead, by call */
   size_t page_size = 500;
   bool lose_datagrams = false;
   bool conflicts_are_bare = false;      /* a create that conflicts isn't told what stands */
@@ -380,7 +381,7 @@
     item.call = *call;
     *call = {};
     item.watch = item.call.op == GSPAN_STORE_WATCH && !has_events (item.call);
-    item.done_at = now + latency_us;
+    item.done_at = now + (latency_of ? latency_of (*rig, item.call) : latency_us);
     if (item.watch)
       item.done_at = now + item.call.wait_ms * GSPAN_MS;
     item.lost = !can_reach_store (*rig);
