--- /dev/null
+++ b/test/cut_nodes_test.cc
@@ -0,0 +1,125 @@
+#include "test/node_world.h"
+
+/*
+ * A node that was cut off from the store and from the other nodes, while the store served all
+ * others. From three seconds after the cut it has to act on what the store says.
+ */
+
+class CutNodes : public NodeTest
+{
+protected:
+  static constexpr guint64 stable_us = 3 * GSPAN_SECOND;
+  const std::string first_desk = "http://10.0.0.1:80";
+
+  Rig &
+  find_holder ()
+  {
+    for (auto &rig : world.rigs)
+      if (rig->node.weights.lease.held)
+        return *rig;
+    return *world.rigs[0];
+  }
+
+  Rig &
+  find_listener ()
+  {
+    return world.rigs[0]->node.weights.lease.held ? *world.rigs[1] : *world.rigs[0];
+  }
+
+  /* Cuts RIG off from the store and from all nodes, or ends that. */
+  void
+  set_cut (Rig &rig, bool is_cut)
+  {
+    rig.cut_from_store = is_cut;
+    world.loses_datagram = nullptr;
+    if (!is_cut)
+      return;
+    world.loses_datagram = [&rig] (const Rig &from, const std::string &to) {
+      return &from == &rig || to == rig.node.self.udp_address;
+    };
+  }
+};
+
+TEST_F (CutNodes, ReplicaThatWasRemovedMeanwhileGetsNothingOnceTheNodeIsBack)
+{
+  start_nodes (4);
+  world.run (5 * GSPAN_SECOND);
+  for (unsigned i = 0; i < 12; i++)
+    {
+      Rig &rig = find_listener ();
+
+      set_cut (rig, true);
+      world.run (4 * GSPAN_SECOND);
+      world.remove ("servers", "d1");
+      world.run (8 * GSPAN_SECOND + i * 230 * GSPAN_MS);
+      set_cut (rig, false);
+      world.run (stable_us);
+      EXPECT_EQ (count_requests_to (rig, first_desk, 100 + i * 100), 0U) << i;
+      world.put ("servers", "d1", replica_spec ("desk", 1, 0).c_str ());
+      world.run (2 * GSPAN_SECOND);
+    }
+}
+
+TEST_F (CutNodes, ReplicaThatWasRemovedMeanwhileGetsNothingFromTheHolderOfTheLeaseThatWasCut)
+{
+  start_nodes (4);
+  world.run (5 * GSPAN_SECOND);
+  for (unsigned i = 0; i < 12; i++)
+    {
+      Rig &rig = find_holder ();
+
+      set_cut (rig, true);
+      world.run (4 * GSPAN_SECOND);
+      world.remove ("servers", "d1");
+      world.run (8 * GSPAN_SECOND + i * 230 * GSPAN_MS);
+      set_cut (rig, false);
+      world.run (stable_us);
+      EXPECT_EQ (count_requests_to (rig, first_desk, 100 + i * 100), 0U) << i;
+      world.put ("servers", "d1", replica_spec ("desk", 1, 0).c_str ());
+      world.run (2 * GSPAN_SECOND);
+    }
+}
+
+TEST_F (CutNodes, ConfigurationOfMeanwhileIsInForceOnceTheNodeIsBack)
+{
+  start_nodes (4);
+  world.latency_of = [] (const Rig &, const GspanStoreCall &call) {
+    return (call.op == GSPAN_STORE_LIST ? 600 : 4) * GSPAN_MS;
+  };
+  world.run (5 * GSPAN_SECOND);
+  for (unsigned i = 0; i < 12; i++)
+    {
+      Rig &rig = find_listener ();
+
+      set_cut (rig, true);
+      world.run (4 * GSPAN_SECOND);
+      world.put ("config", "main", config_spec (10 + i).c_str ());
+      world.run (8 * GSPAN_SECOND + i * 230 * GSPAN_MS);
+      set_cut (rig, false);
+      world.run (stable_us);
+      EXPECT_EQ (rig.node.catalog.config.number, 10 + i);
+    }
+}
+
+/* The store was away for all: what it doesn't hold may be registered again. */
+TEST_F (CutNodes, EntriesThatLapsedInAnOutageOfTheStoreAreUsedUntilTheyAreBack)
+{
+  start_nodes (4);
+  world.run (5 * GSPAN_SECOND);
+  for (unsigned i = 0; i < 12; i++)
+    {
+      world.fault = StoreFault::Unreachable;
+      world.run (8 * GSPAN_SECOND + i * 230 * GSPAN_MS);
+      world.remove_without_event ("servers", "d1");
+      world.fault = StoreFault::None;
+      for (unsigned step = 0; step < 18; step++)
+        {
+          world.run (100 * GSPAN_MS);
+          for (auto &rig : world.rigs)
+            EXPECT_TRUE (g_hash_table_contains (rig->node.catalog.replicas, "d1"))
+                << rig->name << " " << i << " " << step;
+        }
+      world.put ("servers", "d1", replica_spec ("desk", 1, 0).c_str ());
+      world.run (3 * GSPAN_SECOND);
+    }
+}
