catalog: an outage that one node saw alone is none of the store's

Callers' requests reached a replica 12 s after the store had acknowledged that it is gone, at a VM that had been cut off from the store meanwhile. The node read a whole list without the replica, and used it for two seconds more: after an outage of its own calls it took each missing entry for one that had expired while the store was away for all.

The node that tells the others now says for how long the store has served it without an outage. A node whose outage lies within that time was cut off alone: what is missing is gone. Where nobody tells, or the teller missed the store as well, entries are kept as before.

--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -113,7 +113,8 @@
                 struct GspanOutbox *outbox)
 {
   struct GspanCatalog *catalog = &node->catalog;
-  guint64 until = MAX (catalog->lapse_until, catalog->many_removed ? node->now + MANY_GRACE_US : 0);
+  guint64 until
+      = MAX (catalog->outage.lapse_until, catalog->many_removed ? node->now + MANY_GRACE_US : 0);
   bool may_come_back = until > node->now;
 
   log_replica (node, replica, may_come_back ? "upstream-lapsed" : "upstream-gone",
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -6,6 +6,7 @@
 #include "catalog/known_objects.h"
 #include "catalog/leaving.h"
 #include "catalog/odd_objects.h"
+#include "catalog/outage.h"
 #include "catalog/overdue.h"
 #include "catalog/replica.h"
 
@@ -99,9 +100,9 @@
   guint64 told_failed_at;  /* likewise, as another node has told of its own calls */
   char *told_failed_by;    /* that node; NULL is none */
   bool store_failed;       /* a call of any kind failed, and none has been answered since */
-  guint64 lapse_until;     /* until then a missing entry may be registered again, after an outage */
-  bool many_removed;       /* the answer being taken in removes half of the replicas or more */
-  guint failures;          /* in a row */
+  struct GspanOutage outage;
+  bool many_removed; /* the answer being taken in removes half of the replicas or more */
+  guint failures;    /* in a row */
 };
 
 void gspan_catalog_init (struct GspanCatalog *catalog, bool follows_retirements);
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -211,7 +211,7 @@
   struct GspanFeed *feed = &node->catalog.feed;
   guint64 pause = replicas->revision != feed->published_revision ? TELL_CHANGE_US : TELL_US;
   guint64 failed_at = catalog->store_failed_at;
-  guint64 lapse_until = catalog->lapse_until;
+  guint64 lapse_until = catalog->outage.lapse_until;
   json_t *message;
 
   if (!gspan_feed_publishes (node))
@@ -240,6 +240,8 @@
                        gspan_proof_has_digest (catalog)
                            ? json_integer ((json_int_t)replicas->known.digest)
                            : json_null ());
+  json_object_set_new (message, "served_us",
+                       json_integer ((json_int_t)gspan_outage_served_us (catalog, node->now)));
   json_object_set_new (message, "lease_revision",
                        json_integer ((json_int_t)node->weights.lease.revision));
   gspan_peers_send_all (node, message, outbox);
@@ -325,8 +327,10 @@
     gspan_outage_note_told_failure (
         catalog, json_string_value (json_object_get (json_object_get (message, "lease"), "holder")),
         node->now - MIN (node->now, number_of (message, "failed_us")));
-  catalog->lapse_until
-      = MAX (catalog->lapse_until, node->now + MIN (recent, number_of (message, "lapse_us")));
+  catalog->outage.lapse_until = MAX (catalog->outage.lapse_until,
+                                     node->now + MIN (recent, number_of (message, "lapse_us")));
+  if (json_object_get (message, "served_us") != NULL) /* builds before this one don't tell */
+    gspan_outage_note_told_service (node, number_of (message, "served_us"));
   catalog->feed.heard_until = node->now + recent - age;
   if (!take_changes (node, message, age, outbox))
     return;
--- a/catalog/outage.c
+++ b/catalog/outage.c
@@ -26,6 +26,8 @@
   gspan_line_cstr (&line, "result", gspan_store_result_name (result));
   gspan_line_u64 (&line, "failures", catalog->failures);
   gspan_line_u64 (&line, "silent_us", node->now - catalog->store_ok_at);
+  gspan_line_u64 (&line, "lapse_us",
+                  catalog->outage.lapse_until - MIN (node->now, catalog->outage.lapse_until));
   gspan_outbox_log (outbox, "catalog", GSPAN_PRIORITY_WARNING, &line);
 }
 
@@ -55,23 +57,84 @@
   return MAX (catalog->store_failed_at, catalog->told_failed_at);
 }
 
+/* The last time at which this node knew by any way what the store held. */
+static guint64
+last_heard_at (const struct GspanCatalog *catalog)
+{
+  return MAX (catalog->store_ok_at, catalog->replicas_as_of);
+}
+
 /* True if an outage ends now that may have been long enough for entries to expire. */
 static bool
 ends_outage (const struct GspanNode *node)
 {
   const struct GspanCatalog *catalog = &node->catalog;
 
-  return catalog->store_failed
-         && node->now - MAX (catalog->store_ok_at, catalog->replicas_as_of) >= OUTAGE_LEAST_US;
+  return catalog->store_failed && node->now - last_heard_at (catalog) >= OUTAGE_LEAST_US;
+}
+
+/* True where the store served another node all through the last outage of this one. */
+static bool
+was_alone (const struct GspanNode *node)
+{
+  const struct GspanOutage *outage = &node->catalog.outage;
+
+  return outage->told_at != 0 && node->now <= outage->told_at + OUTAGE_LEAST_US
+         && outage->told_served_since <= outage->began_at;
+}
+
+/* No entry that is missing has expired: those that were kept are gone. */
+static void
+end_lapse (struct GspanNode *node)
+{
+  struct GspanOutage *outage = &node->catalog.outage;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->catalog.replicas);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct GspanReplica *replica = value;
+
+      if (replica->remove_at == outage->lapse_until)
+        replica->remove_at = node->now;
+    }
+  outage->lapse_until = 0;
+}
+
+void
+gspan_outage_note_told_service (struct GspanNode *node, guint64 served_us)
+{
+  struct GspanOutage *outage = &node->catalog.outage;
+
+  outage->told_at = node->now;
+  outage->told_served_since = node->now - MIN (node->now, served_us);
+  if (node->now < outage->lapse_until && was_alone (node))
+    end_lapse (node);
+}
+
+guint64
+gspan_outage_served_us (const struct GspanCatalog *catalog, guint64 now)
+{
+  return catalog->outage.ended_at != 0 ? now - catalog->outage.ended_at : 0;
 }
 
 void
 gspan_outage_note_answer (struct GspanNode *node, struct GspanOutbox *outbox)
 {
+  struct GspanCatalog *catalog = &node->catalog;
+  struct GspanOutage *outage = &catalog->outage;
+
   if (ends_outage (node))
-    node->catalog.lapse_until = node->now + LAPSE_GRACE_US;
-  node->catalog.store_failed = false;
-  node->catalog.failures = 0;
+    {
+      outage->began_at = last_heard_at (catalog);
+      outage->ended_at = node->now;
+      outage->lapse_until = was_alone (node) ? 0 : node->now + LAPSE_GRACE_US;
+    }
+  if (outage->ended_at == 0)
+    outage->ended_at = node->now;
+  catalog->store_failed = false;
+  catalog->failures = 0;
   gspan_outage_set (node, false, GSPAN_STORE_OK, outbox);
-  node->catalog.store_ok_at = node->now;
+  catalog->store_ok_at = node->now;
 }
--- a/test/odd_entries_test.cc
+++ b/test/odd_entries_test.cc
@@ -642,11 +642,11 @@
           "stream-ask", "relay-ask", "relay-offer", "ask",         "taken",   "runs",
           "stuck",      "reads",     "listed",      "over",        "ended",   "left" };
   const char *const fields[]
-      = { "format",         "from",     "udp",      "job",      "changes", "to",        "lease",
-          "lease_revision", "config",   "nodes",    "verdicts", "age_us",  "failed_us", "lapse_us",
-          "reports",        "limits",   "limit",    "streams",  "attempt", "id",        "traffic",
-          "count",          "reach_us", "after_us", "full_us",  "head",    "revision",  "segments",
-          "read_from",      "after",    "load",     "draining" };
+      = { "format",         "from",      "udp",      "job",      "changes", "to",        "lease",
+          "lease_revision", "config",    "nodes",    "verdicts", "age_us",  "failed_us", "lapse_us",
+          "reports",        "limits",    "limit",    "streams",  "attempt", "id",        "traffic",
+          "count",          "reach_us",  "after_us", "full_us",  "head",    "revision",  "segments",
+          "served_us",      "read_from", "after",    "load",     "draining" };
   const std::string values[]
       = { "null",
           "true",
