catalog: a node that hears the others again asks the store at once

VMs that had been cut off together noticed the end of the cut 1.1 and 1.5 s apart, up to 2.7 s after it: a call that was sent into the cut hangs for 1.5 s, and the pause after it takes up to 1.2 s more. In that time they act on what they knew before the cut.

The first message of another node after a silence says that the cut may be over. The next call to the store then follows without a pause; it is one call for each silence, so a node that the store alone turns away asks no oftener.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -226,6 +226,13 @@
   list_again (&catalog->followers[GSPAN_FOLLOW_CONFIG]);
 }
 
+void
+gspan_catalog_probe_now (struct GspanCatalog *catalog, guint64 now)
+{
+  if (catalog->store_fails)
+    catalog->followers[GSPAN_FOLLOW_CONFIG].next_at = now;
+}
+
 static void
 back_off (struct GspanNode *node, struct GspanFollower *follower)
 {
@@ -233,8 +240,11 @@
   guint64 pause = BACKOFF_FIRST_US << MIN (catalog->failures, BACKOFF_DOUBLINGS);
 
   catalog->failures++;
-  follower->next_at
-      = node->now + pause / 2 + (guint64)g_rand_int_range (node->random, 0, (gint32)pause);
+  follower->next_at = node->now;
+  /* A call that was sent into a cut says nothing of the time since other nodes are heard again. */
+  if (follower->called_at < catalog->feed.heard_again_at)
+    return;
+  follower->next_at += pause / 2 + (guint64)g_rand_int_range (node->random, 0, (gint32)pause);
 }
 
 /* True where the answer took long to come, so that the next watch wouldn't begin right after it. */
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -123,6 +123,9 @@
 /* Lists the configuration and the replicas next, in place of a watch that waits now. */
 void gspan_catalog_list_again (struct GspanCatalog *catalog);
 
+/* While the store fails, asks whether it is back without a pause. */
+void gspan_catalog_probe_now (struct GspanCatalog *catalog, guint64 now);
+
 /* Starts or stops following WHICH. */
 void gspan_catalog_want (struct GspanCatalog *catalog, enum GspanFollowed which, bool wanted);
 
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -309,6 +309,14 @@
                               outbox);
 }
 
+/* A node that was cut off from the others hears them: the store may be there again as well. */
+static void
+note_heard_again (struct GspanNode *node)
+{
+  node->catalog.feed.heard_again_at = node->now;
+  gspan_catalog_probe_now (&node->catalog, node->now);
+}
+
 void
 gspan_feed_receive (struct GspanNode *node, json_t *message, struct GspanOutbox *outbox)
 {
@@ -331,6 +339,8 @@
                                      node->now + MIN (recent, number_of (message, "lapse_us")));
   if (json_object_get (message, "served_us") != NULL) /* builds before this one don't tell */
     gspan_outage_note_told_service (node, number_of (message, "served_us"));
+  if (node->now >= catalog->feed.heard_until)
+    note_heard_again (node);
   catalog->feed.heard_until = node->now + recent - age;
   if (!take_changes (node, message, age, outbox))
     return;
--- a/catalog/feed.h
+++ b/catalog/feed.h
@@ -23,6 +23,7 @@
   bool publishing;            /* this node has told others since it took the lease */
   guint64 published_at;       /* holder: the last message to the others */
   guint64 published_revision; /* holder: of the replicas, then */
+  guint64 heard_again_at;     /* listener: the first message after a silence, 0 is none */
   guint64 heard_until;        /* listener: the revisions heard are recent enough until then */
   guint64 fresh_until;        /* listener: the replicas, too; changes of them may be missing */
 };
--- a/test/cut_nodes_test.cc
+++ b/test/cut_nodes_test.cc
@@ -101,6 +101,44 @@
     }
 }
 
+/* The first message of another node tells that the cut is over; a call under way may still hang. */
+TEST_F (CutNodes, NodeThatHearsTheOthersAgainAsksTheStoreAtOnce)
+{
+  static constexpr guint64 call_timeout_us = 1500 * GSPAN_MS;
+  static constexpr guint64 message_us = 400 * GSPAN_MS;
+
+  start_nodes (4);
+  world.run (5 * GSPAN_SECOND);
+  for (unsigned i = 0; i < 24; i++)
+    {
+      Rig &rig = find_listener ();
+
+      set_cut (rig, true);
+      world.run (8 * GSPAN_SECOND + i * 130 * GSPAN_MS);
+      ASSERT_TRUE (rig.node.catalog.store_fails);
+      set_cut (rig, false);
+      world.run (call_timeout_us + message_us);
+      EXPECT_FALSE (rig.node.catalog.store_fails) << i;
+    }
+}
+
+/* It hears the others all the time: what they tell is no news of the store. */
+TEST_F (CutNodes, NodeThatTheStoreAloneTurnsAwayAsksAsSeldomAsBefore)
+{
+  start_nodes (4);
+  world.run (5 * GSPAN_SECOND);
+  Rig &rig = find_listener ();
+  world.fault_of = [&rig] (const Rig &caller, const GspanStoreCall &) {
+    return &caller == &rig ? StoreFault::Busy : StoreFault::None;
+  };
+  world.put ("config", "main", config_spec (4).c_str ());
+  world.run (5 * GSPAN_SECOND);
+  ASSERT_TRUE (rig.node.catalog.store_fails);
+  unsigned before = rig.call_counts["list config"];
+  world.run (10 * GSPAN_SECOND);
+  EXPECT_LT (rig.call_counts["list config"] - before, 16U);
+}
+
 /* The store was away for all: what it doesn't hold may be registered again. */
 TEST_F (CutNodes, EntriesThatLapsedInAnOutageOfTheStoreAreUsedUntilTheyAreBack)
 {
