catalog: a list under way isn't given up as the node begins to tell the others

Requests would go to a replica that drains for as long as the holder's calls take 0.6 to 0.9 s. It renews its lease every 0.5 s and tells the others until 1 s after a renewal was sent, so that it begins to tell once for each renewal; each time it gave up the list under way, and the next one began from nothing.

What has to end there is a watch, which may wait in vain. A list proves what stood in the store since it was asked for, whenever its answer comes.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -168,6 +168,20 @@
   follower->next_at = node->catalog.replicas_as_of + replicas_pause (node);
 }
 
+/*
+ * The next call is a list: a watch may wait in vain, on a dead connection or where its history is
+ * gone. A list that is under way ends in any case, so that events which come faster than lists are
+ * read can't keep them from being read.
+ */
+static void
+stop_watching (struct GspanFollower *follower)
+{
+  if (!follower->watching)
+    return;
+  follower->call = 0;
+  follower->watching = false;
+}
+
 static void
 list_again (struct GspanFollower *follower)
 {
@@ -215,15 +229,15 @@
 void
 gspan_catalog_list_again (struct GspanCatalog *catalog)
 {
-  list_again (&catalog->followers[GSPAN_FOLLOW_CONFIG]);
-  list_again (&catalog->followers[GSPAN_FOLLOW_REPLICAS]);
+  stop_watching (&catalog->followers[GSPAN_FOLLOW_CONFIG]);
+  stop_watching (&catalog->followers[GSPAN_FOLLOW_REPLICAS]);
 }
 
 /* The follower that asks whether the store is back doesn't wait in an older watch. */
 static void
 start_probing (struct GspanCatalog *catalog)
 {
-  list_again (&catalog->followers[GSPAN_FOLLOW_CONFIG]);
+  stop_watching (&catalog->followers[GSPAN_FOLLOW_CONFIG]);
 }
 
 void
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -120,7 +120,10 @@
 /* Another node has told that the newest object of WHICH has the revision NEWEST. */
 void gspan_catalog_note_newest (struct GspanNode *node, enum GspanFollowed which, guint64 newest);
 
-/* Lists the configuration and the replicas next, in place of a watch that waits now. */
+/*
+ * Lists the configuration and the replicas next, in place of a watch that waits now. A list that is
+ * under way goes on.
+ */
 void gspan_catalog_list_again (struct GspanCatalog *catalog);
 
 /* While the store fails, asks whether it is back without a pause. */
