catalog: callers that want a newer list let the one under way end

A stream that is taken up wants a list that was asked for after its caller came. Each such caller gave up the list under way for another one, so that none ended while callers came faster than lists were read: streams waited in vain, and no change of the replicas was learned.

The list under way ends, and another one follows where somebody still waits for a newer one; callers make no more calls than before.

SlowReads.CallersThatComeFasterThanLists... failed before (no list in 10 s of callers every 100 ms, lists of 500 ms), and passes now.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -181,26 +181,19 @@
   follower->watching = false;
 }
 
-static void
-list_again (struct GspanFollower *follower)
-{
-  follower->call = 0;
-  follower->watching = false;
-  gspan_listing_abandon (&follower->listing);
-}
-
 void
 gspan_catalog_want_replicas (struct GspanNode *node, guint64 since)
 {
   struct GspanCatalog *catalog = &node->catalog;
   struct GspanFollower *follower = &catalog->followers[GSPAN_FOLLOW_REPLICAS];
-  bool lists = follower->call != 0 && !follower->watching;
 
-  if (catalog->replicas_proven_at >= since || (lists && follower->listing.began_at >= since))
+  if (catalog->replicas_proven_at >= since)
     return;
-  list_again (follower);
+  follower->wanted_since = MAX (follower->wanted_since, since);
+  if (follower->call != 0 && !follower->watching)
+    return;
+  stop_watching (follower);
   follower->next_at = 0;
-  follower->wanted_since = since;
 }
 
 void
@@ -276,13 +269,23 @@
   follower->next_at = node->now + pause;
 }
 
+/* True where somebody waits for a list that is newer than what is known. */
+static bool
+is_wanted_now (const struct GspanNode *node, enum GspanFollowed which)
+{
+  return which == GSPAN_FOLLOW_REPLICAS
+         && node->catalog.followers[which].wanted_since > node->catalog.replicas_proven_at;
+}
+
 /* Says what comes after a whole list. */
 static void
 plan_after_list (struct GspanNode *node, enum GspanFollowed which)
 {
   struct GspanFollower *follower = &node->catalog.followers[which];
 
-  follower->watching = true;
+  follower->watching = !is_wanted_now (node, which);
+  if (!follower->watching)
+    return;
   if (which == GSPAN_FOLLOW_REPLICAS && !watches_replicas (node))
     {
       follower->watching = false;
@@ -400,14 +403,6 @@
   return false;
 }
 
-/* True where somebody waits for a list that is newer than what is known. */
-static bool
-is_wanted_now (const struct GspanNode *node, enum GspanFollowed which)
-{
-  return which == GSPAN_FOLLOW_REPLICAS
-         && node->catalog.followers[which].wanted_since > node->catalog.replicas_proven_at;
-}
-
 static bool
 may_call (const struct GspanNode *node, enum GspanFollowed which)
 {
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -138,7 +138,9 @@
 /* Age of the last proof that no change of the replicas is unknown, in microseconds; 0 before it. */
 guint64 gspan_catalog_proof_age (const struct GspanCatalog *catalog, guint64 now);
 
-/* Lists the replicas, unless they are known as of SINCE or a list is under way that will show it.
+/*
+ * Lists the replicas, unless they are known as of SINCE. A list that is under way and was asked for
+ * before is followed by another one.
  */
 void gspan_catalog_want_replicas (struct GspanNode *node, guint64 since);
 
