catalog: a list under way isn't given up for what another node tells

Where the node that tells the others is slow, its messages prove what is older than a stream needs, and a node that hears them wants a list of its own. Each message, every 0.3 s, gave that list up since its answer may be older than what the message changed.

The list goes on. Of the objects that changed meanwhile it decides nothing where it is older than the change.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -151,22 +151,6 @@
   return catalog->replicas_proven_at != 0 ? now - catalog->replicas_proven_at : 0;
 }
 
-void
-gspan_catalog_receive_replicas (struct GspanNode *node, const struct GspanStoreReply *reply,
-                                guint64 age_us, struct GspanOutbox *outbox)
-{
-  struct GspanFollower *follower = &node->catalog.followers[GSPAN_FOLLOW_REPLICAS];
-
-  /* Its answer may be older than what is taken in here. */
-  follower->call = 0;
-  follower->watching = false;
-  gspan_listing_abandon (&follower->listing);
-  node->catalog.replicas_source = GSPAN_SOURCE_FEED;
-  node->catalog.replicas_as_of = node->now - MIN (node->now, age_us);
-  gspan_reading_apply_events (node, GSPAN_FOLLOW_REPLICAS, reply, outbox);
-  follower->next_at = node->catalog.replicas_as_of + replicas_pause (node);
-}
-
 /*
  * The next call is a list: a watch may wait in vain, on a dead connection or where its history is
  * gone. A list that is under way ends in any case, so that events which come faster than lists are
@@ -181,6 +165,19 @@
   follower->watching = false;
 }
 
+void
+gspan_catalog_receive_replicas (struct GspanNode *node, const struct GspanStoreReply *reply,
+                                guint64 age_us, struct GspanOutbox *outbox)
+{
+  struct GspanFollower *follower = &node->catalog.followers[GSPAN_FOLLOW_REPLICAS];
+
+  stop_watching (follower);
+  node->catalog.replicas_source = GSPAN_SOURCE_FEED;
+  node->catalog.replicas_as_of = node->now - MIN (node->now, age_us);
+  gspan_reading_apply_events (node, GSPAN_FOLLOW_REPLICAS, reply, outbox);
+  follower->next_at = node->catalog.replicas_as_of + replicas_pause (node);
+}
+
 void
 gspan_catalog_want_replicas (struct GspanNode *node, guint64 since)
 {
@@ -444,8 +441,7 @@
 
   if (!follower->watching && after == NULL)
     {
-      follower->listing.began_at = node->now;
-      follower->listing.began_wall_ms = node->wall_ms;
+      gspan_listing_begin (&follower->listing, node->now, node->wall_ms);
     }
   follower->call = ref.id;
   follower->called_at = node->now;
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -52,7 +52,8 @@
   guint64 revision;       /* of the store, at the first page */
   guint64 newest;         /* revision of the newest object met */
   bool tells_differences; /* to the other nodes, of what was known before */
-  GHashTable *names;
+  GHashTable *names;      /* of the objects met */
+  GHashTable *changed;    /* name to guint64, see gspan_reading_apply_events () */
 };
 
 struct GspanFollower
@@ -111,8 +112,8 @@
                            struct GspanOutbox *outbox);
 
 /*
- * Takes in changes of replicas that another node has read AGE_US ago; calls under way for them are
- * left. That these are all is claimed apart.
+ * Takes in changes of replicas that another node has read AGE_US ago, in place of a watch that
+ * waits now. A list that is under way goes on. That these are all changes is claimed apart.
  */
 void gspan_catalog_receive_replicas (struct GspanNode *node, const struct GspanStoreReply *reply,
                                      guint64 age_us, struct GspanOutbox *outbox);
--- a/catalog/feed.c
+++ b/catalog/feed.c
@@ -269,6 +269,7 @@
   if (!follower->synced || follower->in_doubt || number_of (message, "from") > known)
     return false;
   gspan_store_reply_init (&reply);
+  reply.revision = number_of (message, "to");
   json_array_foreach (json_object_get (message, "changes"), index, change)
   {
     const char *name = json_string_value (json_object_get (change, "name"));
--- a/catalog/reading.c
+++ b/catalog/reading.c
@@ -10,6 +10,7 @@
 {
   *listing = (struct GspanListing){ 0 };
   listing->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  listing->changed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void
@@ -17,6 +18,15 @@
 {
   g_free (listing->after);
   g_hash_table_unref (listing->names);
+  g_hash_table_unref (listing->changed);
+}
+
+void
+gspan_listing_begin (struct GspanListing *listing, guint64 now, gint64 wall_ms)
+{
+  listing->began_at = now;
+  listing->began_wall_ms = wall_ms;
+  g_hash_table_remove_all (listing->changed);
 }
 
 void
@@ -25,6 +35,31 @@
   g_clear_pointer (&listing->after, g_free);
 }
 
+static bool
+is_listing (const struct GspanFollower *follower)
+{
+  return !follower->watching && (follower->call != 0 || follower->listing.after != NULL);
+}
+
+/* Notes that the object NAME is known as of REVISION, whatever a list of before shows. */
+static void
+note_changed (struct GspanListing *listing, const char *name, guint64 revision)
+{
+  guint64 *value = g_new (guint64, 1);
+
+  *value = revision;
+  g_hash_table_replace (listing->changed, g_strdup (name), value);
+}
+
+/* True where the object NAME is known as of a later revision than that of the list. */
+static bool
+has_changed_since (const struct GspanListing *listing, const char *name)
+{
+  const guint64 *revision = g_hash_table_lookup (listing->changed, name);
+
+  return revision != NULL && *revision > listing->revision;
+}
+
 /* True where OBJECT is of no use to any node: no replica has such a name. */
 static bool
 is_passed_over (enum GspanFollowed which, const struct GspanStoreObject *object)
@@ -122,6 +157,8 @@
 
   g_hash_table_add (listing->names, g_strdup (object->name));
   listing->newest = MAX (listing->newest, object->revision);
+  if (has_changed_since (listing, object->name))
+    return;
   /* What was read of a list that was given up is beyond the revision that the others were told. */
   if (listing->tells_differences && (!is_read || object->revision > follower->revision))
     gspan_feed_note_change (node, object, MAX (listing->revision, object->revision));
@@ -140,7 +177,8 @@
 
   for (GList *item = names; item != NULL; item = item->next)
     {
-      if (!g_hash_table_contains (follower->listing.names, item->data))
+      if (!g_hash_table_contains (follower->listing.names, item->data)
+          && !has_changed_since (&follower->listing, item->data))
         missing = g_list_prepend (missing, g_strdup (item->data));
     }
   g_list_free (names);
@@ -198,13 +236,13 @@
   const struct GspanListing *listing = &follower->listing;
 
   take_missing (node, which, outbox);
-  if (which == GSPAN_FOLLOW_REPLICAS && !listing->tells_differences)
-    gspan_feed_reset (&node->catalog.feed, listing->revision);
   if (!follower->synced)
     follower->synced_at = node->now;
   follower->synced = true;
   follower->in_doubt = false;
-  follower->revision = listing->revision;
+  follower->revision = MAX (follower->revision, listing->revision);
+  if (which == GSPAN_FOLLOW_REPLICAS && !listing->tells_differences)
+    gspan_feed_reset (&node->catalog.feed, follower->revision);
   follower->newest = MAX (follower->newest, listing->newest);
   follower->listed_at = listing->began_at;
   follower->listed_wall_ms = listing->began_wall_ms;
@@ -258,6 +296,8 @@
       const struct GspanStoreObject *object = g_ptr_array_index (reply->objects, i);
 
       follower->newest = MAX (follower->newest, object->revision);
+      if (is_listing (follower))
+        note_changed (&follower->listing, object->name, MAX (reply->revision, object->revision));
       if (!is_outdated (follower, which, object))
         apply (node, which, object, outbox);
     }
--- a/catalog/reading.h
+++ b/catalog/reading.h
@@ -13,6 +13,9 @@
 void gspan_listing_init (struct GspanListing *listing);
 void gspan_listing_finish (struct GspanListing *listing);
 
+/* A list is asked for now. */
+void gspan_listing_begin (struct GspanListing *listing, guint64 now, gint64 wall_ms);
+
 /* Gives up the list under way, if any; what was read of it stays known. */
 void gspan_listing_abandon (struct GspanListing *listing);
 
@@ -20,7 +23,10 @@
 bool gspan_reading_take_page (struct GspanNode *node, enum GspanFollowed which,
                               const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
 
-/* Takes in changes. The revision that is known stays. */
+/*
+ * Takes in changes that hold as of the revision of REPLY. The revision that is known stays. A list
+ * that is under way, and older than that, decides nothing about the objects that changed.
+ */
 void gspan_reading_apply_events (struct GspanNode *node, enum GspanFollowed which,
                                  const struct GspanStoreReply *reply, struct GspanOutbox *outbox);
 
--- a/test/slow_reads_test.cc
+++ b/test/slow_reads_test.cc
@@ -115,6 +115,36 @@
     }
 }
 
+/*
+ * The holder tells of lists that are too old for them, and more often than their own take: one that
+ * is under way already, and the one that they want.
+ */
+TEST_F (SlowReads, NodesThatAreToldOfOldListsReadOnesOfTheirOwn)
+{
+  static constexpr guint64 list_us = 450 * GSPAN_MS;
+
+  start_nodes (4);
+  world.run (5 * GSPAN_SECOND);
+  const Rig &holder = find_rig (true);
+  Rig &rig = find_rig (false);
+  world.latency_of = [&holder] (const Rig &caller, const GspanStoreCall &) {
+    return &caller == &holder ? 700 * GSPAN_MS : list_us;
+  };
+  world.run (5 * GSPAN_SECOND);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      guint64 since = world.now;
+      GspanNode &node = rig.node;
+
+      gspan_catalog_want_replicas (&node, since);
+      EXPECT_LT (
+          run_until (5 * GSPAN_SECOND, [&] { return node.catalog.replicas_proven_at >= since; }),
+          2 * list_us + 10 * GSPAN_MS)
+          << i;
+      world.run (330 * GSPAN_MS);
+    }
+}
+
 /* What another node tells while the list is under way is newer than the list, and stays. */
 TEST_F (SlowReads, ListBesideWhatAnotherNodeTells)
 {
