catalog: half of the replicas removed during a cut is no lapse either

The same as a single one: a node that was cut off alone, and reads then that half of the replicas are gone, used them for two seconds more, as entries that vanish together may have expired. What no list has proven since a cut that was the node's own is not taken for that.

--- a/catalog/apply.c
+++ b/catalog/apply.c
@@ -1,5 +1,6 @@
 #include "catalog/apply.h"
 
+#include "catalog/outage.h"
 #include "common/clock.h"
 #include "node/node.h"
 #include "platform/wire.h"
@@ -108,18 +109,26 @@
   g_hash_table_remove (node->catalog.replicas, replica->id);
 }
 
+/* Until when a replica whose entry is missing may be registered again; 0 where it is gone. */
+static guint64
+may_come_back_until (const struct GspanNode *node)
+{
+  const struct GspanCatalog *catalog = &node->catalog;
+  bool many = catalog->many_removed && !gspan_outage_was_own (node);
+  guint64 until = MAX (catalog->outage.lapse_until, many ? node->now + MANY_GRACE_US : 0);
+
+  return until > node->now ? until : 0;
+}
+
 static void
 remove_replica (struct GspanNode *node, struct GspanReplica *replica, guint64 revision,
                 struct GspanOutbox *outbox)
 {
-  struct GspanCatalog *catalog = &node->catalog;
-  guint64 until
-      = MAX (catalog->outage.lapse_until, catalog->many_removed ? node->now + MANY_GRACE_US : 0);
-  bool may_come_back = until > node->now;
+  guint64 until = may_come_back_until (node);
 
-  log_replica (node, replica, may_come_back ? "upstream-lapsed" : "upstream-gone",
-               state_of (replica), revision, outbox);
-  if (may_come_back)
+  log_replica (node, replica, until != 0 ? "upstream-lapsed" : "upstream-gone", state_of (replica),
+               revision, outbox);
+  if (until != 0)
     replica->remove_at = until;
   else
     drop_replica (node, replica, outbox);
--- a/catalog/outage.c
+++ b/catalog/outage.c
@@ -75,7 +75,7 @@
 
 /* True where the store served another node all through the last outage of this one. */
 static bool
-was_alone (const struct GspanNode *node)
+serves_others (const struct GspanNode *node)
 {
   const struct GspanOutage *outage = &node->catalog.outage;
 
@@ -96,10 +96,10 @@
     {
       struct GspanReplica *replica = value;
 
-      if (replica->remove_at == outage->lapse_until)
-        replica->remove_at = node->now;
+      replica->remove_at = MIN (replica->remove_at, node->now);
     }
   outage->lapse_until = 0;
+  outage->was_own = true;
 }
 
 void
@@ -109,10 +109,18 @@
 
   outage->told_at = node->now;
   outage->told_served_since = node->now - MIN (node->now, served_us);
-  if (node->now < outage->lapse_until && was_alone (node))
+  if (node->now < outage->lapse_until && serves_others (node))
     end_lapse (node);
 }
 
+bool
+gspan_outage_was_own (const struct GspanNode *node)
+{
+  const struct GspanCatalog *catalog = &node->catalog;
+
+  return catalog->outage.was_own && catalog->replicas_proven_at < catalog->outage.ended_at;
+}
+
 guint64
 gspan_outage_served_us (const struct GspanCatalog *catalog, guint64 now)
 {
@@ -129,7 +137,8 @@
     {
       outage->began_at = last_heard_at (catalog);
       outage->ended_at = node->now;
-      outage->lapse_until = was_alone (node) ? 0 : node->now + LAPSE_GRACE_US;
+      outage->was_own = serves_others (node);
+      outage->lapse_until = outage->was_own ? 0 : node->now + LAPSE_GRACE_US;
     }
   if (outage->ended_at == 0)
     outage->ended_at = node->now;
--- a/catalog/outage.h
+++ b/catalog/outage.h
@@ -18,6 +18,7 @@
 {
   guint64 began_at;          /* the store's last answer before it; 0 is none */
   guint64 ended_at;          /* the first answer after it, or of all; 0 is none yet */
+  bool was_own;              /* the store served another node all through it */
   guint64 lapse_until;       /* until then a missing entry may be registered again */
   guint64 told_at;           /* the other node's last message; 0 is none */
   guint64 told_served_since; /* since then the store has answered that node without an outage */
@@ -42,6 +43,12 @@
 /* The node that tells the others has had the store's answers, without an outage, for SERVED_US. */
 void gspan_outage_note_told_service (struct GspanNode *node, guint64 served_us);
 
+/*
+ * True where what this node learns now of the replicas happened while it alone was cut off from the
+ * store: no list has proven them since.
+ */
+bool gspan_outage_was_own (const struct GspanNode *node);
+
 /* For how long the store has answered this node without an outage, in microseconds. */
 guint64 gspan_outage_served_us (const struct GspanCatalog *catalog, guint64 now);
 
