--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -2,6 +2,7 @@
 
 #include "catalog/apply.h"
 #include "catalog/outage.h"
+#include "catalog/overdue.h"
 #include "catalog/reading.h"
 #include "common/clock.h"
 #include "node/node.h"
@@ -440,9 +441,7 @@
   struct GspanStoreCall *call;
 
   if (!follower->watching && after == NULL)
-    {
-      gspan_listing_begin (&follower->listing, node->now, node->wall_ms);
-    }
+    gspan_listing_begin (&follower->listing, node->now, node->wall_ms);
   follower->call = ref.id;
   follower->called_at = node->now;
   call = gspan_outbox_store (outbox, ref, follower->watching ? GSPAN_STORE_WATCH : GSPAN_STORE_LIST,
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -7,7 +7,6 @@
 #include "catalog/leaving.h"
 #include "catalog/odd_objects.h"
 #include "catalog/outage.h"
-#include "catalog/overdue.h"
 #include "catalog/replica.h"
 
 struct GspanNode;
@@ -60,25 +59,25 @@
 {
   const char *kind;
   bool wanted;
-  bool synced;           /* has read a whole list since the start */
-  guint64 synced_at;     /* the first one */
-  bool watching;         /* the next call, or the one under way, is a watch, else a list */
-  guint64 call;          /* under way; 0 is none */
-  guint64 called_at;     /* CALL was sent */
-  guint64 wait_us;       /* that CALL may take, if it is a watch */
-  guint64 newest;        /* revision of the newest object read, but for unfinished lists */
-  guint64 newest_read;   /* as above, with these */
-  guint64 fed_newest;    /* as above, as another node has told (catalog/feed.h) */
-  guint64 missing_since; /* something newer than NEWEST was first told; while it is missing */
-  guint64 next_at;       /* the next call isn't made before */
-  guint64 revision;      /* all changes up to it are known, as far as the store has told */
-  guint64 listed_at;     /* the last whole list was asked for; 0 is never */
-  gint64 listed_wall_ms; /* the same by the wall clock */
-  guint64 wanted_since;  /* somebody waits for a list asked for after this; 0 is nobody */
-  bool in_doubt;         /* another node knows other objects: only a list is believed now */
+  bool synced;            /* has read a whole list since the start */
+  guint64 synced_at;      /* the first one */
+  bool watching;          /* the next call, or the one under way, is a watch, else a list */
+  guint64 call;           /* under way; 0 is none */
+  guint64 called_at;      /* CALL was sent */
+  guint64 wait_us;        /* that CALL may take, if it is a watch */
+  guint64 newest;         /* revision of the newest object read, but for unfinished lists */
+  guint64 newest_read;    /* as above, with these */
+  guint64 fed_newest;     /* as above, as another node has told (catalog/feed.h) */
+  guint64 missing_since;  /* something newer than NEWEST was first told; while it is missing */
+  guint64 overdue_log_at; /* a change that is overdue is logged again from then on */
+  guint64 next_at;        /* the next call isn't made before */
+  guint64 revision;       /* all changes up to it are known, as far as the store has told */
+  guint64 listed_at;      /* the last whole list was asked for; 0 is never */
+  gint64 listed_wall_ms;  /* the same by the wall clock */
+  guint64 wanted_since;   /* somebody waits for a list asked for after this; 0 is nobody */
+  bool in_doubt;          /* another node knows other objects: only a list is believed now */
   struct GspanKnownObjects known;
   struct GspanListing listing;
-  struct GspanOverdue overdue;
 };
 
 struct GspanCatalog
--- a/catalog/outage.c
+++ b/catalog/outage.c
@@ -75,7 +75,7 @@
 
 /* True where the store served another node all through the last outage of this one. */
 static bool
-serves_others (const struct GspanNode *node)
+served_another (const struct GspanNode *node)
 {
   const struct GspanOutage *outage = &node->catalog.outage;
 
@@ -109,7 +109,7 @@
 
   outage->told_at = node->now;
   outage->told_served_since = node->now - MIN (node->now, served_us);
-  if (node->now < outage->lapse_until && serves_others (node))
+  if (node->now < outage->lapse_until && served_another (node))
     end_lapse (node);
 }
 
@@ -137,7 +137,7 @@
     {
       outage->began_at = last_heard_at (catalog);
       outage->ended_at = node->now;
-      outage->was_own = serves_others (node);
+      outage->was_own = served_another (node);
       outage->lapse_until = outage->was_own ? 0 : node->now + LAPSE_GRACE_US;
     }
   if (outage->ended_at == 0)
--- a/catalog/outage.h
+++ b/catalog/outage.h
@@ -18,7 +18,7 @@
 {
   guint64 began_at;          /* the store's last answer before it; 0 is none */
   guint64 ended_at;          /* the first answer after it, or of all; 0 is none yet */
-  bool was_own;              /* the store served another node all through it */
+  bool was_own;              /* this node saw it alone: the store served another one all through */
   guint64 lapse_until;       /* until then a missing entry may be registered again */
   guint64 told_at;           /* the other node's last message; 0 is none */
   guint64 told_served_since; /* since then the store has answered that node without an outage */
--- a/catalog/overdue.c
+++ b/catalog/overdue.c
@@ -63,9 +63,9 @@
       struct GspanFollower *follower = &catalog->followers[i];
       guint64 since = waits_since (catalog, i);
 
-      if (since == 0 || node->now < since + most || node->now < follower->overdue.log_at)
+      if (since == 0 || node->now < since + most || node->now < follower->overdue_log_at)
         continue;
       report (node, follower, since, outbox);
-      follower->overdue.log_at = node->now + most;
+      follower->overdue_log_at = node->now + most;
     }
 }
--- a/catalog/overdue.h
+++ b/catalog/overdue.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <glib.h>
-
 struct GspanNode;
 struct GspanOutbox;
 
@@ -10,12 +8,6 @@
  * store answers it: by a list that never ends, or by one that isn't begun.
  */
 
-/* When an overdue read is logged next, by kind followed; 0 is at once. */
-struct GspanOverdue
-{
-  guint64 log_at;
-};
-
 /*
  * Logs and counts each kind whose last proof (replicas), or whose first message that something
  * newer exists (other kinds), is older than twice the drain notice; again after as long.
--- a/test/cut_nodes_test.cc
+++ b/test/cut_nodes_test.cc
@@ -38,70 +38,52 @@
       return &from == &rig || to == rig.node.self.udp_address;
     };
   }
+
+  /*
+   * Removes the replicas NAMES while FIND_RIG's node is cut off, at twelve moments of its calls,
+   * and counts requests that reach d1 from it once it is back.
+   */
+  void
+  expect_removed_replicas_unused (const std::vector<std::string> &names,
+                                  const std::function<Rig &()> &find_rig)
+  {
+    start_nodes (4);
+    world.run (5 * GSPAN_SECOND);
+    for (unsigned i = 0; i < 12; i++)
+      {
+        Rig &rig = find_rig ();
+
+        set_cut (rig, true);
+        world.run (4 * GSPAN_SECOND);
+        for (const auto &name : names)
+          world.remove ("servers", name);
+        world.run (8 * GSPAN_SECOND + i * 230 * GSPAN_MS);
+        set_cut (rig, false);
+        world.run (stable_us);
+        EXPECT_EQ (count_requests_to (rig, first_desk, 100 + i * 100), 0U) << i;
+        world.put ("servers", "d1", replica_spec ("desk", 1, 0).c_str ());
+        world.put ("servers", "m1", replica_spec ("llm", 3, 1).c_str ());
+        world.put ("servers", "m2", replica_spec ("llm", 4, 1).c_str ());
+        world.run (2 * GSPAN_SECOND);
+      }
+  }
 };
 
 TEST_F (CutNodes, ReplicaThatWasRemovedMeanwhileGetsNothingOnceTheNodeIsBack)
 {
-  start_nodes (4);
-  world.run (5 * GSPAN_SECOND);
-  for (unsigned i = 0; i < 12; i++)
-    {
-      Rig &rig = find_listener ();
-
-      set_cut (rig, true);
-      world.run (4 * GSPAN_SECOND);
-      world.remove ("servers", "d1");
-      world.run (8 * GSPAN_SECOND + i * 230 * GSPAN_MS);
-      set_cut (rig, false);
-      world.run (stable_us);
-      EXPECT_EQ (count_requests_to (rig, first_desk, 100 + i * 100), 0U) << i;
-      world.put ("servers", "d1", replica_spec ("desk", 1, 0).c_str ());
-      world.run (2 * GSPAN_SECOND);
-    }
+  expect_removed_replicas_unused ({ "d1" }, [this] () -> Rig & { return find_listener (); });
 }
 
 TEST_F (CutNodes, ReplicaThatWasRemovedMeanwhileGetsNothingFromTheHolderOfTheLeaseThatWasCut)
 {
-  start_nodes (4);
-  world.run (5 * GSPAN_SECOND);
-  for (unsigned i = 0; i < 12; i++)
-    {
-      Rig &rig = find_holder ();
-
-      set_cut (rig, true);
-      world.run (4 * GSPAN_SECOND);
-      world.remove ("servers", "d1");
-      world.run (8 * GSPAN_SECOND + i * 230 * GSPAN_MS);
-      set_cut (rig, false);
-      world.run (stable_us);
-      EXPECT_EQ (count_requests_to (rig, first_desk, 100 + i * 100), 0U) << i;
-      world.put ("servers", "d1", replica_spec ("desk", 1, 0).c_str ());
-      world.run (2 * GSPAN_SECOND);
-    }
+  expect_removed_replicas_unused ({ "d1" }, [this] () -> Rig & { return find_holder (); });
 }
 
 /* So many at once would be a lapse, if the store had been away. */
 TEST_F (CutNodes, HalfOfTheReplicasThatWereRemovedMeanwhileGetNothingOnceTheNodeIsBack)
 {
-  start_nodes (4);
-  world.run (5 * GSPAN_SECOND);
-  for (unsigned i = 0; i < 12; i++)
-    {
-      Rig &rig = find_listener ();
-
-      set_cut (rig, true);
-      world.run (4 * GSPAN_SECOND);
-      for (const char *name : { "d1", "m1", "m2" })
-        world.remove ("servers", name);
-      world.run (8 * GSPAN_SECOND + i * 230 * GSPAN_MS);
-      set_cut (rig, false);
-      world.run (stable_us);
-      EXPECT_EQ (count_requests_to (rig, first_desk, 100 + i * 100), 0U) << i;
-      world.put ("servers", "d1", replica_spec ("desk", 1, 0).c_str ());
-      world.put ("servers", "m1", replica_spec ("llm", 3, 1).c_str ());
-      world.put ("servers", "m2", replica_spec ("llm", 4, 1).c_str ());
-      world.run (2 * GSPAN_SECOND);
-    }
+  expect_removed_replicas_unused ({ "d1", "m1", "m2" },
+                                  [this] () -> Rig & { return find_listener (); });
 }
 
 TEST_F (CutNodes, ConfigurationOfMeanwhileIsInForceOnceTheNodeIsBack)
--- a/test/slow_reads_test.cc
+++ b/test/slow_reads_test.cc
@@ -28,6 +28,20 @@
     };
   }
 
+  /* A new world, in which the calls of the node that holds the lease, or of another, take MS. */
+  Rig &
+  start_slow (bool holder, unsigned ms)
+  {
+    world.clear ();
+    world.latency_of = nullptr;
+    start_nodes (4);
+    world.run (5 * GSPAN_SECOND);
+    Rig &rig = find_rig (holder);
+    slow_down (rig, ms * GSPAN_MS);
+    world.run (5 * GSPAN_SECOND);
+    return rig;
+  }
+
   static bool
   uses (const Rig &rig, const std::string &id)
   {
@@ -53,31 +67,20 @@
 {
   for (unsigned ms = 300; ms <= 900; ms += 100)
     {
-      world.clear ();
-      world.latency_of = nullptr;
-      start_nodes (4);
-      world.run (5 * GSPAN_SECOND);
-      Rig &holder = find_rig (true);
-      slow_down (holder, ms * GSPAN_MS);
-      world.run (5 * GSPAN_SECOND);
+      Rig &holder = start_slow (true, ms);
+
       world.put ("servers", "d1", replica_spec ("desk", 1, 0, "draining").c_str ());
       EXPECT_LT (run_until (20 * GSPAN_SECOND, [&] { return !uses (holder, "d1"); }), notice_us)
           << ms;
     }
 }
 
-/* Twice as long as a read that had begun just before. */
 TEST_F (SlowReads, NodeThatIsToldOfANewConfigurationReadsIt)
 {
   for (unsigned ms = 300; ms <= 900; ms += 100)
     {
-      world.clear ();
-      world.latency_of = nullptr;
-      start_nodes (4);
-      world.run (5 * GSPAN_SECOND);
-      Rig &rig = find_rig (false);
-      slow_down (rig, ms * GSPAN_MS);
-      world.run (5 * GSPAN_SECOND);
+      Rig &rig = start_slow (false, ms);
+
       world.put ("config", "main", config_spec (9).c_str ());
       EXPECT_LT (run_until (20 * GSPAN_SECOND, [&] { return rig.node.catalog.config.number == 9; }),
                  notice_us)
